--- /dev/null
+++ b/crates/jackdawpier/src/args.rs
@@ -0,0 +1,82 @@
+//! The command line of the tool.
+
+use bpaf::Bpaf;
+
+/// How results are printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Output {
+    /// Tables for people.
+    Table,
+    /// JSON for programs.
+    Json,
+}
+
+fn output() -> impl bpaf::Parser<Output> {
+    use bpaf::Parser;
+    bpaf::long("output")
+        .help("Form of the output: table or json")
+        .argument::<String>("FORM")
+        .parse(|text| match text.as_str() {
+            "table" => Ok(Output::Table),
+            "json" => Ok(Output::Json),
+            other => Err(format!("`{other}` is neither table nor json")),
+        })
+        .fallback(Output::Table)
+}
+
+/// What every command needs.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Common {
+    /// Operators' address of any entry
+    #[bpaf(argument("IP:PORT"), env("JACKDAWPIER_ENTRY"))]
+    pub(crate) entry: String,
+    #[bpaf(external)]
+    pub(crate) output: Output,
+}
+
+/// Operate jackdawpier, the fleet capacity and maintenance manager
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub(crate) enum Args {
+    /// Show what a declaration would change
+    #[bpaf(command)]
+    Plan {
+        #[bpaf(external)]
+        common: Common,
+        /// Declaration file (YAML)
+        #[bpaf(positional("FILE"))]
+        file: String,
+    },
+    /// Put a declaration in force
+    #[bpaf(command)]
+    Apply {
+        #[bpaf(external)]
+        common: Common,
+        /// Revision that the change is based on; the one now in force when absent
+        #[bpaf(argument("REVISION"))]
+        base: Option<u64>,
+        /// Seconds to wait until every live entry has the change in force
+        #[bpaf(argument("SECONDS"), fallback(10))]
+        wait: u64,
+        /// Declaration file (YAML)
+        #[bpaf(positional("FILE"))]
+        file: String,
+    },
+    /// Show classes, members, configuration and parked jobs at a glance
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        common: Common,
+        /// Refresh every second
+        watch: bool,
+    },
+    /// Show the document of a deployment that is in force
+    #[bpaf(command)]
+    Get {
+        #[bpaf(external)]
+        common: Common,
+        /// Name of the deployment
+        #[bpaf(positional("DEPLOYMENT"))]
+        deployment: String,
+    },
+}
--- /dev/null
+++ b/crates/jackdawpier/src/commands.rs
@@ -0,0 +1,24 @@
+//! The tool's commands, one file each.
+
+mod apply;
+mod get;
+mod plan;
+mod status;
+
+use crate::{
+    args::Args,
+    client::Client,
+    exit_status::{ExitStatus, Failure},
+};
+
+/// Runs what the command line asks for.
+pub(crate) fn run(args: &Args) -> Result<ExitStatus, Failure> {
+    match args {
+        Args::Plan { common, file } => plan::run(&Client::new(&common.entry), common, file),
+        Args::Apply { common, base, wait, file } => {
+            apply::run(&Client::new(&common.entry), common, *base, *wait, file)
+        }
+        Args::Status { common, watch } => status::run(&Client::new(&common.entry), common, *watch),
+        Args::Get { common, deployment } => get::run(&Client::new(&common.entry), deployment),
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier/src/commands/status.rs
@@ -0,0 +1,82 @@
+//! `jackdawpier status`: classes, members, configuration and parked jobs at a glance.
+
+use std::{thread, time::Duration};
+
+use serde_json::Value;
+
+use crate::{
+    args::{Common, Output},
+    client::Client,
+    exit_status::{ExitStatus, Failure},
+    render,
+};
+
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+const CLEAR_SCREEN: &str = "\u{1b}[2J\u{1b}[H";
+
+/// Prints the status once, or every second.
+pub(crate) fn run(client: &Client, common: &Common, watch: bool) -> Result<ExitStatus, Failure> {
+    loop {
+        let status = client.get("/v1/status")?.body;
+        if watch {
+            print!("{CLEAR_SCREEN}");
+        }
+        match common.output {
+            Output::Json => println!("{status}"),
+            Output::Table => print_tables(&status),
+        }
+        if !watch {
+            return Ok(ExitStatus::Success);
+        }
+        thread::sleep(REFRESH_INTERVAL);
+    }
+}
+
+fn print_tables(status: &Value) {
+    println!(
+        "entry {}, ready: {}, stopping: {}",
+        render::cell(&status["entry"]),
+        render::cell(&status["is_ready"]),
+        render::cell(&status["is_stopping"])
+    );
+    println!(
+        "\nconfiguration\n{}",
+        render::rows(
+            &status["documents"],
+            &["deployment", "revision", "is_in_force", "lagging_members"]
+        )
+    );
+    println!(
+        "\nclasses\n{}",
+        render::rows(
+            &status["classes"],
+            &[
+                "class",
+                "service",
+                "finish_within_ms",
+                "capacity_instances",
+                "live_executors",
+                "live_workers"
+            ]
+        )
+    );
+    println!(
+        "\nmembers\n{}",
+        render::rows(&status["members"], &["entry", "zone", "is_reachable", "is_stopping", "owns"])
+    );
+    let mut services =
+        render::table(&["service", "queued", "pending", "slots", "keys", "jobs waiting"]);
+    for (name, figures) in status["services"].as_object().into_iter().flatten() {
+        let figure = |key: &str| render::cell(&figures[key]);
+        services.add_row([
+            name.clone(),
+            figure("queued"),
+            figure("pending"),
+            figure("slots"),
+            figure("keys"),
+            figure("jobs_waiting"),
+        ]);
+    }
+    println!("\nservices, as seen by this entry\n{services}");
+    println!("\nparked jobs\n{}", render::rows(&status["parked_jobs"], &["job", "reason"]));
+}
--- /dev/null
+++ b/crates/jackdawpier_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks, virtual days and capacity slopes with regression bounds.
--- /dev/null
+++ b/crates/jackdawpier_capacity/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions on pools, buffers and maintenance waves.
--- /dev/null
+++ b/crates/jackdawpier_coord/src/membership.rs
@@ -0,0 +1,262 @@
+//! This entry's membership: a lease, a member record under it, and the view of the others.
+//!
+//! The entry counts its own lease from the moment it *sent* the renewal and stops effects a margin
+//! before the store could let it lapse. What a pause between that check and an effect can do is
+//! bounded by the fences: see `docs/design/coordination.md`.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{EntryId, Revision, ZoneName},
+};
+use jackdawpier_store::{Change, Condition, LeaseId, Record, Request, Response, StoreResult};
+use serde::{Deserialize, Serialize};
+
+use crate::keys;
+
+/// Renewals a lease's time to live.
+const RENEWALS_PER_TTL: u32 = 3;
+/// Share of the time to live after which the holder stops relying on the lease.
+const TRUSTED_PERCENT: u32 = 80;
+/// Wait before a failed call is repeated.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What an entry tells the others about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of the entry.
+    pub entry: EntryId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Address of its peer port (UDP).
+    pub peer_address: String,
+    /// Address of its operators' port.
+    pub operator_address: String,
+    /// Distinguishes two starts of the same entry.
+    pub incarnation: u64,
+    /// Revision of each configuration document in force here.
+    pub in_force: BTreeMap<String, Revision>,
+    /// Whether it is in a planned stop and takes no more ownership.
+    pub is_stopping: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Flight {
+    None,
+    Grant,
+    Renew,
+    Publish,
+    Revoke,
+}
+
+/// This entry's own lease and record.
+#[derive(Debug)]
+pub struct Membership {
+    own: Member,
+    ttl: Duration,
+    lease: Option<LeaseId>,
+    sent_at: Now,
+    trusted_until: Now,
+    next_renewal_at: Now,
+    retry_at: Now,
+    is_published: bool,
+    is_revoked: bool,
+    flight: Flight,
+}
+
+impl Membership {
+    /// Returns a membership that has not asked for its lease yet.
+    pub fn new(own: Member, ttl: Duration) -> Self {
+        Self {
+            own,
+            ttl,
+            lease: None,
+            sent_at: Now::ZERO,
+            trusted_until: Now::ZERO,
+            next_renewal_at: Now::ZERO,
+            retry_at: Now::ZERO,
+            is_published: false,
+            is_revoked: false,
+            flight: Flight::None,
+        }
+    }
+
+    /// The lease to attach records to, while it can be relied on.
+    pub fn lease(&self, now: Now) -> Option<LeaseId> {
+        self.lease.filter(|_| now < self.trusted_until)
+    }
+
+    /// What this entry tells the others.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Changes what this entry tells the others; the record follows with the next tick.
+    pub fn update(&mut self, change: impl FnOnce(&mut Member)) {
+        let before = self.own.clone();
+        change(&mut self.own);
+        if self.own != before {
+            self.is_published = false;
+        }
+    }
+
+    /// Ends the membership at a planned stop, as the last call.
+    pub fn revoke(&mut self) -> Option<Request> {
+        self.is_revoked = true;
+        self.flight = Flight::Revoke;
+        self.lease.take().map(|lease| Request::LeaseRevoke { lease })
+    }
+
+    /// Returns the call that is due, if any; one is in flight at a time.
+    pub fn tick(&mut self, now: Now) -> Option<Request> {
+        if self.flight != Flight::None || now < self.retry_at || self.is_revoked {
+            return None;
+        }
+        let Some(lease) = self.lease else {
+            return Some(self.start(
+                now,
+                Flight::Grant,
+                Request::LeaseGrant { ttl_ms: self.ttl_ms() },
+            ));
+        };
+        if !self.is_published {
+            let request = self.publish_request(lease);
+            self.is_published = true;
+            return Some(self.start(now, Flight::Publish, request));
+        }
+        if now < self.next_renewal_at {
+            return None;
+        }
+        Some(self.start(now, Flight::Renew, Request::LeaseRenew { lease }))
+    }
+
+    /// Takes the result of the call in flight.
+    pub fn on_result(&mut self, now: Now, result: &StoreResult) {
+        let flight = std::mem::replace(&mut self.flight, Flight::None);
+        match (flight, result) {
+            (Flight::Grant | Flight::Renew, Ok(Response::Lease { lease })) => {
+                self.lease = Some(*lease);
+                self.trusted_until = self.sent_at + self.ttl * TRUSTED_PERCENT / 100;
+                self.next_renewal_at = self.sent_at + self.ttl / RENEWALS_PER_TTL;
+            }
+            (Flight::Publish, Ok(Response::Written { .. })) | (Flight::Revoke, _) => {}
+            (_, Ok(Response::LeaseGone)) => self.lose_lease(),
+            (Flight::Publish, _) => {
+                self.is_published = false;
+                self.retry_at = now + RETRY_INTERVAL;
+            }
+            _ => self.retry_at = now + RETRY_INTERVAL,
+        }
+    }
+
+    fn lose_lease(&mut self) {
+        self.lease = None;
+        self.trusted_until = Now::ZERO;
+        self.is_published = false;
+    }
+
+    fn start(&mut self, now: Now, flight: Flight, request: Request) -> Request {
+        self.flight = flight;
+        if flight != Flight::Publish {
+            self.sent_at = now;
+        }
+        request
+    }
+
+    fn ttl_ms(&self) -> u64 {
+        self.ttl.as_millis() as u64
+    }
+
+    fn publish_request(&self, lease: LeaseId) -> Request {
+        Request::Put {
+            key: keys::member(&self.own.entry),
+            value: serde_json::to_string(&self.own).expect("members are plain data"),
+            condition: Condition::Always,
+            lease: Some(lease),
+        }
+    }
+}
+
+/// The members and shard owners, as last learned from the store.
+#[derive(Debug, Default, Clone)]
+pub struct View {
+    members: BTreeMap<EntryId, Member>,
+    owners: BTreeMap<String, Owner>,
+    /// Revision up to which the view has seen.
+    pub store_revision: Revision,
+}
+
+/// Who owns a shard, as stored under the owner's lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The owning entry.
+    pub entry: EntryId,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Revision of the owner record; zero inside the record itself.
+    #[serde(default)]
+    pub revision: Revision,
+}
+
+impl View {
+    /// Forgets everything, before a whole reading.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Takes one record of the members or shards.
+    pub fn apply_record(&mut self, record: &Record) {
+        self.store_revision = self.store_revision.max(record.revision);
+        if let Some(name) = record.key.strip_prefix(keys::MEMBERS) {
+            if let Ok(member) = serde_json::from_str::<Member>(&record.value) {
+                self.members.insert(name.into(), member);
+            }
+        } else if let Some(shard) = record.key.strip_prefix(keys::SHARDS)
+            && let Ok(mut owner) = serde_json::from_str::<Owner>(&record.value)
+        {
+            owner.revision = record.revision;
+            self.owners.insert(shard.to_owned(), owner);
+        }
+    }
+
+    /// Takes one change that a watch reported.
+    pub fn apply(&mut self, change: &Change) {
+        match change {
+            Change::Put(record) => self.apply_record(record),
+            Change::Delete { key, revision } => {
+                self.store_revision = self.store_revision.max(*revision);
+                if let Some(name) = key.strip_prefix(keys::MEMBERS) {
+                    self.members.remove(name);
+                } else if let Some(shard) = key.strip_prefix(keys::SHARDS) {
+                    self.owners.remove(shard);
+                }
+            }
+        }
+    }
+
+    /// The members in the order of their names.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// One member.
+    pub fn member(&self, entry: &str) -> Option<&Member> {
+        self.members.get(entry)
+    }
+
+    /// Names of the members that may own shards.
+    pub fn candidates(&self) -> impl Iterator<Item = &str> {
+        self.members.values().filter(|member| !member.is_stopping).map(|member| &*member.entry)
+    }
+
+    /// Owner of `shard`, if a live one is recorded.
+    pub fn owner(&self, shard: &str) -> Option<&Owner> {
+        self.owners.get(shard)
+    }
+
+    /// All recorded owners by shard.
+    pub fn owners(&self) -> impl Iterator<Item = (&str, &Owner)> {
+        self.owners.iter().map(|(shard, owner)| (shard.as_str(), owner))
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_http/src/lib.rs
@@ -0,0 +1,234 @@
+//! Hyper server for callers, with limits on connections, headers and bodies.
+//!
+//! `tiny_http` stalls on kept-alive connections under load and dies of one failed accept; the
+//! measurement and the choice are in `docs/design/callers-port.md`. A slow caller holds a
+//! connection for a bounded time and never a thread.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderName, HeaderValue},
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    task::JoinSet,
+};
+
+/// Wait after a failed accept, for example while no file descriptor is free.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Largest request head in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+
+/// Limits on what a caller may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Open connections.
+    pub connections: usize,
+    /// Time to send a whole head, and again a whole body.
+    pub read_timeout: Duration,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+}
+
+/// A whole request.
+#[derive(Debug, Clone)]
+pub struct IncomingRequest {
+    /// Method.
+    pub method: Method,
+    /// Path with the query, as sent.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl IncomingRequest {
+    /// Returns a header as text, if it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// A whole reply.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status.
+    pub status: u16,
+    /// Headers besides the length; one that is not valid is left out.
+    pub headers: Vec<(&'static str, String)>,
+    /// Whole body.
+    pub body: Bytes,
+    /// Sends only this many bytes of the body and then breaks the connection, for stand-ins.
+    pub cut_after_bytes: Option<usize>,
+}
+
+impl Reply {
+    /// Returns a reply with a body of the given content type.
+    pub fn new(status: u16, content_type: &str, body: impl Into<Bytes>) -> Self {
+        let headers = vec![("content-type", content_type.to_owned())];
+        Self { status, headers, body: body.into(), cut_after_bytes: None }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with_header(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+}
+
+/// What answers requests.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: IncomingRequest) -> impl Future<Output = Reply> + Send;
+}
+
+/// Serves until `stop` turns true, then lets every request in flight finish.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+) {
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    let mut connections = JoinSet::new();
+    loop {
+        let permit = Arc::clone(&permits).acquire_owned();
+        let accepted = tokio::select! {
+            () = stopped(&mut stop) => break,
+            accepted = async {
+                let permit = permit.await.expect("the semaphore is never closed");
+                (permit, listener.accept().await)
+            } => accepted,
+        };
+        match accepted {
+            (permit, Ok((stream, _))) => {
+                let serving = serve_connection(stream, limits, handler.clone(), stop.clone());
+                connections.spawn(async move {
+                    serving.await;
+                    drop(permit);
+                });
+            }
+            (_, Err(error)) => {
+                log::warn!(event = "accept_failed"; "{error}");
+                tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+            }
+        }
+        while connections.try_join_next().is_some() {}
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| answer(request, limits, handler.clone()));
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.read_timeout)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        result = connection.as_mut() => log_end(result),
+        () = stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            log_end(connection.await);
+        }
+    }
+}
+
+/// Waits until `stop` turns true, or its sender is gone.
+pub async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|is_stopping| *is_stopping).await;
+}
+
+fn log_end(result: hyper::Result<()>) {
+    if let Err(error) = result {
+        log::debug!(event = "connection_ended"; "{error}");
+    }
+}
+
+async fn answer<H: Handler>(
+    request: Request<Incoming>,
+    limits: ServerLimits,
+    handler: H,
+) -> Result<Response<CutBody>, Infallible> {
+    let (parts, body) = request.into_parts();
+    let reading = Limited::new(body, limits.body_bytes).collect();
+    let reply = match tokio::time::timeout(limits.read_timeout, reading).await {
+        Err(_) => Reply::new(408, "text/plain", "the body did not arrive in time\n"),
+        Ok(Err(_)) => Reply::new(413, "text/plain", "the body is too long or was cut off\n"),
+        Ok(Ok(body)) => {
+            let path =
+                parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string);
+            let body = body.to_bytes();
+            let request =
+                IncomingRequest { method: parts.method, path, headers: parts.headers, body };
+            handler.handle(request).await
+        }
+    };
+    Ok(into_response(reply))
+}
+
+/// A full body, or one that breaks off for a stand-in's truncated answer.
+type CutBody = http_body_util::combinators::BoxBody<Bytes, CutOff>;
+
+/// The stand-in broke the answer off on purpose.
+#[derive(Debug, Clone, Copy, derive_more::Display, derive_more::Error)]
+#[display("the answer was cut off on purpose")]
+pub struct CutOff;
+
+fn into_response(reply: Reply) -> Response<CutBody> {
+    let length = reply.body.len();
+    let body = match reply.cut_after_bytes {
+        None => Full::new(reply.body).map_err(|never| match never {}).boxed(),
+        Some(count) => {
+            let start = reply.body.slice(..count.min(length));
+            let frames = [Ok(hyper::body::Frame::data(start)), Err(CutOff)];
+            http_body_util::StreamBody::new(IterStream(frames.into_iter())).boxed()
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() =
+        StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    for (name, value) in reply.headers {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            response.headers_mut().append(HeaderName::from_static(name), value);
+        }
+    }
+    if reply.cut_after_bytes.is_some() {
+        response.headers_mut().insert("content-length", HeaderValue::from(length));
+    }
+    response
+}
+
+/// Stream over an iterator; enough for the two frames of a cut answer.
+struct IterStream<I>(I);
+
+impl<I: Iterator + Unpin> futures_core::Stream for IterStream<I> {
+    type Item = I::Item;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        _context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        std::task::Poll::Ready(self.0.next())
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_jobs/src/blame.rs
@@ -0,0 +1,122 @@
+//! Tells jobs that can never run from workers that fail everything.
+//!
+//! A failure counts against both; whatever succeeds elsewhere clears its side. A worker that
+//! fails several different jobs in a row is left out for a while, and its failures no longer
+//! count against jobs. See `docs/design/blame.md`.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{JobId, RackName, WorkerId},
+};
+
+/// Different jobs failed in a row after which a worker is left out.
+const QUARANTINE_AFTER: usize = 3;
+/// Healthy workers on which a job must fail before it is parked.
+const PARK_AFTER: usize = 3;
+/// Racks that these workers must stand in at least.
+const PARK_RACKS: usize = 2;
+/// Time for which a worker is left out; doubles each time.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
+const MAX_QUARANTINE: Duration = Duration::from_secs(3600);
+
+#[derive(Debug, Default)]
+struct WorkerRecord {
+    failed_in_a_row: BTreeSet<JobId>,
+    quarantined_until: Option<Now>,
+    quarantine: Option<Duration>,
+}
+
+/// Failures of jobs and workers.
+#[derive(Debug, Default)]
+pub struct Blame {
+    workers: HashMap<WorkerId, WorkerRecord>,
+    jobs: HashMap<JobId, Vec<(WorkerId, RackName)>>,
+}
+
+/// What follows from a failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Try elsewhere.
+    TryElsewhere,
+    /// The worker fails everything and is left out; try elsewhere.
+    WorkerQuarantined,
+    /// The job can never run.
+    JobNeverRuns,
+}
+
+impl Blame {
+    /// Whether `worker` is left out at the moment.
+    pub fn is_quarantined(&self, now: Now, worker: &str) -> bool {
+        self.workers
+            .get(worker)
+            .and_then(|record| record.quarantined_until)
+            .is_some_and(|until| now < until)
+    }
+
+    /// Workers left out at the moment.
+    pub fn quarantined(&self, now: Now) -> usize {
+        self.workers.keys().filter(|worker| self.is_quarantined(now, worker)).count()
+    }
+
+    /// Workers on which `job` has failed; it is not placed there again while others are free.
+    pub fn failed_on(&self, job: &str) -> impl Iterator<Item = &WorkerId> {
+        self.jobs.get(job).into_iter().flatten().map(|(worker, _)| worker)
+    }
+
+    /// Notes that a job ran to its end.
+    pub fn succeeded(&mut self, job: &str, worker: &WorkerId) {
+        self.jobs.remove(job);
+        self.workers.remove(worker);
+    }
+
+    /// Forgets a job that is over.
+    pub fn forget(&mut self, job: &str) {
+        self.jobs.remove(job);
+    }
+
+    /// Notes that a job failed on a worker.
+    pub fn failed(&mut self, now: Now, job: &JobId, worker: &WorkerId, rack: &RackName) -> Verdict {
+        let places = self.jobs.entry(job.clone()).or_default();
+        if !places.iter().any(|(place, _)| place == worker) {
+            places.push((worker.clone(), rack.clone()));
+        }
+        let record = self.workers.entry(worker.clone()).or_default();
+        record.failed_in_a_row.insert(job.clone());
+        if record.failed_in_a_row.len() >= QUARANTINE_AFTER {
+            self.quarantine(now, worker);
+            return Verdict::WorkerQuarantined;
+        }
+        if self.never_runs(now, job) { Verdict::JobNeverRuns } else { Verdict::TryElsewhere }
+    }
+
+    fn quarantine(&mut self, now: Now, worker: &WorkerId) {
+        let record = self.workers.entry(worker.clone()).or_default();
+        let time =
+            record.quarantine.map_or(FIRST_QUARANTINE, |time| (time * 2).min(MAX_QUARANTINE));
+        record.quarantine = Some(time);
+        record.quarantined_until = Some(now + time);
+        let accused = std::mem::take(&mut record.failed_in_a_row);
+        for job in accused {
+            if let Some(places) = self.jobs.get_mut(&job) {
+                places.retain(|(place, _)| place != worker);
+            }
+        }
+    }
+
+    fn never_runs(&self, now: Now, job: &JobId) -> bool {
+        let healthy: Vec<&(WorkerId, RackName)> = self
+            .jobs
+            .get(job)
+            .into_iter()
+            .flatten()
+            .filter(|(worker, _)| !self.is_quarantined(now, worker))
+            .collect();
+        let racks: BTreeSet<&RackName> = healthy.iter().map(|(_, rack)| rack).collect();
+        healthy.len() >= PARK_AFTER && racks.len() >= PARK_RACKS
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_kernel/src/rendezvous.rs
@@ -0,0 +1,15 @@
+//! Rendezvous hashing: every entry ranks the members of a shard alike without talking.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Score of `member` for `shard`; the highest score is the preferred owner.
+pub fn score(shard: &str, member: &str) -> u64 {
+    xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(shard.as_bytes(), 0))
+}
+
+/// Returns the preferred owner of `shard` among `members`, or `None` without members.
+///
+/// Ties are broken by name, so that the answer does not depend on the order of `members`.
+pub fn owner<'a>(shard: &str, members: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    members.into_iter().max_by_key(|member| (score(shard, member), *member))
+}
--- /dev/null
+++ b/crates/jackdawpier_peer/src/lib.rs
@@ -0,0 +1,234 @@
+//! Mutually authenticated quinn transport between entry instances.
+//!
+//! One stream carries one request and one answer, so nothing can cross. A call that fails says
+//! whether any byte of it can have left. Certificates of one private authority are required on
+//! both sides. See `docs/design/peers.md`.
+
+mod tls;
+
+use std::{
+    collections::HashMap,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use derive_more::{Display, Error};
+use quinn::{Connection, VarInt};
+use serde::{Serialize, de::DeserializeOwned};
+
+pub use crate::tls::{PEER_NAME, TlsFiles};
+
+/// Largest message in bytes: an answer's body and its head.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
+/// Time for a handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Silence after which a connection is taken for dead.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Interval of keep-alive packets on a quiet connection.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(400);
+/// Streams that one peer may have open towards us.
+const MAX_STREAMS: u32 = 4096;
+
+/// Why a call gave no answer.
+#[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
+pub enum PeerError {
+    /// Nothing was sent.
+    #[display("peer {address} not reached: {detail}")]
+    NotSent {
+        /// The peer.
+        address: SocketAddr,
+        /// What failed.
+        detail: String,
+    },
+    /// The request may have arrived.
+    #[display("answer of peer {address} lost: {detail}")]
+    Lost {
+        /// The peer.
+        address: SocketAddr,
+        /// What failed.
+        detail: String,
+    },
+}
+
+/// The endpoint could not be set up.
+#[derive(Debug, Display, Error)]
+pub enum SetupError {
+    /// A key or certificate could not be used.
+    #[display("{file}: {detail}")]
+    Tls {
+        /// The file.
+        file: String,
+        /// What is wrong.
+        detail: String,
+    },
+    /// The address could not be bound.
+    #[display("peers' address {address}: {detail}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What is wrong.
+        detail: String,
+    },
+}
+
+/// What answers peers.
+pub trait PeerService: Clone + Send + Sync + 'static {
+    /// Requests of peers.
+    type Request: DeserializeOwned + Send;
+    /// Answers to peers.
+    type Answer: Serialize + Send;
+    /// Answers one request.
+    fn handle(&self, request: Self::Request) -> impl Future<Output = Self::Answer> + Send;
+}
+
+/// The peer port of this entry, for both directions.
+#[derive(Debug, Clone)]
+pub struct PeerEndpoint {
+    endpoint: quinn::Endpoint,
+    connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+impl PeerEndpoint {
+    /// Binds the endpoint. Must be called within a tokio runtime.
+    pub fn bind(address: SocketAddr, files: &TlsFiles) -> Result<Self, SetupError> {
+        let mut transport = quinn::TransportConfig::default();
+        let idle = quinn::IdleTimeout::try_from(IDLE_TIMEOUT).expect("the constant fits");
+        transport
+            .max_idle_timeout(Some(idle))
+            .keep_alive_interval(Some(KEEP_ALIVE_INTERVAL))
+            .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+            .max_concurrent_uni_streams(VarInt::from_u32(0));
+        let transport = Arc::new(transport);
+        let (server, client) = tls::configs(files, &transport)?;
+        let mut endpoint = quinn::Endpoint::server(server, address)
+            .map_err(|error| SetupError::Bind { address, detail: error.to_string() })?;
+        endpoint.set_default_client_config(client);
+        Ok(Self { endpoint, connections: Arc::default() })
+    }
+
+    /// The address that was bound.
+    pub fn local_address(&self) -> SocketAddr {
+        self.endpoint.local_addr().expect("a bound endpoint has an address")
+    }
+
+    /// Answers peers until the endpoint is closed.
+    pub async fn serve<S: PeerService>(&self, service: S) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let service = service.clone();
+            tokio::spawn(async move {
+                match incoming.await {
+                    Ok(connection) => serve_connection(connection, service).await,
+                    Err(error) => log::warn!(event = "peer_refused"; "{error}"),
+                }
+            });
+        }
+    }
+
+    /// Calls a peer and waits for its answer for at most `limit`.
+    pub async fn call<Q: Serialize + Sync, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: &Q,
+        limit: Duration,
+    ) -> Result<A, PeerError> {
+        let not_sent = |detail: String| PeerError::NotSent { address, detail };
+        let message = postcard::to_stdvec(request).map_err(|error| not_sent(error.to_string()))?;
+        let connection = self.connection(address).await?;
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, connection.open_bi()).await;
+        let (send, receive) = match opened {
+            Ok(Ok(streams)) => streams,
+            Ok(Err(error)) => {
+                self.forget(address, &connection);
+                return Err(not_sent(error.to_string()));
+            }
+            Err(_) => return Err(not_sent("no stream is free".to_owned())),
+        };
+        let exchange = exchange(send, receive, message);
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(Ok(answer)) => postcard::from_bytes(&answer)
+                .map_err(|error| PeerError::Lost { address, detail: error.to_string() }),
+            Ok(Err(detail)) => {
+                if connection.close_reason().is_some() {
+                    self.forget(address, &connection);
+                }
+                Err(PeerError::Lost { address, detail })
+            }
+            Err(_) => Err(PeerError::Lost { address, detail: "no answer in time".to_owned() }),
+        }
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Connection, PeerError> {
+        let known = self.lock().get(&address).cloned();
+        if let Some(connection) = known.filter(|found| found.close_reason().is_none()) {
+            return Ok(connection);
+        }
+        let not_sent = |detail: String| PeerError::NotSent { address, detail };
+        let connecting = self
+            .endpoint
+            .connect(address, PEER_NAME)
+            .map_err(|error| not_sent(error.to_string()))?;
+        let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| not_sent("no handshake in time".to_owned()))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        self.lock().insert(address, connection.clone());
+        Ok(connection)
+    }
+
+    fn forget(&self, address: SocketAddr, connection: &Connection) {
+        let mut connections = self.lock();
+        let is_same = connections
+            .get(&address)
+            .is_some_and(|known| known.stable_id() == connection.stable_id());
+        if is_same {
+            connections.remove(&address);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
+        self.connections.lock().expect("no holder of this lock panics")
+    }
+
+    /// Closes the endpoint and waits until peers have been told.
+    pub async fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"stopping");
+        let _ = tokio::time::timeout(CONNECT_TIMEOUT, self.endpoint.wait_idle()).await;
+    }
+}
+
+async fn exchange(
+    mut send: quinn::SendStream,
+    mut receive: quinn::RecvStream,
+    message: Vec<u8>,
+) -> Result<Vec<u8>, String> {
+    send.write_all(&message).await.map_err(|error| error.to_string())?;
+    send.finish().map_err(|error| error.to_string())?;
+    receive.read_to_end(MAX_MESSAGE_BYTES).await.map_err(|error| error.to_string())
+}
+
+async fn serve_connection<S: PeerService>(connection: Connection, service: S) {
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        let service = service.clone();
+        tokio::spawn(async move {
+            if let Err(detail) = serve_stream(send, receive, service).await {
+                log::debug!(event = "peer_stream_ended"; "{detail}");
+            }
+        });
+    }
+}
+
+async fn serve_stream<S: PeerService>(
+    mut send: quinn::SendStream,
+    mut receive: quinn::RecvStream,
+    service: S,
+) -> Result<(), String> {
+    let message =
+        receive.read_to_end(MAX_MESSAGE_BYTES).await.map_err(|error| error.to_string())?;
+    let request = postcard::from_bytes(&message).map_err(|error| error.to_string())?;
+    let answer = service.handle(request).await;
+    let message = postcard::to_stdvec(&answer).map_err(|error| error.to_string())?;
+    send.write_all(&message).await.map_err(|error| error.to_string())?;
+    send.finish().map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/jackdawpier_route/src/service_time.rs
@@ -0,0 +1,46 @@
+//! Learned service time of a class: mean and spread, from finished attempts.
+
+use std::time::Duration;
+
+/// Weight of a new sample, as one part in this many.
+const SMOOTHING: f64 = 16.0;
+/// Share of the target that is assumed before the first sample.
+const FIRST_GUESS_DIVISOR: u32 = 8;
+
+/// Exponentially smoothed mean and mean deviation of the time an attempt takes.
+#[derive(Debug, Clone)]
+pub struct ServiceTime {
+    mean_s: f64,
+    deviation_s: f64,
+    sample_count: u64,
+}
+
+impl ServiceTime {
+    /// Returns an estimate for a class that must finish within `finish_within`.
+    pub fn new(finish_within: Duration) -> Self {
+        let mean_s = (finish_within / FIRST_GUESS_DIVISOR).as_secs_f64();
+        Self { mean_s, deviation_s: 0.0, sample_count: 0 }
+    }
+
+    /// Learns from one finished attempt.
+    pub fn observe(&mut self, took: Duration) {
+        let sample_s = took.as_secs_f64();
+        if self.sample_count == 0 {
+            self.mean_s = sample_s;
+        }
+        self.sample_count += 1;
+        let error_s = sample_s - self.mean_s;
+        self.mean_s += error_s / SMOOTHING;
+        self.deviation_s += (error_s.abs() - self.deviation_s) / SMOOTHING;
+    }
+
+    /// Mean time of an attempt.
+    pub fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s)
+    }
+
+    /// A time that most attempts stay below.
+    pub fn cautious(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s + 2.0 * self.deviation_s)
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_settings/src/loader.rs
@@ -0,0 +1,81 @@
+//! From the text of a file to checked values, or to diagnostics with positions.
+
+use jackdawpier_kernel::diagnostic::{Diagnostic, Position};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    declaration::{Declaration, DeclarationOptions},
+    options::Options,
+    rules::{self, FORBIDDEN_KEY, SHAPE},
+    settings::Settings,
+};
+
+/// Words of a key that try to steer the system past its targets.
+const FORBIDDEN_KEY_PARTS: [&str; 6] = ["weight", "address", "host", "instance_id", "port", "ip"];
+/// Largest declaration or settings file, so that a hostile one costs bounded memory.
+pub const MAX_FILE_BYTES: usize = 512 * 1024;
+
+/// Parses and checks the daemon's settings; `file` is the name to show in findings.
+pub fn load_settings(file: &str, text: &str) -> Result<Settings, Vec<Diagnostic>> {
+    let options: Options = parse(file, text).map_err(|finding| vec![*finding])?;
+    let findings = rules::check_options(file, &options);
+    if findings.is_empty() { Ok(options.resolve()) } else { Err(findings) }
+}
+
+/// Parses and checks a declaration; `file` is the name to show in findings.
+pub fn load_declaration(file: &str, text: &str) -> Result<Declaration, Vec<Diagnostic>> {
+    let options: DeclarationOptions = parse(file, text).map_err(|finding| vec![*finding])?;
+    let findings = rules::check_declaration(file, &options);
+    if findings.is_empty() { Ok(options.resolve()) } else { Err(findings) }
+}
+
+fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Box<Diagnostic>> {
+    if text.len() > MAX_FILE_BYTES {
+        let message = format!("the file has {} bytes", text.len());
+        let suggestion = format!("at most {MAX_FILE_BYTES} bytes");
+        let at = Position::default();
+        return Err(Box::new(SHAPE.finding(file, at, String::new(), message, suggestion)));
+    }
+    serde_saphyr::from_str(text).map_err(|error| Box::new(shape_finding(file, &error)))
+}
+
+fn shape_finding(file: &str, error: &serde_saphyr::Error) -> Diagnostic {
+    let position = error
+        .location()
+        .map(|at| Position { line: at.line(), column: at.column() })
+        .unwrap_or_default();
+    let rendered = error.without_snippet().to_string();
+    let message = rendered.lines().next().unwrap_or("not readable").to_owned();
+    match forbidden_key(&message) {
+        Some(key) => FORBIDDEN_KEY.finding(
+            file,
+            position,
+            key.to_owned(),
+            "operators drive the system by targets per class, never by weights or instance addresses"
+                .to_owned(),
+            "remove the key and state a target (capacity_instances, may_lose_instances, \
+             finish_within_ms, ceilings)"
+                .to_owned(),
+        ),
+        None => SHAPE.finding(
+            file,
+            position,
+            String::new(),
+            message,
+            "use only the keys and units of docs/SETTINGS.md".to_owned(),
+        ),
+    }
+}
+
+/// Returns the unknown key that the parser named, if it is one that would bypass the targets.
+fn forbidden_key(message: &str) -> Option<&str> {
+    let (_, rest) = message.split_once("unknown field `")?;
+    let (key, _) = rest.split_once('`')?;
+    key.split('_')
+        .any(|word| {
+            FORBIDDEN_KEY_PARTS
+                .iter()
+                .any(|part| word.trim_end_matches('s') == part.trim_end_matches('s'))
+        })
+        .then_some(key)
+}
--- /dev/null
+++ b/crates/jackdawpier_settings/src/rules.rs
@@ -0,0 +1,120 @@
+//! The registry of checks: one rule a file, in a folder by what it checks.
+//!
+//! A rule's module documentation is its user page; [`crate::reference`] prints it into
+//! `docs/SETTINGS.md`. `CONTRIBUTING.md` tells how to add a rule.
+
+pub mod declaration;
+pub mod settings;
+
+use jackdawpier_kernel::diagnostic::{Diagnostic, Position};
+use serde_saphyr::{Location, Spanned};
+
+use crate::{declaration::DeclarationOptions, options::Options};
+
+/// What is known about a rule besides its check.
+#[derive(Debug, Clone, Copy)]
+pub struct Rule {
+    /// Stable code.
+    pub code: &'static str,
+    /// Short name, as in the file name.
+    pub name: &'static str,
+    /// Source file, whose module documentation is the user page.
+    pub source: &'static str,
+}
+
+impl Rule {
+    /// Builds a finding of this rule.
+    pub fn finding(
+        &self,
+        file: &str,
+        position: Position,
+        field: String,
+        message: String,
+        suggestion: String,
+    ) -> Diagnostic {
+        let file = file.to_owned();
+        Diagnostic { code: self.code, file, position, field, message, suggestion }
+    }
+}
+
+/// Collects the findings of one file.
+#[derive(Debug)]
+pub struct Checker<'a> {
+    file: &'a str,
+    findings: Vec<Diagnostic>,
+}
+
+impl Checker<'_> {
+    /// Reports that the value at `at` breaks `rule`.
+    pub fn report<T>(
+        &mut self,
+        rule: &Rule,
+        at: &Spanned<T>,
+        field: &str,
+        message: impl Into<String>,
+        suggestion: impl Into<String>,
+    ) {
+        let position = position(&at.referenced);
+        self.findings.push(rule.finding(
+            self.file,
+            position,
+            field.to_owned(),
+            message.into(),
+            suggestion.into(),
+        ));
+    }
+}
+
+fn position(at: &Location) -> Position {
+    Position { line: at.line(), column: at.column() }
+}
+
+macro_rules! registry {
+    ($($constant:ident = $code:literal, $folder:literal / $name:literal;)*) => {
+        $(
+            #[doc = concat!("Rule ", $code, ", documented in its own file.")]
+            pub const $constant: Rule = Rule {
+                code: $code,
+                name: $name,
+                source: include_str!(concat!("rules/", $folder, "/", $name, ".rs")),
+            };
+        )*
+        /// Every rule, in the order of its code.
+        pub const RULES: &[Rule] = &[$($constant),*];
+    };
+}
+
+registry! {
+    SHAPE = "JP001", "settings" / "shape";
+    SAME_ADDRESS = "JP002", "settings" / "same_address";
+    ISOLATION_LIMIT = "JP003", "settings" / "isolation_limit";
+    ADDRESS = "JP004", "settings" / "address";
+    EMPTY_NAME = "JP005", "settings" / "empty_name";
+    LOG_LEVEL = "JP006", "settings" / "log_level";
+    DUPLICATE_CLASS = "JP101", "declaration" / "duplicate_class";
+    FORBIDDEN_KEY = "JP102", "declaration" / "forbidden_key";
+    ZERO_TARGET = "JP103", "declaration" / "zero_target";
+    CLASS_NAME = "JP104", "declaration" / "class_name";
+    LOSS_ABOVE_CAPACITY = "JP105", "declaration" / "loss_above_capacity";
+}
+
+/// Runs every settings rule.
+pub fn check_options(file: &str, options: &Options) -> Vec<Diagnostic> {
+    let mut checker = Checker { file, findings: Vec::new() };
+    settings::address::check(options, &mut checker);
+    settings::empty_name::check(options, &mut checker);
+    settings::isolation_limit::check(options, &mut checker);
+    settings::log_level::check(options, &mut checker);
+    settings::same_address::check(options, &mut checker);
+    checker.findings
+}
+
+/// Runs every declaration rule.
+pub fn check_declaration(file: &str, options: &DeclarationOptions) -> Vec<Diagnostic> {
+    let mut checker = Checker { file, findings: Vec::new() };
+    declaration::class_name::check(options, &mut checker);
+    declaration::duplicate_class::check(options, &mut checker);
+    declaration::loss_above_capacity::check(options, &mut checker);
+    declaration::zero_target::check(options, &mut checker);
+    checker.findings
+}
--- /dev/null
+++ b/crates/jackdawpier_settings/src/rules/settings.rs
@@ -0,0 +1,8 @@
+//! Rules on the daemon's settings file.
+
+pub mod address;
+pub mod empty_name;
+pub mod isolation_limit;
+pub mod log_level;
+pub mod same_address;
+pub mod shape;
--- /dev/null
+++ b/crates/jackdawpier_settings/src/rules/settings/isolation_limit.rs
@@ -0,0 +1,42 @@
+//! The isolation limit is not below the member lease, or a timing is zero.
+//!
+//! An entry that sees neither the store nor a peer must stop serving before its lease lapses:
+//! only then is a configuration that all live members reported in force everywhere.
+//!
+//! Example: `member_lease_ms: 3000` with `isolation_limit_ms: 3000`; write 2000 for the limit.
+
+use std::time::Duration;
+
+use serde_saphyr::Spanned;
+
+use crate::{
+    options::Options,
+    rules::{Checker, ISOLATION_LIMIT},
+};
+
+pub(crate) fn check(options: &Options, checker: &mut Checker<'_>) {
+    let timing = options.timing.resolve();
+    let at: &Spanned<String> = &options.entry;
+    if timing.isolation_limit >= timing.member_lease {
+        checker.report(
+            &ISOLATION_LIMIT,
+            at,
+            "timing.isolation_limit_ms",
+            format!(
+                "{} ms is not below member_lease_ms ({} ms)",
+                timing.isolation_limit.as_millis(),
+                timing.member_lease.as_millis()
+            ),
+            "a limit below the lease",
+        );
+    }
+    let named = [
+        ("timing.heartbeat_interval_ms", timing.heartbeat_interval),
+        ("timing.instance_list_interval_ms", timing.instance_list_interval),
+        ("timing.task_lease_ms", timing.task_lease),
+        ("limits.read_timeout_ms", options.limits.resolve().read_timeout),
+    ];
+    for (field, _) in named.iter().filter(|(_, value)| *value == Duration::ZERO) {
+        checker.report(&ISOLATION_LIMIT, at, field, "is zero", "at least 1");
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_standin/src/process.rs
@@ -0,0 +1,60 @@
+//! Common parts of the stand-in processes: listening, JSON and the ready line.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use jackdawpier_http::{Handler, IncomingRequest, Reply, ServerLimits, serve};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpListener, sync::watch};
+
+const STANDIN_LIMITS: ServerLimits =
+    ServerLimits { connections: 4096, read_timeout: Duration::from_secs(60), body_bytes: 16 << 20 };
+
+/// Limits of a stand-in that takes this many connections.
+pub fn limits(connections: usize) -> ServerLimits {
+    ServerLimits { connections, ..STANDIN_LIMITS }
+}
+
+/// The stand-ins' limits.
+pub fn default_limits() -> ServerLimits {
+    STANDIN_LIMITS
+}
+
+/// Runs a future on a runtime of its own.
+pub fn block_on<F: Future>(future: F) -> F::Output {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime can be built")
+        .block_on(future)
+}
+
+/// Binds `address` and returns the listener with the address that was bound.
+pub async fn bind(address: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    Ok((listener, bound))
+}
+
+/// Serves for as long as the process lives.
+pub async fn serve_forever<H: Handler>(listener: TcpListener, limits: ServerLimits, handler: H) {
+    let (_keep, stop) = watch::channel(false);
+    serve(listener, limits, handler, stop).await;
+}
+
+/// A JSON reply.
+pub fn json(value: &impl Serialize) -> Reply {
+    let body = serde_json::to_vec(value).expect("replies are plain data");
+    Reply::new(200, "application/json", body)
+}
+
+/// Reads a JSON body, or gives the reply that says what is wrong.
+pub fn parse<T: DeserializeOwned>(request: &IncomingRequest) -> Result<T, Reply> {
+    serde_json::from_slice(&request.body)
+        .map_err(|error| Reply::new(400, "text/plain", error.to_string()))
+}
+
+/// The reply to an unknown path.
+pub fn not_found() -> Reply {
+    Reply::new(404, "text/plain", "not found\n")
+}
--- /dev/null
+++ b/crates/jackdawpier_store/src/client.rs
@@ -0,0 +1,76 @@
+//! Blocking HTTP client of the store.
+
+use std::time::Duration;
+
+use crate::{Request, Response, StoreError, StoreResult};
+
+/// Time for the store to accept a connection; nothing was sent before.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for an answer besides what a watch waits.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest answer taken: a page of records.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+
+/// Client of the store; cheap to clone, with shared connections.
+#[derive(Debug, Clone)]
+pub struct StoreClient {
+    agent: ureq::Agent,
+    url: String,
+}
+
+impl StoreClient {
+    /// Returns a client of the store at `base_url` (`http://IP:PORT`).
+    pub fn new(base_url: &str) -> Self {
+        let agent = ureq::Agent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .http_status_as_error(false)
+            .max_idle_connections_per_host(8)
+            .build()
+            .new_agent();
+        Self { agent, url: format!("{base_url}/v1/store") }
+    }
+
+    /// Makes one call. Blocks for at most the call timeout and what a watch waits.
+    pub fn call(&self, request: &Request) -> StoreResult {
+        let wait = match request {
+            Request::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
+            _ => Duration::ZERO,
+        };
+        let body = serde_json::to_vec(request).map_err(StoreError::unavailable)?;
+        let mut response = self
+            .agent
+            .post(&self.url)
+            .config()
+            .timeout_global(Some(CALL_TIMEOUT + wait))
+            .build()
+            .header("content-type", "application/json")
+            .send(&body)
+            .map_err(classify)?;
+        if response.status().as_u16() == 503 {
+            return Err(StoreError::unavailable("status 503"));
+        }
+        let text = response
+            .body_mut()
+            .with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_to_vec()
+            .map_err(StoreError::ambiguous)?;
+        match serde_json::from_slice(&text).map_err(StoreError::ambiguous)? {
+            Response::RateLimited => Err(StoreError::unavailable("rate limit")),
+            response => Ok(response),
+        }
+    }
+}
+
+/// A failure to connect proves that nothing was sent; every other failure proves nothing.
+fn classify(error: ureq::Error) -> StoreError {
+    match error {
+        ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => {
+            StoreError::unavailable(error)
+        }
+        ureq::Error::Io(ref io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            StoreError::unavailable(error)
+        }
+        other => StoreError::ambiguous(other),
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/callers.rs
@@ -0,0 +1,217 @@
+//! The callers' port: from HTTP to a request, and from its outcome back to HTTP.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use jackdawpier_http::{Handler, IncomingRequest, Reply};
+use jackdawpier_kernel::{
+    headers,
+    ids::{JobId, ServiceName},
+    outcome::{Outcome, RefusalReason},
+    trace::TraceContext,
+};
+use jackdawpier_settings::declaration::{Class, Kind};
+
+use crate::{
+    entry::Entry,
+    messages::{JobAction, PeerAnswer, PeerRequest, WorkRequest},
+    router,
+};
+
+/// Longest customer name or key; longer ones are refused.
+const MAX_NAME_BYTES: usize = 256;
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
+const JOB_CALL_LIMIT: Duration = Duration::from_secs(2);
+/// Part of the path between a class and a job's id.
+const JOBS_SEGMENT: &str = "jobs";
+
+/// The handler of the callers' port.
+#[derive(Clone)]
+pub(crate) struct Callers {
+    entry: Arc<Entry>,
+}
+
+/// Counts a request as in flight for as long as it lives.
+struct InFlight<'a>(&'a Entry);
+
+impl<'a> InFlight<'a> {
+    fn new(entry: &'a Entry) -> Self {
+        entry.requests_in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(entry)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Callers {
+    pub(crate) fn new(entry: &Arc<Entry>) -> Self {
+        Self { entry: Arc::clone(entry) }
+    }
+
+    async fn answer(&self, request: IncomingRequest) -> Outcome {
+        let entry = &self.entry;
+        let refuse = |reason| Outcome::NotRun { reason, retry_after: NOT_READY_RETRY_AFTER };
+        if !entry.is_ready() {
+            return refuse(RefusalReason::NotReady);
+        }
+        let Some((class, path)) = split_path(&request.path) else {
+            return refuse(RefusalReason::BadRequest);
+        };
+        let Some(class) = entry.coordination().configuration.class(class).cloned() else {
+            return refuse(RefusalReason::UnknownClass);
+        };
+        let Some(work) = self.work(&request, &class, path) else {
+            return refuse(RefusalReason::BadRequest);
+        };
+        let is_job = class.kind == Kind::Refresh;
+        let needs_owner = is_job || work.key.is_some();
+        let is_read = matches!(work.method.as_str(), "GET" | "HEAD");
+        let is_repeatable = class.idempotent || is_read || work.key.is_some();
+        let span = entry.traces.start_root("request", work.trace, &[("class", &class.name)]);
+        let work = WorkRequest { trace: span.context(), ..work };
+        let outcome = router::route(entry, work, needs_owner, is_repeatable).await;
+        span.end(outcome.name());
+        outcome
+    }
+
+    /// Checks what the caller sent and makes it a request; `None` if it is malformed.
+    fn work(&self, request: &IncomingRequest, class: &Class, path: &str) -> Option<WorkRequest> {
+        let customer = match request.headers.get(headers::CUSTOMER) {
+            None => headers::NO_CUSTOMER,
+            Some(value) => value.to_str().ok().filter(|name| name.len() <= MAX_NAME_BYTES)?,
+        };
+        let key = match request.headers.get(headers::IDEMPOTENCY_KEY) {
+            None => None,
+            Some(value) => {
+                let text = value.to_str().ok()?;
+                let is_good = !text.is_empty() && text.len() <= MAX_NAME_BYTES;
+                Some(is_good.then(|| text.into())?)
+            }
+        };
+        let time_left = match request.headers.get(headers::DEADLINE_MS) {
+            None => class.finish_within(),
+            Some(value) => {
+                let wanted = Duration::from_millis(value.to_str().ok()?.parse().ok()?);
+                wanted.min(class.finish_within())
+            }
+        };
+        Some(WorkRequest {
+            request_id: self.entry.new_request_id(),
+            service: class.service.clone(),
+            class: class.name.clone(),
+            customer: customer.into(),
+            method: request.method.as_str().to_owned(),
+            path: path.to_owned(),
+            content_type: request
+                .header("content-type")
+                .unwrap_or("application/octet-stream")
+                .to_owned(),
+            body: request.body.to_vec(),
+            key,
+            time_left,
+            trace: request.header(headers::TRACEPARENT).and_then(TraceContext::parse),
+        })
+    }
+
+    /// `GET /CLASS/jobs/ID` shows a job, `DELETE` cancels it.
+    async fn job(&self, request: &IncomingRequest) -> Option<Reply> {
+        let mut parts = request.path.trim_start_matches('/').splitn(3, '/');
+        let (class, segment, id) = (parts.next()?, parts.next()?, parts.next()?);
+        let action = match request.method.as_str() {
+            "GET" => JobAction::Show,
+            "DELETE" => JobAction::Cancel,
+            _ => return None,
+        };
+        if segment != JOBS_SEGMENT {
+            return None;
+        }
+        let class = self.entry.coordination().configuration.class(class).cloned()?;
+        if class.kind != Kind::Refresh {
+            return None;
+        }
+        let shown = find_job(&self.entry, &class.service, &id.into(), action).await;
+        Some(match shown {
+            Some(text) => Reply::new(200, "application/json", text),
+            None => Reply::new(404, "text/plain", "no such job, or its owner can't be reached\n"),
+        })
+    }
+}
+
+/// Shows or cancels a job at the entry that owns its shard.
+pub(crate) async fn find_job(
+    entry: &Arc<Entry>,
+    service: &ServiceName,
+    job: &JobId,
+    action: JobAction,
+) -> Option<String> {
+    let owner = {
+        let coordination = entry.coordination();
+        let owner = coordination.view.owner(service)?.entry.clone();
+        coordination.view.member(&owner).cloned()?
+    };
+    if owner.entry == *entry.name() {
+        return entry.service(service).job(job, action);
+    }
+    let request = PeerRequest::Job { service: service.clone(), job: job.clone(), action };
+    let address = owner.peer_address.parse().ok()?;
+    match entry.endpoint.call(address, &request, JOB_CALL_LIMIT).await {
+        Ok(PeerAnswer::Job(shown)) => shown,
+        _ => None,
+    }
+}
+
+/// Splits `/CLASS/rest` into the class and the executor's path.
+fn split_path(path: &str) -> Option<(&str, &str)> {
+    let rest = path.strip_prefix('/')?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (class, path) = rest.split_at(end);
+    let path = if path.is_empty() { "/" } else { path };
+    (!class.is_empty() && path.starts_with('/')).then_some((class, path))
+}
+
+fn status_of(reason: RefusalReason) -> u16 {
+    match reason {
+        RefusalReason::UnknownClass => 404,
+        RefusalReason::BadRequest => 400,
+        RefusalReason::QueueFull => 429,
+        _ => 503,
+    }
+}
+
+fn reply(outcome: Outcome) -> Reply {
+    let name = outcome.name();
+    let reply = match outcome {
+        Outcome::Answered(answer) => Reply::new(answer.status, &answer.content_type, answer.body),
+        Outcome::NotRun { reason, retry_after } => {
+            let retry_after_s = retry_after.as_millis().div_ceil(1000);
+            Reply::new(status_of(reason), "text/plain", format!("not run: {reason}\n"))
+                .with_header(headers::REASON, reason)
+                .with_header(headers::RETRY_AFTER, retry_after_s)
+                .with_header(headers::RETRY_AFTER_MS, retry_after.as_millis())
+        }
+        Outcome::Failed { detail } => Reply::new(502, "text/plain", format!("failed: {detail}\n")),
+        Outcome::Unknown { detail } => {
+            Reply::new(504, "text/plain", format!("unknown: {detail}\n"))
+        }
+    };
+    reply.with_header(headers::OUTCOME, name)
+}
+
+impl Handler for Callers {
+    async fn handle(&self, request: IncomingRequest) -> Reply {
+        let _in_flight = InFlight::new(&self.entry);
+        if let Some(reply) = self.job(&request).await {
+            return reply;
+        }
+        let started_at = self.entry.now();
+        let outcome = self.answer(request).await;
+        self.entry.metrics.count_outcome(&outcome, self.entry.now().saturating_sub(started_at));
+        reply(outcome)
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/control.rs
@@ -0,0 +1,145 @@
+//! The control loop: lets time pass for membership, ownership and every service.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use jackdawpier_coord::ownership::Output;
+use jackdawpier_kernel::Now;
+use jackdawpier_store::Response;
+
+use crate::entry::{Coordination, Entry};
+
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+const TEND_JOBS_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for keyed requests in flight before a shard is handed over.
+const RELEASE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Starts the loop.
+pub(crate) fn spawn(entry: &Arc<Entry>) {
+    let entry = Arc::clone(entry);
+    tokio::spawn(async move {
+        let mut control = Control { releasing_since: HashMap::new(), tend_jobs_at: Now::ZERO };
+        loop {
+            tokio::time::sleep(TICK_INTERVAL).await;
+            control.tick(&entry);
+        }
+    });
+}
+
+struct Control {
+    releasing_since: HashMap<String, Now>,
+    tend_jobs_at: Now,
+}
+
+impl Control {
+    fn tick(&mut self, entry: &Arc<Entry>) {
+        tick_membership(entry);
+        drop_after_lost_lease(entry);
+        tick_ownership(entry);
+        self.tick_releases(entry);
+        let now = entry.now();
+        let is_tending = now >= self.tend_jobs_at;
+        if is_tending {
+            self.tend_jobs_at = now + TEND_JOBS_INTERVAL;
+        }
+        for service in entry.services() {
+            service.tick();
+            if is_tending {
+                service.tend_jobs();
+            }
+        }
+    }
+
+    /// Deletes the owner record of each shard whose cell is settled.
+    fn tick_releases(&mut self, entry: &Arc<Entry>) {
+        let releasing = entry.coordination().ownership.releasing();
+        self.releasing_since.retain(|shard, _| releasing.contains(shard));
+        for shard in releasing {
+            let now = entry.now();
+            let since = *self.releasing_since.entry(shard.clone()).or_insert(now);
+            let service = entry.service(&shard.as_str().into());
+            if service.release() || now >= since + RELEASE_LIMIT {
+                service.lose();
+                entry.coordination().ownership.released(&shard);
+            }
+        }
+    }
+}
+
+fn tick_membership(entry: &Arc<Entry>) {
+    let now = entry.now();
+    let request = {
+        let mut coordination = entry.coordination();
+        let Coordination { membership, configuration, .. } = &mut *coordination;
+        let in_force = configuration.revisions();
+        membership.update(|member| member.in_force = in_force);
+        membership.tick(now)
+    };
+    let Some(request) = request else { return };
+    let entry = Arc::clone(entry);
+    tokio::spawn(async move {
+        let result = entry.call_store(request).await;
+        let now = entry.now();
+        let mut coordination = entry.coordination();
+        coordination.membership.on_result(now, &result);
+        if matches!(result, Ok(Response::Lease { .. })) && coordination.is_view_loaded {
+            coordination.configuration.heard_store(now);
+        }
+    });
+}
+
+/// Without a lease that can be relied on, nothing durable is decided here any more.
+fn drop_after_lost_lease(entry: &Arc<Entry>) {
+    let lost = {
+        let mut coordination = entry.coordination();
+        if coordination.membership.lease(entry.now()).is_some() {
+            return;
+        }
+        coordination.ownership.lose_all()
+    };
+    for shard in lost {
+        log::warn!(event = "shard_lost", shard = shard.as_str(); "the member lease can't be relied on");
+        entry.service(&shard.into()).lose();
+    }
+}
+
+fn tick_ownership(entry: &Arc<Entry>) {
+    let now = entry.now();
+    for service in entry.services() {
+        if service.is_fenced() {
+            service.lose();
+            entry.coordination().ownership.fenced(&service.name);
+        }
+    }
+    let outputs = {
+        let mut coordination = entry.coordination();
+        let Coordination { membership, view, ownership, configuration, is_view_loaded, .. } =
+            &mut *coordination;
+        if !*is_view_loaded {
+            return;
+        }
+        ownership.set_shards(configuration.services());
+        ownership.tick(now, membership.lease(now), view)
+    };
+    outputs.into_iter().for_each(|output| follow(entry, output));
+}
+
+fn follow(entry: &Arc<Entry>, output: Output) {
+    match output {
+        Output::Call { shard, request } => {
+            let entry = Arc::clone(entry);
+            tokio::spawn(async move {
+                let result = entry.call_store(request).await;
+                let now = entry.now();
+                let outputs = entry.coordination().ownership.on_result(now, &shard, &result);
+                outputs.into_iter().for_each(|output| follow(&entry, output));
+            });
+        }
+        Output::Acquired { shard } => {
+            log::info!(event = "shard_acquired", shard = shard.as_str(); "this entry owns the shard");
+            entry.service(&shard.into()).acquire();
+        }
+        Output::Release { shard } => {
+            log::info!(event = "shard_release", shard = shard.as_str(); "the shard is given up");
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/entry.rs
@@ -0,0 +1,173 @@
+//! What all parts of one daemon share.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
+
+use jackdawpier_coord::{
+    configuration::Configuration,
+    membership::{Member, Membership, View},
+    ownership::Ownership,
+};
+use jackdawpier_kernel::{
+    Now,
+    ids::{EntryId, ServiceName},
+    instance::Instance,
+};
+use jackdawpier_peer::PeerEndpoint;
+use jackdawpier_settings::settings::Settings;
+use jackdawpier_store::{Request, StoreClient, StoreResult};
+use rand::Rng;
+
+use crate::{metrics::Metrics, service::Service, traces::Traces};
+
+/// When a peer was last heard.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PeerContact {
+    pub(crate) heard_at: Now,
+    pub(crate) is_ready: bool,
+}
+
+/// The coordination state, behind one lock; no I/O happens under it.
+pub(crate) struct Coordination {
+    pub(crate) membership: Membership,
+    pub(crate) view: View,
+    pub(crate) ownership: Ownership,
+    pub(crate) configuration: Configuration,
+    pub(crate) contacts: HashMap<EntryId, PeerContact>,
+    /// Whether the view was read from the store at least once.
+    pub(crate) is_view_loaded: bool,
+}
+
+/// One daemon.
+pub(crate) struct Entry {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: u64,
+    pub(crate) endpoint: PeerEndpoint,
+    pub(crate) store: StoreClient,
+    pub(crate) metrics: Metrics,
+    pub(crate) traces: Traces,
+    pub(crate) is_stopping: AtomicBool,
+    pub(crate) requests_in_flight: AtomicUsize,
+    started_at: Instant,
+    next_request: AtomicU64,
+    coordination: Mutex<Coordination>,
+    services: Mutex<BTreeMap<ServiceName, Arc<Service>>>,
+    instances: Mutex<Arc<Vec<Instance>>>,
+}
+
+impl Entry {
+    pub(crate) fn new(
+        settings: Settings,
+        endpoint: PeerEndpoint,
+        operators_address: SocketAddr,
+    ) -> Self {
+        let incarnation = rand::rng().next_u64() >> 1;
+        let own = Member {
+            entry: settings.entry.clone(),
+            zone: settings.zone.clone(),
+            peer_address: endpoint.local_address().to_string(),
+            operator_address: operators_address.to_string(),
+            incarnation,
+            in_force: BTreeMap::new(),
+            is_stopping: false,
+        };
+        let coordination = Coordination {
+            membership: Membership::new(own, settings.timing.member_lease),
+            view: View::default(),
+            ownership: Ownership::new(settings.entry.clone(), incarnation),
+            configuration: Configuration::new(settings.timing.isolation_limit),
+            contacts: HashMap::new(),
+            is_view_loaded: false,
+        };
+        Self {
+            store: StoreClient::new(&settings.store_url),
+            metrics: Metrics::default(),
+            traces: Traces::new(&settings),
+            is_stopping: AtomicBool::new(false),
+            requests_in_flight: AtomicUsize::new(0),
+            started_at: Instant::now(),
+            next_request: AtomicU64::new(0),
+            coordination: Mutex::new(coordination),
+            services: Mutex::default(),
+            instances: Mutex::default(),
+            incarnation,
+            endpoint,
+            settings,
+        }
+    }
+
+    /// Time since the start of this process, the clock of every decision here.
+    pub(crate) fn now(&self) -> Now {
+        self.started_at.elapsed()
+    }
+
+    pub(crate) fn name(&self) -> &EntryId {
+        &self.settings.entry
+    }
+
+    pub(crate) fn coordination(&self) -> MutexGuard<'_, Coordination> {
+        self.coordination.lock().expect("no holder of this lock panics")
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether callers may be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        let now = self.now();
+        let mut coordination = self.coordination();
+        let Coordination { view, configuration, .. } = &mut *coordination;
+        configuration.is_ready(now, view.members().count())
+    }
+
+    /// An id for a request, unique over all entries and their restarts.
+    pub(crate) fn new_request_id(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number:x}", self.name(), self.incarnation)
+    }
+
+    /// The service called `name`, made when it is first needed.
+    pub(crate) fn service(self: &Arc<Self>, name: &ServiceName) -> Arc<Service> {
+        let mut services = self.services.lock().expect("no holder of this lock panics");
+        if let Some(service) = services.get(name) {
+            return Arc::clone(service);
+        }
+        let service = Arc::new(Service::new(self, name.clone()));
+        services.insert(name.clone(), Arc::clone(&service));
+        drop(services);
+        service.refresh();
+        service
+    }
+
+    pub(crate) fn services(&self) -> Vec<Arc<Service>> {
+        let services = self.services.lock().expect("no holder of this lock panics");
+        services.values().cloned().collect()
+    }
+
+    pub(crate) fn instances(&self) -> Arc<Vec<Instance>> {
+        Arc::clone(&self.instances.lock().expect("no holder of this lock panics"))
+    }
+
+    pub(crate) fn set_instances(&self, instances: Vec<Instance>) {
+        *self.instances.lock().expect("no holder of this lock panics") = Arc::new(instances);
+    }
+
+    /// Makes one call to the store on a thread that may block.
+    pub(crate) async fn call_store(self: &Arc<Self>, request: Request) -> StoreResult {
+        let entry = Arc::clone(self);
+        let call = tokio::task::spawn_blocking(move || {
+            let result = entry.store.call(&request);
+            entry.metrics.count_store_call(request.name(), result.is_ok());
+            result
+        });
+        call.await.expect("store calls do not panic")
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/instance_reader.rs
@@ -0,0 +1,50 @@
+//! Reads the platform's instance list; what it says lags, so other signs may come first.
+
+use std::{sync::Arc, time::Duration};
+
+use jackdawpier_kernel::instance::{InstanceList, LIST_PATH};
+
+use crate::entry::Entry;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_LIST_BYTES: u64 = 64 << 20;
+
+/// Starts the reader on a thread of its own.
+pub(crate) fn spawn(entry: &Arc<Entry>) {
+    let entry = Arc::clone(entry);
+    let runtime = tokio::runtime::Handle::current();
+    std::thread::spawn(move || {
+        let _context = runtime.enter();
+        let agent =
+            ureq::Agent::config_builder().timeout_global(Some(CALL_TIMEOUT)).build().new_agent();
+        let url = format!("{}{LIST_PATH}", entry.settings.instance_list_url);
+        loop {
+            match read(&agent, &url) {
+                Ok(list) => take(&entry, list),
+                Err(error) => log::warn!(event = "instance_list_failed"; "{error}"),
+            }
+            std::thread::sleep(entry.settings.timing.instance_list_interval);
+        }
+    });
+}
+
+fn read(agent: &ureq::Agent, url: &str) -> Result<InstanceList, String> {
+    let mut response = agent.get(url).call().map_err(|error| error.to_string())?;
+    let body = response
+        .body_mut()
+        .with_config()
+        .limit(MAX_LIST_BYTES)
+        .read_to_vec()
+        .map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
+}
+
+fn take(entry: &Arc<Entry>, list: InstanceList) {
+    if *entry.instances() == list.instances {
+        return;
+    }
+    entry.set_instances(list.instances);
+    for service in entry.services() {
+        service.refresh();
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/messages.rs
@@ -0,0 +1,68 @@
+//! Messages between entries, encoded by `postcard` over one quinn stream each.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jackdawpier_coord::configuration::Document;
+use jackdawpier_kernel::{
+    ids::{ClassName, CustomerName, EntryId, JobId, RequestKey, Revision, ServiceName},
+    outcome::Outcome,
+    trace::TraceContext,
+};
+use serde::{Deserialize, Serialize};
+
+/// A caller's request on its way to the entry that decides.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct WorkRequest {
+    /// Identity, unique over all entries; the executor repeats it.
+    pub(crate) request_id: String,
+    pub(crate) service: ServiceName,
+    pub(crate) class: ClassName,
+    pub(crate) customer: CustomerName,
+    pub(crate) method: String,
+    /// Path at the executor, with the query.
+    pub(crate) path: String,
+    pub(crate) content_type: String,
+    pub(crate) body: Vec<u8>,
+    pub(crate) key: Option<RequestKey>,
+    /// Time left until the answer is worthless.
+    pub(crate) time_left: Duration,
+    pub(crate) trace: Option<TraceContext>,
+}
+
+/// What an entry says of itself in a heartbeat.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Heartbeat {
+    pub(crate) entry: EntryId,
+    pub(crate) incarnation: u64,
+    pub(crate) is_ready: bool,
+    /// Revision of each document in force.
+    pub(crate) in_force: BTreeMap<String, Revision>,
+}
+
+/// What can be done with a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum JobAction {
+    Show,
+    Cancel,
+}
+
+/// Requests between entries.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum PeerRequest {
+    Work(WorkRequest),
+    Heartbeat(Heartbeat),
+    Job { service: ServiceName, job: JobId, action: JobAction },
+}
+
+/// Answers between entries.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum PeerAnswer {
+    Outcome(Outcome),
+    /// The answering entry's own heartbeat, with the documents that the asking one lacks.
+    Heartbeat {
+        heartbeat: Heartbeat,
+        newer: Vec<Document>,
+    },
+    /// State of a job as JSON, if it is known.
+    Job(Option<String>),
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/operators.rs
@@ -0,0 +1,140 @@
+//! The operators' port: health, metrics, status and changes, over `tiny_http`.
+//!
+//! Operators are few, and every answer closes its connection, so the faults that rule the library
+//! out for callers do not bite here; see `docs/design/callers-port.md`.
+
+use std::{io::Read, sync::Arc, time::Duration};
+
+use jackdawpier_coord::configuration::{Apply, ApplyOutcome, ApplyOutput, WriterId};
+use jackdawpier_settings::loader::{MAX_FILE_BYTES, load_declaration};
+use serde::{Deserialize, Serialize};
+use tiny_http::{Header, Method, Request, Response, Server};
+use tokio::runtime::Handle;
+
+use crate::{entry::Entry, status};
+
+/// Threads that answer operators.
+const THREADS: usize = 4;
+/// Wait between two readings back after a lost answer.
+const READ_BACK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An operator's change: `POST /v1/apply`.
+#[derive(Debug, Deserialize)]
+struct ApplyBody {
+    base: u64,
+    file: String,
+    text: String,
+}
+
+struct Answer {
+    status: u16,
+    content_type: &'static str,
+    body: String,
+}
+
+fn json(status: u16, value: &impl Serialize) -> Answer {
+    let body = serde_json::to_string(value).expect("answers are plain data");
+    Answer { status, content_type: "application/json", body }
+}
+
+fn text(status: u16, body: impl Into<String>) -> Answer {
+    Answer { status, content_type: "text/plain; charset=utf-8", body: body.into() }
+}
+
+/// Starts to answer operators.
+pub(crate) fn spawn(server: Server, entry: &Arc<Entry>) {
+    let server = Arc::new(server);
+    for _ in 0..THREADS {
+        let (server, entry, runtime) = (Arc::clone(&server), Arc::clone(entry), Handle::current());
+        std::thread::spawn(move || {
+            let _context = runtime.enter();
+            while let Ok(request) = server.recv() {
+                serve(&entry, &runtime, request);
+            }
+        });
+    }
+}
+
+fn serve(entry: &Arc<Entry>, runtime: &Handle, mut request: Request) {
+    let mut body = String::new();
+    let read = request.as_reader().take(2 * MAX_FILE_BYTES as u64).read_to_string(&mut body);
+    let answer = match read {
+        Ok(_) => answer(entry, runtime, &request.method().clone(), request.url(), &body),
+        Err(error) => text(400, format!("{error}\n")),
+    };
+    let header = |name: &str, value: &str| {
+        Header::from_bytes(name, value).expect("names and values are constants")
+    };
+    let response = Response::from_string(answer.body)
+        .with_status_code(answer.status)
+        .with_header(header("Content-Type", answer.content_type))
+        .with_header(header("Connection", "close"));
+    let _ = request.respond(response);
+}
+
+fn answer(entry: &Arc<Entry>, runtime: &Handle, method: &Method, url: &str, body: &str) -> Answer {
+    match (method, url) {
+        (Method::Get, "/healthz") => text(200, "ok\n"),
+        (Method::Get, "/readyz") if entry.is_stopping() => text(503, "stopping\n"),
+        (Method::Get, "/readyz") if entry.is_ready() => text(200, "ready\n"),
+        (Method::Get, "/readyz") => text(503, "no configuration, or cut off\n"),
+        (Method::Get, "/metrics") => text(200, entry.metrics.scrape(entry)),
+        (Method::Get, "/v1/status") => json(200, &status::gather(entry)),
+        (Method::Post, "/v1/apply") => match serde_json::from_str(body) {
+            Ok(change) => runtime.block_on(apply(entry, change)),
+            Err(error) => text(400, format!("{error}\n")),
+        },
+        (Method::Get, path) => match path.strip_prefix("/v1/config/") {
+            Some(deployment) => {
+                let coordination = entry.coordination();
+                match coordination.configuration.document(deployment) {
+                    Some(document) => json(200, document),
+                    None => text(404, "no such deployment\n"),
+                }
+            }
+            None => text(404, "not found\n"),
+        },
+        _ => text(404, "not found\n"),
+    }
+}
+
+async fn apply(entry: &Arc<Entry>, change: ApplyBody) -> Answer {
+    let declaration = match load_declaration(&change.file, &change.text) {
+        Ok(declaration) => declaration,
+        Err(findings) => return json(422, &findings),
+    };
+    let writer = WriterId {
+        entry: entry.name().clone(),
+        incarnation: entry.incarnation,
+        sequence: u64::try_from(entry.now().as_nanos()).expect("a process does not live that long"),
+    };
+    let known = entry
+        .coordination()
+        .configuration
+        .document(&declaration.deployment)
+        .map_or(0, |document| document.revision);
+    let mut apply = Apply::new(change.base, known, declaration, writer);
+    let mut request = apply.request();
+    let outcome = loop {
+        let result = entry.call_store(request).await;
+        if result.is_err() {
+            tokio::time::sleep(READ_BACK_INTERVAL).await;
+        }
+        match apply.on_result(result) {
+            ApplyOutput::Call(next) => request = next,
+            ApplyOutput::Done(outcome) => break outcome,
+        }
+    };
+    log::info!(event = "apply"; "{outcome:?}");
+    let status = match &outcome {
+        ApplyOutcome::Accepted { .. } => {
+            entry.coordination().configuration.offer(apply.document().clone());
+            crate::heartbeats::refresh_services(entry);
+            200
+        }
+        ApplyOutcome::Conflict { .. } => 409,
+        ApplyOutcome::Unavailable { .. } => 503,
+        ApplyOutcome::Unknown { .. } => 504,
+    };
+    json(status, &outcome)
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/peers.rs
@@ -0,0 +1,49 @@
+//! Answers other entries.
+
+use std::sync::Arc;
+
+use jackdawpier_peer::PeerService;
+
+use crate::{
+    entry::Entry,
+    heartbeats,
+    messages::{PeerAnswer, PeerRequest},
+};
+
+#[derive(Clone)]
+struct Peers {
+    entry: Arc<Entry>,
+}
+
+/// Starts to answer peers.
+pub(crate) fn spawn(entry: &Arc<Entry>) {
+    let service = Peers { entry: Arc::clone(entry) };
+    let endpoint = entry.endpoint.clone();
+    tokio::spawn(async move { endpoint.serve(service).await });
+}
+
+impl PeerService for Peers {
+    type Request = PeerRequest;
+    type Answer = PeerAnswer;
+
+    async fn handle(&self, request: PeerRequest) -> PeerAnswer {
+        let entry = &self.entry;
+        match request {
+            PeerRequest::Work(mut work) => {
+                let span = entry.traces.start("decide", work.trace, &[("class", &work.class)]);
+                work.trace = span.context();
+                let outcome = entry.service(&work.service).submit(work).await;
+                span.end(outcome.name());
+                PeerAnswer::Outcome(outcome)
+            }
+            PeerRequest::Heartbeat(heartbeat) => {
+                heartbeats::take(entry, &heartbeat, Vec::new());
+                let newer = entry.coordination().configuration.newer_than(&heartbeat.in_force);
+                PeerAnswer::Heartbeat { heartbeat: heartbeats::own_heartbeat(entry), newer }
+            }
+            PeerRequest::Job { service, job, action } => {
+                PeerAnswer::Job(entry.service(&service).job(&job, action))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/router.rs
@@ -0,0 +1,127 @@
+//! Brings a request to the entry that decides, here or at a peer.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use jackdawpier_kernel::{
+    ids::EntryId,
+    outcome::{Outcome, RefusalReason},
+};
+use jackdawpier_peer::PeerError;
+use jackdawpier_route::directory::{Place, place_keyed, place_unkeyed};
+
+use crate::{
+    entry::{Coordination, Entry},
+    messages::{PeerAnswer, PeerRequest, WorkRequest},
+    service::OWNER_RETRY_AFTER,
+};
+
+/// Tries to find an owner while a shard changes hands.
+const OWNER_TRIES: u32 = 8;
+const OWNER_TRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Added to a request's own time for the way back.
+const PEER_MARGIN: Duration = Duration::from_millis(200);
+/// Heartbeats may be missed for this many intervals before a peer counts as unreachable.
+const MISSED_HEARTBEATS: u32 = 3;
+
+/// Whether `peer` was heard lately and serves.
+pub(crate) fn is_reachable(entry: &Entry, coordination: &Coordination, peer: &str) -> bool {
+    let limit = entry.settings.timing.heartbeat_interval * MISSED_HEARTBEATS;
+    coordination
+        .contacts
+        .get(peer)
+        .is_some_and(|contact| contact.is_ready && entry.now() < contact.heard_at + limit)
+}
+
+fn place(entry: &Entry, work: &WorkRequest, needs_owner: bool) -> (Place, Option<SocketAddr>) {
+    let coordination = entry.coordination();
+    let view = &coordination.view;
+    let reachable = |peer: &str| is_reachable(entry, &coordination, peer);
+    let place = if needs_owner {
+        let owner = view.owner(&work.service).map(|owner| &*owner.entry);
+        place_keyed(entry.name(), owner, reachable)
+    } else {
+        place_unkeyed(&work.service, entry.name(), view.candidates(), reachable)
+    };
+    let address = match &place {
+        Place::Peer(peer) => view.member(peer).and_then(|member| member.peer_address.parse().ok()),
+        _ => None,
+    };
+    (place, address)
+}
+
+/// Routes `work` and returns its outcome. `needs_owner` says that a durable record is needed, and
+/// `is_repeatable` that asking a second time does no harm (idempotent, or recognised by its key).
+pub(crate) async fn route(
+    entry: &Arc<Entry>,
+    mut work: WorkRequest,
+    needs_owner: bool,
+    is_repeatable: bool,
+) -> Outcome {
+    let deadline = entry.now() + work.time_left;
+    let mut last = Outcome::NotRun {
+        reason: RefusalReason::NoOwner,
+        retry_after: entry.settings.timing.member_lease,
+    };
+    for _ in 0..OWNER_TRIES {
+        work.time_left = deadline.saturating_sub(entry.now());
+        if work.time_left.is_zero() {
+            return last;
+        }
+        match place(entry, &work, needs_owner) {
+            (Place::Here, _) => {
+                let outcome = entry.service(&work.service).submit(work.clone()).await;
+                if !is_no_owner(&outcome) {
+                    return outcome;
+                }
+            }
+            (Place::Peer(peer), Some(address)) => {
+                match forward(entry, &peer, address, &work).await {
+                    Ok(outcome) if is_no_owner(&outcome) => {}
+                    Ok(outcome) => return outcome,
+                    Err(PeerError::NotSent { .. }) => forget_contact(entry, &peer),
+                    Err(error @ PeerError::Lost { .. }) => {
+                        forget_contact(entry, &peer);
+                        last = Outcome::Unknown { detail: error.to_string() };
+                        if !is_repeatable {
+                            return last;
+                        }
+                        continue;
+                    }
+                }
+            }
+            _ => {}
+        }
+        if needs_owner {
+            tokio::time::sleep(OWNER_TRY_INTERVAL).await;
+        }
+    }
+    last
+}
+
+fn is_no_owner(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::NotRun { reason: RefusalReason::NoOwner, retry_after } if *retry_after == OWNER_RETRY_AFTER)
+}
+
+fn forget_contact(entry: &Entry, peer: &EntryId) {
+    entry.coordination().contacts.remove(peer);
+}
+
+async fn forward(
+    entry: &Entry,
+    peer: &EntryId,
+    address: SocketAddr,
+    work: &WorkRequest,
+) -> Result<Outcome, PeerError> {
+    let span = entry.traces.start("peer", work.trace, &[("peer", peer)]);
+    let work = WorkRequest { trace: span.context(), ..work.clone() };
+    let limit = work.time_left + PEER_MARGIN;
+    let answer = entry.endpoint.call(address, &PeerRequest::Work(work), limit).await;
+    let outcome = match answer {
+        Ok(PeerAnswer::Outcome(outcome)) => Ok(outcome),
+        Ok(_) => Err(PeerError::Lost { address, detail: "an answer of another kind".to_owned() }),
+        Err(error) => Err(error),
+    };
+    entry.metrics.count_forward(outcome.is_ok());
+    span.end(outcome.as_ref().map_or("lost", Outcome::name));
+    outcome
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/service_jobs.rs
@@ -0,0 +1,236 @@
+//! The durable jobs of a service: submission, calls to workers, and what operators see.
+
+use std::{collections::HashSet, sync::Arc};
+
+use jackdawpier_jobs::{
+    job::{Job, JobState},
+    queue::{Command, JobQueue, StartEnd},
+    workers::WorkerInfo,
+};
+use jackdawpier_kernel::{
+    Now,
+    ids::{JobId, ServiceName, WorkerId},
+    instance::{Instance, Role, State as InstanceState},
+    outcome::Outcome,
+    task::{Size, StartTask, TaskCommand, TaskReport},
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    messages::{JobAction, WorkRequest},
+    service::{Action, CellState, Service, ServiceState, accepted_answer},
+};
+
+/// Size assumed for a job: callers declare none in the request today.
+const DEFAULT_SIZE: Size = Size { cores_milli: 1_000, memory_mb: 1_024, accelerators: 0 };
+const MILLI: u64 = 1_000;
+const MB_PER_GB: u64 = 1_024;
+
+/// One call to a worker.
+#[derive(Debug)]
+pub(crate) enum JobCall {
+    Start { address: String, task: StartTask },
+    Tell { address: String, command: TaskCommand },
+    Ask { worker: WorkerId, address: String },
+}
+
+/// Makes a call to a worker and reports its end; blocks.
+pub(crate) fn perform(service: &Arc<Service>, call: JobCall) {
+    let client = &service.worker_client;
+    match call {
+        JobCall::Start { address, task } => {
+            let end = client.start(&address, &task);
+            service.act(|state, now| ((), state.on_start(now, &task, end)));
+        }
+        JobCall::Tell { address, command } => {
+            let sent_at = service.act(|_, now| (now, Vec::new()));
+            if let Some(report) = client.tell(&address, &command) {
+                service.act(|state, now| ((), state.on_told(now, sent_at, &report)));
+            }
+        }
+        JobCall::Ask { worker, address } => {
+            if let Some(reports) = client.reports(&address) {
+                service.act(|state, now| ((), state.on_reports(now, &worker, &reports)));
+            }
+        }
+    }
+}
+
+/// Jobs that need an operator.
+pub(crate) fn parked(jobs: &JobQueue) -> impl Iterator<Item = &Job> {
+    jobs.jobs().filter(|job| matches!(job.state, JobState::Parked { .. }))
+}
+
+fn job_subject(id: &str) -> JobId {
+    format!("j/{id}").into()
+}
+
+impl Service {
+    /// Renews task leases and asks busy workers how their tasks are.
+    pub(crate) fn tend_jobs(self: &Arc<Self>) {
+        self.act(|state, now| ((), state.tend_jobs(now)));
+    }
+
+    /// Shows or cancels a job; the answer is JSON, if the job is known here.
+    pub(crate) fn job(self: &Arc<Self>, id: &JobId, action: JobAction) -> Option<String> {
+        self.act(|state, now| {
+            let Some(owned) = &mut state.owned else { return (None, Vec::new()) };
+            let commands = match action {
+                JobAction::Show => Vec::new(),
+                JobAction::Cancel => owned.jobs.cancel(id).1,
+            };
+            let shown = owned
+                .jobs
+                .job(id)
+                .map(|job| serde_json::to_string(job).expect("jobs are plain data"));
+            (shown, state.follow_jobs(now, commands))
+        })
+    }
+
+    /// Jobs that need an operator, as (id, reason).
+    pub(crate) fn parked_jobs(&self) -> Vec<(JobId, String)> {
+        let state = self.lock();
+        let Some(owned) = &state.owned else { return Vec::new() };
+        let shown = parked(&owned.jobs).map(|job| match &job.state {
+            JobState::Parked { reason } => (job.id.clone(), reason.to_string()),
+            other => (job.id.clone(), format!("{other:?}")),
+        });
+        shown.collect()
+    }
+}
+
+impl ServiceState {
+    /// Takes a refresh job in; its caller is answered once it is durable.
+    pub(crate) fn submit_job(
+        &mut self,
+        now: Now,
+        work: &WorkRequest,
+        is_idempotent: bool,
+        reply: oneshot::Sender<Outcome>,
+    ) -> Vec<Action> {
+        if let Some(refusal) = self.durable_refusal() {
+            let _ = reply.send(refusal);
+            return Vec::new();
+        }
+        let owned = self.owned.as_mut().expect("only an owner gets here");
+        let name = work.key.as_deref().unwrap_or(&work.request_id);
+        let id: JobId = format!("{}-{name}", work.class).into();
+        let job = Job {
+            id: id.clone(),
+            class: work.class.clone(),
+            customer: work.customer.clone(),
+            is_idempotent,
+            declared: DEFAULT_SIZE,
+            payload: String::from_utf8_lossy(&work.body).into_owned(),
+            attempts: 0,
+            state: JobState::Queued,
+        };
+        owned.accepting.entry(id).or_default().push(reply);
+        let commands = owned.jobs.submit(job);
+        let mut actions = self.follow_jobs(now, commands);
+        actions.extend(self.tick_cell(now));
+        actions
+    }
+
+    /// Turns the queue's commands into writes, calls and answers.
+    pub(crate) fn follow_jobs(&mut self, now: Now, commands: Vec<Command>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let has_writes = commands.iter().any(|command| matches!(command, Command::Write(_)));
+        for command in commands {
+            let Some(owned) = &mut self.owned else { return actions };
+            match command {
+                Command::Write(job) => {
+                    let id = job.id.clone();
+                    let number = owned.cell.put(job_subject(&id), &CellState::Job(job));
+                    if let Some(number) = number {
+                        owned.jobs.recording(number, id);
+                    }
+                }
+                Command::Accepted(id) => {
+                    for reply in owned.accepting.remove(&id).into_iter().flatten() {
+                        let _ = reply.send(accepted_answer(&id));
+                    }
+                }
+                Command::Start { worker, task } => {
+                    let address = self.worker_addresses.get(&worker).cloned().unwrap_or_default();
+                    actions.push(Action::Job(JobCall::Start { address, task }));
+                }
+                Command::Tell { worker, command } => {
+                    let address = self.worker_addresses.get(&worker).cloned().unwrap_or_default();
+                    actions.push(Action::Job(JobCall::Tell { address, command }));
+                }
+                Command::Forget(id) => owned.cell.forget(&job_subject(&id)),
+            }
+        }
+        if has_writes {
+            actions.extend(self.tick_cell(now));
+        }
+        actions
+    }
+
+    fn on_start(&mut self, now: Now, task: &StartTask, end: StartEnd) -> Vec<Action> {
+        let Some(owned) = &mut self.owned else { return Vec::new() };
+        let commands = owned.jobs.start_ended(now, &task.job, task.attempt, end);
+        self.follow_jobs(now, commands)
+    }
+
+    fn on_told(&mut self, now: Now, sent_at: Now, report: &TaskReport) -> Vec<Action> {
+        let Some(owned) = &mut self.owned else { return Vec::new() };
+        owned.jobs.renewed(sent_at, &report.job);
+        let commands = owned.jobs.on_report(now, report);
+        self.follow_jobs(now, commands)
+    }
+
+    fn on_reports(&mut self, now: Now, worker: &WorkerId, reports: &[TaskReport]) -> Vec<Action> {
+        let Some(owned) = &mut self.owned else { return Vec::new() };
+        let commands = owned.jobs.on_reports(now, worker, reports);
+        self.follow_jobs(now, commands)
+    }
+
+    fn tend_jobs(&mut self, now: Now) -> Vec<Action> {
+        let Some(owned) = &mut self.owned else { return Vec::new() };
+        let asks: Vec<Action> = owned
+            .jobs
+            .busy_workers()
+            .filter_map(|worker| {
+                let address = self.worker_addresses.get(worker)?.clone();
+                Some(Action::Job(JobCall::Ask { worker: worker.clone(), address }))
+            })
+            .collect();
+        let renewals = owned.jobs.renewals(now);
+        let mut actions = self.follow_jobs(now, renewals);
+        actions.extend(asks);
+        actions
+    }
+
+    /// Takes over the workers of the list.
+    pub(crate) fn refresh_workers(
+        &mut self,
+        instances: &[Instance],
+        name: &ServiceName,
+    ) -> Vec<Action> {
+        let workers = || instances.iter().filter(|i| i.role == Role::Worker && i.service == *name);
+        for instance in workers() {
+            self.worker_addresses.insert(instance.id.clone(), instance.address.clone());
+        }
+        let Some(owned) = &mut self.owned else { return Vec::new() };
+        let present: HashSet<&str> = workers().map(|instance| &*instance.id).collect();
+        if !present.is_empty() {
+            owned.jobs.retain_workers(|id| present.contains(id));
+        }
+        for instance in workers() {
+            owned.jobs.upsert_worker(WorkerInfo {
+                id: instance.id.clone(),
+                zone: instance.zone.clone(),
+                rack: instance.rack.clone(),
+                capacity: Size {
+                    cores_milli: u64::from(instance.cores) * MILLI,
+                    memory_mb: u64::from(instance.memory_gb) * MB_PER_GB,
+                    accelerators: instance.accelerators,
+                },
+                is_leaving: instance.state == InstanceState::Leaving,
+            });
+        }
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/status.rs
@@ -0,0 +1,137 @@
+//! What operators see of this entry and, through the store, of the fleet of entries.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jackdawpier_kernel::{ids::Revision, plugin};
+use serde::Serialize;
+
+use crate::{entry::Entry, service::ServiceFigures};
+
+/// A document and who lacks it.
+#[derive(Debug, Serialize)]
+pub(crate) struct DocumentStatus {
+    pub(crate) deployment: String,
+    pub(crate) revision: Revision,
+    /// Whether every member with a live lease reports the revision.
+    pub(crate) is_in_force: bool,
+    pub(crate) lagging_members: Vec<String>,
+}
+
+/// One member.
+#[derive(Debug, Serialize)]
+pub(crate) struct MemberStatus {
+    pub(crate) entry: String,
+    pub(crate) zone: String,
+    pub(crate) is_stopping: bool,
+    pub(crate) is_reachable: bool,
+    pub(crate) owns: Vec<String>,
+}
+
+/// A class with its target.
+#[derive(Debug, Serialize)]
+pub(crate) struct ClassStatus {
+    pub(crate) class: String,
+    pub(crate) service: String,
+    pub(crate) finish_within_ms: u64,
+    pub(crate) capacity_instances: u32,
+    pub(crate) live_executors: usize,
+    pub(crate) live_workers: usize,
+}
+
+/// A job that needs an operator.
+#[derive(Debug, Serialize)]
+pub(crate) struct ParkedJob {
+    pub(crate) job: String,
+    pub(crate) reason: String,
+}
+
+/// Everything that `jackdawpier status` shows.
+#[derive(Debug, Serialize)]
+pub(crate) struct Status {
+    pub(crate) entry: String,
+    pub(crate) is_ready: bool,
+    pub(crate) is_stopping: bool,
+    pub(crate) documents: Vec<DocumentStatus>,
+    pub(crate) members: Vec<MemberStatus>,
+    pub(crate) classes: Vec<ClassStatus>,
+    pub(crate) services: BTreeMap<String, ServiceFigures>,
+    pub(crate) parked_jobs: Vec<ParkedJob>,
+    pub(crate) roles: Vec<&'static str>,
+}
+
+/// Gathers the status.
+pub(crate) fn gather(entry: &Arc<Entry>) -> Status {
+    use jackdawpier_coord::configuration::lagging_members;
+    use jackdawpier_kernel::instance::{Role, State};
+    let is_ready = entry.is_ready();
+    let instances = entry.instances();
+    let live = |service: &str, role: Role| {
+        instances
+            .iter()
+            .filter(|i| i.role == role && i.state == State::Live && *i.service == *service)
+            .count()
+    };
+    let coordination = entry.coordination();
+    let view = &coordination.view;
+    let documents = coordination
+        .configuration
+        .documents()
+        .map(|document| {
+            let deployment = document.declaration.deployment.clone();
+            let lagging: Vec<String> =
+                lagging_members(view, &deployment, document.revision).map(str::to_owned).collect();
+            DocumentStatus {
+                revision: document.revision,
+                is_in_force: lagging.is_empty(),
+                lagging_members: lagging,
+                deployment,
+            }
+        })
+        .collect();
+    let members = view
+        .members()
+        .map(|member| MemberStatus {
+            entry: member.entry.to_string(),
+            zone: member.zone.to_string(),
+            is_stopping: member.is_stopping,
+            is_reachable: member.entry == *entry.name()
+                || crate::router::is_reachable(entry, &coordination, &member.entry),
+            owns: view
+                .owners()
+                .filter(|(_, owner)| owner.entry == member.entry)
+                .map(|(shard, _)| shard.to_owned())
+                .collect(),
+        })
+        .collect();
+    let classes = coordination
+        .configuration
+        .classes()
+        .into_values()
+        .map(|class| ClassStatus {
+            class: class.name.to_string(),
+            finish_within_ms: class.finish_within_ms,
+            capacity_instances: class.capacity_instances,
+            live_executors: live(&class.service, Role::Executor),
+            live_workers: live(&class.service, Role::Worker),
+            service: class.service.to_string(),
+        })
+        .collect();
+    drop(coordination);
+    let services = entry.services();
+    let parked_jobs = services
+        .iter()
+        .flat_map(|service| service.parked_jobs())
+        .map(|(job, reason)| ParkedJob { job: job.to_string(), reason })
+        .collect();
+    Status {
+        entry: entry.name().to_string(),
+        is_ready,
+        is_stopping: entry.is_stopping(),
+        documents,
+        members,
+        classes,
+        services: services.iter().map(|s| (s.name.to_string(), s.figures())).collect(),
+        parked_jobs,
+        roles: plugin::plugins().iter().map(|plugin| plugin.name).collect(),
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/view_sync.rs
@@ -0,0 +1,117 @@
+//! Keeps the view of members, owners and documents in step with the store.
+
+use std::{sync::Arc, time::Duration};
+
+use jackdawpier_coord::keys;
+use jackdawpier_store::{Change, Record, Request, Response, StoreError};
+
+use crate::{entry::Entry, heartbeats::refresh_services};
+
+/// Longest wait of one watch call; the store counts each waiting call as one.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+const PAGE_RECORDS: usize = 256;
+
+/// Starts the loop.
+pub(crate) fn spawn(entry: &Arc<Entry>) {
+    let entry = Arc::clone(entry);
+    tokio::spawn(async move {
+        loop {
+            if let Err(error) = follow(&entry).await {
+                log::warn!(event = "store_watch_failed"; "{error}");
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    });
+}
+
+/// Reads everything, then watches until a call fails or the store has forgotten too much.
+async fn follow(entry: &Arc<Entry>) -> Result<(), StoreError> {
+    let (records, mut revision) = read_all(entry).await?;
+    take_all(entry, &records, revision);
+    loop {
+        let request = Request::Watch {
+            prefix: keys::COORDINATION.to_owned(),
+            after_revision: revision,
+            wait_ms: WATCH_WAIT.as_millis() as u64,
+        };
+        match entry.call_store(request).await? {
+            Response::Changes { changes, store_revision } => {
+                take_changes(entry, &changes);
+                revision = store_revision;
+            }
+            _ => return Ok(()),
+        }
+    }
+}
+
+async fn read_all(entry: &Arc<Entry>) -> Result<(Vec<Record>, u64), StoreError> {
+    let mut all: Vec<Record> = Vec::new();
+    let mut first_revision = None;
+    loop {
+        let request = Request::Range {
+            prefix: keys::COORDINATION.to_owned(),
+            after_key: all.last().map(|record| record.key.clone()).unwrap_or_default(),
+            limit: PAGE_RECORDS,
+        };
+        let response = entry.call_store(request).await?;
+        let Response::Records { records, more, store_revision } = response else {
+            return Err(StoreError::unavailable("an answer of another kind"));
+        };
+        // Changes after the first page are read again from the watch.
+        let revision = *first_revision.get_or_insert(store_revision);
+        all.extend(records);
+        if !more {
+            return Ok((all, revision));
+        }
+    }
+}
+
+fn take_all(entry: &Arc<Entry>, records: &[Record], revision: u64) {
+    let repairs = {
+        let now = entry.now();
+        let mut coordination = entry.coordination();
+        coordination.view.reset();
+        coordination.view.store_revision = revision;
+        for record in records {
+            coordination.view.apply_record(record);
+            if record.key.starts_with(keys::CONFIGURATION) {
+                coordination.configuration.offer_record(record);
+            }
+        }
+        coordination.is_view_loaded = true;
+        coordination.configuration.heard_store(now);
+        records
+            .iter()
+            .filter(|record| record.key.starts_with(keys::CONFIGURATION))
+            .filter_map(|record| coordination.configuration.repair(record))
+            .collect::<Vec<_>>()
+    };
+    refresh_services(entry);
+    for repair in repairs {
+        log::warn!(event = "store_behind"; "the store has an older document than is in force");
+        let entry = Arc::clone(entry);
+        tokio::spawn(async move { entry.call_store(repair).await });
+    }
+}
+
+fn take_changes(entry: &Arc<Entry>, changes: &[Change]) {
+    let is_changed = {
+        let now = entry.now();
+        let mut coordination = entry.coordination();
+        let mut is_changed = false;
+        for change in changes {
+            coordination.view.apply(change);
+            if let Change::Put(record) = change
+                && record.key.starts_with(keys::CONFIGURATION)
+            {
+                is_changed |= coordination.configuration.offer_record(record);
+            }
+        }
+        coordination.configuration.heard_store(now);
+        is_changed
+    };
+    if is_changed {
+        refresh_services(entry);
+    }
+}
