--- a/crates/jackdawpier_coord/src/configuration.rs
+++ b/crates/jackdawpier_coord/src/configuration.rs
@@ -20,6 +20,9 @@
 
 use crate::{keys, membership::View};
 
+/// Time for which an entry that was a member or was heard counts as one that may live and serve.
+const MEMORY: Duration = Duration::from_secs(30);
+
 /// One configuration document as stored and passed between peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
@@ -70,13 +73,46 @@
     },
 }
 
+/// What a peer last said of itself.
+#[derive(Debug, Clone)]
+struct Contact {
+    heard_at: Now,
+    /// When the peer last heard the store, on this entry's clock.
+    store_at: Option<Now>,
+    in_force: BTreeMap<String, Revision>,
+    is_ready: bool,
+}
+
+/// A heartbeat of a peer, as far as configuration is concerned.
+#[derive(Debug, Clone)]
+pub struct PeerReport {
+    /// The peer.
+    pub peer: EntryId,
+    /// Whether it serves.
+    pub is_ready: bool,
+    /// Time since it last heard the store.
+    pub store_age: Option<Duration>,
+    /// Revision of each document in force there.
+    pub in_force: BTreeMap<String, Revision>,
+}
+
+/// This entry's standing as a member.
+#[derive(Debug, Clone)]
+pub struct Standing {
+    /// This entry.
+    pub entry: EntryId,
+    /// Until when the entry can rely on being counted as a member; zero if it never was one.
+    pub member_until: Now,
+}
+
 /// The documents in force at this entry.
 #[derive(Debug)]
 pub struct Configuration {
     documents: BTreeMap<String, Document>,
     first_store_at: Option<Now>,
     heard_store_at: Option<Now>,
-    heard_peers_at: BTreeMap<EntryId, Now>,
+    contacts: BTreeMap<EntryId, Contact>,
+    known: BTreeMap<EntryId, Now>,
     isolation_limit: Duration,
     is_loaded: bool,
 }
@@ -88,7 +124,8 @@
             documents: BTreeMap::new(),
             first_store_at: None,
             heard_store_at: None,
-            heard_peers_at: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            known: BTreeMap::new(),
             isolation_limit,
             is_loaded: false,
         }
@@ -116,30 +153,108 @@
         self.heard_store_at = Some(now);
     }
 
-    /// Notes a heartbeat of a peer that serves.
-    pub fn heard_peer(&mut self, now: Now, peer: &EntryId) {
-        self.heard_peers_at.insert(peer.clone(), now);
+    /// Time since the store last answered.
+    pub fn store_age(&self, now: Now) -> Option<Duration> {
+        self.heard_store_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Notes a heartbeat of a peer, after its documents were offered.
+    pub fn heard_peer(&mut self, now: Now, report: PeerReport) {
+        let contact = Contact {
+            heard_at: now,
+            store_at: report.store_age.map(|age| now.saturating_sub(age)),
+            in_force: report.in_force,
+            is_ready: report.is_ready,
+        };
+        self.known.insert(report.peer.clone(), now);
+        self.contacts.insert(report.peer, contact);
+    }
+
+    /// Notes who is a member, as the view has it; forgets whom nobody has seen for long.
+    pub fn note_members(&mut self, now: Now, view: &View) {
+        for member in view.members() {
+            self.known.insert(member.entry.clone(), now);
+        }
+        self.known.retain(|_, seen_at| now < *seen_at + MEMORY);
+        self.contacts.retain(|_, contact| now < contact.heard_at + MEMORY);
+    }
+
+    /// Whether `count` entries are most of those that may live, this one included.
+    fn is_majority(&self, count: usize, own: &EntryId) -> bool {
+        let others = self.known.keys().filter(|name| *name != own).count();
+        count * 2 > others + 1
     }
 
-    /// Whether this entry may serve, with `member_count` live members known, itself included.
+    fn fresh_contacts(&self, now: Now) -> impl Iterator<Item = (&EntryId, &Contact)> {
+        let limit = self.isolation_limit;
+        self.contacts.iter().filter(move |(_, contact)| now < contact.heard_at + limit)
+    }
+
+    /// Whether this entry may serve.
     ///
     /// A new entry first needs the documents of a serving peer. The store's alone do when no other
     /// member lives or none has answered for the isolation limit: a store that was rolled back is
-    /// thus outvoted by any living peer. Later it needs the store or most of the members within
-    /// the isolation limit. A store outage therefore stops nobody, while a minority that is cut
-    /// off from the store stops before its leases lapse.
-    pub fn is_ready(&mut self, now: Now, member_count: usize) -> bool {
+    /// thus outvoted by any living peer. Later it needs its lease; without one, most of the
+    /// members must be heard and none of them may have heard the store since the lease ended.
+    /// A store outage therefore stops nobody, while an entry that alone is cut off from the store
+    /// stops before its lease lapses there.
+    pub fn is_ready(&mut self, now: Now, standing: &Standing) -> bool {
         if !self.is_loaded {
-            let from_peer = !self.heard_peers_at.is_empty();
-            let from_store = self
-                .first_store_at
-                .is_some_and(|at| member_count <= 1 || now >= at + self.isolation_limit);
+            let from_peer = self.fresh_contacts(now).any(|(_, c)| c.is_ready && self.has_all(c));
+            let from_store = self.first_store_at.is_some_and(|at| {
+                self.is_majority(1, &standing.entry) || now >= at + self.isolation_limit
+            });
             self.is_loaded = !self.documents.is_empty() && (from_peer || from_store);
         }
-        let is_fresh = |at: Now| now < at + self.isolation_limit;
-        let heard_peers = self.heard_peers_at.values().filter(|at| is_fresh(**at)).count();
-        let has_majority = (heard_peers + 1) * 2 > member_count;
-        self.is_loaded && (self.heard_store_at.is_some_and(is_fresh) || has_majority)
+        let is_member = now < standing.member_until;
+        self.is_loaded && (is_member || self.is_store_outage(now, standing))
+    }
+
+    /// Whether it is the store that is out, as far as can be told, and not this entry.
+    fn is_store_outage(&self, now: Now, standing: &Standing) -> bool {
+        let heard = self.fresh_contacts(now).count();
+        let has_majority = self.is_majority(heard + 1, &standing.entry);
+        let since = standing.member_until;
+        let store_answers = self.fresh_contacts(now).any(|(_, c)| c.store_at > Some(since));
+        has_majority && !store_answers
+    }
+
+    /// Whether everything that a peer has in force is in force here.
+    fn has_all(&self, contact: &Contact) -> bool {
+        contact.in_force.iter().all(|(name, revision)| {
+            self.documents.get(name).is_some_and(|own| own.revision >= *revision)
+        })
+    }
+
+    /// Entries that have not reported `revision` of `deployment` yet: members with a live lease,
+    /// and whoever was heard lately, for it may serve without a lease while the store is out.
+    ///
+    /// `None` while nothing can be told: the view is older than the revision, or most of the
+    /// entries that may live are out of sight. Entries that serve without a lease are a majority,
+    /// so they can't be overlooked by another one.
+    pub fn lagging(
+        &self,
+        now: Now,
+        view: &View,
+        own: &EntryId,
+        deployment: &str,
+        revision: Revision,
+    ) -> Option<Vec<EntryId>> {
+        let members = view.members().map(|member| (&member.entry, &member.in_force));
+        let contacts = self
+            .fresh_contacts(now)
+            .filter(|(_, contact)| contact.is_ready)
+            .map(|(peer, contact)| (peer, &contact.in_force));
+        let mut seen = BTreeSet::new();
+        let mut behind = BTreeSet::new();
+        for (entry, in_force) in members.chain(contacts) {
+            seen.insert(entry);
+            if in_force.get(deployment).copied().unwrap_or(0) < revision {
+                behind.insert(entry.clone());
+            }
+        }
+        let can_tell = view.has_seen(deployment, revision) && self.is_majority(seen.len(), own);
+        can_tell.then(|| behind.into_iter().collect())
     }
 
     /// Revision of each document in force.
@@ -201,17 +316,6 @@
     }
 }
 
-/// Members that hold a live lease but have not reported `revision` of `deployment` yet.
-pub fn lagging_members<'a>(
-    view: &'a View,
-    deployment: &'a str,
-    revision: Revision,
-) -> impl Iterator<Item = &'a str> {
-    view.members()
-        .filter(move |member| member.in_force.get(deployment).copied().unwrap_or(0) < revision)
-        .map(|member| &*member.entry)
-}
-
 /// The steps of one operator's change, each one call to the store.
 #[derive(Debug)]
 pub struct Apply {
--- a/crates/jackdawpier_coord/src/membership.rs
+++ b/crates/jackdawpier_coord/src/membership.rs
@@ -13,7 +13,10 @@
 use jackdawpier_store::{Change, Condition, LeaseId, Record, Request, Response, StoreResult};
 use serde::{Deserialize, Serialize};
 
-use crate::keys;
+use crate::{
+    configuration::{Document, Standing},
+    keys,
+};
 
 /// Renewals a lease's time to live.
 const RENEWALS_PER_TTL: u32 = 3;
@@ -61,6 +64,9 @@
     next_renewal_at: Now,
     retry_at: Now,
     is_published: bool,
+    published_revision: Option<Revision>,
+    is_member: bool,
+    member_until: Now,
     is_revoked: bool,
     flight: Flight,
 }
@@ -77,6 +83,9 @@
             next_renewal_at: Now::ZERO,
             retry_at: Now::ZERO,
             is_published: false,
+            published_revision: None,
+            is_member: false,
+            member_until: Now::ZERO,
             is_revoked: false,
             flight: Flight::None,
         }
@@ -87,6 +96,20 @@
         self.lease.filter(|_| now < self.trusted_until)
     }
 
+    /// This entry's standing among the members of `view`.
+    ///
+    /// It counts as a member again only once the view includes its own record: whoever reports a
+    /// revision as in force from then on has to wait for this entry, and whatever was in force
+    /// before has been read.
+    pub fn standing(&mut self, view: &View) -> Standing {
+        let has_seen_own = |revision| view.store_revision >= revision;
+        self.is_member |= self.published_revision.is_some_and(has_seen_own);
+        if self.is_member && self.lease.is_some() {
+            self.member_until = self.trusted_until;
+        }
+        Standing { entry: self.own.entry.clone(), member_until: self.member_until }
+    }
+
     /// What this entry tells the others.
     pub fn own(&self) -> &Member {
         &self.own
@@ -140,7 +163,10 @@
                 self.trusted_until = self.sent_at + self.ttl * TRUSTED_PERCENT / 100;
                 self.next_renewal_at = self.sent_at + self.ttl / RENEWALS_PER_TTL;
             }
-            (Flight::Publish, Ok(Response::Written { .. })) | (Flight::Revoke, _) => {}
+            (Flight::Publish, Ok(Response::Written { revision })) => {
+                self.published_revision.get_or_insert(*revision);
+            }
+            (Flight::Revoke, _) => {}
             (_, Ok(Response::LeaseGone)) => self.lose_lease(),
             (Flight::Publish, _) => {
                 self.is_published = false;
@@ -152,8 +178,9 @@
 
     fn lose_lease(&mut self) {
         self.lease = None;
-        self.trusted_until = Now::ZERO;
         self.is_published = false;
+        self.published_revision = None;
+        self.is_member = false;
     }
 
     fn start(&mut self, now: Now, flight: Flight, request: Request) -> Request {
@@ -183,6 +210,7 @@
 pub struct View {
     members: BTreeMap<EntryId, Member>,
     owners: BTreeMap<String, Owner>,
+    documents: BTreeMap<String, Revision>,
     /// Revision up to which the view has seen.
     pub store_revision: Revision,
 }
@@ -217,9 +245,19 @@
         {
             owner.revision = record.revision;
             self.owners.insert(shard.to_owned(), owner);
+        } else if let Some(deployment) = record.key.strip_prefix(keys::CONFIGURATION)
+            && let Ok(document) = serde_json::from_str::<Document>(&record.value)
+        {
+            self.documents.insert(deployment.to_owned(), document.revision);
         }
     }
 
+    /// Whether the view has seen `revision` of a document, and so every member that had joined by
+    /// the time it was accepted.
+    pub fn has_seen(&self, deployment: &str, revision: Revision) -> bool {
+        self.documents.get(deployment).is_some_and(|seen| *seen >= revision)
+    }
+
     /// Takes one change that a watch reported.
     pub fn apply(&mut self, change: &Change) {
         match change {
--- a/crates/jackdawpier_coord/src/ownership.rs
+++ b/crates/jackdawpier_coord/src/ownership.rs
@@ -9,7 +9,11 @@
     time::Duration,
 };
 
-use jackdawpier_kernel::{Now, ids::EntryId, rendezvous};
+use jackdawpier_kernel::{
+    Now,
+    ids::{EntryId, Revision},
+    rendezvous,
+};
 use jackdawpier_store::{Condition, LeaseId, Request, Response, StoreError, StoreResult};
 
 use crate::{
@@ -55,6 +59,8 @@
 #[derive(Debug)]
 struct Shard {
     phase: Phase,
+    /// Revision of the owner record, once the claim took effect.
+    revision: Revision,
     in_flight: bool,
     retry_at: Now,
     outranked_since: Option<Now>,
@@ -170,11 +176,8 @@
             }
             Phase::Releasing => None,
             Phase::Deleting => {
-                let condition = match view.owner(name).filter(|owner| self.is_self(owner)) {
-                    Some(owner) => Condition::Revision(owner.revision),
-                    None => Condition::Absent,
-                };
-                Some(self.call(name, Request::Delete { key: keys::shard(name), condition }))
+                let request = delete_request(name, held.revision);
+                Some(self.call(name, request))
             }
         }
     }
@@ -187,20 +190,25 @@
         view: &View,
         is_preferred: bool,
     ) -> Option<Output> {
-        // A record of this very process is left over from a lease that was not relied on for a
-        // while; it is claimed again like an absent one.
-        let is_free = view.owner(name).is_none_or(|owner| self.is_self(owner));
-        if self.is_stopping || !is_preferred || !is_free {
+        let owner = view.owner(name);
+        let leftover = owner.filter(|owner| self.is_self(owner)).map(|owner| owner.revision);
+        let is_claiming = is_preferred && !self.is_stopping;
+        if owner.is_some() && leftover.is_none() || leftover.is_none() && !is_claiming {
             return None;
         }
-        let shard = Shard {
-            phase: Phase::Claiming,
-            in_flight: false,
-            retry_at: now,
-            outranked_since: None,
-        };
+        // A record of this very process that it does not hold is left over from a claim that took
+        // effect late, or from a lease that could not be relied on for a while. It is claimed
+        // again, or deleted so that the preferred entry can have the shard.
+        let phase = if is_claiming { Phase::Claiming } else { Phase::Deleting };
+        let revision = leftover.unwrap_or(0);
+        let shard =
+            Shard { phase, revision, in_flight: false, retry_at: now, outranked_since: None };
         self.held.insert(name.to_owned(), shard);
-        Some(self.call(name, self.claim_request(name, lease, view)))
+        let request = match phase {
+            Phase::Deleting => delete_request(name, revision),
+            _ => self.claim_request(name, lease, view),
+        };
+        Some(self.call(name, request))
     }
 
     fn claim_request(&self, name: &str, lease: LeaseId, view: &View) -> Request {
@@ -230,14 +238,21 @@
 
     /// Takes the result of the call in flight for `shard`.
     pub fn on_result(&mut self, now: Now, shard: &str, result: &StoreResult) -> Vec<Output> {
-        let is_own = matches!(result, Ok(Response::Conflict { current: Some(record) })
-            if serde_json::from_str::<Owner>(&record.value).is_ok_and(|owner| self.is_self(&owner)));
+        let own_revision = match result {
+            Ok(Response::Written { revision }) => Some(*revision),
+            // The answer to the first try was lost; the record shows that it took effect.
+            Ok(Response::Conflict { current: Some(record) }) => {
+                let owner = serde_json::from_str::<Owner>(&record.value).ok();
+                owner.filter(|owner| self.is_self(owner)).map(|_| record.revision)
+            }
+            _ => None,
+        };
         let Some(held) = self.held.get_mut(shard) else { return Vec::new() };
         held.in_flight = false;
         match (held.phase, result) {
-            (Phase::Claiming, Ok(Response::Written { .. })) => self.acquire(shard),
-            // The answer to the first try was lost; the record shows that it took effect.
-            (Phase::Claiming, Ok(_)) if is_own => self.acquire(shard),
+            (Phase::Claiming, Ok(_)) if own_revision.is_some() => {
+                self.acquire(shard, own_revision.unwrap_or_default())
+            }
             (Phase::Claiming | Phase::Deleting, Ok(_)) => {
                 self.held.remove(shard);
                 Vec::new()
@@ -249,10 +264,15 @@
         }
     }
 
-    fn acquire(&mut self, shard: &str) -> Vec<Output> {
+    fn acquire(&mut self, shard: &str, revision: Revision) -> Vec<Output> {
         if let Some(held) = self.held.get_mut(shard) {
             held.phase = Phase::Owned;
+            held.revision = revision;
         }
         vec![Output::Acquired { shard: shard.to_owned() }]
     }
 }
+
+fn delete_request(name: &str, revision: Revision) -> Request {
+    Request::Delete { key: keys::shard(name), condition: Condition::Revision(revision) }
+}
--- /dev/null
+++ b/crates/jackdawpier_proofs/tests/world/entry.rs
@@ -0,0 +1,362 @@
+//! One entry of the world: the pure decisions with their inputs and outputs.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use jackdawpier_coord::{
+    cell::{Cell, Output as CellOutput},
+    configuration::{Configuration, Document, PeerReport},
+    keys,
+    membership::{Member, Membership, View},
+    ownership::{Output as OwnershipOutput, Ownership},
+};
+use jackdawpier_kernel::{
+    Now,
+    ids::{EntryId, RequestKey},
+    outcome::{Outcome, RefusalReason},
+};
+use jackdawpier_route::dedupe::{Decision, Dedupe, KeyState};
+use jackdawpier_store::{Request, Response, StoreResult};
+
+use super::{DEPLOYMENT, SHARD, Switches};
+
+const LEASE: Duration = Duration::from_secs(3);
+const ISOLATION_LIMIT: Duration = Duration::from_secs(2);
+const COMMIT_INTERVAL: Duration = Duration::from_millis(125);
+const RETENTION: Duration = Duration::from_secs(300);
+const VIEW_INTERVAL: Duration = Duration::from_millis(300);
+const FINGERPRINT: u64 = 7;
+
+/// What a call to the store is for.
+#[derive(Debug, Clone)]
+pub(crate) enum Purpose {
+    Membership,
+    Ownership(String),
+    Cell(u64),
+    View,
+    Repair,
+    Apply(u64),
+}
+
+struct Owned {
+    generation: u64,
+    cell: Cell<KeyState>,
+    dedupe: Dedupe,
+    keys: HashMap<u64, RequestKey>,
+}
+
+/// The decisions of one daemon.
+pub(crate) struct Entry {
+    pub(crate) name: EntryId,
+    pub(crate) incarnation: u64,
+    pub(crate) configuration: Configuration,
+    pub(crate) highest_revision: u64,
+    pub(crate) clock_ahead: Duration,
+    pub(crate) calls: Vec<(Purpose, Request)>,
+    pub(crate) sends: Vec<(RequestKey, u64)>,
+    pub(crate) told: Vec<(RequestKey, u64, Outcome)>,
+    /// Ends of attempts in flight: (step, key, attempt, outcome).
+    pub(crate) ends: Vec<(u64, RequestKey, u64, Outcome)>,
+    membership: Membership,
+    view: View,
+    ownership: Ownership,
+    owned: Option<Owned>,
+    is_view_loaded: bool,
+    is_reading_view: bool,
+    read_view_at: Now,
+    generation: u64,
+    step: u64,
+}
+
+impl Entry {
+    pub(crate) fn new(index: usize, incarnation: u64, step: u64) -> Self {
+        let name: EntryId = format!("entry-{index}").into();
+        let own = Member {
+            entry: name.clone(),
+            zone: format!("zone-{index}").into(),
+            peer_address: String::new(),
+            operator_address: String::new(),
+            incarnation,
+            in_force: std::collections::BTreeMap::new(),
+            is_stopping: false,
+        };
+        Self {
+            configuration: Configuration::new(ISOLATION_LIMIT),
+            highest_revision: 0,
+            clock_ahead: Duration::ZERO,
+            calls: Vec::new(),
+            sends: Vec::new(),
+            told: Vec::new(),
+            ends: Vec::new(),
+            membership: Membership::new(own, LEASE),
+            view: View::default(),
+            ownership: Ownership::new(name.clone(), incarnation),
+            owned: None,
+            is_view_loaded: false,
+            is_reading_view: false,
+            read_view_at: Now::ZERO,
+            generation: 0,
+            name,
+            incarnation,
+            step,
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.owned.as_ref().is_some_and(|owned| owned.cell.is_open())
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.configuration.document(DEPLOYMENT).map_or(0, |document| document.revision)
+    }
+
+    pub(crate) fn is_ready(&mut self, now: Now) -> bool {
+        let now = now + self.clock_ahead;
+        let standing = self.membership.standing(&self.view);
+        self.configuration.is_ready(now, &standing)
+    }
+
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        now: Now,
+        switches: Switches,
+        report: PeerReport,
+        documents: Vec<Document>,
+    ) {
+        for document in documents {
+            self.adopt(switches, document);
+        }
+        self.configuration.heard_peer(now + self.clock_ahead, report);
+    }
+
+    /// What a heartbeat says, with the documents in force.
+    pub(crate) fn heartbeat(&mut self, now: Now) -> (PeerReport, Vec<Document>) {
+        let is_ready = self.is_ready(now);
+        let report = PeerReport {
+            peer: self.name.clone(),
+            is_ready,
+            store_age: self.configuration.store_age(now + self.clock_ahead),
+            in_force: self.configuration.revisions(),
+        };
+        (report, self.configuration.documents().cloned().collect())
+    }
+
+    /// The revision that the tool would show as in force everywhere, asked at this entry.
+    pub(crate) fn reported_in_force(&mut self, now: Now) -> u64 {
+        let revision = self.revision();
+        let is_ready = self.is_ready(now);
+        let now = now + self.clock_ahead;
+        let has_lease = self.membership.lease(now).is_some();
+        let lagging = self.configuration.lagging(now, &self.view, &self.name, DEPLOYMENT, revision);
+        if is_ready && has_lease && lagging.is_some_and(|all| all.is_empty()) {
+            revision
+        } else {
+            0
+        }
+    }
+
+    fn adopt(&mut self, switches: Switches, document: Document) {
+        if switches.adopts_older && document.revision < self.revision() {
+            self.configuration = Configuration::new(ISOLATION_LIMIT);
+        }
+        self.configuration.offer(document);
+    }
+
+    /// A caller's keyed request.
+    pub(crate) fn submit(&mut self, now: Now, switches: Switches, key: &RequestKey, attempt: u64) {
+        let now = now + self.clock_ahead;
+        let Some(owned) = &mut self.owned else { return };
+        match owned.dedupe.begin(key, FINGERPRINT, attempt) {
+            Decision::Record { state } => {
+                let Some(number) = owned.cell.put(Arc::clone(key), &state) else { return };
+                owned.keys.insert(attempt, Arc::clone(key));
+                if switches.skips_intent {
+                    self.sends.push((Arc::clone(key), attempt));
+                } else {
+                    owned.dedupe.recording(number, attempt);
+                }
+                let outputs = owned.cell.tick(now);
+                self.follow_cell(now, switches, outputs);
+            }
+            Decision::Repeat(outcome) => self.told.push((Arc::clone(key), attempt, outcome)),
+            Decision::Wait | Decision::KeyReused => {}
+        }
+    }
+
+    pub(crate) fn tick(&mut self, now: Now, switches: Switches) {
+        let now = now + self.clock_ahead;
+        self.step += 1;
+        let revisions = self.configuration.revisions();
+        self.configuration.note_members(now, &self.view);
+        self.membership.update(|member| member.in_force = revisions);
+        if let Some(request) = self.membership.tick(now) {
+            self.calls.push((Purpose::Membership, request));
+        }
+        if !self.is_reading_view && now >= self.read_view_at {
+            self.is_reading_view = true;
+            let prefix = keys::COORDINATION.to_owned();
+            let request = Request::Range { prefix, after_key: String::new(), limit: 100 };
+            self.calls.push((Purpose::View, request));
+        }
+        self.tick_ownership(now);
+        self.end_attempts(now, switches);
+        if let Some(owned) = &mut self.owned {
+            let outputs = owned.cell.tick(now);
+            self.follow_cell(now, switches, outputs);
+        }
+    }
+
+    fn tick_ownership(&mut self, now: Now) {
+        if self.membership.lease(now).is_none() {
+            self.ownership.lose_all();
+            self.drop_owned();
+            return;
+        }
+        if !self.is_view_loaded {
+            return;
+        }
+        self.ownership.set_shards([SHARD.to_owned()].into());
+        let outputs = self.ownership.tick(now, self.membership.lease(now), &self.view);
+        self.follow_ownership(now, outputs);
+    }
+
+    fn follow_ownership(&mut self, now: Now, outputs: Vec<OwnershipOutput>) {
+        for output in outputs {
+            match output {
+                OwnershipOutput::Call { shard, request } => {
+                    self.calls.push((Purpose::Ownership(shard), request));
+                }
+                OwnershipOutput::Acquired { .. } => self.acquire(now),
+                OwnershipOutput::Release { shard } => {
+                    self.drop_owned();
+                    self.ownership.released(&shard);
+                }
+            }
+        }
+    }
+
+    fn acquire(&mut self, now: Now) {
+        self.generation += 1;
+        let incarnation = self.incarnation * 1000 + self.generation;
+        let mut cell = Cell::new(SHARD, self.name.clone(), incarnation, COMMIT_INTERVAL);
+        let outputs = cell.open(now);
+        self.owned = Some(Owned {
+            generation: self.generation,
+            cell,
+            dedupe: Dedupe::new(RETENTION),
+            keys: HashMap::new(),
+        });
+        self.follow_cell(now, Switches::default(), outputs);
+    }
+
+    fn drop_owned(&mut self) {
+        let Some(mut owned) = self.owned.take() else { return };
+        for attempt in owned.dedupe.fenced() {
+            if let Some(key) = owned.keys.get(&attempt) {
+                self.told.push((Arc::clone(key), attempt, not_run()));
+            }
+        }
+    }
+
+    fn follow_cell(&mut self, now: Now, switches: Switches, outputs: Vec<CellOutput<KeyState>>) {
+        for output in outputs {
+            let Some(owned) = &mut self.owned else { return };
+            match output {
+                CellOutput::Call(request) => {
+                    self.calls.push((Purpose::Cell(owned.generation), request));
+                }
+                CellOutput::Opened { states, .. } => {
+                    for (subject, state) in states {
+                        let is_intent = matches!(state, KeyState::Intent { .. });
+                        if !(switches.forgets_intents && is_intent) {
+                            owned.dedupe.recover(now, subject, state);
+                        }
+                    }
+                }
+                CellOutput::Committed { up_to } => {
+                    for attempt in owned.dedupe.committed(up_to) {
+                        let key = Arc::clone(&owned.keys[&attempt]);
+                        self.sends.push((key, attempt));
+                    }
+                }
+                CellOutput::Fenced => self.drop_owned(),
+            }
+        }
+    }
+
+    fn end_attempts(&mut self, now: Now, switches: Switches) {
+        let step = self.step;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.ends).into_iter().partition(|(at, ..)| *at <= step);
+        self.ends = rest;
+        for (_, key, attempt, outcome) in due {
+            if let Some(owned) = &mut self.owned
+                && let Some((state, waiters)) = owned.dedupe.end(now, &key, &outcome)
+            {
+                owned.cell.put(Arc::clone(&key), &state);
+                for waiter in waiters {
+                    if !matches!(outcome, Outcome::NotRun { .. }) {
+                        self.told.push((Arc::clone(&key), waiter, outcome.clone()));
+                    }
+                }
+                let outputs = owned.cell.tick(now);
+                self.follow_cell(now, switches, outputs);
+            }
+            self.told.push((key, attempt, outcome));
+        }
+    }
+
+    pub(crate) fn on_result(
+        &mut self,
+        now: Now,
+        switches: Switches,
+        purpose: Purpose,
+        result: StoreResult,
+    ) {
+        let now = now + self.clock_ahead;
+        match purpose {
+            Purpose::Membership => {
+                self.membership.on_result(now, &result);
+                if matches!(result, Ok(Response::Lease { .. })) && self.is_view_loaded {
+                    self.configuration.heard_store(now);
+                }
+            }
+            Purpose::Ownership(shard) => {
+                let outputs = self.ownership.on_result(now, &shard, &result);
+                self.follow_ownership(now, outputs);
+            }
+            Purpose::Cell(generation) => {
+                if let Some(owned) = self.owned.as_mut().filter(|o| o.generation == generation) {
+                    let outputs = owned.cell.on_result(now, result);
+                    self.follow_cell(now, switches, outputs);
+                }
+            }
+            Purpose::View => self.on_view(now, switches, result),
+            Purpose::Repair | Purpose::Apply(_) => {}
+        }
+    }
+
+    fn on_view(&mut self, now: Now, switches: Switches, result: StoreResult) {
+        self.is_reading_view = false;
+        self.read_view_at = now + VIEW_INTERVAL;
+        let Ok(Response::Records { records, store_revision, .. }) = result else { return };
+        self.view.reset();
+        self.view.store_revision = store_revision;
+        for record in &records {
+            self.view.apply_record(record);
+            if record.key.starts_with(keys::CONFIGURATION) {
+                if let Ok(document) = serde_json::from_str(&record.value) {
+                    self.adopt(switches, document);
+                }
+                if let Some(repair) = self.configuration.repair(record) {
+                    self.calls.push((Purpose::Repair, repair));
+                }
+            }
+        }
+        self.is_view_loaded = true;
+        self.configuration.heard_store(now);
+    }
+}
+
+fn not_run() -> Outcome {
+    Outcome::NotRun { reason: RefusalReason::NoOwner, retry_after: Duration::ZERO }
+}
--- a/crates/jackdawpierd/src/control.rs
+++ b/crates/jackdawpierd/src/control.rs
@@ -69,7 +69,8 @@
     let now = entry.now();
     let request = {
         let mut coordination = entry.coordination();
-        let Coordination { membership, configuration, .. } = &mut *coordination;
+        let Coordination { membership, view, configuration, .. } = &mut *coordination;
+        configuration.note_members(now, view);
         let in_force = configuration.revisions();
         membership.update(|member| member.in_force = in_force);
         membership.tick(now)
--- a/crates/jackdawpierd/src/entry.rs
+++ b/crates/jackdawpierd/src/entry.rs
@@ -124,8 +124,8 @@
     pub(crate) fn is_ready(&self) -> bool {
         let now = self.now();
         let mut coordination = self.coordination();
-        let Coordination { view, configuration, .. } = &mut *coordination;
-        configuration.is_ready(now, view.members().count())
+        let Coordination { membership, view, configuration, .. } = &mut *coordination;
+        configuration.is_ready(now, &membership.standing(view))
     }
 
     /// An id for a request, unique over all entries and their restarts.
--- a/crates/jackdawpierd/src/heartbeats.rs
+++ b/crates/jackdawpierd/src/heartbeats.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use jackdawpier_coord::configuration::Document;
+use jackdawpier_coord::configuration::{Document, PeerReport};
 
 use crate::{
     entry::{Entry, PeerContact},
@@ -39,11 +39,14 @@
 /// What this entry says of itself.
 pub(crate) fn own_heartbeat(entry: &Entry) -> Heartbeat {
     let is_ready = entry.is_ready();
+    let now = entry.now();
+    let coordination = entry.coordination();
     Heartbeat {
         entry: entry.name().clone(),
         incarnation: entry.incarnation,
         is_ready,
-        in_force: entry.coordination().configuration.revisions(),
+        store_age: coordination.configuration.store_age(now),
+        in_force: coordination.configuration.revisions(),
     }
 }
 
@@ -66,13 +69,13 @@
         for document in newer {
             is_changed |= coordination.configuration.offer(document);
         }
-        // A peer counts only once this entry has whatever the peer has in force.
-        let lacks = heartbeat.in_force.iter().any(|(name, revision)| {
-            coordination.configuration.document(name).is_none_or(|own| own.revision < *revision)
-        });
-        if heartbeat.is_ready && !lacks {
-            coordination.configuration.heard_peer(now, &heartbeat.entry);
-        }
+        let report = PeerReport {
+            peer: heartbeat.entry.clone(),
+            is_ready: heartbeat.is_ready,
+            store_age: heartbeat.store_age,
+            in_force: heartbeat.in_force.clone(),
+        };
+        coordination.configuration.heard_peer(now, report);
         is_changed
     };
     if is_changed {
--- a/crates/jackdawpierd/src/messages.rs
+++ b/crates/jackdawpierd/src/messages.rs
@@ -35,6 +35,8 @@
     pub(crate) entry: EntryId,
     pub(crate) incarnation: u64,
     pub(crate) is_ready: bool,
+    /// Time since the store last answered it.
+    pub(crate) store_age: Option<Duration>,
     /// Revision of each document in force.
     pub(crate) in_force: BTreeMap<String, Revision>,
 }
--- a/crates/jackdawpierd/src/status.rs
+++ b/crates/jackdawpierd/src/status.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use jackdawpier_kernel::{ids::Revision, plugin};
+use jackdawpier_kernel::{
+    ids::{EntryId, Revision},
+    plugin,
+};
 use serde::Serialize;
 
 use crate::{entry::Entry, service::ServiceFigures};
@@ -59,9 +62,15 @@
     pub(crate) roles: Vec<&'static str>,
 }
 
+/// Shown as lagging while this entry's view of the store is older than the revision.
+const THIS_ENTRY: &str = "(this entry's view)";
+
+fn names(entries: &[EntryId]) -> Vec<String> {
+    entries.iter().map(ToString::to_string).collect()
+}
+
 /// Gathers the status.
 pub(crate) fn gather(entry: &Arc<Entry>) -> Status {
-    use jackdawpier_coord::configuration::lagging_members;
     use jackdawpier_kernel::instance::{Role, State};
     let is_ready = entry.is_ready();
     let instances = entry.instances();
@@ -71,6 +80,7 @@
             .filter(|i| i.role == role && i.state == State::Live && *i.service == *service)
             .count()
     };
+    let now = entry.now();
     let coordination = entry.coordination();
     let view = &coordination.view;
     let documents = coordination
@@ -78,12 +88,18 @@
         .documents()
         .map(|document| {
             let deployment = document.declaration.deployment.clone();
-            let lagging: Vec<String> =
-                lagging_members(view, &deployment, document.revision).map(str::to_owned).collect();
+            let lagging = coordination.configuration.lagging(
+                now,
+                view,
+                entry.name(),
+                &deployment,
+                document.revision,
+            );
             DocumentStatus {
                 revision: document.revision,
-                is_in_force: lagging.is_empty(),
-                lagging_members: lagging,
+                is_in_force: lagging.as_ref().is_some_and(Vec::is_empty),
+                lagging_members: lagging
+                    .map_or_else(|| vec![THIS_ENTRY.to_owned()], |all| names(&all)),
                 deployment,
             }
         })
