--- /dev/null
+++ b/crates/jackdawpier_capacity/src/fleet.rs
@@ -0,0 +1,339 @@
+//! The fleet: which instance stands where, in which pool, and in which phase.
+//!
+//! An instance has one pool field, so it can't be in two pools; a move is a change of that field
+//! after its work was drained.
+
+use std::collections::BTreeSet;
+
+use jackdawpier_settings::declaration::Domain;
+use serde::{Deserialize, Serialize};
+
+use crate::{DomainIx, InstanceIx, PoolIx, counts::DomainCounts};
+
+/// Where an instance stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Availability zone.
+    pub zone: DomainIx,
+    /// Switch.
+    pub switch: DomainIx,
+    /// Rack.
+    pub rack: DomainIx,
+}
+
+impl Place {
+    /// The domain of this kind that the place belongs to; none for the instance itself.
+    pub fn domain(&self, kind: Domain) -> Option<DomainIx> {
+        match kind {
+            Domain::Instance => None,
+            Domain::Rack => Some(self.rack),
+            Domain::Switch => Some(self.switch),
+            Domain::Zone => Some(self.zone),
+        }
+    }
+}
+
+/// Phases of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// In no pool, ready to be moved into one.
+    Free,
+    /// In a pool and taking work.
+    Serving,
+    /// In a pool, finishing its work before it changes pools or is maintained.
+    Draining,
+    /// Being set up for its pool; no work yet.
+    Warming,
+    /// Out for maintenance.
+    InMaintenance,
+    /// Failed.
+    Down,
+}
+
+/// One instance.
+#[derive(Debug, Clone)]
+pub struct Instance {
+    /// Where it stands.
+    pub place: Place,
+    /// The pool that it belongs to, if any.
+    pub pool: Option<PoolIx>,
+    /// Its phase.
+    pub phase: Phase,
+}
+
+/// What a pool must keep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolTarget {
+    /// Instances that its classes need now.
+    pub need: u32,
+    /// Instances that they might need before a maintenance step ends.
+    pub cautious_need: u32,
+    /// Instances by which it may fall short.
+    pub may_lose: u32,
+    /// Failure domain whose loss it survives.
+    pub survive: Domain,
+}
+
+impl PoolTarget {
+    /// Instances that `spread` has beyond what the target asks for after the loss of the worst
+    /// domain; negative if it would fall short.
+    pub fn margin(&self, spread: &Spread) -> i64 {
+        let now = i64::from(spread.total()) - i64::from(self.need);
+        let after_loss = now - i64::from(spread.worst(self.survive)) + i64::from(self.may_lose);
+        after_loss.min(now)
+    }
+}
+
+impl PoolTarget {
+    /// [`PoolTarget::margin`] once an instance at `place` is gone.
+    pub fn margin_without(&self, spread: &Spread, place: &Place) -> i64 {
+        let now = i64::from(spread.total()) - 1 - i64::from(self.need);
+        let eased = i64::from(spread.eases_worst(self.survive, place));
+        let worst = i64::from(spread.worst(self.survive)) - eased;
+        now.min(now - worst + i64::from(self.may_lose))
+    }
+}
+
+/// Instances of a pool by failure domain.
+#[derive(Debug, Clone, Default)]
+pub struct Spread {
+    total: u32,
+    zones: DomainCounts,
+    switches: DomainCounts,
+    racks: DomainCounts,
+}
+
+impl Spread {
+    /// Instances in all.
+    pub fn total(&self) -> u32 {
+        self.total
+    }
+
+    /// Instances lost with the worst domain of this kind.
+    pub fn worst(&self, domain: Domain) -> u32 {
+        match domain {
+            Domain::Instance => self.total.min(1),
+            Domain::Rack => self.racks.largest(),
+            Domain::Switch => self.switches.largest(),
+            Domain::Zone => self.zones.largest(),
+        }
+    }
+
+    /// Instances in the domains of `place`, of each kind.
+    pub fn at(&self, place: &Place) -> (u32, u32, u32) {
+        (self.zones.get(place.zone), self.switches.get(place.switch), self.racks.get(place.rack))
+    }
+
+    /// Whether taking an instance at `place` away makes the worst domain smaller.
+    pub fn eases_worst(&self, domain: Domain, place: &Place) -> bool {
+        let (counts, ix) = match domain {
+            Domain::Instance => return false,
+            Domain::Rack => (&self.racks, place.rack),
+            Domain::Switch => (&self.switches, place.switch),
+            Domain::Zone => (&self.zones, place.zone),
+        };
+        counts.get(ix) == counts.largest() && counts.largest_domains() == 1
+    }
+
+    fn add(&mut self, place: &Place) {
+        self.total += 1;
+        self.zones.add(place.zone);
+        self.switches.add(place.switch);
+        self.racks.add(place.rack);
+    }
+
+    fn remove(&mut self, place: &Place) {
+        self.total -= 1;
+        self.zones.remove(place.zone);
+        self.switches.remove(place.switch);
+        self.racks.remove(place.rack);
+    }
+}
+
+/// One pool.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    /// What it must keep.
+    pub target: PoolTarget,
+    /// Instances wanted on top while a wave goes through the pool, so that some can be out.
+    pub wave_extra: u32,
+    /// Instances that take work.
+    pub serving: Spread,
+    /// Instances that take work or soon will: serving and warming.
+    pub committed: Spread,
+    /// All instances of the pool by zone, whatever their phase.
+    pub members: Vec<BTreeSet<InstanceIx>>,
+}
+
+impl Pool {
+    /// [`PoolTarget::margin`] of the pool's own target.
+    pub fn margin(&self, spread: &Spread) -> i64 {
+        self.target.margin(spread)
+    }
+
+    /// Committed instances in the failure domains of `place`, the surviving kind first.
+    pub fn load_at(&self, place: &Place) -> (u32, u32, u32) {
+        let (zone, switch, rack) = self.committed.at(place);
+        match self.target.survive {
+            Domain::Instance | Domain::Zone => (zone, switch, rack),
+            Domain::Switch => (switch, rack, zone),
+            Domain::Rack => (rack, zone, switch),
+        }
+    }
+
+    /// Whether the pool is below its availability budget at this moment.
+    pub fn is_below_budget(&self) -> bool {
+        self.serving.total() + self.target.may_lose < self.target.need
+    }
+}
+
+/// The whole fleet.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    instances: Vec<Instance>,
+    pools: Vec<Pool>,
+    free: Vec<BTreeSet<InstanceIx>>,
+}
+
+impl Fleet {
+    /// Returns an empty fleet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a pool.
+    pub fn add_pool(&mut self, target: PoolTarget) -> PoolIx {
+        self.pools.push(Pool {
+            target,
+            wave_extra: 0,
+            serving: Spread::default(),
+            committed: Spread::default(),
+            members: Vec::new(),
+        });
+        self.pools.len() as PoolIx - 1
+    }
+
+    /// Adds a free instance.
+    pub fn add_instance(&mut self, place: Place) -> InstanceIx {
+        let ix = self.instances.len() as InstanceIx;
+        self.instances.push(Instance { place, pool: None, phase: Phase::Free });
+        set_at(&mut self.free, place.zone).insert(ix);
+        ix
+    }
+
+    /// All pools.
+    pub fn pools(&self) -> &[Pool] {
+        &self.pools
+    }
+
+    /// One pool.
+    pub fn pool(&self, ix: PoolIx) -> &Pool {
+        &self.pools[ix as usize]
+    }
+
+    /// Changes what a pool must keep.
+    pub fn set_target(&mut self, ix: PoolIx, target: PoolTarget) {
+        self.pools[ix as usize].target = target;
+    }
+
+    /// Asks for instances on top of the target while a wave goes through the pool.
+    pub fn set_wave_extra(&mut self, ix: PoolIx, extra: u32) {
+        self.pools[ix as usize].wave_extra = extra;
+    }
+
+    /// All instances.
+    pub fn instances(&self) -> &[Instance] {
+        &self.instances
+    }
+
+    /// One instance.
+    pub fn instance(&self, ix: InstanceIx) -> &Instance {
+        &self.instances[ix as usize]
+    }
+
+    /// Free instances by zone.
+    pub fn free(&self) -> &[BTreeSet<InstanceIx>] {
+        &self.free
+    }
+
+    /// Number of free instances.
+    pub fn free_count(&self) -> usize {
+        self.free.iter().map(BTreeSet::len).sum()
+    }
+
+    /// Puts an instance into another phase or pool; every index follows.
+    pub fn set(&mut self, ix: InstanceIx, pool: Option<PoolIx>, phase: Phase) {
+        debug_assert_eq!(pool.is_none(), matches!(phase, Phase::Free) || pool.is_none());
+        self.unlist(ix);
+        let instance = &mut self.instances[ix as usize];
+        instance.pool = pool;
+        instance.phase = phase;
+        self.list(ix);
+    }
+
+    fn unlist(&mut self, ix: InstanceIx) {
+        let Instance { place, pool, phase } = self.instances[ix as usize].clone();
+        match pool {
+            None => {
+                set_at(&mut self.free, place.zone).remove(&ix);
+            }
+            Some(pool) => {
+                let pool = &mut self.pools[pool as usize];
+                set_at(&mut pool.members, place.zone).remove(&ix);
+                if phase == Phase::Serving {
+                    pool.serving.remove(&place);
+                }
+                if is_committed(phase) {
+                    pool.committed.remove(&place);
+                }
+            }
+        }
+    }
+
+    fn list(&mut self, ix: InstanceIx) {
+        let Instance { place, pool, phase } = self.instances[ix as usize].clone();
+        match pool {
+            None if phase == Phase::Free => {
+                set_at(&mut self.free, place.zone).insert(ix);
+            }
+            None => {}
+            Some(pool) => {
+                let pool = &mut self.pools[pool as usize];
+                set_at(&mut pool.members, place.zone).insert(ix);
+                if phase == Phase::Serving {
+                    pool.serving.add(&place);
+                }
+                if is_committed(phase) {
+                    pool.committed.add(&place);
+                }
+            }
+        }
+    }
+
+    /// Whether the pool of `ix` keeps its target, and survives its worst domain, without it.
+    pub fn can_spare(&self, ix: InstanceIx) -> bool {
+        let instance = self.instance(ix);
+        let Some(pool) = instance.pool.map(|pool| self.pool(pool)) else { return true };
+        if instance.phase != Phase::Serving {
+            return true;
+        }
+        let eased = i64::from(pool.serving.eases_worst(pool.target.survive, &instance.place));
+        let now = i64::from(pool.serving.total()) - i64::from(pool.target.cautious_need);
+        let worst = i64::from(pool.serving.worst(pool.target.survive));
+        let after_loss = now - worst + eased + i64::from(pool.target.may_lose);
+        after_loss.min(now + i64::from(pool.target.may_lose)) >= 1
+    }
+}
+
+fn is_committed(phase: Phase) -> bool {
+    matches!(phase, Phase::Serving | Phase::Warming | Phase::InMaintenance)
+}
+
+fn set_at(sets: &mut Vec<BTreeSet<InstanceIx>>, zone: DomainIx) -> &mut BTreeSet<InstanceIx> {
+    let zone = zone as usize;
+    if sets.len() <= zone {
+        sets.resize_with(zone + 1, BTreeSet::new);
+    }
+    &mut sets[zone]
+}
--- /dev/null
+++ b/crates/jackdawpier_capacity/src/wave.rs
@@ -0,0 +1,286 @@
+//! A maintenance wave: as wide as every class's budget allows, with this minute's failures
+//! charged first, after a canary, stopping by itself when what it touched fails more.
+//!
+//! Each instance's step is recorded before it is carried out, so that a new holder goes on without
+//! repeating a reboot.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use jackdawpier_kernel::Now;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    InstanceIx, PoolIx,
+    fleet::{Fleet, Phase},
+    reason::HoldReason,
+};
+
+/// Instances of the canary.
+const CANARY_INSTANCES: usize = 2;
+/// One free instance in this many of the fleet is left alone by a wave.
+const FREE_RESERVE_DIVISOR: usize = 25;
+/// Steps beyond which a pool is done one instance at a time.
+const MAX_WAVE_STEPS: u32 = 64;
+/// Failed steps after which the rate is judged.
+const MIN_FAILURES: usize = 3;
+/// A wave stops when this part of its recent steps has failed.
+const FAILED_SHARE_DIVISOR: usize = 5;
+/// Steps that count as recent.
+const RECENT_STEPS: usize = 20;
+/// Instances looked at for one step of the wave, so that a tick takes bounded time.
+const MAX_STARTS: usize = 4096;
+
+/// What the wave has done with an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Progress {
+    /// Not touched yet.
+    Pending,
+    /// Out, or being drained for it.
+    Out,
+    /// Back and healthy.
+    Done,
+    /// Did not come back healthy.
+    Failed,
+}
+
+/// States of a wave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WaveState {
+    /// It goes on.
+    Running,
+    /// An operator paused it, or it stopped itself.
+    Paused {
+        /// Whether it stopped itself.
+        by_itself: bool,
+    },
+    /// An operator ended it; what is out comes back.
+    Cancelled,
+    /// Every instance is done.
+    Finished,
+}
+
+/// One maintenance wave.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Wave {
+    state: WaveState,
+    progress: BTreeMap<InstanceIx, Progress>,
+    pending: BTreeSet<InstanceIx>,
+    out: BTreeSet<InstanceIx>,
+    /// Those of `out` that were taken from a pool.
+    out_serving: BTreeSet<InstanceIx>,
+    recent_failures: Vec<bool>,
+    done: usize,
+    /// Those done that were taken from a pool; the canary is judged by these.
+    done_serving: usize,
+}
+
+impl Wave {
+    /// Plans a wave over `instances`.
+    pub fn new(instances: impl IntoIterator<Item = InstanceIx>) -> Self {
+        let pending: BTreeSet<InstanceIx> = instances.into_iter().collect();
+        let progress = pending.iter().map(|ix| (*ix, Progress::Pending)).collect();
+        Self {
+            state: WaveState::Running,
+            progress,
+            pending,
+            out: BTreeSet::new(),
+            out_serving: BTreeSet::new(),
+            recent_failures: Vec::new(),
+            done: 0,
+            done_serving: 0,
+        }
+    }
+
+    /// State of the wave.
+    pub fn state(&self) -> WaveState {
+        self.state
+    }
+
+    /// What the wave has done with an instance, if it belongs to it.
+    pub fn progress(&self, ix: InstanceIx) -> Option<Progress> {
+        self.progress.get(&ix).copied()
+    }
+
+    /// Instances that are done.
+    pub fn done(&self) -> usize {
+        self.done
+    }
+
+    /// Instances not touched yet.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Instances that are out.
+    pub fn out(&self) -> &BTreeSet<InstanceIx> {
+        &self.out
+    }
+
+    /// Pauses the wave on an operator's word; returns whether that changed anything.
+    pub fn pause(&mut self) -> bool {
+        let changes = self.state == WaveState::Running;
+        if changes {
+            self.state = WaveState::Paused { by_itself: false };
+        }
+        changes
+    }
+
+    /// Resumes a paused wave; earlier failures no longer count.
+    pub fn resume(&mut self) -> bool {
+        let changes = matches!(self.state, WaveState::Paused { .. });
+        if changes {
+            self.state = WaveState::Running;
+            self.recent_failures.clear();
+        }
+        changes
+    }
+
+    /// Ends the wave; what is out still comes back.
+    pub fn cancel(&mut self) -> bool {
+        let changes = !matches!(self.state, WaveState::Cancelled | WaveState::Finished);
+        if changes {
+            self.state = WaveState::Cancelled;
+        }
+        changes
+    }
+
+    /// Takes out what the budgets allow now. The caller records each start before it drains the
+    /// instance. Returns the starts and the reason that holds the rest, if any.
+    pub fn start_steps(&mut self, fleet: &mut Fleet) -> (Vec<InstanceIx>, Option<HoldReason>) {
+        match self.state {
+            WaveState::Paused { by_itself: true } => {
+                return (Vec::new(), Some(HoldReason::CorrelatedFailures));
+            }
+            WaveState::Paused { by_itself: false } => {
+                return (Vec::new(), Some(HoldReason::Paused));
+            }
+            WaveState::Cancelled | WaveState::Finished => return (Vec::new(), None),
+            WaveState::Running => {}
+        }
+        let canary_left = CANARY_INSTANCES.saturating_sub(self.done_serving);
+        let is_canary = canary_left > 0 && self.has_serving_pending(fleet);
+        let mut serving_room =
+            if is_canary { canary_left.saturating_sub(self.out_serving.len()) } else { MAX_STARTS };
+        let mut free_room = fleet.free_count().saturating_sub(free_reserve(fleet));
+        let mut starts = Vec::new();
+        let mut hold = None;
+        for ix in self.order(fleet) {
+            let instance = fleet.instance(ix);
+            let pool = instance.pool;
+            let room = if pool.is_some() { &mut serving_room } else { &mut free_room };
+            if *room == 0 {
+                hold = Some(if is_canary { HoldReason::Canary } else { HoldReason::Budget });
+                continue;
+            }
+            let is_ready = matches!(instance.phase, Phase::Serving | Phase::Free);
+            if !is_ready || !fleet.can_spare(ix) {
+                hold = Some(HoldReason::Budget);
+                continue;
+            }
+            *room -= 1;
+            if pool.is_some() {
+                self.out_serving.insert(ix);
+            }
+            fleet.set(ix, pool, Phase::InMaintenance);
+            self.pending.remove(&ix);
+            self.out.insert(ix);
+            self.progress.insert(ix, Progress::Out);
+            starts.push(ix);
+        }
+        (starts, hold)
+    }
+
+    fn has_serving_pending(&self, fleet: &Fleet) -> bool {
+        self.pending.iter().chain(&self.out).any(|ix| fleet.instance(*ix).pool.is_some())
+    }
+
+    /// Whether the wave has instances of this pool left to do.
+    pub fn goes_through(&self, fleet: &Fleet, pool: PoolIx) -> bool {
+        self.left_by_pool(fleet)[pool as usize] > 0
+    }
+
+    fn left_by_pool(&self, fleet: &Fleet) -> Vec<u32> {
+        let mut left = vec![0_u32; fleet.pools().len()];
+        for ix in self.pending.iter().chain(&self.out_serving) {
+            if let Some(pool) = fleet.instance(*ix).pool {
+                left[pool as usize] += 1;
+            }
+        }
+        left
+    }
+
+    /// Instances that each pool should have on top, so that about `steps` further steps are
+    /// enough. Together they are no more than what is free or already lent.
+    pub fn extras(&self, fleet: &Fleet, steps: u32) -> Vec<u32> {
+        let left = self.left_by_pool(fleet);
+        if self.state != WaveState::Running {
+            return vec![0; left.len()];
+        }
+        let lent: u32 = fleet.pools().iter().map(|pool| pool.wave_extra).sum();
+        let available = fleet.free_count().saturating_sub(free_reserve(fleet)) as u32 + lent;
+        let share =
+            |steps: u32| -> Vec<u32> { left.iter().map(|count| count.div_ceil(steps)).collect() };
+        (steps.max(1)..MAX_WAVE_STEPS)
+            .map(share)
+            .find(|extras| extras.iter().sum::<u32>() <= available)
+            .unwrap_or_else(|| share(MAX_WAVE_STEPS))
+    }
+
+    /// Pending instances, those first whose loss makes the worst domain smaller: the wave then
+    /// works through one failure domain at a time, which costs each pool the least margin.
+    fn order(&self, fleet: &Fleet) -> Vec<InstanceIx> {
+        let mut order: Vec<InstanceIx> = self.pending.iter().copied().collect();
+        order.sort_by_key(|ix| {
+            let place = fleet.instance(*ix).place;
+            (place.zone, place.switch, place.rack, *ix)
+        });
+        order
+    }
+
+    /// Notes that an instance came back, or did not. A repeated word changes nothing.
+    pub fn finish_step(&mut self, ix: InstanceIx, is_healthy: bool) {
+        if !self.out.remove(&ix) {
+            return;
+        }
+        let progress = if is_healthy { Progress::Done } else { Progress::Failed };
+        self.progress.insert(ix, progress);
+        self.done += 1;
+        self.done_serving += usize::from(self.out_serving.remove(&ix));
+        self.recent_failures.push(!is_healthy);
+        if self.recent_failures.len() > RECENT_STEPS {
+            self.recent_failures.remove(0);
+        }
+        let failed = self.recent_failures.iter().filter(|is_failed| **is_failed).count();
+        let is_correlated =
+            failed >= MIN_FAILURES && failed * FAILED_SHARE_DIVISOR >= self.recent_failures.len();
+        if self.state == WaveState::Running && is_correlated {
+            self.state = WaveState::Paused { by_itself: true };
+        }
+        if self.pending.is_empty() && self.out.is_empty() && self.state == WaveState::Running {
+            self.state = WaveState::Finished;
+        }
+    }
+
+    /// Drops an instance that left the fleet.
+    pub fn drop_instance(&mut self, ix: InstanceIx) {
+        self.progress.remove(&ix);
+        self.pending.remove(&ix);
+        self.out.remove(&ix);
+        self.out_serving.remove(&ix);
+    }
+}
+
+/// Free instances that a wave leaves alone, to replace ordinary failures.
+fn free_reserve(fleet: &Fleet) -> usize {
+    fleet.instances().len().div_ceil(FREE_RESERVE_DIVISOR)
+}
+
+/// Lower bound of the time of a wave over `instances`, `width` at a time at most.
+pub fn shortest_wave(instances: u32, width: u32, step: Duration, now: Now) -> Now {
+    now + step * instances.div_ceil(width.max(1))
+}
--- a/crates/jackdawpier_jobs/src/queue.rs
+++ b/crates/jackdawpier_jobs/src/queue.rs
@@ -111,6 +111,8 @@
     finish_within: Duration,
     queue: FairQueue,
     no_room_until: Now,
+    /// Tasks being stopped to make room for the head of this class.
+    preempting: BTreeSet<JobId>,
 }
 
 /// The jobs of one shard.
@@ -163,6 +165,7 @@
             finish_within: Duration::from_secs(3600),
             queue: FairQueue::default(),
             no_room_until: Now::ZERO,
+            preempting: BTreeSet::new(),
         })
     }
 
@@ -351,6 +354,9 @@
         let reserved = std::mem::take(&mut live.reserved);
         self.workers.release(&worker, &reserved);
         self.running.remove(id);
+        self.classes.values_mut().for_each(|class| {
+            class.preempting.remove(id);
+        });
         if let Some(jobs) = self.by_worker.get_mut(&worker) {
             jobs.remove(id);
             if jobs.is_empty() {
@@ -580,7 +586,12 @@
             .map(|(name, class)| (class.finish_within, name.clone()))
             .collect();
         names.sort();
-        for (_, name) in names {
+        // Room that is being made for urgent work must not go to the work that was stopped for it.
+        let mut reserved_below = Duration::MAX;
+        for (finish_within, name) in names {
+            if finish_within >= reserved_below {
+                break;
+            }
             for _ in 0..MAX_PLACEMENTS {
                 let Some(ticket) = self.classes[&name].queue.peek() else { break };
                 let id = self.tickets[&ticket].clone();
@@ -588,6 +599,9 @@
                 let Some(placed) = placed else { break };
                 commands.extend(placed);
             }
+            if !self.classes[&name].preempting.is_empty() {
+                reserved_below = finish_within * PREEMPTION_RATIO;
+            }
         }
         commands
     }
@@ -606,13 +620,22 @@
             self.classes.get_mut(name)?.queue.pop(expected.cores_milli);
             return Some(self.claim(id, worker, expected));
         }
-        if !self.workers.is_empty() && !self.workers.is_possible(&expected) {
+        let declared = self.jobs[id].job.declared;
+        if !self.workers.is_empty() && !self.workers.is_possible(&declared) {
             self.classes.get_mut(name)?.queue.pop(1);
             return Some(self.finish(id, JobState::Parked { reason: ParkReason::TooLarge }));
         }
-        let stops = self.preempt(now, name, &expected);
-        self.classes.get_mut(name)?.no_room_until = now + NO_ROOM_BACKOFF;
-        if stops.is_empty() { None } else { Some(stops) }
+        if !self.classes[name].preempting.is_empty() {
+            return None;
+        }
+        let victims = self.choose_victims(now, name, &expected);
+        let class = self.classes.get_mut(name)?;
+        if victims.is_empty() {
+            class.no_room_until = now + NO_ROOM_BACKOFF;
+            return None;
+        }
+        class.preempting = victims.iter().cloned().collect();
+        Some(self.stop_all(&victims))
     }
 
     fn claim(&mut self, id: &JobId, worker: WorkerId, reserved: Size) -> Vec<Command> {
@@ -627,12 +650,13 @@
         vec![Command::Write(self.jobs[id].job.clone())]
     }
 
-    /// Stops idempotent tasks of much slower classes on one worker until `size` fits there.
-    fn preempt(&mut self, now: Now, name: &ClassName, size: &Size) -> Vec<Command> {
+    /// Idempotent tasks of much slower classes on one worker, whose end would make room for `size`.
+    fn choose_victims(&self, now: Now, name: &ClassName, size: &Size) -> Vec<JobId> {
         let urgent = self.classes[name].finish_within;
         let is_victim = |live: &&Live| {
             let slower = self.classes.get(&live.job.class);
             live.phase == Phase::Running
+                && !live.is_stopping
                 && live.job.is_idempotent
                 && slower.is_some_and(|class| class.finish_within >= urgent * PREEMPTION_RATIO)
         };
@@ -653,8 +677,7 @@
             let is_enough =
                 freed.cores_milli >= size.cores_milli && freed.memory_mb >= size.memory_mb;
             if is_enough {
-                let ids = ids.clone();
-                return self.stop_all(&ids);
+                return ids.clone();
             }
         }
         Vec::new()
--- a/crates/jackdawpier_route/src/dispatcher.rs
+++ b/crates/jackdawpier_route/src/dispatcher.rs
@@ -249,7 +249,7 @@
         let state = self.classes.get_mut(&info.class).expect("admitted requests have a class");
         state.retry_budget.earn();
         state.queue.push(&info.customer, info.ticket);
-        let latest_start = info.deadline.saturating_sub(state.service_time.mean());
+        let latest_start = info.deadline.saturating_sub(state.service_time.cautious());
         self.by_latest_start.insert((latest_start, info.ticket));
         let pending = Pending {
             latest_start,
--- a/crates/jackdawpier_route/src/executors.rs
+++ b/crates/jackdawpier_route/src/executors.rs
@@ -72,6 +72,12 @@
     }
 }
 
+#[derive(Debug, Default)]
+struct ZoneCount {
+    all: usize,
+    left_out: usize,
+}
+
 type Rank = ((bool, u32, u64), ExecutorId);
 
 /// The table of executors, with the usable ones in order of choice.
@@ -80,6 +86,7 @@
     all: HashMap<ExecutorId, Executor>,
     usable: BTreeSet<Rank>,
     returning: BTreeSet<(Now, ExecutorId)>,
+    zones: HashMap<ZoneName, ZoneCount>,
     uses: u64,
     slots: u32,
 }
@@ -138,10 +145,8 @@
 
     /// Forgets an executor that is gone from the list; attempts in flight may still end.
     pub fn remove(&mut self, id: &str) {
-        if let Some(executor) = self.all.remove(id) {
-            self.usable.remove(&(executor.rank(), executor.info.id.clone()));
-            self.slots -= if executor.info.is_leaving { 0 } else { executor.info.slots };
-        }
+        self.unlist(id);
+        self.all.remove(id);
     }
 
     /// Takes a slot of the best usable executor.
@@ -176,7 +181,11 @@
 
     /// Learns how an attempt went.
     pub fn observe(&mut self, now: Now, id: &str, health: Health) {
-        let may_eject = health == Health::Unreachable || self.is_above_floor(id);
+        let may_eject = match health {
+            Health::Good => false,
+            Health::Unreachable => true,
+            Health::Bad => self.is_above_floor(id),
+        };
         let mut return_at = None;
         self.change(id, |executor| {
             let executor = executor?;
@@ -217,26 +226,37 @@
 
     /// Whether one more executor of the zone of `id` may be left out for bad answers.
     fn is_above_floor(&self, id: &str) -> bool {
-        let Some(executor) = self.all.get(id) else { return false };
-        let zone = || self.all.values().filter(|other| other.info.zone == executor.info.zone);
-        let left_out = zone().filter(|other| other.left_out_until.is_some()).count();
-        (left_out + 1) * EJECT_SHARE_DIVISOR <= zone().count()
+        let zone = self.all.get(id).and_then(|executor| self.zones.get(&executor.info.zone));
+        zone.is_some_and(|zone| (zone.left_out + 1) * EJECT_SHARE_DIVISOR <= zone.all)
     }
 
-    /// Changes one executor and keeps the order and the slot count in step.
+    /// Changes one executor and keeps the order and the counts in step.
     fn change(&mut self, id: &str, change: impl FnOnce(Option<&mut Executor>) -> Option<Executor>) {
-        if let Some(executor) = self.all.get(id) {
-            self.usable.remove(&(executor.rank(), executor.info.id.clone()));
-            self.slots -= if executor.info.is_leaving { 0 } else { executor.info.slots };
-        }
+        self.unlist(id);
         if let Some(created) = change(self.all.get_mut(id)) {
             self.all.insert(created.info.id.clone(), created);
         }
-        if let Some(executor) = self.all.get(id) {
-            self.slots += if executor.info.is_leaving { 0 } else { executor.info.slots };
-            if executor.has_room() {
-                self.usable.insert((executor.rank(), executor.info.id.clone()));
-            }
+        self.list(id);
+    }
+
+    fn unlist(&mut self, id: &str) {
+        let Some(executor) = self.all.get(id) else { return };
+        self.usable.remove(&(executor.rank(), executor.info.id.clone()));
+        self.slots -= if executor.info.is_leaving { 0 } else { executor.info.slots };
+        if let Some(zone) = self.zones.get_mut(&executor.info.zone) {
+            zone.all -= 1;
+            zone.left_out -= usize::from(executor.left_out_until.is_some());
+        }
+    }
+
+    fn list(&mut self, id: &str) {
+        let Some(executor) = self.all.get(id) else { return };
+        self.slots += if executor.info.is_leaving { 0 } else { executor.info.slots };
+        if executor.has_room() {
+            self.usable.insert((executor.rank(), executor.info.id.clone()));
         }
+        let zone = self.zones.entry(executor.info.zone.clone()).or_default();
+        zone.all += 1;
+        zone.left_out += usize::from(executor.left_out_until.is_some());
     }
 }
