Prove the wiring under kills, freezes, planned stops and store outages

Cause: the promises held in the decisions only. Process tests start daemons on free ports against stand-ins. Seen failing first: - a fresh entry had no retry budget, so one executor's word that it leaves reached a caller as 503; the budget now starts full (bound: share + burst). - an outcome was lost to an outage that began within the commit interval (125 ms) after it was told; lone commits now go at once (token bucket).

--- a/crates/jackdawpier_coord/src/cell.rs
+++ b/crates/jackdawpier_coord/src/cell.rs
@@ -32,6 +32,8 @@
 /// Takeover segments that are kept. A paused owner can only try the number of the takeover that
 /// ended its epoch, so it stays fenced for as long as that segment stands.
 const KEPT_TAKEOVERS: usize = 64;
+/// Commits that a quiet time saves up, so that a lone write never waits for the interval.
+const COMMIT_BURST: u32 = 4;
 /// Wait before an unanswered or refused call is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -115,13 +117,14 @@
     commit: Option<Commit>,
     flight: Flight,
     retry_at: Now,
-    last_commit_at: Option<Now>,
+    commits_saved: u32,
+    next_saved_at: Now,
     is_stalled: bool,
     marker: std::marker::PhantomData<S>,
 }
 
 impl<S: Serialize + DeserializeOwned> Cell<S> {
-    /// Returns a closed cell. `incarnation` must differ between two starts of the same entry.
+    /// Returns a closed cell that commits once each `commit_interval` under load. `incarnation` must differ between two starts of the same entry.
     pub fn new(name: &str, writer: EntryId, incarnation: u64, commit_interval: Duration) -> Self {
         Self {
             name: name.to_owned(),
@@ -140,7 +143,8 @@
             commit: None,
             flight: Flight::None,
             retry_at: Now::ZERO,
-            last_commit_at: None,
+            commits_saved: COMMIT_BURST,
+            next_saved_at: Now::ZERO,
             is_stalled: false,
             marker: std::marker::PhantomData,
         }
@@ -294,10 +298,11 @@
     }
 
     fn commit_or_trim(&mut self, now: Now) -> Vec<Output<S>> {
-        if self.commit.is_none() && !self.pending.is_empty() && self.is_commit_due(now) {
+        self.save_commits(now);
+        if self.commit.is_none() && !self.pending.is_empty() && self.commits_saved > 0 {
+            self.commits_saved -= 1;
             let entries = self.take_batch();
             self.commit = Some(self.new_commit(entries));
-            self.last_commit_at = Some(now);
         }
         if self.commit.is_some() {
             return vec![Output::Call(self.commit_request())];
@@ -305,8 +310,19 @@
         self.trim()
     }
 
-    fn is_commit_due(&self, now: Now) -> bool {
-        self.last_commit_at.is_none_or(|at| now >= at + self.commit_interval)
+    /// One commit is earned each interval; a few can be saved up.
+    fn save_commits(&mut self, now: Now) {
+        if self.next_saved_at + self.commit_interval * COMMIT_BURST < now {
+            self.commits_saved = COMMIT_BURST;
+            self.next_saved_at = now + self.commit_interval;
+        }
+        while now >= self.next_saved_at && !self.commit_interval.is_zero() {
+            self.commits_saved = (self.commits_saved + 1).min(COMMIT_BURST);
+            self.next_saved_at += self.commit_interval;
+        }
+        if self.commit_interval.is_zero() {
+            self.commits_saved = COMMIT_BURST;
+        }
     }
 
     fn take_batch(&mut self) -> Vec<(Subject, Arc<str>)> {
--- a/crates/jackdawpier_kernel/src/budget.rs
+++ b/crates/jackdawpier_kernel/src/budget.rs
@@ -15,9 +15,14 @@
     const TOKEN_PERMILLE: u32 = 1000;
 
     /// Returns a budget that earns `share_permille` thousandths of a token an event and holds at
-    /// most `cap` whole tokens. It starts empty, so that the bound holds from the first request.
+    /// most `cap` whole tokens. It starts full, so that the first requests after a start can be
+    /// retried too; the whole is bounded by the share of the events and `cap`.
     pub fn new(share_permille: u32, cap: u32) -> Self {
-        Self { earned_permille: share_permille, cap: cap * Self::TOKEN_PERMILLE, level: 0 }
+        Self {
+            earned_permille: share_permille,
+            cap: cap * Self::TOKEN_PERMILLE,
+            level: cap * Self::TOKEN_PERMILLE,
+        }
     }
 
     /// Counts one ordinary event.
--- /dev/null
+++ b/crates/jackdawpierd/tests/callers_port.rs
@@ -0,0 +1,130 @@
+//! What callers and strangers may send, and what they can't reach.
+
+mod support;
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
+
+use jackdawpier_peer::{PeerEndpoint, PeerError, TlsFiles};
+use support::{Deployment, http, http_full, work};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn raw(daemon: &support::Daemon, text: &[u8]) -> String {
+    let mut stream = TcpStream::connect(daemon.callers).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    stream.write_all(text).expect("it is read");
+    let mut answer = vec![0; 4096];
+    let count = stream.read(&mut answer).unwrap_or(0);
+    String::from_utf8_lossy(&answer[..count]).into_owned()
+}
+
+#[test]
+fn kept_connections() {
+    let deployment = Deployment::new("kept-connections", 2, 0);
+    let daemons = deployment.start_all(1);
+    let body = work(1, 100);
+    let head =
+        format!("POST /render/x HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n", body.len());
+    for _ in 0..10 {
+        let mut streams: Vec<TcpStream> =
+            (0..32).map(|_| TcpStream::connect(daemons[0].callers).expect("it listens")).collect();
+        for stream in &mut streams {
+            stream.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+            stream.write_all(head.as_bytes()).expect("it is read");
+            stream.write_all(&body).expect("it is read");
+        }
+        for stream in &mut streams {
+            let mut answer = [0; 12];
+            stream.read_exact(&mut answer).expect("no kept connection stalls");
+            assert_eq!(&answer, b"HTTP/1.1 200");
+        }
+    }
+}
+
+#[test]
+fn slow_callers() {
+    let deployment = Deployment::new("slow-callers", 1, 0);
+    let daemons = deployment.start_all(1);
+    let slow: Vec<TcpStream> = (0..300)
+        .map(|_| {
+            let mut stream = TcpStream::connect(daemons[0].callers).expect("it listens");
+            stream.write_all(b"POST /render/x HTTP/1.1\r\nhost:").expect("it is read");
+            stream
+        })
+        .collect();
+    let answer = http("POST", daemons[0].callers, "/render/x", &[], &work(1, 100));
+    assert_eq!(answer.expect("others are served").0, 200);
+    for mut stream in slow {
+        stream.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+        let mut rest = Vec::new();
+        let ended = stream.read_to_end(&mut rest);
+        let is_timeout = ended.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+        assert!(!is_timeout, "a half-sent request is ended");
+    }
+}
+
+#[test]
+fn connection_limit() {
+    let deployment = Deployment::new("connection-limit", 1, 0);
+    drop(deployment.start_all(1));
+    let daemon = deployment.start("b", "limits: { connections: 4, read_timeout_ms: 500 }");
+    support::wait_for("it to be ready", || daemon.is_ready());
+    let held: Vec<TcpStream> =
+        (0..20).map(|_| TcpStream::connect(daemon.callers).expect("it listens")).collect();
+    drop(held);
+    let answer = http("POST", daemon.callers, "/render/x", &[], &work(1, 100));
+    assert_eq!(answer.expect("it takes callers again").0, 200);
+}
+
+#[test]
+fn bad_requests() {
+    let deployment = Deployment::new("bad-requests", 1, 0);
+    let daemons = deployment.start_all(1);
+    let callers = daemons[0].callers;
+    let status = |method, path, headers: &[(&str, &str)], body: &[u8]| {
+        http_full(method, callers, path, headers, body).expect("it answers").0
+    };
+    assert_eq!(status("POST", "/nothing/x", &[], b""), 404);
+    assert_eq!(status("POST", "/render/x", &[("x-deadline-ms", "soon")], b""), 400);
+    assert_eq!(status("POST", "/render/x", &[("idempotency-key", "")], b""), 400);
+    let long = "k".repeat(300);
+    assert_eq!(status("POST", "/render/x", &[("x-customer", long.as_str())], b""), 400);
+    assert_eq!(status("POST", "/render/x", &[], &vec![b'x'; (1 << 20) + 1]), 413);
+    for path in ["/metrics", "/v1/status", "/v1/apply", "/readyz"] {
+        assert_eq!(status("GET", path, &[], b""), 404, "operators have a port of their own");
+    }
+    let head =
+        format!("GET /render/x HTTP/1.1\r\nhost: x\r\nx-long: {}\r\n\r\n", "y".repeat(70_000));
+    assert!(raw(&daemons[0], head.as_bytes()).starts_with("HTTP/1.1 431"));
+    assert!(raw(&daemons[0], b"\x00\xff nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    assert_eq!(status("POST", "/render/x", &[], &work(1, 100)), 200, "nothing was harmed");
+}
+
+#[test]
+fn strange_peer() {
+    let deployment = Deployment::new("strange-peer", 1, 0);
+    let daemons = deployment.start_all(1);
+    let folder = deployment.file("strangers");
+    jackdawpier_standin::keys::write_keys(&folder, &["x".to_owned()]).expect("it can be written");
+    let own = |file: &str| deployment.file(file).display().to_string();
+    let strange = |file: &str| folder.join(file).display().to_string();
+    let files = TlsFiles {
+        authority_file: own("authority.pem"),
+        certificate_file: strange("x.pem"),
+        key_file: strange("x.key"),
+    };
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be built");
+    runtime.block_on(async {
+        let address = "127.0.0.1:0".parse().expect("it is an address");
+        let endpoint = PeerEndpoint::bind(address, &files).expect("it can be bound");
+        let answer: Result<u32, PeerError> =
+            endpoint.call(daemons[0].peers, &1_u32, Duration::from_secs(2)).await;
+        assert!(answer.is_err(), "a peer without the right certificate is refused");
+        endpoint.close().await;
+    });
+    assert!(daemons[0].is_ready());
+}
--- /dev/null
+++ b/crates/jackdawpierd/tests/leaving.rs
@@ -0,0 +1,45 @@
+//! Executors that leave get no new work, whoever says so first.
+
+mod support;
+
+use serde_json::json;
+use support::{Deployment, http, wait_for, work};
+
+#[test]
+fn own_word() {
+    let deployment = Deployment::new("own-word", 2, 0);
+    let daemons = deployment.start_all(2);
+    let _ = http("POST", deployment.list, "/admin/lag/600000", &[], b"");
+    let (_, leaving) = deployment.executors[0];
+    deployment.faults(leaving, &json!({ "is_leaving": true }));
+    for nonce in 0..200 {
+        let daemon = &daemons[nonce as usize % 2];
+        let answer = http("POST", daemon.callers, "/render/x", &[], &work(nonce, 500));
+        assert_eq!(answer.expect("it answers").0, 200, "nobody notices");
+    }
+    let counts = http("GET", leaving, "/admin/counts", &[], b"").expect("it answers").1;
+    let tried = counts["new_while_leaving"].as_u64().expect("it counts");
+    assert!(tried <= 2, "one word of its own is enough at each deciding entry: {tried}");
+}
+
+#[test]
+fn list_says() {
+    let deployment = Deployment::new("list-says", 2, 0);
+    let daemons = deployment.start_all(1);
+    let (id, address) = &deployment.executors[0];
+    let _ = http("POST", deployment.list, &format!("/admin/leave/{id}"), &[], b"");
+    let runs = |address| {
+        let counts = http("GET", address, "/admin/counts", &[], b"").expect("it answers").1;
+        counts["runs"].as_object().map_or(0, serde_json::Map::len)
+    };
+    let mut nonce = 0;
+    wait_for("the leaving executor to get no more work", || {
+        let before = runs(*address);
+        for _ in 0..20 {
+            nonce += 1;
+            let answer = http("POST", daemons[0].callers, "/render/x", &[], &work(nonce, 100));
+            assert_eq!(answer.expect("it answers").0, 200);
+        }
+        runs(*address) == before
+    });
+}
--- /dev/null
+++ b/crates/jackdawpierd/tests/outages.rs
@@ -0,0 +1,99 @@
+//! The store is down, slow or loses answers; entries are replaced meanwhile.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use support::{DECLARATION, Deployment, http, http_full, part, wait_for, work};
+use ureq::http::HeaderValue;
+
+#[test]
+fn store_down() {
+    let deployment = Deployment::new("store-down", 2, 0);
+    let daemons = deployment.start_all(2);
+    let done = [("idempotency-key", "done")];
+    let before = http("POST", daemons[0].callers, "/export/x", &done, &work(1, 1_000));
+    deployment.faults(deployment.store, &json!({ "is_down": true }));
+    std::thread::sleep(Duration::from_secs(4));
+    for (nonce, daemon) in daemons.iter().enumerate() {
+        assert!(daemon.is_ready(), "an outage of the store stops nobody");
+        let nonce = 10 + nonce as u64;
+        let plain = http("POST", daemon.callers, "/render/x", &[], &work(nonce, 1_000));
+        assert_eq!(plain.expect("it answers").0, 200);
+        let started_at = Instant::now();
+        let headers = [("idempotency-key", "during")];
+        let keyed =
+            http_full("POST", daemon.callers, "/export/x", &headers, &work(20 + nonce, 1_000));
+        let (status, headers, _) = keyed.expect("it answers");
+        assert_eq!((status, &headers["x-outcome"]), (503, &HeaderValue::from_static("not_run")));
+        assert!(headers.contains_key("retry-after"));
+        let waited = started_at.elapsed();
+        assert!(waited < Duration::from_secs(10), "half of the time to finish within: {waited:?}");
+        assert_eq!(deployment.runs().get(&(20 + nonce)), None, "what was not run did not run");
+    }
+    deployment.faults(deployment.store, &json!({}));
+    wait_for("keyed requests to be taken again", || {
+        let headers = [("idempotency-key", "after")];
+        http("POST", daemons[0].callers, "/export/x", &headers, &work(2, 1_000))
+            .is_some_and(|(status, _)| status == 200)
+    });
+    let after = http("POST", daemons[1].callers, "/export/x", &done, &work(1, 1_000));
+    assert_eq!(before, after, "an outcome outlives the outage");
+    assert_eq!(deployment.runs().get(&1), Some(&1));
+}
+
+#[test]
+fn answers_lost() {
+    let deployment = Deployment::new("answers-lost", 2, 1);
+    let daemons = deployment.start_all(2);
+    deployment.faults(deployment.store, &json!({ "lose_answers_permille": 300, "slow_ms": 5 }));
+    let targets = daemons.iter().map(|daemon| daemon.callers).collect();
+    let mix = vec![part("export", 1_000, true), part("nightly", 2_000, true)];
+    let report = deployment.load(targets, mix, 150, 5);
+    assert!(report.violations.is_zero(), "{report}");
+    assert!(report.outcomes["answered"] > 100, "{report}");
+}
+
+#[test]
+fn entry_replaced() {
+    let deployment = Deployment::new("entry-replaced", 1, 0);
+    let mut daemons = deployment.start_all(2);
+    let (status, _) = daemons[0].apply(1, DECLARATION);
+    assert_eq!(status, 200);
+    wait_for("both to have revision 2", || daemons.iter().all(|daemon| daemon.revision() == 2));
+    deployment.faults(deployment.store, &json!({ "is_down": true }));
+    drop(daemons.pop());
+    let seeds = format!("seed_peers: [\"{}\"]", daemons[0].peers);
+    let fresh = deployment.start("c", &seeds);
+    wait_for("the new entry to serve without the store", || fresh.is_ready());
+    assert_eq!(fresh.revision(), 2);
+    let answer = http("POST", fresh.callers, "/render/x", &[], &work(1, 1_000));
+    assert_eq!(answer.expect("it answers").0, 200);
+}
+
+#[test]
+fn no_configuration() {
+    let deployment = Deployment::new("no-configuration", 1, 0);
+    deployment.faults(deployment.store, &json!({ "is_down": true }));
+    let daemon = deployment.start("a", "");
+    std::thread::sleep(Duration::from_secs(3));
+    assert!(!daemon.is_ready(), "without store and peers there is nothing to serve");
+    let answer = http_full("POST", daemon.callers, "/render/x", &[], &work(1, 1_000));
+    let (status, headers, _) = answer.expect("it answers");
+    assert_eq!((status, &headers["x-reason"]), (503, &HeaderValue::from_static("not_ready")));
+}
+
+#[test]
+fn stale_store() {
+    let deployment = Deployment::new("stale-store", 1, 0);
+    let daemons = deployment.start_all(2);
+    deployment.faults(deployment.store, &json!({ "is_stale": true }));
+    assert_eq!(daemons[0].apply(1, DECLARATION).0, 200);
+    wait_for("both to have revision 2", || daemons.iter().all(|daemon| daemon.revision() == 2));
+    let fresh = deployment.start("c", "");
+    wait_for("the new entry to hear of revision 2", || fresh.revision() == 2);
+    deployment.faults(deployment.store, &json!({}));
+    wait_for("the new entry to serve", || fresh.is_ready());
+    assert_eq!(fresh.revision(), 2);
+}
--- /dev/null
+++ b/crates/jackdawpierd/tests/owners.rs
@@ -0,0 +1,108 @@
+//! Owners that stop, die or freeze: nothing is cut off, nothing runs twice, someone takes over.
+
+mod support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use support::{Daemon, Deployment, http, part, wait_for, work};
+
+/// Splits the owner of the service `widgets` from the others.
+fn owner_of_widgets(mut daemons: Vec<Daemon>) -> (Daemon, Vec<Daemon>) {
+    let at = daemons
+        .iter()
+        .position(|daemon| daemon.owned().contains(&"widgets".to_owned()))
+        .expect("every cell is open");
+    let owner = daemons.remove(at);
+    (owner, daemons)
+}
+
+/// Tries a fresh keyed request until it is answered; returns how long that took.
+fn time_without_owner(daemon: &Daemon, nonce: u64) -> Duration {
+    let started_at = Instant::now();
+    let key = format!("fresh-{nonce}");
+    wait_for("a keyed request to be answered", || {
+        let headers = [("idempotency-key", key.as_str())];
+        http("POST", daemon.callers, "/export/x", &headers, &work(nonce, 1_000))
+            .is_some_and(|(status, _)| status == 200)
+    });
+    started_at.elapsed()
+}
+
+#[test]
+fn planned_stop() {
+    let deployment = Deployment::new("planned-stop", 3, 1);
+    let (mut owner, others) = owner_of_widgets(deployment.start_all(3));
+    let targets = vec![others[0].callers, others[1].callers];
+    let slow = {
+        let callers = owner.callers;
+        thread::spawn(move || http("POST", callers, "/render/x", &[], &work(900_001, 1_200_000)))
+    };
+    let mix = vec![
+        part("render", 2_000, false),
+        part("export", 2_000, true),
+        part("nightly", 2_000, true),
+    ];
+    let load = thread::scope(|scope| {
+        let load = scope.spawn(|| deployment.load(targets, mix, 1_500, 2));
+        thread::sleep(Duration::from_millis(300));
+        owner.signal("TERM");
+        assert!(owner.wait(), "a planned stop ends well");
+        load.join().expect("the load ends")
+    });
+    let answered = slow.join().expect("the caller ends").expect("it was not cut off");
+    assert_eq!(answered.0, 200, "a request in flight at the stopping entry is answered");
+    assert!(load.violations.is_zero(), "{load}");
+    assert_eq!(load.outcomes.get("answered"), Some(&1_500), "{load}");
+    println!(
+        "time without an owner after a clean stop: {:?}",
+        time_without_owner(&others[0], 900_002)
+    );
+}
+
+#[test]
+fn killed_owner() {
+    let deployment = Deployment::new("killed-owner", 3, 1);
+    let (owner, others) = owner_of_widgets(deployment.start_all(3));
+    let targets = vec![others[0].callers, others[1].callers];
+    let mix = vec![part("export", 2_000, true), part("nightly", 2_000, true)];
+    let load = thread::scope(|scope| {
+        let load = scope.spawn(|| deployment.load(targets, mix, 800, 3));
+        thread::sleep(Duration::from_millis(500));
+        owner.signal("KILL");
+        println!(
+            "time without an owner after a kill: {:?}",
+            time_without_owner(&others[0], 900_003)
+        );
+        load.join().expect("the load ends")
+    });
+    assert!(load.violations.is_zero(), "{load}");
+}
+
+#[test]
+fn frozen_owner() {
+    let deployment = Deployment::new("frozen-owner", 3, 1);
+    let (owner, others) = owner_of_widgets(deployment.start_all(3));
+    let targets = vec![others[0].callers, others[1].callers];
+    let mix = vec![part("export", 2_000, true), part("nightly", 2_000, true)];
+    let load = thread::scope(|scope| {
+        let load = scope.spawn(|| deployment.load(targets, mix, 800, 4));
+        thread::sleep(Duration::from_millis(500));
+        owner.signal("STOP");
+        println!(
+            "time without an owner after a freeze: {:?}",
+            time_without_owner(&others[0], 900_004)
+        );
+        owner.signal("CONT");
+        load.join().expect("the load ends")
+    });
+    assert!(load.violations.is_zero(), "{load}");
+    wait_for("one owner of each cell", || {
+        let all = others.iter().chain([&owner]);
+        let owned: Vec<String> = all.flat_map(Daemon::owned).collect();
+        owned.len() == 2 && owned.contains(&"widgets".to_owned())
+    });
+    wait_for("the thawed entry to serve again", || owner.is_ready());
+}
--- /dev/null
+++ b/crates/jackdawpierd/tests/support/mod.rs
@@ -0,0 +1,347 @@
+//! A small deployment on loopback for the tests of the wiring: stand-ins in this process, daemons
+//! as processes of their own.
+
+#![allow(dead_code, reason = "each test program uses a part of this")]
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::mpsc,
+    time::{Duration, Instant},
+};
+
+use jackdawpier_kernel::instance::{Instance, Role, State};
+use jackdawpier_standin::{
+    executor, instance_list, keys,
+    load::{self, LoadPlan, MixPart},
+    load_report::Report,
+    process::block_on,
+    store_server, worker,
+};
+use serde_json::{Value, json};
+
+/// Longest wait for something that must happen; never a bound on how fast it happens.
+const PATIENCE: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Starts a stand-in on a thread and returns its address.
+fn start<F>(run: impl FnOnce(mpsc::Sender<SocketAddr>) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = std::io::Result<()>>,
+{
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || block_on(run(sender)));
+    receiver.recv().expect("the stand-in starts")
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// One daemon.
+pub struct Daemon {
+    pub name: String,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+    child: Child,
+}
+
+impl Daemon {
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status()
+            .expect("kill can be run");
+        assert!(status.success(), "{} got no {name}", self.name);
+    }
+
+    /// Waits for the process to end and says whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        wait_for("the daemon to end", || self.child.try_wait().expect("it is ours").is_some());
+        self.child.wait().expect("it is ours").success()
+    }
+
+    /// Asks the operators' port.
+    pub fn get(&self, path: &str) -> (u16, Value) {
+        http("GET", self.operators, path, &[], b"").unwrap_or((0, Value::Null))
+    }
+
+    /// Whether it takes callers.
+    pub fn is_ready(&self) -> bool {
+        self.get("/readyz").0 == 200
+    }
+
+    /// Puts a declaration in force.
+    pub fn apply(&self, base: u64, text: &str) -> (u16, Value) {
+        let body = json!({ "base": base, "file": "test.yaml", "text": text }).to_string();
+        http("POST", self.operators, "/v1/apply", &[], body.as_bytes()).expect("it answers")
+    }
+
+    /// Services whose cells this entry has open.
+    pub fn owned(&self) -> Vec<String> {
+        let status = self.get("/v1/status").1;
+        let services = status["services"].as_object().cloned().unwrap_or_default();
+        services
+            .into_iter()
+            .filter(|(_, figures)| figures["owns_cell"] == true)
+            .map(|(name, _)| name)
+            .collect()
+    }
+
+    /// Revision in force.
+    pub fn revision(&self) -> u64 {
+        self.get("/v1/status").1["documents"][0]["revision"].as_u64().unwrap_or(0)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The platform's and back ends' stand-ins with a folder for keys and settings.
+pub struct Deployment {
+    pub store: SocketAddr,
+    pub list: SocketAddr,
+    pub executors: Vec<(String, SocketAddr)>,
+    pub workers: Vec<SocketAddr>,
+    folder: PathBuf,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The classes that the tests use.
+pub const DECLARATION: &str = "
+deployment: test
+classes:
+  - { name: render, service: widgets, kind: quick, idempotent: true, finish_within_ms: 2000, capacity_instances: 2 }
+  - { name: update, service: widgets, kind: quick, finish_within_ms: 5000, capacity_instances: 2 }
+  - { name: export, service: widgets, kind: report, finish_within_ms: 20000, capacity_instances: 2 }
+  - { name: nightly, service: refresh, kind: refresh, idempotent: true, finish_within_ms: 600000, capacity_instances: 1 }
+";
+
+impl Deployment {
+    /// Starts the stand-ins: a store, a list, executors of `widgets` and workers of `refresh`.
+    pub fn new(test: &str, executors: u32, workers: u32) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("jackdawpier-{test}-{}", std::process::id()));
+        let names: Vec<String> = ["a", "b", "c"].map(str::to_owned).to_vec();
+        keys::write_keys(&folder, &names).expect("the folder can be written");
+        let store = start(|ready| store_server::run(any_port(), 1, move |at| send(&ready, at)));
+        let list = start(|ready| {
+            instance_list::run(any_port(), Duration::ZERO, move |at| send(&ready, at))
+        });
+        let mut deployment =
+            Self { store, list, executors: Vec::new(), workers: Vec::new(), folder };
+        for index in 0..executors {
+            let address =
+                start(|ready| executor::run(any_port(), 8, 64, move |at| send(&ready, at)));
+            let id = format!("widgets-{index}");
+            deployment.register(&id, Role::Executor, "widgets", address);
+            deployment.executors.push((id, address));
+        }
+        for index in 0..workers {
+            let address = start(|ready| worker::run(any_port(), move |at| send(&ready, at)));
+            deployment.register(&format!("worker-{index}"), Role::Worker, "refresh", address);
+            deployment.workers.push(address);
+        }
+        deployment
+    }
+
+    fn register(&self, id: &str, role: Role, service: &str, address: SocketAddr) {
+        let instance = Instance {
+            id: id.into(),
+            role,
+            service: service.into(),
+            pool: service.into(),
+            address: address.to_string(),
+            zone: "riga-1".into(),
+            rack: "rack-1".into(),
+            state: State::Live,
+            slots: 8,
+            connections: 64,
+            cores: 64,
+            memory_gb: 256,
+            accelerators: 0,
+        };
+        instance_list::register(&format!("http://{}", self.list), &instance).expect("it is up");
+    }
+
+    /// Path of a file in the deployment's folder.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
+    /// Settings of the entry `name`, with more lines at the end.
+    pub fn settings(&self, name: &str, more: &str) -> String {
+        let folder = self.folder.display();
+        format!(
+            "entry: entry-{name}\nzone: riga-1\nlisten: {{ callers: \"127.0.0.1:0\", operators: \"127.0.0.1:0\", peers: \"127.0.0.1:0\" }}\nstore_url: http://{}\ninstance_list_url: http://{}\npeer_tls: {{ authority_file: {folder}/authority.pem, certificate_file: {folder}/{name}.pem, key_file: {folder}/{name}.key }}\n{more}",
+            self.store, self.list
+        )
+    }
+
+    /// Starts the entry `name` and waits for its addresses.
+    pub fn start(&self, name: &str, more: &str) -> Daemon {
+        let path = self.file(&format!("{name}.yaml"));
+        std::fs::write(&path, self.settings(name, more)).expect("the folder can be written");
+        spawn(name, &path)
+    }
+
+    /// Starts `count` entries with the declaration in force at each of them.
+    pub fn start_all(&self, count: usize) -> Vec<Daemon> {
+        let daemons: Vec<Daemon> =
+            ["a", "b", "c"][..count].iter().map(|name| self.start(name, "")).collect();
+        wait_for("the declaration to be accepted", || daemons[0].apply(0, DECLARATION).0 != 503);
+        for daemon in &daemons {
+            wait_for("an entry to be ready", || daemon.is_ready());
+        }
+        wait_for("every cell to be open", || {
+            daemons.iter().map(|daemon| daemon.owned().len()).sum::<usize>() == 2
+        });
+        wait_for("heartbeats between all entries", || {
+            daemons.iter().all(|daemon| {
+                let members = daemon.get("/v1/status").1["members"].clone();
+                let members = members.as_array().cloned().unwrap_or_default();
+                members.len() == count && members.iter().all(|m| m["is_reachable"] == true)
+            })
+        });
+        daemons
+    }
+
+    /// Switches faults of a stand-in.
+    pub fn faults(&self, address: SocketAddr, faults: &Value) {
+        let body = faults.to_string();
+        let answer = http("POST", address, "/admin/faults", &[], body.as_bytes());
+        assert_eq!(answer.expect("the stand-in answers").0, 200);
+    }
+
+    /// Runs of each nonce, over executors and workers.
+    pub fn runs(&self) -> std::collections::BTreeMap<u64, u32> {
+        let executors: Vec<String> =
+            self.executors.iter().map(|(_, address)| address.to_string()).collect();
+        let workers: Vec<String> = self.workers.iter().map(ToString::to_string).collect();
+        load::fetch_runs(&executors, &workers)
+    }
+
+    /// Drives callers and checks what they were told against what ran.
+    pub fn load(
+        &self,
+        targets: Vec<SocketAddr>,
+        mix: Vec<MixPart>,
+        requests: u64,
+        seed: u64,
+    ) -> Report {
+        let plan = LoadPlan {
+            targets,
+            mix,
+            requests,
+            callers: 8,
+            customers: 5,
+            skew: 1,
+            rate_per_s: 0,
+            seed,
+        };
+        let mut report = load::run(&plan);
+        wait_for("accepted jobs to run", || report.jobs_done(&self.runs()));
+        report.check_runs(&self.runs(), false);
+        report
+    }
+}
+
+fn send(ready: &mpsc::Sender<SocketAddr>, address: SocketAddr) {
+    ready.send(address).expect("the test waits for it");
+}
+
+/// A part of a mix.
+pub fn part(class: &str, work_us: u64, is_keyed: bool) -> MixPart {
+    MixPart { class: class.to_owned(), share: 1, work_us, is_keyed }
+}
+
+fn spawn(name: &str, settings: &Path) -> Daemon {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_jackdawpierd"))
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the daemon can be run");
+    let mut line = String::new();
+    let output = child.stdout.take().expect("it is piped");
+    BufReader::new(output).read_line(&mut line).expect("it writes its addresses");
+    let address = |key: &str| {
+        line.split_whitespace()
+            .find_map(|word| word.strip_prefix(key)?.parse().ok())
+            .unwrap_or_else(|| panic!("no {key} in {line:?}"))
+    };
+    Daemon {
+        name: name.to_owned(),
+        callers: address("callers="),
+        operators: address("operators="),
+        peers: address("peers="),
+        child,
+    }
+}
+
+/// Polls until `is_met`, and fails the test if that never comes.
+pub fn wait_for(what: &str, mut is_met: impl FnMut() -> bool) {
+    let started_at = Instant::now();
+    while !is_met() {
+        assert!(started_at.elapsed() < PATIENCE, "waited in vain for {what}");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// One HTTP call; the body is JSON, or a string where it isn't.
+pub fn http(
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<(u16, Value)> {
+    let (status, _, text) = http_full(method, address, path, headers, body)?;
+    let value = serde_json::from_slice(&text)
+        .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(&text).into_owned()));
+    Some((status, value))
+}
+
+/// One HTTP call with the answer's headers and raw body.
+pub fn http_full(
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<(u16, ureq::http::HeaderMap, Vec<u8>)> {
+    let agent = ureq::Agent::config_builder()
+        .timeout_global(Some(PATIENCE))
+        .http_status_as_error(false)
+        .allow_non_standard_methods(true)
+        .build()
+        .new_agent();
+    let mut request =
+        ureq::http::Request::builder().method(method).uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut response = agent.run(request.body(body.to_vec()).ok()?).ok()?;
+    let status = response.status().as_u16();
+    let headers = response.headers().clone();
+    let text = response.body_mut().read_to_vec().ok()?;
+    Some((status, headers, text))
+}
+
+/// The work that an executor or worker does.
+pub fn work(nonce: u64, work_us: u64) -> Vec<u8> {
+    json!({ "nonce": nonce, "work_us": work_us }).to_string().into_bytes()
+}
