--- a/crates/jackdawpier_bench/src/lib.rs
+++ b/crates/jackdawpier_bench/src/lib.rs
@@ -3,6 +3,7 @@
 //! The drivers feed demand, failures and waves from a seed to the pure decisions, in virtual time.
 //! `docs/MEASUREMENTS.md` has the figures with the commands that give them.
 
+pub mod coordination;
 pub mod days;
 pub mod deployment;
 pub mod fit;
--- a/crates/jackdawpier_bench/src/main.rs
+++ b/crates/jackdawpier_bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{alloc::System, path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use jackdawpier_bench::{report, scale};
+use jackdawpier_bench::{coordination, report, scale};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 /// Counts what every state holds, for the slopes of memory.
@@ -37,6 +37,9 @@
     /// Urgent starts, packing and blame of the job queue
     #[bpaf(command)]
     Jobs,
+    /// The store's writes for keyed requests
+    #[bpaf(command)]
+    Keyed,
     /// Slopes over the size of the fleet, and the figures at the size aimed at
     #[bpaf(command)]
     Scale,
@@ -53,6 +56,7 @@
         }
         Command::Routing => report::print_routing(),
         Command::Jobs => report::print_jobs(),
+        Command::Keyed => coordination::print(),
         Command::Scale => scale::print(),
     }
     ExitCode::SUCCESS
--- a/crates/jackdawpier_settings/src/loader.rs
+++ b/crates/jackdawpier_settings/src/loader.rs
@@ -10,8 +10,10 @@
     settings::Settings,
 };
 
-/// Words of a key that try to steer the system past its targets.
-const FORBIDDEN_KEY_PARTS: [&str; 6] = ["weight", "address", "host", "instance_id", "port", "ip"];
+/// Beginnings of words in a key that try to steer the system past its targets.
+const FORBIDDEN_STEMS: [&str; 3] = ["weight", "address", "host"];
+/// The same where longer words would be harmless.
+const FORBIDDEN_WORDS: [&str; 5] = ["ip", "ips", "port", "ports", "instances"];
 /// Largest declaration or settings file, so that a hostile one costs bounded memory.
 pub const MAX_FILE_BYTES: usize = 512 * 1024;
 
@@ -71,11 +73,8 @@
 fn forbidden_key(message: &str) -> Option<&str> {
     let (_, rest) = message.split_once("unknown field `")?;
     let (key, _) = rest.split_once('`')?;
-    key.split('_')
-        .any(|word| {
-            FORBIDDEN_KEY_PARTS
-                .iter()
-                .any(|part| word.trim_end_matches('s') == part.trim_end_matches('s'))
-        })
-        .then_some(key)
+    let is_forbidden = |word: &str| {
+        FORBIDDEN_STEMS.iter().any(|stem| word.starts_with(stem)) || FORBIDDEN_WORDS.contains(&word)
+    };
+    key.split('_').any(is_forbidden).then_some(key)
 }
--- a/crates/jackdawpier_settings/src/options.rs
+++ b/crates/jackdawpier_settings/src/options.rs
@@ -2,7 +2,7 @@
 //!
 //! Resolved once into [`Settings`](crate::settings::Settings), where every value is present.
 
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use serde_saphyr::Spanned;
 
 /// The whole settings file of `jackdawpierd`.
@@ -63,7 +63,7 @@
 }
 
 /// Optional limits on callers.
-#[derive(Debug, Default, Deserialize, Serialize)]
+#[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LimitOptions {
     /// Open connections of callers.
@@ -79,13 +79,13 @@
 }
 
 /// Optional timings.
-#[derive(Debug, Default, Deserialize, Serialize)]
+#[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TimingOptions {
     /// Time after which a silent entry loses its membership.
-    pub member_lease_ms: Option<u64>,
+    pub member_lease_ms: Option<Spanned<u64>>,
     /// Time without store and peers after which an entry stops serving.
-    pub isolation_limit_ms: Option<u64>,
+    pub isolation_limit_ms: Option<Spanned<u64>>,
     /// Time between two heartbeats to each peer.
     pub heartbeat_interval_ms: Option<u64>,
     /// Time between two readings of the instance list.
--- a/crates/jackdawpier_settings/src/rules/declaration/loss_above_capacity.rs
+++ b/crates/jackdawpier_settings/src/rules/declaration/loss_above_capacity.rs
@@ -12,7 +12,8 @@
 pub(crate) fn check(options: &DeclarationOptions, checker: &mut Checker<'_>) {
     for class in &options.classes {
         let Some(loss) = &class.may_lose_instances else { continue };
-        if loss.value >= class.capacity_instances.value {
+        let capacity = class.capacity_instances.value;
+        if capacity > 0 && loss.value >= capacity {
             let message = format!(
                 "{} is not below capacity_instances ({})",
                 loss.value, class.capacity_instances.value
--- a/crates/jackdawpier_settings/src/rules/settings/isolation_limit.rs
+++ b/crates/jackdawpier_settings/src/rules/settings/isolation_limit.rs
@@ -17,18 +17,17 @@
 pub(crate) fn check(options: &Options, checker: &mut Checker<'_>) {
     let timing = options.timing.resolve();
     let at: &Spanned<String> = &options.entry;
+    let given =
+        options.timing.isolation_limit_ms.as_ref().or(options.timing.member_lease_ms.as_ref());
     if timing.isolation_limit >= timing.member_lease {
-        checker.report(
-            &ISOLATION_LIMIT,
-            at,
-            "timing.isolation_limit_ms",
-            format!(
-                "{} ms is not below member_lease_ms ({} ms)",
-                timing.isolation_limit.as_millis(),
-                timing.member_lease.as_millis()
-            ),
-            "a limit below the lease",
+        let message = format!(
+            "{} ms is not below member_lease_ms ({} ms)",
+            timing.isolation_limit.as_millis(),
+            timing.member_lease.as_millis()
         );
+        let given = given.expect("the defaults keep this rule, so one of the two was given");
+        let field = "timing.isolation_limit_ms";
+        checker.report(&ISOLATION_LIMIT, given, field, message, "a limit below the lease");
     }
     let named = [
         ("timing.heartbeat_interval_ms", timing.heartbeat_interval),
--- a/crates/jackdawpier_settings/src/settings.rs
+++ b/crates/jackdawpier_settings/src/settings.rs
@@ -4,6 +4,8 @@
 
 use jackdawpier_kernel::ids::{EntryId, ZoneName};
 
+use serde_saphyr::Spanned;
+
 use crate::options::{LimitOptions, Options, TimingOptions};
 
 /// Everything that the daemon needs to know about itself.
@@ -150,10 +152,11 @@
 impl TimingOptions {
     /// Fills every absent timing with its default.
     pub fn resolve(&self) -> Timing {
+        let spanned = |value: &Option<Spanned<u64>>| value.as_ref().map(|value| value.value);
         let ms = |value: Option<u64>, default| Duration::from_millis(value.unwrap_or(default));
         Timing {
-            member_lease: ms(self.member_lease_ms, defaults::MEMBER_LEASE_MS),
-            isolation_limit: ms(self.isolation_limit_ms, defaults::ISOLATION_LIMIT_MS),
+            member_lease: ms(spanned(&self.member_lease_ms), defaults::MEMBER_LEASE_MS),
+            isolation_limit: ms(spanned(&self.isolation_limit_ms), defaults::ISOLATION_LIMIT_MS),
             heartbeat_interval: ms(self.heartbeat_interval_ms, defaults::HEARTBEAT_INTERVAL_MS),
             instance_list_interval: ms(
                 self.instance_list_interval_ms,
--- /dev/null
+++ b/crates/jackdawpier_settings/tests/findings.rs
@@ -0,0 +1,67 @@
+//! What the checks say of each fixture: one line a finding, with code, place and fix.
+
+use std::{fs, path::Path};
+
+use jackdawpier_settings::{
+    loader::{load_declaration, load_settings},
+    rules::RULES,
+};
+
+/// Findings of every file in a folder of fixtures, in the order of their names.
+fn findings(folder: &str, check: impl Fn(&str, &str) -> Vec<String>) -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(folder);
+    let mut names: Vec<String> = fs::read_dir(&folder)
+        .expect("the fixtures are there")
+        .map(|entry| entry.expect("it can be read").file_name().to_string_lossy().into_owned())
+        .collect();
+    names.sort();
+    let mut all = String::new();
+    for name in names {
+        let text = fs::read_to_string(folder.join(&name)).expect("it can be read");
+        let lines = check(&name, &text);
+        let shown = if lines.is_empty() { "no findings".to_owned() } else { lines.join("\n") };
+        all += &format!("== {name}\n{shown}\n");
+    }
+    all
+}
+
+#[test]
+fn settings_files() {
+    let all = findings("settings", |name, text| {
+        load_settings(name, text)
+            .err()
+            .into_iter()
+            .flatten()
+            .map(|finding| finding.to_string())
+            .collect()
+    });
+    insta::assert_snapshot!(all);
+}
+
+#[test]
+fn declaration_files() {
+    let all = findings("declarations", |name, text| {
+        load_declaration(name, text)
+            .err()
+            .into_iter()
+            .flatten()
+            .map(|finding| finding.to_string())
+            .collect()
+    });
+    insta::assert_snapshot!(all);
+}
+
+#[test]
+fn every_rule() {
+    let all = findings("settings", |name, text| {
+        let settings = load_settings(name, text).err().into_iter().flatten();
+        settings.map(|finding| finding.to_string()).collect()
+    }) + &findings("declarations", |name, text| {
+        let declaration = load_declaration(name, text).err().into_iter().flatten();
+        declaration.map(|finding| finding.to_string()).collect()
+    });
+    for rule in RULES {
+        assert!(all.contains(rule.code), "no fixture shows {} {}", rule.code, rule.name);
+        assert!(rule.source.starts_with("//!"), "{} has no user page", rule.code);
+    }
+}
--- a/crates/jackdawpierd/tests/callers_port.rs
+++ b/crates/jackdawpierd/tests/callers_port.rs
@@ -128,3 +128,34 @@
     });
     assert!(daemons[0].is_ready());
 }
+
+#[test]
+fn garbled_messages() {
+    let deployment = Deployment::new("garbled-messages", 1, 0);
+    let daemons = deployment.start_all(1);
+    let own = |file: &str| deployment.file(file).display().to_string();
+    let files = TlsFiles {
+        authority_file: own("authority.pem"),
+        certificate_file: own("b.pem"),
+        key_file: own("b.key"),
+    };
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be built");
+    runtime.block_on(async {
+        let address = "127.0.0.1:0".parse().expect("it is an address");
+        let endpoint = PeerEndpoint::bind(address, &files).expect("it can be bound");
+        for length in 0..200_u32 {
+            let garbage: Vec<u8> = (0..length).map(|at| (at * 31 + length * 17) as u8).collect();
+            let limit = Duration::from_millis(200);
+            let _: Result<u32, PeerError> =
+                endpoint.call(daemons[0].peers, &serde_bytes_like(garbage), limit).await;
+        }
+        endpoint.close().await;
+    });
+    let answer = http("POST", daemons[0].callers, "/render/x", &[], &work(1, 100));
+    assert_eq!(answer.expect("it answers").0, 200, "garbled messages of a peer harm nobody");
+}
+
+/// Bytes as a tuple of themselves, so that no length stands in front of them.
+fn serde_bytes_like(bytes: Vec<u8>) -> Vec<(u8, u8)> {
+    bytes.chunks(2).map(|pair| (pair[0], *pair.last().expect("chunks are not empty"))).collect()
+}
