--- a/crates/jackdawpier_bench/src/days.rs
+++ b/crates/jackdawpier_bench/src/days.rs
@@ -29,7 +29,7 @@
 const ZONE_OUTAGE_MINUTES: u32 = 120;
 /// Steps in which a wave should get through a pool, and where moves weigh most.
 const WAVE_STEPS: u32 = 3;
-const WAVE_STEPS_FEW_MOVES: u32 = 8;
+const WAVE_STEPS_FEW_MOVES: u32 = 4;
 /// Chance that an instance fails within a day, from the aim (280 of 32,000).
 const FAILURES_A_DAY: f64 = 280.0 / 32_000.0;
 /// Days over which the pattern is learned before anything is measured.
@@ -44,8 +44,8 @@
 const SHRINK_CAUTION: f64 = 0.5;
 const STEP_CAUTION: f64 = 3.0;
 const STEP_AHEAD: Duration = Duration::from_secs(15 * 60);
-/// Noise of the demand, as a share.
-const NOISE: f64 = 0.03;
+/// Usual noise of the demand, as a share.
+pub const NOISE: f64 = 0.03;
 
 /// Who decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,6 +71,8 @@
     pub wave_at_minute: Option<u32>,
     /// Days between two waves.
     pub wave_every_days: u32,
+    /// Noise of the demand, as a share.
+    pub noise: f64,
     /// Whether a zone is lost in the middle of each wave.
     pub loses_zone: bool,
 }
@@ -251,7 +253,7 @@
         let (now, kind) = (self.now(), day_kind(self.minute));
         for ix in 0..self.deployment.pools.len() {
             let spec = self.deployment.pools[ix];
-            let noise = 1.0 + NOISE * (self.random.random_range(-1.0..1.0_f64));
+            let noise = 1.0 + self.run.noise * (self.random.random_range(-1.0..1.0_f64));
             let demand = (f64::from(spec.peak) * level(spec.shape, self.minute) * noise)
                 .min(f64::from(spec.peak));
             self.needs[ix] = demand.ceil() as u32;
@@ -287,7 +289,10 @@
         };
         let cautious_need = need.max(self.expected(ix, STEP_AHEAD, STEP_CAUTION));
         let target = PoolTarget { need, cautious_need, may_lose: spec.may_lose, survive };
-        self.fleet.set_target(ix as PoolIx, target);
+        if self.fleet.pools()[ix].target != target {
+            self.fleet.set_target(ix as PoolIx, target);
+            self.planner.touch(ix as PoolIx);
+        }
     }
 
     fn replan(&mut self) {
--- a/crates/jackdawpier_bench/src/report.rs
+++ b/crates/jackdawpier_bench/src/report.rs
@@ -31,6 +31,16 @@
 
 /// Runs `weeks` weeks of a deployment under one policy.
 pub fn weeks(deployment: &Deployment, policy: Policy, weeks: u32, loses_zone: bool) -> Measured {
+    weeks_with_noise(deployment, policy, weeks, loses_zone, days::NOISE)
+}
+
+fn weeks_with_noise(
+    deployment: &Deployment,
+    policy: Policy,
+    weeks: u32,
+    loses_zone: bool,
+    noise: f64,
+) -> Measured {
     let mut total = Measured::default();
     for week in 0..weeks {
         let run = Run {
@@ -38,6 +48,7 @@
             days: 7,
             policy,
             wave_at_minute: (policy != Policy::FromScratch).then_some(WAVE_MINUTE),
+            noise,
             wave_every_days: if loses_zone { 1 } else { 7 },
             loses_zone,
         };
@@ -74,6 +85,8 @@
         ] {
             print_days(&deployment, name, &weeks(&deployment, policy, weeks_count, false));
         }
+        let exact = weeks_with_noise(&deployment, Policy::Planner, weeks_count, false, 0.0);
+        print_days(&deployment, "planner, demand without noise", &exact);
         let lossy = weeks(&deployment, Policy::Planner, weeks_count, true);
         print_days(&deployment, "planner, a zone lost in each day's wave", &lossy);
     }
--- a/crates/jackdawpier_capacity/src/demand.rs
+++ b/crates/jackdawpier_capacity/src/demand.rs
@@ -10,6 +10,8 @@
 pub const SLOTS: usize = 96;
 const SLOT: Duration = Duration::from_secs(15 * 60);
 const DAY: Duration = Duration::from_secs(24 * 3600);
+/// A hundredth of an instance is rounding and asks for no whole one.
+const ROUNDING: f64 = 0.01;
 /// Weight of a new day in the pattern.
 const SMOOTHING: f64 = 0.3;
 /// Weight of a new observation in today's correction.
@@ -101,6 +103,6 @@
                 }
             })
             .fold(0.0, f64::max);
-        largest.min(self.peak).ceil() as u32
+        (largest.min(self.peak) - ROUNDING).ceil() as u32
     }
 }
--- a/crates/jackdawpier_capacity/src/fleet.rs
+++ b/crates/jackdawpier_capacity/src/fleet.rs
@@ -172,6 +172,12 @@
         self.target.margin(spread)
     }
 
+    /// The margin if the need were what it may become before a maintenance step ends.
+    pub fn cautious_margin(&self, spread: &Spread) -> i64 {
+        let need = self.target.cautious_need;
+        PoolTarget { need, ..self.target }.margin(spread)
+    }
+
     /// Committed instances in the failure domains of `place`, the surviving kind first.
     pub fn load_at(&self, place: &Place) -> (u32, u32, u32) {
         let (zone, switch, rack) = self.committed.at(place);
--- a/crates/jackdawpier_capacity/src/planner.rs
+++ b/crates/jackdawpier_capacity/src/planner.rs
@@ -109,7 +109,10 @@
         loop {
             let pool = fleet.pool(ix);
             let margin = pool.margin(&pool.committed);
-            if margin >= i64::from(pool.wave_extra) {
+            // What a wave takes out must not endanger the need that may come before it is back.
+            let cautious = pool.cautious_margin(&pool.committed);
+            let has_extra = pool.wave_extra == 0 || cautious >= i64::from(pool.wave_extra);
+            if margin >= 0 && has_extra {
                 return;
             }
             let is_short = pool.committed.total() < pool.target.need;
@@ -191,7 +194,8 @@
     /// A serving instance that the pool can do without, now and at its `later` need.
     fn choose_surplus(fleet: &Fleet, ix: PoolIx, later: u32) -> Option<InstanceIx> {
         let pool = fleet.pool(ix);
-        let need = pool.target.need.max(later);
+        let for_wave = if pool.wave_extra > 0 { pool.target.cautious_need } else { 0 };
+        let need = pool.target.need.max(later).max(for_wave);
         let target = PoolTarget { need, ..pool.target };
         let extra = i64::from(pool.wave_extra);
         if target.margin(&pool.serving) + 1 <= extra {
--- a/crates/jackdawpier_capacity/src/wave.rs
+++ b/crates/jackdawpier_capacity/src/wave.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     InstanceIx, PoolIx,
-    fleet::{Fleet, Phase},
+    fleet::{Fleet, Phase, Pool},
     reason::HoldReason,
 };
 
@@ -202,7 +202,8 @@
         let is_canary = canary_left > 0 && self.has_serving_pending(fleet);
         let mut serving_room =
             if is_canary { canary_left.saturating_sub(self.out_serving.len()) } else { MAX_STARTS };
-        let mut free_room = fleet.free_count().saturating_sub(free_reserve(fleet));
+        let kept_free = free_reserve(fleet) + extras_not_granted(fleet);
+        let mut free_room = fleet.free_count().saturating_sub(kept_free);
         let mut starts = Vec::new();
         let mut hold = None;
         for ix in self.order(fleet) {
@@ -316,9 +317,21 @@
     }
 }
 
-/// Free instances that a wave leaves alone, to replace ordinary failures.
+/// Free instances that pools still wait for, so that the wave can go through them.
+fn extras_not_granted(fleet: &Fleet) -> usize {
+    let missing =
+        |pool: &Pool| i64::from(pool.wave_extra) - pool.cautious_margin(&pool.committed).max(0);
+    let missing: i64 = fleet.pools().iter().map(|pool| missing(pool).max(0)).sum();
+    missing as usize
+}
+
+/// Free instances that a wave leaves alone, to replace ordinary failures. What the pools have
+/// beyond their targets does the same.
 fn free_reserve(fleet: &Fleet) -> usize {
-    fleet.instances().len().div_ceil(FREE_RESERVE_DIVISOR)
+    let surplus = |pool: &Pool| pool.margin(&pool.serving).max(0);
+    let surplus: i64 = fleet.pools().iter().map(surplus).sum();
+    let wanted = fleet.instances().len().div_ceil(FREE_RESERVE_DIVISOR);
+    wanted.saturating_sub(surplus as usize)
 }
 
 /// Lower bound of the time of a wave over `instances`, `width` at a time at most.
