--- a/crates/jackdawpier/src/main.rs
+++ b/crates/jackdawpier/src/main.rs
@@ -1,19 +1,7 @@
-//! The operators' command-line tool.
-
-mod args;
-mod client;
-mod commands;
-mod exit_status;
-mod render;
+//! The operators' command-line tool's binary.
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match commands::run(&args::args().run()) {
-        Ok(status) => status.into(),
-        Err(failure) => {
-            eprintln!("{failure}");
-            failure.status().into()
-        }
-    }
+    jackdawpier::main()
 }
--- a/crates/jackdawpier_settings/src/reference.rs
+++ b/crates/jackdawpier_settings/src/reference.rs
@@ -15,7 +15,7 @@
 pub fn settings_page() -> String {
     let mut page = String::from(
         "# Settings and declarations\n\nGenerated from the code by \
-         `cargo run -p jackdawpier_standin -- generate`; do not edit.\n\n\
+         `cargo run -p jackdawpier_dev -- generate`; do not edit.\n\n\
          ## Settings of jackdawpierd\n",
     );
     push_structs(&mut page, OPTIONS_SOURCE, &["struct"]);
--- a/crates/jackdawpier_standin/src/lib.rs
+++ b/crates/jackdawpier_standin/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod executor;
 pub mod faults;
-pub mod generate;
 pub mod instance_list;
 pub mod keys;
 pub mod load;
--- a/crates/jackdawpier_standin/src/main.rs
+++ b/crates/jackdawpier_standin/src/main.rs
@@ -1,11 +1,11 @@
 //! Command line of the stand-ins; each is one process with its address from arguments.
 
-use std::{io, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
 use bpaf::Bpaf;
 use jackdawpier_kernel::instance::{Instance, Role, State};
 use jackdawpier_standin::{
-    executor, generate, instance_list, keys,
+    executor, instance_list, keys,
     load::{self, LoadPlan, MixPart},
     process::block_on,
     store_server, worker,
@@ -62,12 +62,6 @@
         #[bpaf(positional("NAME"), many)]
         names: Vec<String>,
     },
-    /// Writes the pages that come from the code
-    #[bpaf(command)]
-    Generate {
-        /// Only says whether the pages are current
-        check: bool,
-    },
 }
 
 #[derive(Debug, Clone, Bpaf)]
@@ -207,17 +201,6 @@
     if report.violations.is_zero() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn run_generate(check: bool) -> io::Result<ExitCode> {
-    let root = PathBuf::from(".");
-    if !check {
-        generate::write(&root)?;
-        return Ok(ExitCode::SUCCESS);
-    }
-    let stale = generate::stale(&root);
-    stale.iter().for_each(|page| eprintln!("{page} differs from the code: run `generate`"));
-    Ok(if stale.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
-}
-
 fn main() -> ExitCode {
     let result = match command().run() {
         Command::Store { listen, seed } => {
@@ -241,7 +224,6 @@
         Command::Keys { folder, names } => {
             keys::write_keys(&folder, &names).map(|()| ExitCode::SUCCESS)
         }
-        Command::Generate { check } => run_generate(check),
     };
     result.unwrap_or_else(|error| {
         eprintln!("{error}");
--- a/crates/jackdawpierd/src/main.rs
+++ b/crates/jackdawpierd/src/main.rs
@@ -1,35 +1,7 @@
-//! The entry daemon: wiring of the decisions to HTTP, quinn and the store.
-//!
-//! Every instance is identical and keeps nothing. `docs/ARCHITECTURE.md` follows a request, a
-//! change and a job through these modules.
-
-mod args;
-mod callers;
-mod capacity;
-mod commands;
-mod control;
-mod entry;
-mod executor_client;
-mod exit_status;
-mod heartbeats;
-mod instance_reader;
-mod logging;
-mod messages;
-mod metrics;
-mod operators;
-mod peers;
-mod plugins;
-mod router;
-mod service;
-mod service_jobs;
-mod status;
-mod stop;
-mod traces;
-mod view_sync;
-mod worker_client;
+//! The entry daemon's binary.
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    commands::run(&args::args().run()).into()
+    jackdawpierd::main()
 }
