--- a/crates/jackdawpier_bench/src/jobs.rs
+++ b/crates/jackdawpier_bench/src/jobs.rs
@@ -114,6 +114,7 @@
     used_cores_milli: f64,
     overloaded: f64,
     samples: f64,
+    cancelled: u64,
     outcome: JobOutcome,
 }
 
@@ -146,6 +147,7 @@
         used_cores_milli: 0.0,
         overloaded: 0.0,
         samples: 0.0,
+        cancelled: 0,
         outcome: JobOutcome::default(),
     };
     sim.start();
@@ -211,8 +213,8 @@
 
     /// Keeps more background work waiting than the fleet can hold.
     fn submit_background(&mut self) {
-        let waiting =
-            self.submitted.len() as u64 - self.outcome.done.min(self.submitted.len() as u64);
+        let over = self.outcome.done + self.cancelled;
+        let waiting = (self.submitted.len() as u64).saturating_sub(over);
         let wanted = u64::from(self.run.workers) * 12;
         for _ in waiting..wanted.min(waiting + 64) {
             self.submit(NIGHTLY);
@@ -257,8 +259,15 @@
         if self.run.cancelled == 0 || !is_time {
             return;
         }
-        let ids: Vec<JobId> =
-            self.accepted.iter().take(self.run.cancelled as usize).cloned().collect();
+        let is_open = |id: &&JobId| self.queue.job(id).is_some_and(|job| !job.state.is_final());
+        let ids: Vec<JobId> = self
+            .accepted
+            .iter()
+            .filter(is_open)
+            .take(self.run.cancelled as usize)
+            .cloned()
+            .collect();
+        self.cancelled = ids.len() as u64;
         let mut count = 0;
         for id in &ids {
             let (_, commands) = self.queue.cancel(id);
