Keep running tasks alive through a store outage

Cause: an owner that lost its lease dropped its jobs, so a store outage longer than the task lease (5 s) ended every running task and parked those that are not idempotent. Seen failing: outages job_outlives. Ruled out: trusting the lease longer (another entry may own the shard); going on deciding (nothing can be made durable). Now the last owner only renews, until a successor is recorded. Before: parked after a 10 s outage. After: done, run once.

--- a/crates/jackdawpier_jobs/src/queue.rs
+++ b/crates/jackdawpier_jobs/src/queue.rs
@@ -545,6 +545,21 @@
             .collect()
     }
 
+    /// Renewals of every task that may run, for an owner that can't rely on its lease: whoever
+    /// owns the shard later finds the tasks running. A renewal by two entries does no harm.
+    pub fn keep_alive(&self) -> Vec<(WorkerId, TaskCommand)> {
+        self.running
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(|live| matches!(live.phase, Phase::Starting | Phase::Running))
+            .filter(|live| !live.is_stopping)
+            .filter_map(|live| match live.command(TaskAction::Renew)? {
+                Command::Tell { worker, command } => Some((worker, command)),
+                _ => None,
+            })
+            .collect()
+    }
+
     /// Forgets old jobs, gives silent tasks up, and places what fits.
     pub fn tick(&mut self, now: Now) -> Vec<Command> {
         let mut commands = self.expire(now);
--- a/crates/jackdawpierd/src/service.rs
+++ b/crates/jackdawpierd/src/service.rs
@@ -16,6 +16,7 @@
     ids::{ExecutorId, JobId, RequestKey, ServiceName, Ticket, WorkerId},
     instance::{Instance, Role, State as InstanceState},
     outcome::{Answer, Outcome, RefusalReason},
+    task::TaskCommand,
 };
 use jackdawpier_route::{
     dedupe::{Decision, Dedupe, KeyState},
@@ -91,6 +92,9 @@
     addresses: HashMap<ExecutorId, String>,
     pub(crate) worker_addresses: HashMap<WorkerId, String>,
     classes: Vec<Class>,
+    /// Tasks of a shard that this entry let go without a successor; their leases are renewed
+    /// until one is recorded.
+    pub(crate) kept_alive: Vec<(WorkerId, TaskCommand)>,
     pub(crate) owned: Option<Owned>,
     next_ticket: Ticket,
     next_generation: u64,
@@ -141,6 +145,7 @@
             addresses: HashMap::new(),
             worker_addresses: HashMap::new(),
             classes: Vec::new(),
+            kept_alive: Vec::new(),
             owned: None,
             next_ticket: 0,
             next_generation: 0,
@@ -554,6 +559,7 @@
             is_releasing: false,
         };
         self.owned = Some(owned);
+        self.kept_alive.clear();
         let mut actions = self.refresh_workers(&entry.instances(), name);
         actions.extend(self.follow_cell(now, outputs));
         actions
@@ -563,6 +569,7 @@
     /// another's outcome are told that it is not known here any more.
     fn drop_owned(&mut self) {
         let Some(mut owned) = self.owned.take() else { return };
+        self.kept_alive = owned.jobs.keep_alive();
         for ticket in owned.dedupe.fenced() {
             let reply = self.requests.remove(&ticket).and_then(|mut running| running.reply.take());
             if let Some(reply) = reply {
--- a/crates/jackdawpierd/src/service_jobs.rs
+++ b/crates/jackdawpierd/src/service_jobs.rs
@@ -68,7 +68,18 @@
 impl Service {
     /// Renews task leases and asks busy workers how their tasks are.
     pub(crate) fn tend_jobs(self: &Arc<Self>) {
-        self.act(|state, now| ((), state.tend_jobs(now)));
+        let Some(entry) = self.entry.upgrade() else { return };
+        let has_successor = entry
+            .coordination()
+            .view
+            .owner(&self.name)
+            .is_some_and(|owner| owner.entry != *entry.name());
+        self.act(|state, now| {
+            if has_successor {
+                state.kept_alive.clear();
+            }
+            ((), state.tend_jobs(now))
+        });
     }
 
     /// Shows or cancels a job; the answer is JSON, if the job is known here.
@@ -188,7 +199,7 @@
     }
 
     fn tend_jobs(&mut self, now: Now) -> Vec<Action> {
-        let Some(owned) = &mut self.owned else { return Vec::new() };
+        let Some(owned) = &mut self.owned else { return self.renew_kept_alive() };
         let asks: Vec<Action> = owned
             .jobs
             .busy_workers()
@@ -203,6 +214,17 @@
         actions
     }
 
+    fn renew_kept_alive(&self) -> Vec<Action> {
+        let address = |worker: &WorkerId| self.worker_addresses.get(worker).cloned();
+        self.kept_alive
+            .iter()
+            .filter_map(|(worker, command)| {
+                let (address, command) = (address(worker)?, command.clone());
+                Some(Action::Job(JobCall::Tell { address, command }))
+            })
+            .collect()
+    }
+
     /// Takes over the workers of the list.
     pub(crate) fn refresh_workers(
         &mut self,
--- a/crates/jackdawpierd/tests/outages.rs
+++ b/crates/jackdawpierd/tests/outages.rs
@@ -97,3 +97,26 @@
     wait_for("the new entry to serve", || fresh.is_ready());
     assert_eq!(fresh.revision(), 2);
 }
+
+#[test]
+fn job_outlives() {
+    let deployment = Deployment::new("job-outlives", 1, 1);
+    let daemons = deployment.start_all(2);
+    let headers = [("idempotency-key", "key-9")];
+    let accepted = http("POST", daemons[0].callers, "/ledger/x", &headers, &work(9, 9_000_000));
+    assert_eq!(accepted.expect("it answers").0, 202);
+    wait_for("the task to be started", || {
+        let counts = http("GET", deployment.workers[0], "/admin/counts", &[], b"");
+        counts.expect("it answers").1["started"].as_object().is_some_and(|all| !all.is_empty())
+    });
+    deployment.faults(deployment.store, &json!({ "is_down": true }));
+    std::thread::sleep(Duration::from_secs(10));
+    deployment.faults(deployment.store, &json!({}));
+    wait_for("the job to be done and not parked", || {
+        let path = "/ledger/jobs/ledger-key-9";
+        let shown = http("GET", daemons[0].callers, path, &[], b"").expect("it answers").1;
+        assert_ne!(shown["state"]["state"], "parked", "an outage must not end a running task");
+        shown["state"]["state"] == "done"
+    });
+    assert_eq!(deployment.runs().get(&9), Some(&1));
+}
--- a/crates/jackdawpierd/tests/support/mod.rs
+++ b/crates/jackdawpierd/tests/support/mod.rs
@@ -127,6 +127,7 @@
   - { name: render, service: widgets, kind: quick, idempotent: true, finish_within_ms: 2000, capacity_instances: 2 }
   - { name: update, service: widgets, kind: quick, finish_within_ms: 5000, capacity_instances: 2 }
   - { name: export, service: widgets, kind: report, finish_within_ms: 20000, capacity_instances: 2 }
+  - { name: ledger, service: refresh, kind: refresh, finish_within_ms: 600000, capacity_instances: 1 }
   - { name: nightly, service: refresh, kind: refresh, idempotent: true, finish_within_ms: 600000, capacity_instances: 1 }
 ";
 
