Learn demand on the real path, and lend instances to waves there

Cause: the daemon kept pools at their declared peaks. Entries now sample what their services would fill and tell it in heartbeats; the holder learns it by the quarter of an hour and keeps it in its cell. A surplus was given up at once during a wave although nobody waited for it (a second order for one worker in the killed-holder test); the real path waits as long as without a wave.

--- a/crates/jackdawpier_capacity/src/demand.rs
+++ b/crates/jackdawpier_capacity/src/demand.rs
@@ -6,9 +6,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Slots of a day.
 pub const SLOTS: usize = 96;
-const SLOT: Duration = Duration::from_secs(15 * 60);
+/// Length of a slot.
+pub const SLOT: Duration = Duration::from_secs(15 * 60);
 const DAY: Duration = Duration::from_secs(24 * 3600);
 /// A hundredth of an instance is rounding and asks for no whole one.
 const ROUNDING: f64 = 0.01;
@@ -26,7 +29,7 @@
     Quiet,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct Slot {
     mean: f64,
     spread: f64,
@@ -34,7 +37,7 @@
 }
 
 /// Demand of one pool, in instances.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Demand {
     ordinary: Vec<Slot>,
     quiet: Vec<Slot>,
@@ -58,6 +61,11 @@
         }
     }
 
+    /// Follows a declared peak that was changed.
+    pub fn set_peak(&mut self, peak: u32) {
+        self.peak = f64::from(peak);
+    }
+
     fn slots(&self, kind: DayKind) -> &[Slot] {
         match kind {
             DayKind::Ordinary => &self.ordinary,
--- a/crates/jackdawpier_capacity/src/lib.rs
+++ b/crates/jackdawpier_capacity/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod escrow;
 pub mod explain;
 pub mod fleet;
+pub mod forecast;
+pub mod lending;
 pub mod planner;
 pub mod reason;
 pub mod wave;
--- a/crates/jackdawpier_capacity/src/planner.rs
+++ b/crates/jackdawpier_capacity/src/planner.rs
@@ -29,7 +29,7 @@
 }
 
 /// What a deployment prefers, as ceilings.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Ceilings {
     /// Most moves a day; only what keeps a target goes beyond.
     pub moves_per_day: Option<u32>,
@@ -59,6 +59,8 @@
 pub struct Planner {
     ceilings: Ceilings,
     dirty: BTreeSet<PoolIx>,
+    /// Pools that found no free instance; they are looked at again each time.
+    unmet: Vec<PoolIx>,
     surplus_since: Vec<Option<Now>>,
     shrinks_today: u32,
     day: u64,
@@ -72,6 +74,11 @@
         Self { ceilings, ..Self::default() }
     }
 
+    /// Follows ceilings that were changed.
+    pub fn set_ceilings(&mut self, ceilings: Ceilings) {
+        self.ceilings = ceilings;
+    }
+
     /// Notes that a pool's target, members or forecast changed.
     pub fn touch(&mut self, pool: PoolIx) {
         self.dirty.insert(pool);
@@ -94,6 +101,7 @@
                 self.shrink(now, fleet, pool, outlook, &mut moves);
             }
         }
+        self.dirty.extend(self.unmet.drain(..));
         moves
     }
 
@@ -121,7 +129,10 @@
                 (_, true) => MoveReason::DemandGrows,
                 (_, false) => MoveReason::RestoresMargin,
             };
-            let Some(instance) = self.choose_free(fleet, ix) else { return };
+            let Some(instance) = self.choose_free(fleet, ix) else {
+                self.unmet.push(ix);
+                return;
+            };
             fleet.set(instance, Some(ix), Phase::Warming);
             moves.push(Move { instance, to: Some(ix), reason });
         }
@@ -198,7 +209,7 @@
         let need = pool.target.need.max(later).max(for_wave);
         let target = PoolTarget { need, ..pool.target };
         let extra = i64::from(pool.wave_extra);
-        if target.margin(&pool.serving) + 1 <= extra {
+        if target.margin(&pool.serving) < extra {
             return None;
         }
         let zone = pool.members.iter().max_by_key(|zone| zone.len())?;
--- a/crates/jackdawpier_capacity/src/wave.rs
+++ b/crates/jackdawpier_capacity/src/wave.rs
@@ -258,8 +258,8 @@
         if self.state != WaveState::Running {
             return vec![0; left.len()];
         }
-        let lent: u32 = fleet.pools().iter().map(|pool| pool.wave_extra).sum();
-        let available = fleet.free_count().saturating_sub(free_reserve(fleet)) as u32 + lent;
+        let promised: u32 = fleet.pools().iter().map(|pool| pool.wave_extra).sum();
+        let available = fleet.free_count().saturating_sub(free_reserve(fleet)) as u32 + promised;
         let share =
             |steps: u32| -> Vec<u32> { left.iter().map(|count| count.div_ceil(steps)).collect() };
         (steps.max(1)..MAX_WAVE_STEPS)
--- a/crates/jackdawpier_jobs/src/workers.rs
+++ b/crates/jackdawpier_jobs/src/workers.rs
@@ -139,6 +139,14 @@
         });
     }
 
+    /// Workers that the reservations would fill, in thousandths.
+    pub fn demand_milli(&self) -> u32 {
+        let capacity: u64 = self.all.values().map(|w| w.info.capacity.cores_milli).sum();
+        let workers = self.all.len() as u64;
+        let filled = self.used_cores_milli() * workers * 1000;
+        filled.checked_div(capacity).unwrap_or(0) as u32
+    }
+
     /// Cores reserved on all workers, in thousandths.
     pub fn used_cores_milli(&self) -> u64 {
         self.all.values().map(|worker| worker.used.cores_milli).sum()
--- a/crates/jackdawpier_route/src/dispatcher.rs
+++ b/crates/jackdawpier_route/src/dispatcher.rs
@@ -194,6 +194,16 @@
         self.classes.values().map(|class| class.queue.len()).sum()
     }
 
+    /// Executors that the requests running and waiting now would fill, in thousandths.
+    pub fn demand_milli(&self) -> u32 {
+        let executors = self.executors.taking() as u32;
+        if executors == 0 {
+            return 0;
+        }
+        let slots_each = (self.executors.slots() / executors).max(1);
+        (self.pending.len() as u32).saturating_mul(1000) / slots_each
+    }
+
     /// Requests that this dispatcher has not finished.
     pub fn pending(&self) -> usize {
         self.pending.len()
--- a/crates/jackdawpier_route/src/executors.rs
+++ b/crates/jackdawpier_route/src/executors.rs
@@ -97,6 +97,11 @@
         self.slots
     }
 
+    /// Executors that take new work.
+    pub fn taking(&self) -> usize {
+        self.all.values().filter(|executor| !executor.info.is_leaving).count()
+    }
+
     /// Attempts in flight at `id`.
     pub fn in_flight(&self, id: &str) -> u32 {
         self.all.get(id).map_or(0, |executor| executor.in_flight)
--- a/crates/jackdawpierd/src/capacity.rs
+++ b/crates/jackdawpierd/src/capacity.rs
@@ -7,18 +7,24 @@
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use jackdawpier_capacity::{
     InstanceIx, PoolIx,
+    demand::{DayKind, Demand, SLOT},
     explain::explain,
     fleet::{Fleet, Phase, Place, PoolTarget},
+    forecast::{Forecast, forecast},
+    lending::lend,
     planner::{Ceilings, Outlook, Planner},
     reason::HoldReason,
     wave::{Progress, Wave, WaveState},
 };
-use jackdawpier_coord::cell::{Cell, Output};
+use jackdawpier_coord::{
+    cell::{Cell, Output},
+    configuration::Configuration,
+};
 use jackdawpier_kernel::{
     Now,
     instance::{FREE_POOL, Instance, ORDERS_PATH, Order, OrderAction, State as InstanceState},
@@ -28,7 +34,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::entry::Entry;
+use crate::{demand::DemandMilli, entry::Entry};
 
 /// The shard that the role's holder owns; no service can have this name.
 pub(crate) const SHARD: &str = "~capacity";
@@ -38,6 +44,36 @@
 /// Time after which an order counts as failed.
 const ORDER_LIMIT: Duration = Duration::from_secs(1800);
 
+const MILLI: u32 = 1_000;
+/// The first of January 1970 was a Thursday.
+const EPOCH_WEEKDAY: u64 = 3;
+const DAY_S: u64 = 24 * 3600;
+const FIRST_WEEKEND_DAY: u64 = 5;
+
+/// What the role decides on.
+struct Inputs {
+    classes: Vec<Class>,
+    ceilings: Ceilings,
+    instances: Arc<Vec<Instance>>,
+    demand_milli: DemandMilli,
+    /// Wall clock, for the hour and the weekday only.
+    since_epoch: Duration,
+}
+
+fn day_kind(since_epoch: Duration) -> DayKind {
+    let weekday = (since_epoch.as_secs() / DAY_S + EPOCH_WEEKDAY) % 7;
+    if weekday >= FIRST_WEEKEND_DAY { DayKind::Quiet } else { DayKind::Ordinary }
+}
+
+/// The strictest ceilings of all documents.
+fn ceilings(configuration: &Configuration) -> Ceilings {
+    let all = || configuration.documents().map(|document| &document.declaration.ceilings);
+    Ceilings {
+        moves_per_day: all().filter_map(|ceilings| ceilings.moves_per_day).min(),
+        buffer_instances: all().filter_map(|ceilings| ceilings.buffer_instances).min(),
+    }
+}
+
 /// What an operator asks of a wave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum WaveAction {
@@ -54,6 +90,7 @@
 pub(crate) enum CapacityRecord {
     Wave { id: u64, state: WaveState },
     Order { order: Order, wave: u64, was_serving: bool, end: Option<Progress> },
+    Demand { service: Arc<str>, demand: Demand },
 }
 
 /// Something to do after the lock is released.
@@ -83,6 +120,14 @@
     hold: Option<HoldReason>,
     next_order: u64,
     epoch: u64,
+    /// Learned demand by service, with the largest of the present slot.
+    demands: BTreeMap<Arc<str>, LearnedDemand>,
+}
+
+struct LearnedDemand {
+    demand: Demand,
+    slot: u64,
+    largest_milli: u32,
 }
 
 /// What is known of the fleet from the list, and what only the holder has.
@@ -147,10 +192,19 @@
 
     /// Follows the list and the configuration, and decides.
     pub(crate) fn tick(&self, entry: &Arc<Entry>) {
-        let classes: Vec<Class> =
-            entry.coordination().configuration.classes().into_values().collect();
-        let instances = entry.instances();
-        let actions = self.lock().tick(entry.now(), &classes, &instances);
+        let (classes, ceilings) = {
+            let coordination = entry.coordination();
+            let classes = coordination.configuration.classes().into_values().collect();
+            (classes, ceilings(&coordination.configuration))
+        };
+        let inputs = Inputs {
+            classes,
+            ceilings,
+            instances: entry.instances(),
+            demand_milli: entry.demand().total(),
+            since_epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+        };
+        let actions = self.lock().tick(entry.now(), &inputs);
         perform(entry, actions);
     }
 
@@ -221,6 +275,7 @@
             hold: None,
             next_order: 0,
             epoch: 0,
+            demands: BTreeMap::new(),
         });
         self.follow(entry.now(), outputs)
     }
@@ -260,16 +315,19 @@
         actions
     }
 
-    fn tick(&mut self, now: Now, classes: &[Class], instances: &[Instance]) -> Vec<Action> {
-        self.follow_classes(classes);
-        self.follow_list(instances);
+    fn tick(&mut self, now: Now, inputs: &Inputs) -> Vec<Action> {
+        let peaks = self.follow_classes(&inputs.classes);
+        self.follow_list(&inputs.instances);
         let Some(held) = self.held.as_mut().filter(|held| held.cell.is_open()) else {
             return self.tick_cell(now);
         };
         held.restore_wave(&self.by_id);
-        let mut actions = self.end_orders(now, instances);
-        self.start_steps();
-        self.plan_moves(now);
+        held.learn(&peaks, inputs);
+        let forecasts = self.follow_demand(&peaks, inputs);
+        let mut actions = self.end_orders(now, &inputs.instances);
+        self.start_steps(&inputs.ceilings);
+        self.planner.set_ceilings(inputs.ceilings);
+        self.plan_moves(now, &forecasts);
         actions.extend(self.resend(now));
         actions.extend(self.tick_cell(now));
         actions
@@ -281,14 +339,15 @@
         self.follow(now, outputs)
     }
 
-    /// One pool a service: the needs of its classes add up, and the strictest wish holds.
-    fn follow_classes(&mut self, classes: &[Class]) {
-        let mut targets: BTreeMap<&Arc<str>, PoolTarget> = BTreeMap::new();
+    /// One pool a service: the needs of its classes add up, and the strictest wish holds. Returns
+    /// the targets at the declared peaks.
+    fn follow_classes(&mut self, classes: &[Class]) -> BTreeMap<Arc<str>, PoolTarget> {
+        let mut targets: BTreeMap<Arc<str>, PoolTarget> = BTreeMap::new();
         for class in classes {
             let need = class.capacity_instances;
             let may_lose = class.may_lose_instances;
             let survive = class.survive;
-            let target = targets.entry(&class.service).or_insert(PoolTarget {
+            let target = targets.entry(Arc::clone(&class.service)).or_insert(PoolTarget {
                 need: 0,
                 cautious_need: 0,
                 may_lose,
@@ -299,15 +358,42 @@
             target.may_lose = target.may_lose.min(may_lose);
             target.survive = target.survive.max(survive);
         }
-        for (service, target) in targets {
-            match self.pools.get(service) {
-                Some(pool) => self.fleet.set_target(*pool, target),
-                None => {
-                    let pool = self.fleet.add_pool(target);
-                    self.pools.insert(Arc::clone(service), pool);
-                }
+        for (service, target) in &targets {
+            if !self.pools.contains_key(service) {
+                let pool = self.fleet.add_pool(*target);
+                self.pools.insert(Arc::clone(service), pool);
+            }
+        }
+        targets
+    }
+
+    /// Sets each pool's target by its forecast, which is the declared peak until it has learned.
+    fn follow_demand(
+        &mut self,
+        peaks: &BTreeMap<Arc<str>, PoolTarget>,
+        inputs: &Inputs,
+    ) -> HashMap<PoolIx, Forecast> {
+        let Some(held) = &self.held else { return HashMap::new() };
+        let mut forecasts = HashMap::new();
+        for (service, peak) in peaks {
+            let (Some(pool), Some(learned)) = (self.pools.get(service), held.demands.get(service))
+            else {
+                continue;
+            };
+            let milli = inputs.demand_milli.get(service).copied().unwrap_or(0);
+            let present = milli.div_ceil(MILLI).min(peak.need);
+            let forecast =
+                forecast(&learned.demand, present, inputs.since_epoch, day_kind, &inputs.ceilings);
+            let need = forecast.need.max(1);
+            let cautious_need = forecast.cautious_need.max(1);
+            let target = PoolTarget { need, cautious_need, ..*peak };
+            if self.fleet.pool(*pool).target != target {
+                self.fleet.set_target(*pool, target);
+                self.planner.touch(*pool);
             }
+            forecasts.insert(*pool, forecast);
         }
+        forecasts
     }
 
     fn follow_list(&mut self, instances: &[Instance]) {
@@ -321,10 +407,10 @@
                 self.held.as_ref().is_some_and(|held| held.orders.contains_key(&instance.id));
             let phase = match (instance.state, pool) {
                 _ if is_ordered => Phase::InMaintenance,
-                (InstanceState::Leaving, _) => Phase::Draining,
                 (InstanceState::Live, Some(_)) => Phase::Serving,
                 (InstanceState::Live, None) if &*instance.pool == FREE_POOL => Phase::Free,
-                (InstanceState::Live, None) => Phase::Draining,
+                // It is leaving, or its pool belongs to no class that is declared.
+                _ => Phase::Draining,
             };
             let known = self.fleet.instance(ix);
             if (known.pool, known.phase) != (pool, phase) {
@@ -388,41 +474,49 @@
         Vec::new()
     }
 
-    fn start_steps(&mut self) {
+    fn start_steps(&mut self, ceilings: &Ceilings) {
         let Some(held) = &mut self.held else { return };
         let Some(wave) = &mut held.wave else { return };
-        let before: HashMap<InstanceIx, Phase> =
+        let state_before = wave.state();
+        lend(wave, &mut self.fleet, &mut self.planner, ceilings);
+        let phases: HashMap<InstanceIx, Phase> =
             self.by_id.values().map(|ix| (*ix, self.fleet.instance(*ix).phase)).collect();
-        let (starts, hold) = wave.start_steps(&mut self.fleet);
-        held.hold = hold;
+        let (starts, held_by) = wave.start_steps(&mut self.fleet);
+        let has_ended = state_before != WaveState::Finished && wave.state() == WaveState::Finished;
+        held.hold = held_by;
         for ix in starts {
             let id = Arc::clone(&self.ids[ix as usize]);
-            held.record_order(
-                id,
-                OrderAction::Maintain,
-                held.wave_id,
-                before[&ix] == Phase::Serving,
-            );
+            let was_serving = phases[&ix] == Phase::Serving;
+            held.record_order(id, OrderAction::Maintain, held.wave_id, was_serving);
         }
-        if held.wave.as_ref().is_some_and(|wave| wave.state() == WaveState::Finished) {
+        if has_ended {
             held.record_wave();
         }
     }
 
-    /// Fills pools from the free instances; a pool is never shrunk here, since the demand that
-    /// would allow it is not learned on this path yet.
-    fn plan_moves(&mut self, now: Now) {
+    /// Fills pools from the free instances, and gives up what is not needed before long.
+    fn plan_moves(&mut self, now: Now, forecasts: &HashMap<PoolIx, Forecast>) {
         let Some(held) = &mut self.held else { return };
-        let outlook = |_| Outlook { is_held: true, ..Outlook::default() };
+        let wave = held.wave.as_ref().filter(|wave| wave.state() == WaveState::Running);
+        let outlooks: HashMap<PoolIx, Outlook> = forecasts
+            .iter()
+            .map(|(pool, forecast)| {
+                let is_held = wave.is_some_and(|wave| wave.goes_through(&self.fleet, *pool));
+                let later = forecast.later;
+                (*pool, Outlook { later, is_held, is_prompt: false })
+            })
+            .collect();
+        // A pool without a forecast is one whose declaration is gone; it is left as it is.
+        let unknown = Outlook { is_held: true, ..Outlook::default() };
+        let outlook = |pool: PoolIx| outlooks.get(&pool).copied().unwrap_or(unknown);
         for decided in self.planner.replan(now, &mut self.fleet, outlook) {
-            let Some(pool) = decided.to else { continue };
-            let name =
-                self.pools.iter().find(|(_, ix)| **ix == pool).map(|(name, _)| Arc::clone(name));
+            let to = decided.to.and_then(|pool| {
+                self.pools.iter().find(|(_, ix)| **ix == pool).map(|(name, _)| Arc::clone(name))
+            });
+            let name = to.unwrap_or_else(|| FREE_POOL.into());
             let id = Arc::clone(&self.ids[decided.instance as usize]);
-            if let Some(name) = name {
-                log::info!(event = "move", instance = &*id, pool = &*name; "{}", decided.reason);
-                held.record_order(id, OrderAction::MoveTo(name), 0, false);
-            }
+            log::info!(event = "move", instance = &*id, pool = &*name; "{}", decided.reason);
+            held.record_order(id, OrderAction::MoveTo(name), 0, false);
         }
     }
 
@@ -471,6 +565,10 @@
         let mut orders = Vec::new();
         for (_, record) in states {
             match record {
+                CapacityRecord::Demand { service, demand } => {
+                    let learned = LearnedDemand { demand, slot: 0, largest_milli: 0 };
+                    self.demands.insert(service, learned);
+                }
                 CapacityRecord::Wave { id, state } => {
                     self.wave_id = id;
                     wave_state = Some(state);
@@ -502,6 +600,35 @@
         self.wave = wave_state.map(|state| Wave::restore(state, []));
     }
 
+    /// Learns the demand of each slot that has ended, and makes it durable.
+    fn learn(&mut self, peaks: &BTreeMap<Arc<str>, PoolTarget>, inputs: &Inputs) {
+        let slot = inputs.since_epoch.as_secs() / SLOT.as_secs();
+        for (service, peak) in peaks {
+            let milli = inputs.demand_milli.get(service).copied().unwrap_or(0);
+            let learned = self.demands.entry(Arc::clone(service)).or_insert_with(|| {
+                LearnedDemand { demand: Demand::new(peak.need), slot, largest_milli: 0 }
+            });
+            learned.demand.set_peak(peak.need);
+            let is_whole = learned.slot + 1 == slot;
+            if learned.slot != slot {
+                // A slot that this holder has not seen from its start to its end teaches nothing.
+                if is_whole && learned.largest_milli > 0 {
+                    let start = SLOT * u32::try_from(learned.slot).unwrap_or(u32::MAX);
+                    let demand = f64::from(learned.largest_milli) / f64::from(MILLI);
+                    learned.demand.observe(start, day_kind(start), demand);
+                    let record = CapacityRecord::Demand {
+                        service: Arc::clone(service),
+                        demand: learned.demand.clone(),
+                    };
+                    self.cell.put(format!("demand/{service}").into(), &record);
+                }
+                learned.slot = slot;
+                learned.largest_milli = 0;
+            }
+            learned.largest_milli = learned.largest_milli.max(milli);
+        }
+    }
+
     /// Fills the restored wave once the list has shown the instances.
     fn restore_wave(&mut self, by_id: &HashMap<Arc<str>, InstanceIx>) {
         if self.recovered.is_empty() && self.wave.as_ref().is_none_or(|wave| wave.pending() > 0) {
--- a/crates/jackdawpierd/src/control.rs
+++ b/crates/jackdawpierd/src/control.rs
@@ -1,9 +1,13 @@
 //! The control loop: lets time pass for membership, ownership and every service.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use jackdawpier_coord::ownership::Output;
-use jackdawpier_kernel::Now;
+use jackdawpier_kernel::{Now, ids::EntryId};
 use jackdawpier_store::Response;
 
 use crate::{
@@ -44,12 +48,14 @@
         let is_tending = now >= self.tend_at;
         if is_tending {
             self.tend_at = now + TEND_INTERVAL;
+            forget_gone_peers(entry);
             entry.capacity.tick(entry);
         }
         for service in entry.services() {
             service.tick();
             if is_tending {
                 service.tend_jobs();
+                entry.demand().sample(&service.name, service.demand_milli());
             }
         }
     }
@@ -74,6 +80,13 @@
     }
 }
 
+/// The demand that an entry told before it went is told by its successor now.
+fn forget_gone_peers(entry: &Entry) {
+    let members: BTreeSet<EntryId> =
+        entry.coordination().view.members().map(|member| member.entry.clone()).collect();
+    entry.demand().retain(|peer| members.contains(peer));
+}
+
 /// Drops what only the owner of a shard has.
 fn lose(entry: &Arc<Entry>, shard: &str) {
     if shard == capacity::SHARD {
--- a/crates/jackdawpierd/src/entry.rs
+++ b/crates/jackdawpierd/src/entry.rs
@@ -25,7 +25,9 @@
 use jackdawpier_store::{Request, StoreClient, StoreResult};
 use rand::Rng;
 
-use crate::{capacity::Capacity, metrics::Metrics, service::Service, traces::Traces};
+use crate::{
+    capacity::Capacity, demand::DemandView, metrics::Metrics, service::Service, traces::Traces,
+};
 
 /// When a peer was last heard.
 #[derive(Debug, Clone, Copy)]
@@ -61,6 +63,7 @@
     coordination: Mutex<Coordination>,
     services: Mutex<BTreeMap<ServiceName, Arc<Service>>>,
     instances: Mutex<Arc<Vec<Instance>>>,
+    demand: Mutex<DemandView>,
 }
 
 impl Entry {
@@ -99,6 +102,7 @@
             coordination: Mutex::new(coordination),
             services: Mutex::default(),
             instances: Mutex::default(),
+            demand: Mutex::default(),
             incarnation,
             endpoint,
             settings,
@@ -158,6 +162,10 @@
         Arc::clone(&self.instances.lock().expect("no holder of this lock panics"))
     }
 
+    pub(crate) fn demand(&self) -> MutexGuard<'_, DemandView> {
+        self.demand.lock().expect("no holder of this lock panics")
+    }
+
     pub(crate) fn set_instances(&self, instances: Vec<Instance>) {
         *self.instances.lock().expect("no holder of this lock panics") = Arc::new(instances);
     }
--- a/crates/jackdawpierd/src/heartbeats.rs
+++ b/crates/jackdawpierd/src/heartbeats.rs
@@ -46,6 +46,7 @@
         incarnation: entry.incarnation,
         is_ready,
         store_age: coordination.configuration.store_age(now),
+        demand_milli: entry.demand().own(),
         in_force: coordination.configuration.revisions(),
     }
 }
@@ -61,6 +62,7 @@
 /// Learns from a heartbeat, in either direction.
 pub(crate) fn take(entry: &Arc<Entry>, heartbeat: &Heartbeat, newer: Vec<Document>) {
     let now = entry.now();
+    entry.demand().heard(&heartbeat.entry, heartbeat.demand_milli.clone());
     let is_changed = {
         let mut coordination = entry.coordination();
         let contact = PeerContact { heard_at: now, is_ready: heartbeat.is_ready };
--- a/crates/jackdawpierd/src/lib.rs
+++ b/crates/jackdawpierd/src/lib.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod commands;
 mod control;
+mod demand;
 mod entry;
 mod executor_client;
 mod exit_status;
--- a/crates/jackdawpierd/src/messages.rs
+++ b/crates/jackdawpierd/src/messages.rs
@@ -10,7 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::capacity::WaveAction;
+use crate::{capacity::WaveAction, demand::DemandMilli};
 
 /// A caller's request on its way to the entry that decides.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -39,6 +39,8 @@
     pub(crate) is_ready: bool,
     /// Time since the store last answered it.
     pub(crate) store_age: Option<Duration>,
+    /// Instances that the services decided there would fill, in thousandths.
+    pub(crate) demand_milli: DemandMilli,
     /// Revision of each document in force.
     pub(crate) in_force: BTreeMap<String, Revision>,
 }
--- a/crates/jackdawpierd/src/service.rs
+++ b/crates/jackdawpierd/src/service.rs
@@ -275,6 +275,13 @@
         self.lock().owned.as_ref().is_some_and(|owned| owned.cell.is_fenced())
     }
 
+    /// Instances that the work here would fill, in thousandths.
+    pub(crate) fn demand_milli(&self) -> u32 {
+        let state = self.lock();
+        let tasks = state.owned.as_ref().map_or(0, |owned| owned.jobs.workers().demand_milli());
+        state.dispatcher.demand_milli() + tasks
+    }
+
     pub(crate) fn figures(&self) -> ServiceFigures {
         let state = self.lock();
         let mut figures = ServiceFigures {
