--- a/crates/jackdawpier_proofs/tests/world/mod.rs
+++ b/crates/jackdawpier_proofs/tests/world/mod.rs
@@ -4,7 +4,10 @@
 //! counts what an executor would have run. [`Switches`] turn one mechanism off each, here in the
 //! test and not in the product, so that every proof can be seen to fail.
 
+mod changes;
+mod checks;
 mod entry;
+mod network;
 mod schedule;
 
 use std::{
@@ -13,18 +16,18 @@
     time::Duration,
 };
 
-use jackdawpier_coord::{
-    configuration::{Apply, ApplyOutcome, ApplyOutput, WriterId},
-    keys,
-};
+use jackdawpier_coord::configuration::WriterId;
 use jackdawpier_kernel::{Now, ids::RequestKey, outcome::Outcome};
 use jackdawpier_settings::declaration::{CeilingOptions, Class, Declaration, Domain, Kind};
 use jackdawpier_standin::store_model::StoreModel;
-use jackdawpier_store::{Condition, Request, Response, StoreError, StoreResult};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use self::{
+    changes::Change,
+    network::{Call, Delivery, Run},
+};
 pub(crate) use self::{
     entry::{Entry, Purpose},
     schedule::{ENTRIES, FAULTY_STEPS, Fault, FaultKind, Schedule},
@@ -33,10 +36,6 @@
 const STEP: Duration = Duration::from_millis(50);
 /// Steps after the faults in which everything must come right again.
 const HEALING_STEPS: u16 = 500;
-/// Steps after which an unanswered call counts as ambiguous.
-const TIMEOUT_STEPS: u64 = 20;
-/// Steps of a member lease.
-const LEASE_STEPS: u64 = 60;
 pub(crate) const SHARD: &str = "keys";
 pub(crate) const DEPLOYMENT: &str = "proof";
 
@@ -61,35 +60,6 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Violation(pub String);
 
-struct Call {
-    entry: usize,
-    incarnation: u64,
-    arrives_at: u64,
-    answer_at: Option<u64>,
-    request: Request,
-    purpose: Purpose,
-}
-
-struct Delivery {
-    at: u64,
-    entry: usize,
-    incarnation: u64,
-    purpose: Purpose,
-    result: StoreResult,
-}
-
-struct Run {
-    at: u64,
-    key: RequestKey,
-    attempt: u64,
-}
-
-struct Change {
-    entry: usize,
-    incarnation: u64,
-    apply: Apply,
-}
-
 /// The whole world.
 pub(crate) struct World {
     pub(crate) step: u64,
@@ -283,133 +253,6 @@
         self.open_steps += u64::from(is_open);
     }
 
-    /// Sends a call of an entry to the store, with whatever goes wrong on the way.
-    pub(crate) fn call(&mut self, index: usize, purpose: Purpose, request: Request) {
-        let Some(entry) = &self.entries[index] else { return };
-        let incarnation = entry.incarnation;
-        let mut arrives_at = self.step + 1;
-        let mut answer_at = Some(self.step + 2);
-        if self.is_active(FaultKind::StoreSlow) {
-            answer_at = Some(self.step + self.random.random_range(2..TIMEOUT_STEPS));
-        }
-        if self.is_active(FaultKind::LateCalls) && self.random.random_range(0..2) == 0 {
-            arrives_at = self.step + self.random.random_range(1..80);
-            answer_at = (arrives_at < self.step + TIMEOUT_STEPS).then_some(arrives_at + 1);
-        }
-        let is_lossy = request.is_write() && self.is_active(FaultKind::LoseAnswers);
-        if is_lossy && self.random.random_range(0..2) == 0
-            || self.is_active(FaultKind::CutAnswers(index))
-        {
-            answer_at = None;
-        }
-        let is_cut = self.is_active(FaultKind::CutFromStore(index));
-        if self.is_active(FaultKind::StoreDown) {
-            let result = Err(StoreError::unavailable("down"));
-            self.deliver_later(self.step + 1, index, incarnation, purpose, result);
-            return;
-        }
-        if answer_at.is_none() || is_cut {
-            let result = Err(StoreError::ambiguous("no answer"));
-            let at = self.step + TIMEOUT_STEPS;
-            self.deliver_later(at, index, incarnation, purpose.clone(), result);
-        }
-        if !is_cut {
-            let entry = index;
-            self.calls.push(Call { entry, incarnation, arrives_at, answer_at, request, purpose });
-        }
-    }
-
-    fn deliver_later(
-        &mut self,
-        at: u64,
-        entry: usize,
-        incarnation: u64,
-        purpose: Purpose,
-        result: StoreResult,
-    ) {
-        self.deliveries.push(Delivery { at, entry, incarnation, purpose, result });
-    }
-
-    fn carry_calls(&mut self) {
-        let step = self.step;
-        let (due, rest) = std::mem::take(&mut self.calls)
-            .into_iter()
-            .partition(|call: &Call| call.arrives_at <= step);
-        self.calls = rest;
-        let due: Vec<Call> = due;
-        for call in due {
-            let result = self.execute(call.request);
-            if let Some(at) = call.answer_at {
-                self.deliver_later(at, call.entry, call.incarnation, call.purpose, Ok(result));
-            }
-        }
-    }
-
-    fn execute(&mut self, mut request: Request) -> Response {
-        let now = self.now();
-        if self.switches.ignores_conditions
-            && let Request::Put { condition, .. } = &mut request
-        {
-            *condition = Condition::Always;
-        }
-        let is_coordination =
-            matches!(&request, Request::Range { prefix, .. } if prefix == keys::COORDINATION);
-        match &mut self.stale {
-            // As old as the fault, with the leases of that time.
-            Some((at, stale)) if is_coordination => stale.call(*at, &request),
-            _ => self.store.call(now, &request),
-        }
-    }
-
-    fn carry_runs(&mut self) {
-        let step = self.step;
-        let due: Vec<Run> = {
-            let (due, rest) =
-                std::mem::take(&mut self.runs).into_iter().partition(|run: &Run| run.at <= step);
-            self.runs = rest;
-            due
-        };
-        for run in due {
-            let count = self.ran.entry(Arc::clone(&run.key)).or_default();
-            *count += 1;
-            if *count > 1 {
-                self.violations.push(Violation(format!("{} ran twice", run.key)));
-            }
-            self.ran_attempts.insert(run.attempt);
-            let told_not_run = self.told.iter().any(|(_, attempt, outcome)| {
-                *attempt == run.attempt && matches!(outcome, Outcome::NotRun { .. })
-            });
-            if told_not_run {
-                self.violations.push(Violation(format!("{} ran after \"not run\"", run.key)));
-            }
-        }
-    }
-
-    fn deliver(&mut self) {
-        let step = self.step;
-        let (due, rest): (Vec<Delivery>, Vec<Delivery>) =
-            std::mem::take(&mut self.deliveries).into_iter().partition(|d| {
-                d.at <= step && !self.active.iter().any(|f| f.kind == FaultKind::Freeze(d.entry))
-            });
-        self.deliveries = rest;
-        for delivery in due {
-            let is_same = self.entries[delivery.entry]
-                .as_ref()
-                .is_some_and(|entry| entry.incarnation == delivery.incarnation);
-            if !is_same {
-                continue;
-            }
-            if let Purpose::Apply(id) = delivery.purpose {
-                self.on_apply_result(id, delivery.result);
-            } else {
-                let now = self.now();
-                let switches = self.switches;
-                let entry = self.entries[delivery.entry].as_mut().expect("checked above");
-                entry.on_result(now, switches, delivery.purpose, delivery.result);
-            }
-        }
-    }
-
     fn tick_entry(&mut self, index: usize) {
         let now = self.now();
         let switches = self.switches;
@@ -429,45 +272,6 @@
         }
     }
 
-    /// An entry sends a request to an executor, which may take long and lose the answer.
-    fn send(&mut self, index: usize, key: &RequestKey, attempt: u64) {
-        let delay = self.random.random_range(1..30);
-        let end = self.random.random_range(0..10);
-        let Some(entry) = &mut self.entries[index] else { return };
-        let outcome = match end {
-            0 => Outcome::NotRun {
-                reason: jackdawpier_kernel::outcome::RefusalReason::NotConnected,
-                retry_after: Duration::ZERO,
-            },
-            1 => Outcome::Unknown { detail: "answer lost".to_owned() },
-            _ => Outcome::Answered(jackdawpier_kernel::outcome::Answer {
-                status: 200,
-                content_type: String::new(),
-                body: key.as_bytes().to_vec(),
-            }),
-        };
-        let is_run = !matches!(outcome, Outcome::NotRun { .. });
-        entry.ends.push((self.step + delay + 1, Arc::clone(key), attempt, outcome));
-        if is_run {
-            let run = Run { at: self.step + delay, key: Arc::clone(key), attempt };
-            self.runs.push(run);
-        }
-    }
-
-    fn tell(&mut self, key: RequestKey, attempt: u64, outcome: Outcome) {
-        if matches!(outcome, Outcome::NotRun { .. }) && self.ran_attempts.contains(&attempt) {
-            self.violations.push(Violation(format!("{key} told \"not run\" after it ran")));
-        }
-        if let Outcome::Answered(answer) = &outcome {
-            self.answered += 1;
-            let has_run = self.ran.get(&key).copied().unwrap_or(0) == 1;
-            if !has_run || answer.body != key.as_bytes() {
-                self.violations.push(Violation(format!("{key} got another's or no answer")));
-            }
-        }
-        self.told.push((key, attempt, outcome));
-    }
-
     /// A caller sends a new key or repeats an earlier one, at any entry that takes itself for the
     /// owner.
     fn submit(&mut self) {
@@ -491,148 +295,6 @@
         let entry = self.entries[index].as_mut().expect("owners live");
         entry.submit(now, switches, &key, id);
     }
-
-    fn heartbeats(&mut self) {
-        for from in 0..ENTRIES {
-            for to in 0..ENTRIES {
-                let is_cut = from == to
-                    || self.is_frozen(from)
-                    || self.is_frozen(to)
-                    || self.is_active(FaultKind::CutFromPeers(from))
-                    || self.is_active(FaultKind::CutFromPeers(to));
-                if is_cut {
-                    continue;
-                }
-                let now = self.now();
-                let Some(sender) = &mut self.entries[from] else { continue };
-                let (report, documents) = sender.heartbeat(now);
-                if let Some(receiver) = &mut self.entries[to] {
-                    receiver.on_heartbeat(now, self.switches, report, documents);
-                }
-            }
-        }
-    }
-
-    /// Some operator changes the configuration through some entry, now and then from an old base.
-    fn change_configuration(&mut self) {
-        let index = self.random.random_range(0..ENTRIES);
-        if self.is_frozen(index) {
-            return;
-        }
-        let id = self.new_id();
-        let now = self.now();
-        let is_old_base = self.random.random_range(0..5) == 0;
-        let Some(entry) = &mut self.entries[index] else { return };
-        let _ = now;
-        let known = entry.revision();
-        let base = if is_old_base { known.saturating_sub(1) } else { known };
-        let writer =
-            WriterId { entry: entry.name.clone(), incarnation: entry.incarnation, sequence: id };
-        let incarnation = entry.incarnation;
-        let apply = Apply::new(base, known, declaration(1 + id as u32), writer);
-        let request = apply.request();
-        self.changes.insert(id, Change { entry: index, incarnation, apply });
-        self.call(index, Purpose::Apply(id), request);
-    }
-
-    fn on_apply_result(&mut self, id: u64, result: StoreResult) {
-        let Some(mut change) = self.changes.remove(&id) else { return };
-        let result = self.without_base(&change, result);
-        match change.apply.on_result(result) {
-            ApplyOutput::Call(request) => {
-                let index = change.entry;
-                self.changes.insert(id, change);
-                self.call(index, Purpose::Apply(id), request);
-            }
-            ApplyOutput::Done(ApplyOutcome::Accepted { revision }) => {
-                let document = change.apply.document().clone();
-                let writer = document.writer.clone();
-                let earlier = self.accepted.insert(revision, writer.clone());
-                if earlier.is_some_and(|earlier| earlier != writer) {
-                    let text = format!("two changes were accepted as revision {revision}");
-                    self.violations.push(Violation(text));
-                }
-                if let Some(entry) = &mut self.entries[change.entry]
-                    && entry.incarnation == change.incarnation
-                {
-                    entry.configuration.offer(document);
-                }
-            }
-            ApplyOutput::Done(_) => {}
-        }
-    }
-
-    /// With the switch, a reading shows the base that the operator named, whatever stands there.
-    fn without_base(&self, change: &Change, result: StoreResult) -> StoreResult {
-        if !self.switches.ignores_base {
-            return result;
-        }
-        match result {
-            Ok(Response::Record { record: Some(mut record), store_revision }) => {
-                let mut document: jackdawpier_coord::configuration::Document =
-                    serde_json::from_str(&record.value).expect("documents are written whole");
-                document.revision = change.apply.document().revision - 1;
-                record.value = serde_json::to_string(&document).expect("documents are plain data");
-                Ok(Response::Record { record: Some(record), store_revision })
-            }
-            other => other,
-        }
-    }
-
-    /// What is in force never goes back: whoever serves has at least what was in force before.
-    fn check_configuration(&mut self) {
-        let now = self.now();
-        for index in 0..ENTRIES {
-            if self.is_frozen(index) {
-                continue;
-            }
-            let ignores_isolation = self.switches.ignores_isolation;
-            let Some(entry) = &mut self.entries[index] else { continue };
-            let revision = entry.revision();
-            let fell = revision < entry.highest_revision;
-            entry.highest_revision = entry.highest_revision.max(revision);
-            let serves = entry.is_ready(now) || ignores_isolation && revision > 0;
-            let name = entry.name.clone();
-            if fell {
-                self.violations.push(Violation(format!("{name} went back to {revision}")));
-            }
-            if serves && revision < self.in_force {
-                let text = format!("{name} serves {revision} after {} was in force", self.in_force);
-                self.violations.push(Violation(text));
-            }
-        }
-        // A platform that ends leases before their time leaves nothing to count members by, so
-        // "in force everywhere" is not claimed for a lease's time; see docs/PROMISES.md.
-        if self.lapsed_at.is_some_and(|at| self.step < at + LEASE_STEPS) {
-            return;
-        }
-        for index in (0..ENTRIES).filter(|index| !self.is_frozen(*index)).collect::<Vec<_>>() {
-            if let Some(entry) = &mut self.entries[index] {
-                self.in_force = self.in_force.max(entry.reported_in_force(now));
-            }
-        }
-    }
-
-    /// After the faults, one entry owns the shard, every entry serves, and nothing accepted is
-    /// lost.
-    fn check_healed(&mut self) -> Result<(), Violation> {
-        let owners = self.entries.iter().flatten().filter(|entry| entry.is_open()).count();
-        if owners != 1 {
-            return Err(Violation(format!("{owners} owners after healing")));
-        }
-        let now = self.now();
-        let highest = self.accepted.last_key_value().map_or(0, |(revision, _)| *revision);
-        for entry in self.entries.iter_mut().flatten() {
-            if entry.revision() < highest {
-                let text = format!("{} has {} and not {highest}", entry.name, entry.revision());
-                return Err(Violation(text));
-            }
-            if highest > 0 && !entry.is_ready(now) {
-                return Err(Violation(format!("{} does not serve after healing", entry.name)));
-            }
-        }
-        Ok(())
-    }
 }
 
 /// Histories to run: `HISTORIES` in the environment, else few enough for every change.
--- a/crates/jackdawpier_settings/src/declaration.rs
+++ b/crates/jackdawpier_settings/src/declaration.rs
@@ -51,9 +51,11 @@
 #[derive(Debug, Default, Clone, Serialize, Deserialize, PartialEq, Eq)]
 #[serde(deny_unknown_fields)]
 pub struct CeilingOptions {
-    /// Most instances that change pools in a day.
+    /// Most instances that are given up, and so join again, in a day. What keeps a target is moved
+    /// all the same.
     pub moves_per_day: Option<u32>,
-    /// Most spare instances held back at any moment.
+    /// Spare instances aimed at: a surplus is given up promptly. What survives the worst failure
+    /// domain is held all the same.
     pub buffer_instances: Option<u32>,
 }
 
--- a/crates/jackdawpierd/src/capacity.rs
+++ b/crates/jackdawpierd/src/capacity.rs
@@ -4,6 +4,9 @@
 //! the platform recognises, so that a new holder goes on without repeating a reboot. An instance
 //! has one order at a time and one pool field at the platform, so it is in exactly one pool.
 
+mod fleet_view;
+mod held;
+
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard},
@@ -12,14 +15,12 @@
 
 use jackdawpier_capacity::{
     InstanceIx, PoolIx,
-    demand::{DayKind, Demand, SLOT},
     explain::explain,
-    fleet::{Fleet, Phase, Place, PoolTarget},
-    forecast::{Forecast, forecast},
+    fleet::{Fleet, Phase},
+    forecast::Forecast,
     lending::lend,
     planner::{Ceilings, Outlook, Planner},
-    reason::HoldReason,
-    wave::{Progress, Wave, WaveState},
+    wave::{Wave, WaveState},
 };
 use jackdawpier_coord::{
     cell::{Cell, Output},
@@ -34,6 +35,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+use self::held::{CapacityRecord, Held};
 use crate::{demand::DemandMilli, entry::Entry};
 
 /// The shard that the role's holder owns; no service can have this name.
@@ -45,11 +47,6 @@
 const ORDER_LIMIT: Duration = Duration::from_secs(1800);
 
 const MILLI: u32 = 1_000;
-/// The first of January 1970 was a Thursday.
-const EPOCH_WEEKDAY: u64 = 3;
-const DAY_S: u64 = 24 * 3600;
-const FIRST_WEEKEND_DAY: u64 = 5;
-
 /// What the role decides on.
 struct Inputs {
     classes: Vec<Class>,
@@ -60,11 +57,6 @@
     since_epoch: Duration,
 }
 
-fn day_kind(since_epoch: Duration) -> DayKind {
-    let weekday = (since_epoch.as_secs() / DAY_S + EPOCH_WEEKDAY) % 7;
-    if weekday >= FIRST_WEEKEND_DAY { DayKind::Quiet } else { DayKind::Ordinary }
-}
-
 /// The strictest ceilings of all documents.
 fn ceilings(configuration: &Configuration) -> Ceilings {
     let all = || configuration.documents().map(|document| &document.declaration.ceilings);
@@ -84,54 +76,12 @@
     Cancel,
 }
 
-/// Durable state of one subject of the role's cell.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum CapacityRecord {
-    Wave { id: u64, state: WaveState },
-    Order { order: Order, wave: u64, was_serving: bool, end: Option<Progress> },
-    Demand { service: Arc<str>, demand: Demand },
-}
-
 /// Something to do after the lock is released.
 enum Action {
     Store { generation: u64, request: Request },
     Send(Order),
 }
 
-struct Pending {
-    order: Order,
-    wave: u64,
-    was_serving: bool,
-    number: u64,
-    is_durable: bool,
-    sent_at: Option<Now>,
-    first_sent_at: Option<Now>,
-}
-
-struct Held {
-    generation: u64,
-    cell: Cell<CapacityRecord>,
-    wave_id: u64,
-    wave: Option<Wave>,
-    /// Ends of the present wave's orders, from records read before the fleet was known.
-    recovered: Vec<(Arc<str>, Progress, bool)>,
-    orders: HashMap<Arc<str>, Pending>,
-    hold: Option<HoldReason>,
-    next_order: u64,
-    epoch: u64,
-    /// Instances moved since this entry took the role.
-    moves: u64,
-    /// Learned demand by service, with the largest of the present slot.
-    demands: BTreeMap<Arc<str>, LearnedDemand>,
-}
-
-struct LearnedDemand {
-    demand: Demand,
-    slot: u64,
-    largest_milli: u32,
-}
-
 /// What is known of the fleet from the list, and what only the holder has.
 struct State {
     fleet: Fleet,
@@ -144,6 +94,16 @@
     next_generation: u64,
 }
 
+/// What the metrics show of the role.
+#[derive(Debug, Default)]
+pub(crate) struct CapacityFigures {
+    /// Name, margin and buffer of each pool, in instances.
+    pub(crate) pools: Vec<(String, i64, i64)>,
+    pub(crate) wave_out: usize,
+    pub(crate) is_wave_stopped: bool,
+    pub(crate) moves: u64,
+}
+
 /// The capacity role of one entry.
 pub(crate) struct Capacity {
     state: Mutex<State>,
@@ -217,6 +177,27 @@
         Some(answer.to_string())
     }
 
+    /// Figures for the metrics; empty where this entry is not the holder.
+    pub(crate) fn figures(&self) -> CapacityFigures {
+        let state = self.lock();
+        let Some(held) = state.held.as_ref().filter(|held| held.cell.is_open()) else {
+            return CapacityFigures::default();
+        };
+        let pools = state.pools.iter().map(|(name, ix)| {
+            let explanation = explain(state.fleet.pool(*ix));
+            (name.to_string(), explanation.margin, i64::from(explanation.buffer))
+        });
+        CapacityFigures {
+            pools: pools.collect(),
+            wave_out: held.wave.as_ref().map_or(0, |wave| wave.out().len()),
+            is_wave_stopped: held
+                .wave
+                .as_ref()
+                .is_some_and(|wave| wave.state() == WaveState::Paused { by_itself: true }),
+            moves: held.moves,
+        }
+    }
+
     /// Explains a service's pool; `None` where this entry is not the holder.
     pub(crate) fn explain(&self, service: &str) -> Option<String> {
         let state = self.lock();
@@ -342,119 +323,6 @@
         self.follow(now, outputs)
     }
 
-    /// One pool a service: the needs of its classes add up, and the strictest wish holds. Returns
-    /// the targets at the declared peaks.
-    fn follow_classes(&mut self, classes: &[Class]) -> BTreeMap<Arc<str>, PoolTarget> {
-        let mut targets: BTreeMap<Arc<str>, PoolTarget> = BTreeMap::new();
-        for class in classes {
-            let need = class.capacity_instances;
-            let may_lose = class.may_lose_instances;
-            let survive = class.survive;
-            let target = targets.entry(Arc::clone(&class.service)).or_insert(PoolTarget {
-                need: 0,
-                cautious_need: 0,
-                may_lose,
-                survive,
-            });
-            target.need += need;
-            target.cautious_need += need;
-            target.may_lose = target.may_lose.min(may_lose);
-            target.survive = target.survive.max(survive);
-        }
-        for (service, target) in &targets {
-            if !self.pools.contains_key(service) {
-                let pool = self.fleet.add_pool(*target);
-                self.pools.insert(Arc::clone(service), pool);
-            }
-        }
-        targets
-    }
-
-    /// Sets each pool's target by its forecast, which is the declared peak until it has learned.
-    fn follow_demand(
-        &mut self,
-        peaks: &BTreeMap<Arc<str>, PoolTarget>,
-        inputs: &Inputs,
-    ) -> HashMap<PoolIx, Forecast> {
-        let Some(held) = &self.held else { return HashMap::new() };
-        let mut forecasts = HashMap::new();
-        for (service, peak) in peaks {
-            let (Some(pool), Some(learned)) = (self.pools.get(service), held.demands.get(service))
-            else {
-                continue;
-            };
-            let milli = inputs.demand_milli.get(service).copied().unwrap_or(0);
-            let present = milli.div_ceil(MILLI).min(peak.need);
-            let forecast =
-                forecast(&learned.demand, present, inputs.since_epoch, day_kind, &inputs.ceilings);
-            let need = forecast.need.max(1);
-            let cautious_need = forecast.cautious_need.max(1);
-            let target = PoolTarget { need, cautious_need, ..*peak };
-            if self.fleet.pool(*pool).target != target {
-                self.fleet.set_target(*pool, target);
-                self.planner.touch(*pool);
-            }
-            forecasts.insert(*pool, forecast);
-        }
-        forecasts
-    }
-
-    fn follow_list(&mut self, instances: &[Instance]) {
-        for instance in instances {
-            let ix = match self.by_id.get(&instance.id) {
-                Some(ix) => *ix,
-                None => self.add_instance(instance),
-            };
-            let pool = self.pools.get(&instance.pool).copied();
-            let is_ordered =
-                self.held.as_ref().is_some_and(|held| held.orders.contains_key(&instance.id));
-            let phase = match (instance.state, pool) {
-                _ if is_ordered => Phase::InMaintenance,
-                (InstanceState::Live, Some(_)) => Phase::Serving,
-                (InstanceState::Live, None) if &*instance.pool == FREE_POOL => Phase::Free,
-                // It is leaving, or its pool belongs to no class that is declared.
-                _ => Phase::Draining,
-            };
-            let known = self.fleet.instance(ix);
-            if (known.pool, known.phase) != (pool, phase) {
-                let before = known.pool;
-                self.fleet.set(ix, pool, phase);
-                before.into_iter().chain(pool).for_each(|pool| self.planner.touch(pool));
-            }
-        }
-        let present: std::collections::HashSet<&str> = instances.iter().map(|i| &*i.id).collect();
-        let gone: Vec<InstanceIx> = self
-            .by_id
-            .iter()
-            .filter(|(id, _)| !present.contains(&***id))
-            .map(|(_, ix)| *ix)
-            .filter(|ix| self.fleet.instance(*ix).phase != Phase::Down)
-            .collect();
-        for ix in gone {
-            if let Some(pool) = self.fleet.instance(ix).pool {
-                self.planner.touch(pool);
-            }
-            self.fleet.set(ix, None, Phase::Down);
-        }
-    }
-
-    fn add_instance(&mut self, instance: &Instance) -> InstanceIx {
-        let mut domain = |kind: &str, name: &str| {
-            let next = self.domains.len() as u32;
-            *self.domains.entry(format!("{kind}/{name}")).or_insert(next)
-        };
-        let rack_name = format!("{}/{}", instance.zone, instance.rack);
-        let place = Place {
-            zone: domain("zone", &instance.zone),
-            switch: domain("switch", &instance.zone),
-            rack: domain("rack", &rack_name),
-        };
-        let ix = self.fleet.add_instance(place);
-        self.ids.push(Arc::clone(&instance.id));
-        self.by_id.insert(Arc::clone(&instance.id), ix);
-        ix
-    }
-
     /// Orders whose effect shows in the list are over, and so are those that took too long.
     fn end_orders(&mut self, now: Now, instances: &[Instance]) -> Vec<Action> {
         let Some(held) = &mut self.held else { return Vec::new() };
@@ -562,162 +430,3 @@
         Some((answer, actions))
     }
 }
-
-impl Held {
-    fn recover(&mut self, states: Vec<(Arc<str>, CapacityRecord)>) {
-        let mut wave_state = None;
-        let mut orders = Vec::new();
-        for (_, record) in states {
-            match record {
-                CapacityRecord::Demand { service, demand } => {
-                    let learned = LearnedDemand { demand, slot: 0, largest_milli: 0 };
-                    self.demands.insert(service, learned);
-                }
-                CapacityRecord::Wave { id, state } => {
-                    self.wave_id = id;
-                    wave_state = Some(state);
-                }
-                CapacityRecord::Order { order, wave, was_serving, end } => {
-                    orders.push((order, wave, was_serving, end));
-                }
-            }
-        }
-        for (order, wave, was_serving, end) in orders {
-            let id = Arc::clone(&order.instance);
-            if wave == self.wave_id && wave > 0 {
-                let progress = end.unwrap_or(Progress::Out);
-                self.recovered.push((Arc::clone(&id), progress, was_serving));
-            }
-            if end.is_none() {
-                let pending = Pending {
-                    order,
-                    wave,
-                    was_serving,
-                    number: 0,
-                    is_durable: true,
-                    sent_at: None,
-                    first_sent_at: None,
-                };
-                self.orders.insert(id, pending);
-            }
-        }
-        self.wave = wave_state.map(|state| Wave::restore(state, []));
-    }
-
-    /// Learns the demand of each slot that has ended, and makes it durable.
-    fn learn(&mut self, peaks: &BTreeMap<Arc<str>, PoolTarget>, inputs: &Inputs) {
-        let slot = inputs.since_epoch.as_secs() / SLOT.as_secs();
-        for (service, peak) in peaks {
-            let milli = inputs.demand_milli.get(service).copied().unwrap_or(0);
-            let learned = self.demands.entry(Arc::clone(service)).or_insert_with(|| {
-                LearnedDemand { demand: Demand::new(peak.need), slot, largest_milli: 0 }
-            });
-            learned.demand.set_peak(peak.need);
-            let is_whole = learned.slot + 1 == slot;
-            if learned.slot != slot {
-                // A slot that this holder has not seen from its start to its end teaches nothing.
-                if is_whole && learned.largest_milli > 0 {
-                    let start = SLOT * u32::try_from(learned.slot).unwrap_or(u32::MAX);
-                    let demand = f64::from(learned.largest_milli) / f64::from(MILLI);
-                    learned.demand.observe(start, day_kind(start), demand);
-                    let record = CapacityRecord::Demand {
-                        service: Arc::clone(service),
-                        demand: learned.demand.clone(),
-                    };
-                    self.cell.put(format!("demand/{service}").into(), &record);
-                }
-                learned.slot = slot;
-                learned.largest_milli = 0;
-            }
-            learned.largest_milli = learned.largest_milli.max(milli);
-        }
-    }
-
-    /// Fills the restored wave once the list has shown the instances.
-    fn restore_wave(&mut self, by_id: &HashMap<Arc<str>, InstanceIx>) {
-        if self.recovered.is_empty() && self.wave.as_ref().is_none_or(|wave| wave.pending() > 0) {
-            return;
-        }
-        let Some(wave) = &mut self.wave else { return };
-        if wave.state() == WaveState::Finished || by_id.is_empty() {
-            return;
-        }
-        if !self.recovered.is_empty() {
-            let steps = self.recovered.drain(..).filter_map(|(id, progress, was_serving)| {
-                Some((*by_id.get(&id)?, progress, was_serving))
-            });
-            *wave = Wave::restore(wave.state(), steps.collect::<Vec<_>>());
-        }
-        if wave.done() == 0 && wave.out().is_empty() || wave.pending() == 0 {
-            by_id.values().for_each(|ix| wave.add(*ix));
-        }
-    }
-
-    fn record_order(&mut self, id: Arc<str>, action: OrderAction, wave: u64, was_serving: bool) {
-        self.next_order += 1;
-        let order_id = match action {
-            OrderAction::Maintain => format!("wave-{wave}-{id}"),
-            OrderAction::MoveTo(_) => format!("move-{}-{}", self.epoch, self.next_order),
-        };
-        let order = Order { id: order_id, instance: Arc::clone(&id), action };
-        let record = CapacityRecord::Order { order: order.clone(), wave, was_serving, end: None };
-        let Some(number) = self.cell.put(order_subject(&id), &record) else { return };
-        let pending = Pending {
-            order,
-            wave,
-            was_serving,
-            number,
-            is_durable: false,
-            sent_at: None,
-            first_sent_at: None,
-        };
-        self.orders.insert(id, pending);
-    }
-
-    fn end_order(&mut self, id: &Arc<str>, is_done: bool, ix: Option<InstanceIx>) {
-        let Some(pending) = self.orders.remove(id) else { return };
-        let progress = if is_done { Progress::Done } else { Progress::Failed };
-        let record = CapacityRecord::Order {
-            order: pending.order,
-            wave: pending.wave,
-            was_serving: pending.was_serving,
-            end: Some(progress),
-        };
-        self.cell.put(order_subject(id), &record);
-        if let (Some(wave), Some(ix)) = (&mut self.wave, ix)
-            && pending.wave == self.wave_id
-        {
-            let before = wave.state();
-            wave.finish_step(ix, is_done);
-            if wave.state() != before {
-                self.record_wave();
-            }
-        }
-    }
-
-    fn record_wave(&mut self) {
-        let Some(wave) = &self.wave else { return };
-        let record = CapacityRecord::Wave { id: self.wave_id, state: wave.state() };
-        self.cell.put("wave".into(), &record);
-    }
-
-    fn shown_wave(&self, changed: bool) -> Value {
-        let Some(wave) = &self.wave else {
-            return json!({ "accepted": changed, "wave": Value::Null, "moves": self.moves });
-        };
-        json!({
-            "accepted": changed,
-            "wave": self.wave_id,
-            "state": wave.state(),
-            "done": wave.done(),
-            "out": wave.out().len(),
-            "pending": wave.pending(),
-            "moves": self.moves,
-            "held_by": self.hold.map(|hold| hold.to_string()),
-        })
-    }
-}
-
-fn order_subject(id: &str) -> Arc<str> {
-    format!("order/{id}").into()
-}
--- /dev/null
+++ b/crates/jackdawpierd/src/capacity/fleet_view.rs
@@ -0,0 +1,145 @@
+//! The fleet as the list, the declarations and the demand give it.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use jackdawpier_capacity::{
+    InstanceIx, PoolIx,
+    demand::DayKind,
+    fleet::{Phase, Place, PoolTarget},
+    forecast::{Forecast, forecast},
+};
+use jackdawpier_kernel::instance::{FREE_POOL, Instance, State as InstanceState};
+use jackdawpier_settings::declaration::Class;
+
+use super::{Inputs, MILLI, State};
+
+pub(super) fn day_kind(since_epoch: Duration) -> DayKind {
+    let weekday = (since_epoch.as_secs() / DAY_S + EPOCH_WEEKDAY) % 7;
+    if weekday >= FIRST_WEEKEND_DAY { DayKind::Quiet } else { DayKind::Ordinary }
+}
+
+/// The first of January 1970 was a Thursday.
+const EPOCH_WEEKDAY: u64 = 3;
+
+const DAY_S: u64 = 24 * 3600;
+
+const FIRST_WEEKEND_DAY: u64 = 5;
+
+impl State {
+    /// One pool a service: the needs of its classes add up, and the strictest wish holds. Returns
+    /// the targets at the declared peaks.
+    pub(super) fn follow_classes(&mut self, classes: &[Class]) -> BTreeMap<Arc<str>, PoolTarget> {
+        let mut targets: BTreeMap<Arc<str>, PoolTarget> = BTreeMap::new();
+        for class in classes {
+            let need = class.capacity_instances;
+            let may_lose = class.may_lose_instances;
+            let survive = class.survive;
+            let target = targets.entry(Arc::clone(&class.service)).or_insert(PoolTarget {
+                need: 0,
+                cautious_need: 0,
+                may_lose,
+                survive,
+            });
+            target.need += need;
+            target.cautious_need += need;
+            target.may_lose = target.may_lose.min(may_lose);
+            target.survive = target.survive.max(survive);
+        }
+        for (service, target) in &targets {
+            if !self.pools.contains_key(service) {
+                let pool = self.fleet.add_pool(*target);
+                self.pools.insert(Arc::clone(service), pool);
+            }
+        }
+        targets
+    }
+
+    /// Sets each pool's target by its forecast, which is the declared peak until it has learned.
+    pub(super) fn follow_demand(
+        &mut self,
+        peaks: &BTreeMap<Arc<str>, PoolTarget>,
+        inputs: &Inputs,
+    ) -> HashMap<PoolIx, Forecast> {
+        let Some(held) = &self.held else { return HashMap::new() };
+        let mut forecasts = HashMap::new();
+        for (service, peak) in peaks {
+            let (Some(pool), Some(learned)) = (self.pools.get(service), held.demands.get(service))
+            else {
+                continue;
+            };
+            let milli = inputs.demand_milli.get(service).copied().unwrap_or(0);
+            let present = milli.div_ceil(MILLI).min(peak.need);
+            let forecast =
+                forecast(&learned.demand, present, inputs.since_epoch, day_kind, &inputs.ceilings);
+            let need = forecast.need.max(1);
+            let cautious_need = forecast.cautious_need.max(1);
+            let target = PoolTarget { need, cautious_need, ..*peak };
+            if self.fleet.pool(*pool).target != target {
+                self.fleet.set_target(*pool, target);
+                self.planner.touch(*pool);
+            }
+            forecasts.insert(*pool, forecast);
+        }
+        forecasts
+    }
+
+    pub(super) fn follow_list(&mut self, instances: &[Instance]) {
+        for instance in instances {
+            let ix = match self.by_id.get(&instance.id) {
+                Some(ix) => *ix,
+                None => self.add_instance(instance),
+            };
+            let pool = self.pools.get(&instance.pool).copied();
+            let is_ordered =
+                self.held.as_ref().is_some_and(|held| held.orders.contains_key(&instance.id));
+            let phase = match (instance.state, pool) {
+                _ if is_ordered => Phase::InMaintenance,
+                (InstanceState::Live, Some(_)) => Phase::Serving,
+                (InstanceState::Live, None) if &*instance.pool == FREE_POOL => Phase::Free,
+                // It is leaving, or its pool belongs to no class that is declared.
+                _ => Phase::Draining,
+            };
+            let known = self.fleet.instance(ix);
+            if (known.pool, known.phase) != (pool, phase) {
+                let before = known.pool;
+                self.fleet.set(ix, pool, phase);
+                before.into_iter().chain(pool).for_each(|pool| self.planner.touch(pool));
+            }
+        }
+        let present: std::collections::HashSet<&str> = instances.iter().map(|i| &*i.id).collect();
+        let gone: Vec<InstanceIx> = self
+            .by_id
+            .iter()
+            .filter(|(id, _)| !present.contains(&***id))
+            .map(|(_, ix)| *ix)
+            .filter(|ix| self.fleet.instance(*ix).phase != Phase::Down)
+            .collect();
+        for ix in gone {
+            if let Some(pool) = self.fleet.instance(ix).pool {
+                self.planner.touch(pool);
+            }
+            self.fleet.set(ix, None, Phase::Down);
+        }
+    }
+
+    fn add_instance(&mut self, instance: &Instance) -> InstanceIx {
+        let mut domain = |kind: &str, name: &str| {
+            let next = self.domains.len() as u32;
+            *self.domains.entry(format!("{kind}/{name}")).or_insert(next)
+        };
+        let rack_name = format!("{}/{}", instance.zone, instance.rack);
+        let place = Place {
+            zone: domain("zone", &instance.zone),
+            switch: domain("switch", &instance.zone),
+            rack: domain("rack", &rack_name),
+        };
+        let ix = self.fleet.add_instance(place);
+        self.ids.push(Arc::clone(&instance.id));
+        self.by_id.insert(Arc::clone(&instance.id), ix);
+        ix
+    }
+}
--- /dev/null
+++ b/crates/jackdawpierd/src/capacity/held.rs
@@ -0,0 +1,231 @@
+//! What only the holder of the capacity role has: the wave, the orders and the learned demand, each
+//! with its durable record.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use jackdawpier_capacity::{
+    InstanceIx,
+    demand::{Demand, SLOT},
+    fleet::PoolTarget,
+    reason::HoldReason,
+    wave::{Progress, Wave, WaveState},
+};
+use jackdawpier_coord::cell::Cell;
+use jackdawpier_kernel::{
+    Now,
+    instance::{Order, OrderAction},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use super::{Inputs, MILLI, fleet_view::day_kind};
+
+pub(super) struct Pending {
+    pub(super) order: Order,
+    pub(super) wave: u64,
+    pub(super) was_serving: bool,
+    pub(super) number: u64,
+    pub(super) is_durable: bool,
+    pub(super) sent_at: Option<Now>,
+    pub(super) first_sent_at: Option<Now>,
+}
+
+pub(super) struct Held {
+    pub(super) generation: u64,
+    pub(super) cell: Cell<CapacityRecord>,
+    pub(super) wave_id: u64,
+    pub(super) wave: Option<Wave>,
+    /// Ends of the present wave's orders, from records read before the fleet was known.
+    pub(super) recovered: Vec<(Arc<str>, Progress, bool)>,
+    pub(super) orders: HashMap<Arc<str>, Pending>,
+    pub(super) hold: Option<HoldReason>,
+    pub(super) next_order: u64,
+    pub(super) epoch: u64,
+    /// Instances moved since this entry took the role.
+    pub(super) moves: u64,
+    /// Learned demand by service, with the largest of the present slot.
+    pub(super) demands: BTreeMap<Arc<str>, LearnedDemand>,
+}
+
+pub(super) struct LearnedDemand {
+    pub(super) demand: Demand,
+    pub(super) slot: u64,
+    pub(super) largest_milli: u32,
+}
+
+/// Durable state of one subject of the role's cell.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum CapacityRecord {
+    Wave { id: u64, state: WaveState },
+    Order { order: Order, wave: u64, was_serving: bool, end: Option<Progress> },
+    Demand { service: Arc<str>, demand: Demand },
+}
+
+impl Held {
+    pub(super) fn recover(&mut self, states: Vec<(Arc<str>, CapacityRecord)>) {
+        let mut wave_state = None;
+        let mut orders = Vec::new();
+        for (_, record) in states {
+            match record {
+                CapacityRecord::Demand { service, demand } => {
+                    let learned = LearnedDemand { demand, slot: 0, largest_milli: 0 };
+                    self.demands.insert(service, learned);
+                }
+                CapacityRecord::Wave { id, state } => {
+                    self.wave_id = id;
+                    wave_state = Some(state);
+                }
+                CapacityRecord::Order { order, wave, was_serving, end } => {
+                    orders.push((order, wave, was_serving, end));
+                }
+            }
+        }
+        for (order, wave, was_serving, end) in orders {
+            let id = Arc::clone(&order.instance);
+            if wave == self.wave_id && wave > 0 {
+                let progress = end.unwrap_or(Progress::Out);
+                self.recovered.push((Arc::clone(&id), progress, was_serving));
+            }
+            if end.is_none() {
+                let pending = Pending {
+                    order,
+                    wave,
+                    was_serving,
+                    number: 0,
+                    is_durable: true,
+                    sent_at: None,
+                    first_sent_at: None,
+                };
+                self.orders.insert(id, pending);
+            }
+        }
+        self.wave = wave_state.map(|state| Wave::restore(state, []));
+    }
+
+    /// Learns the demand of each slot that has ended, and makes it durable.
+    pub(super) fn learn(&mut self, peaks: &BTreeMap<Arc<str>, PoolTarget>, inputs: &Inputs) {
+        let slot = inputs.since_epoch.as_secs() / SLOT.as_secs();
+        for (service, peak) in peaks {
+            let milli = inputs.demand_milli.get(service).copied().unwrap_or(0);
+            let learned = self.demands.entry(Arc::clone(service)).or_insert_with(|| {
+                LearnedDemand { demand: Demand::new(peak.need), slot, largest_milli: 0 }
+            });
+            learned.demand.set_peak(peak.need);
+            let is_whole = learned.slot + 1 == slot;
+            if learned.slot != slot {
+                // A slot that this holder has not seen from its start to its end teaches nothing.
+                if is_whole && learned.largest_milli > 0 {
+                    let start = SLOT * u32::try_from(learned.slot).unwrap_or(u32::MAX);
+                    let demand = f64::from(learned.largest_milli) / f64::from(MILLI);
+                    learned.demand.observe(start, day_kind(start), demand);
+                    let record = CapacityRecord::Demand {
+                        service: Arc::clone(service),
+                        demand: learned.demand.clone(),
+                    };
+                    self.cell.put(format!("demand/{service}").into(), &record);
+                }
+                learned.slot = slot;
+                learned.largest_milli = 0;
+            }
+            learned.largest_milli = learned.largest_milli.max(milli);
+        }
+    }
+
+    /// Fills the restored wave once the list has shown the instances.
+    pub(super) fn restore_wave(&mut self, by_id: &HashMap<Arc<str>, InstanceIx>) {
+        if self.recovered.is_empty() && self.wave.as_ref().is_none_or(|wave| wave.pending() > 0) {
+            return;
+        }
+        let Some(wave) = &mut self.wave else { return };
+        if wave.state() == WaveState::Finished || by_id.is_empty() {
+            return;
+        }
+        if !self.recovered.is_empty() {
+            let steps = self.recovered.drain(..).filter_map(|(id, progress, was_serving)| {
+                Some((*by_id.get(&id)?, progress, was_serving))
+            });
+            *wave = Wave::restore(wave.state(), steps.collect::<Vec<_>>());
+        }
+        if wave.done() == 0 && wave.out().is_empty() || wave.pending() == 0 {
+            by_id.values().for_each(|ix| wave.add(*ix));
+        }
+    }
+
+    pub(super) fn record_order(
+        &mut self,
+        id: Arc<str>,
+        action: OrderAction,
+        wave: u64,
+        was_serving: bool,
+    ) {
+        self.next_order += 1;
+        let order_id = match action {
+            OrderAction::Maintain => format!("wave-{wave}-{id}"),
+            OrderAction::MoveTo(_) => format!("move-{}-{}", self.epoch, self.next_order),
+        };
+        let order = Order { id: order_id, instance: Arc::clone(&id), action };
+        let record = CapacityRecord::Order { order: order.clone(), wave, was_serving, end: None };
+        let Some(number) = self.cell.put(order_subject(&id), &record) else { return };
+        let pending = Pending {
+            order,
+            wave,
+            was_serving,
+            number,
+            is_durable: false,
+            sent_at: None,
+            first_sent_at: None,
+        };
+        self.orders.insert(id, pending);
+    }
+
+    pub(super) fn end_order(&mut self, id: &Arc<str>, is_done: bool, ix: Option<InstanceIx>) {
+        let Some(pending) = self.orders.remove(id) else { return };
+        let progress = if is_done { Progress::Done } else { Progress::Failed };
+        let record = CapacityRecord::Order {
+            order: pending.order,
+            wave: pending.wave,
+            was_serving: pending.was_serving,
+            end: Some(progress),
+        };
+        self.cell.put(order_subject(id), &record);
+        if let (Some(wave), Some(ix)) = (&mut self.wave, ix)
+            && pending.wave == self.wave_id
+        {
+            let before = wave.state();
+            wave.finish_step(ix, is_done);
+            if wave.state() != before {
+                self.record_wave();
+            }
+        }
+    }
+
+    pub(super) fn record_wave(&mut self) {
+        let Some(wave) = &self.wave else { return };
+        let record = CapacityRecord::Wave { id: self.wave_id, state: wave.state() };
+        self.cell.put("wave".into(), &record);
+    }
+
+    pub(super) fn shown_wave(&self, changed: bool) -> Value {
+        let Some(wave) = &self.wave else {
+            return json!({ "accepted": changed, "wave": Value::Null, "moves": self.moves });
+        };
+        json!({
+            "accepted": changed,
+            "wave": self.wave_id,
+            "state": wave.state(),
+            "done": wave.done(),
+            "out": wave.out().len(),
+            "pending": wave.pending(),
+            "moves": self.moves,
+            "held_by": self.hold.map(|hold| hold.to_string()),
+        })
+    }
+}
+
+fn order_subject(id: &str) -> Arc<str> {
+    format!("order/{id}").into()
+}
--- a/crates/jackdawpierd/src/lib.rs
+++ b/crates/jackdawpierd/src/lib.rs
@@ -23,6 +23,7 @@
 mod router;
 mod service;
 mod service_jobs;
+mod service_state;
 mod status;
 mod stop;
 mod traces;
--- a/crates/jackdawpierd/src/metrics.rs
+++ b/crates/jackdawpierd/src/metrics.rs
@@ -45,6 +45,11 @@
     service: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PoolLabels {
+    pool: String,
+}
+
 /// All metrics.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -56,6 +61,11 @@
     queued: Family<ServiceLabels, Gauge>,
     parked: Family<ServiceLabels, Gauge>,
     owned: Family<ServiceLabels, Gauge>,
+    pool_margin: Family<PoolLabels, Gauge>,
+    pool_buffer: Family<PoolLabels, Gauge>,
+    wave_out: Gauge,
+    wave_stopped: Gauge,
+    moves: Gauge,
     members: Gauge,
     ready: Gauge,
     revision: Gauge<u64, AtomicU64>,
@@ -73,6 +83,11 @@
             queued: Family::default(),
             parked: Family::default(),
             owned: Family::default(),
+            pool_margin: Family::default(),
+            pool_buffer: Family::default(),
+            wave_out: Gauge::default(),
+            wave_stopped: Gauge::default(),
+            moves: Gauge::default(),
             members: Gauge::default(),
             ready: Gauge::default(),
             revision: Gauge::default(),
@@ -86,6 +101,15 @@
         registry.register("queued_requests", "Requests that wait", metrics.queued.clone());
         registry.register("parked_jobs", "Jobs that need an operator", metrics.parked.clone());
         registry.register("owned_cells", "Whether the cell is open here", metrics.owned.clone());
+        let margin = "Instances beyond what the pool's target asks for; negative if it is not kept";
+        registry.register("pool_margin", margin, metrics.pool_margin.clone());
+        let buffer = "Instances of the pool beyond its need";
+        registry.register("pool_buffer", buffer, metrics.pool_buffer.clone());
+        registry.register("wave_out", "Instances out for maintenance", metrics.wave_out.clone());
+        let stopped = "Whether the wave stopped itself";
+        registry.register("wave_stopped", stopped, metrics.wave_stopped.clone());
+        let moves = "Instances moved since this entry took the capacity role";
+        registry.register("moves", moves, metrics.moves.clone());
         registry.register("members", "Members with a live lease", metrics.members.clone());
         registry.register("ready", "Whether callers may be served", metrics.ready.clone());
         registry.register("revision", "Highest revision in force", metrics.revision.clone());
@@ -129,6 +153,21 @@
         self.forwards.get_or_create(&ForwardLabels { result }).inc();
     }
 
+    /// Only the holder of the capacity role shows pools.
+    fn read_capacity(&self, entry: &Entry) {
+        let figures = entry.capacity.figures();
+        self.pool_margin.clear();
+        self.pool_buffer.clear();
+        for (pool, margin, buffer) in figures.pools {
+            let labels = PoolLabels { pool };
+            self.pool_margin.get_or_create(&labels).set(margin);
+            self.pool_buffer.get_or_create(&labels).set(buffer);
+        }
+        self.wave_out.set(figures.wave_out as i64);
+        self.wave_stopped.set(i64::from(figures.is_wave_stopped));
+        self.moves.set(figures.moves as i64);
+    }
+
     /// The text to scrape, with the gauges read from `entry` now.
     pub(crate) fn scrape(&self, entry: &Entry) -> String {
         for service in entry.services() {
@@ -138,6 +177,7 @@
             self.parked.get_or_create(&labels).set(figures.jobs_parked as i64);
             self.owned.get_or_create(&labels).set(i64::from(figures.owns_cell));
         }
+        self.read_capacity(entry);
         self.ready.set(i64::from(entry.is_ready()));
         {
             let coordination = entry.coordination();
--- a/crates/jackdawpierd/src/service.rs
+++ b/crates/jackdawpierd/src/service.rs
@@ -9,35 +9,29 @@
     time::Duration,
 };
 
-use jackdawpier_coord::cell::{Cell, Output};
+use jackdawpier_coord::cell::Cell;
 use jackdawpier_jobs::{job::Job, queue::JobQueue};
 use jackdawpier_kernel::{
     Now,
-    ids::{ExecutorId, JobId, RequestKey, ServiceName, Ticket, WorkerId},
-    instance::{Instance, Role, State as InstanceState},
+    ids::{ExecutorId, JobId, ServiceName, Ticket, WorkerId},
     outcome::{Answer, Outcome, RefusalReason},
     task::TaskCommand,
 };
 use jackdawpier_route::{
-    dedupe::{Decision, Dedupe, KeyState},
-    dispatcher::{Command, Dispatcher, RequestInfo},
-    executors::ExecutorInfo,
+    dedupe::{Dedupe, KeyState},
+    dispatcher::Dispatcher,
 };
-use jackdawpier_settings::declaration::{Class, Kind};
+use jackdawpier_settings::declaration::Class;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    entry::Entry,
-    executor_client::{Attempt, ExecutorClient},
-    messages::WorkRequest,
-    service_jobs,
+    entry::Entry, executor_client::ExecutorClient, messages::WorkRequest, service_jobs,
     worker_client::WorkerClient,
 };
 
 /// Time that a refused caller is told to wait when the store does not answer.
-const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time that a refused caller is told to wait while a shard changes hands.
 pub(crate) const OWNER_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -66,11 +60,11 @@
     Job(service_jobs::JobCall),
 }
 
-struct Running {
-    work: Arc<WorkRequest>,
-    reply: Option<oneshot::Sender<Outcome>>,
-    deadline: Now,
-    is_idempotent: bool,
+pub(crate) struct Running {
+    pub(crate) work: Arc<WorkRequest>,
+    pub(crate) reply: Option<oneshot::Sender<Outcome>>,
+    pub(crate) deadline: Now,
+    pub(crate) is_idempotent: bool,
 }
 
 /// What only the owner of the service's shard has.
@@ -80,24 +74,24 @@
     pub(crate) dedupe: Dedupe,
     pub(crate) jobs: JobQueue,
     pub(crate) accepting: HashMap<JobId, Vec<oneshot::Sender<Outcome>>>,
-    waiters: HashMap<Ticket, oneshot::Sender<Outcome>>,
-    uncommitted: HashSet<Ticket>,
-    is_releasing: bool,
+    pub(crate) waiters: HashMap<Ticket, oneshot::Sender<Outcome>>,
+    pub(crate) uncommitted: HashSet<Ticket>,
+    pub(crate) is_releasing: bool,
 }
 
 /// The state of a service behind its lock.
 pub(crate) struct ServiceState {
     pub(crate) dispatcher: Dispatcher,
-    requests: HashMap<Ticket, Running>,
-    addresses: HashMap<ExecutorId, String>,
+    pub(crate) requests: HashMap<Ticket, Running>,
+    pub(crate) addresses: HashMap<ExecutorId, String>,
     pub(crate) worker_addresses: HashMap<WorkerId, String>,
-    classes: Vec<Class>,
+    pub(crate) classes: Vec<Class>,
     /// Tasks of a shard that this entry let go without a successor; their leases are renewed
     /// until one is recorded.
     pub(crate) kept_alive: Vec<(WorkerId, TaskCommand)>,
     pub(crate) owned: Option<Owned>,
-    next_ticket: Ticket,
-    next_generation: u64,
+    pub(crate) next_ticket: Ticket,
+    pub(crate) next_generation: u64,
 }
 
 /// Figures for status and metrics.
@@ -122,20 +116,10 @@
     state: Mutex<ServiceState>,
 }
 
-fn not_run(reason: RefusalReason, retry_after: Duration) -> Outcome {
+pub(crate) fn not_run(reason: RefusalReason, retry_after: Duration) -> Outcome {
     Outcome::NotRun { reason, retry_after }
 }
 
-fn fingerprint(work: &WorkRequest) -> u64 {
-    let mut hash = xxh3_64_with_seed(work.method.as_bytes(), 0);
-    hash = xxh3_64_with_seed(work.path.as_bytes(), hash);
-    xxh3_64_with_seed(&work.body, hash)
-}
-
-fn key_subject(class: &str, key: &str) -> RequestKey {
-    format!("k/{class}/{key}").into()
-}
-
 impl Service {
     pub(crate) fn new(entry: &Arc<Entry>, name: ServiceName) -> Self {
         let limits = entry.settings.limits;
@@ -301,338 +285,6 @@
     }
 }
 
-impl ServiceState {
-    fn class(&self, name: &str) -> Option<&Class> {
-        self.classes.iter().find(|class| &*class.name == name)
-    }
-
-    fn submit(
-        &mut self,
-        now: Now,
-        work: WorkRequest,
-        reply: oneshot::Sender<Outcome>,
-    ) -> Vec<Action> {
-        let Some(class) = self.class(&work.class) else {
-            let _ = reply.send(not_run(RefusalReason::UnknownClass, STORE_RETRY_AFTER));
-            return Vec::new();
-        };
-        let is_idempotent = class.idempotent || work.method == "GET" || work.method == "HEAD";
-        if class.kind == Kind::Refresh {
-            return self.submit_job(now, &work, class.idempotent, reply);
-        }
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        let deadline = now + work.time_left;
-        if work.key.is_some() {
-            return self.submit_keyed(now, ticket, work, is_idempotent, reply);
-        }
-        let running = Running { work: Arc::new(work), reply: Some(reply), deadline, is_idempotent };
-        self.requests.insert(ticket, running);
-        self.arrive(now, ticket)
-    }
-
-    /// The reason for which nothing can be made durable now, if there is one.
-    pub(crate) fn durable_refusal(&self) -> Option<Outcome> {
-        match &self.owned {
-            Some(owned) if owned.cell.is_open() && !owned.is_releasing => owned
-                .cell
-                .is_stalled()
-                .then(|| not_run(RefusalReason::StoreUnavailable, STORE_RETRY_AFTER)),
-            _ => Some(not_run(RefusalReason::NoOwner, OWNER_RETRY_AFTER)),
-        }
-    }
-
-    fn submit_keyed(
-        &mut self,
-        now: Now,
-        ticket: Ticket,
-        work: WorkRequest,
-        is_idempotent: bool,
-        reply: oneshot::Sender<Outcome>,
-    ) -> Vec<Action> {
-        if let Some(refusal) = self.durable_refusal() {
-            let _ = reply.send(refusal);
-            return Vec::new();
-        }
-        let deadline = now + work.time_left;
-        let admitted = self.dispatcher.admits(now, &work.class, &work.customer, deadline);
-        let owned = self.owned.as_mut().expect("only an owner gets here");
-        let subject = key_subject(&work.class, work.key.as_deref().unwrap_or_default());
-        match owned.dedupe.begin(&subject, fingerprint(&work), ticket) {
-            Decision::Wait => {
-                owned.waiters.insert(ticket, reply);
-            }
-            Decision::Repeat(outcome) => {
-                let _ = reply.send(outcome);
-            }
-            Decision::KeyReused => {
-                let _ = reply.send(not_run(RefusalReason::BadRequest, Duration::ZERO));
-            }
-            Decision::Record { state } => {
-                if let Err(refusal) = admitted {
-                    let outcome = not_run(refusal.reason, refusal.retry_after);
-                    // Nothing was written for this key yet, so nothing has to be released.
-                    owned.dedupe.end(now, &subject, &outcome);
-                    let _ = reply.send(outcome);
-                    return Vec::new();
-                }
-                let number = owned.cell.put(subject, &CellState::Key(state));
-                owned.dedupe.recording(number.expect("the cell is open"), ticket);
-                owned.uncommitted.insert(ticket);
-                let running =
-                    Running { work: Arc::new(work), reply: Some(reply), deadline, is_idempotent };
-                self.requests.insert(ticket, running);
-                return self.tick_cell(now);
-            }
-        }
-        Vec::new()
-    }
-
-    fn arrive(&mut self, now: Now, ticket: Ticket) -> Vec<Action> {
-        let Some(running) = self.requests.get(&ticket) else { return Vec::new() };
-        let info = RequestInfo {
-            ticket,
-            class: running.work.class.clone(),
-            customer: running.work.customer.clone(),
-            deadline: running.deadline,
-            is_idempotent: running.is_idempotent,
-        };
-        let commands = self.dispatcher.arrive(now, info);
-        self.follow(now, commands)
-    }
-
-    /// Turns the dispatcher's commands into actions and answers.
-    fn follow(&mut self, now: Now, commands: Vec<Command>) -> Vec<Action> {
-        commands.into_iter().flat_map(|command| self.follow_one(now, command)).collect()
-    }
-
-    fn follow_one(&mut self, now: Now, command: Command) -> Vec<Action> {
-        match command {
-            Command::Send { ticket, executor } => {
-                let Some(running) = self.requests.get(&ticket) else { return Vec::new() };
-                let address = self.addresses.get(&executor).cloned().unwrap_or_default();
-                let (work, deadline) = (Arc::clone(&running.work), running.deadline);
-                vec![Action::Send { ticket, executor, address, work, deadline }]
-            }
-            Command::Refuse { ticket, reason, retry_after } => {
-                self.finish(now, ticket, not_run(reason, retry_after))
-            }
-            Command::Fail { ticket } => {
-                let detail = "the executor ran the request and failed".to_owned();
-                self.finish(now, ticket, Outcome::Failed { detail })
-            }
-            Command::Unknown { ticket } => {
-                let detail = "the executor's answer was lost".to_owned();
-                self.finish(now, ticket, Outcome::Unknown { detail })
-            }
-        }
-    }
-
-    fn on_attempt(&mut self, now: Now, ticket: Ticket, attempt: Attempt) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if let Some(answer) = attempt.answer {
-            actions.extend(self.finish(now, ticket, Outcome::Answered(answer)));
-        } else {
-            log::debug!(event = "attempt_failed"; "{:?}: {}", attempt.end, attempt.detail);
-        }
-        let commands = self.dispatcher.attempt_ended(now, ticket, attempt.end);
-        actions.extend(self.follow(now, commands));
-        actions
-    }
-
-    fn finish(&mut self, now: Now, ticket: Ticket, outcome: Outcome) -> Vec<Action> {
-        let Some(running) = self.requests.remove(&ticket) else { return Vec::new() };
-        let mut actions = Vec::new();
-        if let (Some(key), Some(owned)) = (&running.work.key, &mut self.owned) {
-            let subject = key_subject(&running.work.class, key);
-            if let Some((state, waiters)) = owned.dedupe.end(now, &subject, &outcome) {
-                owned.cell.put(subject, &CellState::Key(state));
-                for waiter in waiters.iter().filter_map(|ticket| owned.waiters.remove(ticket)) {
-                    let _ = waiter.send(outcome.clone());
-                }
-                actions = self.tick_cell(now);
-            }
-        }
-        if let Some(reply) = running.reply {
-            let _ = reply.send(outcome);
-        }
-        actions
-    }
-
-    fn tick(&mut self, now: Now) -> Vec<Action> {
-        let commands = self.dispatcher.tick(now);
-        let mut actions = self.follow(now, commands);
-        self.refuse_unwritten(now);
-        actions.extend(self.tick_owned(now));
-        actions
-    }
-
-    /// Refuses keyed requests whose deadline passes before their intent is durable. The intent may
-    /// still be written; it is released as soon as that is known.
-    fn refuse_unwritten(&mut self, now: Now) {
-        let Some(owned) = &self.owned else { return };
-        for ticket in &owned.uncommitted {
-            let Some(running) = self.requests.get_mut(ticket) else { continue };
-            if running.deadline <= now
-                && let Some(reply) = running.reply.take()
-            {
-                let _ = reply.send(not_run(RefusalReason::StoreUnavailable, STORE_RETRY_AFTER));
-            }
-        }
-    }
-
-    fn tick_owned(&mut self, now: Now) -> Vec<Action> {
-        let Some(owned) = &mut self.owned else { return Vec::new() };
-        for key in owned.dedupe.expire(now) {
-            owned.cell.forget(&key);
-        }
-        let commands = if owned.cell.is_open() && !owned.is_releasing {
-            owned.jobs.tick(now)
-        } else {
-            Vec::new()
-        };
-        let mut actions = self.follow_jobs(now, commands);
-        actions.extend(self.tick_cell(now));
-        actions
-    }
-
-    pub(crate) fn tick_cell(&mut self, now: Now) -> Vec<Action> {
-        let Some(owned) = &mut self.owned else { return Vec::new() };
-        let outputs = owned.cell.tick(now);
-        self.follow_cell(now, outputs)
-    }
-
-    fn on_cell_result(
-        &mut self,
-        now: Now,
-        generation: u64,
-        result: jackdawpier_store::StoreResult,
-    ) -> Vec<Action> {
-        let Some(owned) = self.owned.as_mut().filter(|owned| owned.generation == generation) else {
-            return Vec::new();
-        };
-        let outputs = owned.cell.on_result(now, result);
-        self.follow_cell(now, outputs)
-    }
-
-    fn follow_cell(&mut self, now: Now, outputs: Vec<Output<CellState>>) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for output in outputs {
-            let Some(owned) = &mut self.owned else { break };
-            match output {
-                Output::Call(request) => {
-                    actions.push(Action::Store { generation: owned.generation, request });
-                }
-                Output::Opened { epoch, states } => {
-                    log::info!(event = "cell_opened", epoch, states = states.len(); "the cell is open");
-                    owned.recover(now, states);
-                }
-                Output::Committed { up_to } => {
-                    let tickets = owned.dedupe.committed(up_to);
-                    let commands = owned.jobs.committed(now, up_to);
-                    for ticket in tickets {
-                        if let Some(owned) = &mut self.owned {
-                            owned.uncommitted.remove(&ticket);
-                        }
-                        actions.extend(self.arrive(now, ticket));
-                    }
-                    actions.extend(self.follow_jobs(now, commands));
-                }
-                Output::Fenced => {
-                    log::warn!(event = "cell_fenced"; "another entry has taken the shard over");
-                    self.drop_owned();
-                }
-            }
-        }
-        actions
-    }
-
-    fn acquire(&mut self, now: Now, entry: &Entry, name: &ServiceName) -> Vec<Action> {
-        self.next_generation += 1;
-        let timing = entry.settings.timing;
-        let incarnation = entry.incarnation.wrapping_add(self.next_generation);
-        let mut cell = Cell::new(name, entry.name().clone(), incarnation, timing.commit_interval);
-        let outputs = cell.open(now);
-        let mut jobs = JobQueue::new(timing.task_lease, timing.answer_retention);
-        jobs.set_classes(&self.classes);
-        let owned = Owned {
-            generation: self.next_generation,
-            cell,
-            dedupe: Dedupe::new(timing.answer_retention),
-            jobs,
-            accepting: HashMap::new(),
-            waiters: HashMap::new(),
-            uncommitted: HashSet::new(),
-            is_releasing: false,
-        };
-        self.owned = Some(owned);
-        self.kept_alive.clear();
-        let mut actions = self.refresh_workers(&entry.instances(), name);
-        actions.extend(self.follow_cell(now, outputs));
-        actions
-    }
-
-    /// Drops what only the owner has. Requests that were not sent are refused; those that wait for
-    /// another's outcome are told that it is not known here any more.
-    fn drop_owned(&mut self) {
-        let Some(mut owned) = self.owned.take() else { return };
-        self.kept_alive = owned.jobs.keep_alive();
-        for ticket in owned.dedupe.fenced() {
-            let reply = self.requests.remove(&ticket).and_then(|mut running| running.reply.take());
-            if let Some(reply) = reply {
-                let _ = reply.send(not_run(RefusalReason::NoOwner, OWNER_RETRY_AFTER));
-            }
-        }
-    }
-
-    fn refresh(
-        &mut self,
-        now: Now,
-        classes: Vec<Class>,
-        instances: &[Instance],
-        name: &ServiceName,
-    ) -> Vec<Action> {
-        self.dispatcher.set_classes(&classes);
-        if let Some(owned) = &mut self.owned {
-            owned.jobs.set_classes(&classes);
-        }
-        self.classes = classes;
-        let executors =
-            || instances.iter().filter(|i| i.role == Role::Executor && i.service == *name);
-        let present: HashSet<&str> = executors().map(|instance| &*instance.id).collect();
-        // An empty list is more likely a fault of the list than the loss of every executor.
-        if !present.is_empty() {
-            self.dispatcher.retain_executors(|id| present.contains(id));
-        }
-        let mut commands = Vec::new();
-        for instance in executors() {
-            self.addresses.insert(instance.id.clone(), instance.address.clone());
-            let info = ExecutorInfo {
-                id: instance.id.clone(),
-                zone: instance.zone.clone(),
-                slots: instance.slots,
-                connections: instance.connections,
-                is_leaving: instance.state == InstanceState::Leaving,
-            };
-            commands.extend(self.dispatcher.upsert_executor(now, info));
-        }
-        let mut actions = self.follow(now, commands);
-        actions.extend(self.refresh_workers(instances, name));
-        actions
-    }
-}
-
-impl Owned {
-    fn recover(&mut self, now: Now, states: Vec<(RequestKey, CellState)>) {
-        for (subject, state) in states {
-            match state {
-                CellState::Key(state) => self.dedupe.recover(now, subject, state),
-                CellState::Job(job) => self.jobs.recover(now, job),
-            }
-        }
-    }
-}
-
 /// The answer to a caller whose job is accepted.
 pub(crate) fn accepted_answer(id: &str) -> Outcome {
     let body = serde_json::to_vec(&serde_json::json!({ "job": id })).expect("it is plain data");
