--- a/crates/jackdawpier/src/args.rs
+++ b/crates/jackdawpier/src/args.rs
@@ -1,5 +1,7 @@
 //! The command line of the tool.
 
+use std::path::PathBuf;
+
 use bpaf::Bpaf;
 
 /// How results are printed.
@@ -143,6 +145,18 @@
         #[bpaf(positional("ID"))]
         id: String,
     },
+    /// Show buffer cost, moves and roll-out time by the day
+    #[bpaf(command)]
+    Report {
+        #[bpaf(external)]
+        common: Common,
+        /// Also draw them into this SVG file
+        #[bpaf(argument("FILE"))]
+        svg: Option<PathBuf>,
+        /// Days to show
+        #[bpaf(argument("N"), fallback(30))]
+        days: usize,
+    },
     /// Explain why capacity of a class is held back
     #[bpaf(command)]
     Explain {
--- a/crates/jackdawpier/src/commands.rs
+++ b/crates/jackdawpier/src/commands.rs
@@ -5,6 +5,7 @@
 mod get;
 mod job;
 mod plan;
+mod report;
 mod status;
 mod wave;
 
@@ -26,6 +27,9 @@
         Args::Job { common, action, class, id } => {
             job::run(&Client::new(&common.entry), *action, class, id)
         }
+        Args::Report { common, svg, days } => {
+            report::run(&Client::new(&common.entry), common, svg.as_deref(), *days)
+        }
         Args::Explain { common, class } => explain::run(&Client::new(&common.entry), common, class),
         Args::Get { common, deployment } => get::run(&Client::new(&common.entry), deployment),
     }
--- a/crates/jackdawpier_jobs/src/queue/placement.rs
+++ b/crates/jackdawpier_jobs/src/queue/placement.rs
@@ -138,6 +138,8 @@
         for id in ids {
             if let Some(live) = self.jobs.get_mut(id).filter(|live| !live.is_stopping) {
                 live.is_stopping = true;
+                // A worker that gets the two in the other order keeps the same checkpoint.
+                commands.extend(live.command(TaskAction::Checkpoint));
                 commands.extend(live.command(TaskAction::Stop));
             }
         }
--- a/crates/jackdawpier_standin/src/load_report.rs
+++ b/crates/jackdawpier_standin/src/load_report.rs
@@ -1,6 +1,10 @@
 //! What a load run measured, and the counts that must be zero.
 
-use std::{collections::BTreeMap, fmt, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    time::Duration,
+};
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -92,6 +96,8 @@
 pub struct Report {
     /// Latency by class.
     pub by_class: BTreeMap<String, Latency>,
+    /// Latency by number of the customer.
+    pub by_customer: BTreeMap<u32, Latency>,
     /// Latency of the first (loud) customer's answered requests.
     pub loud_customer: Latency,
     /// Latency of all other customers' answered requests.
@@ -134,6 +140,13 @@
         for (class, figures) in &mut by_class {
             *figures = latency(sent.iter().filter(|request| request.class == *class));
         }
+        let customers: BTreeSet<u32> = sent.iter().map(|request| request.customer).collect();
+        let by_customer = customers
+            .into_iter()
+            .map(|customer| {
+                (customer, latency(sent.iter().filter(|request| request.customer == customer)))
+            })
+            .collect();
         let answered = outcomes.get("answered").copied().unwrap_or(0);
         let count =
             |is: fn(&Sent) -> bool| sent.iter().filter(|request| is(request)).count() as u64;
@@ -144,6 +157,7 @@
         };
         Self {
             by_class,
+            by_customer,
             loud_customer: latency(sent.iter().filter(|request| request.customer == 0)),
             other_customers: latency(sent.iter().filter(|request| request.customer != 0)),
             outcomes,
@@ -189,7 +203,12 @@
             .by_class
             .iter()
             .map(|(class, figures)| (class.as_str(), figures))
-            .chain([("loud customer", &self.loud_customer), ("others", &self.other_customers)]);
+            .map(|(class, figures)| (class.to_owned(), figures))
+            .chain(self.by_customer.iter().map(|(n, figures)| (format!("customer {n}"), figures)))
+            .chain([
+                ("loud customer".to_owned(), &self.loud_customer),
+                ("others".to_owned(), &self.other_customers),
+            ]);
         for (name, figures) in rows {
             let ms = |us: u64| us as f64 / 1000.0;
             writeln!(
--- a/crates/jackdawpier_standin/src/worker.rs
+++ b/crates/jackdawpier_standin/src/worker.rs
@@ -29,11 +29,19 @@
     start: StartTask,
     state: TaskState,
     started_at: Instant,
-    work: Duration,
+    /// Time that the work still takes, at full speed.
+    left: Duration,
+    is_throttled: bool,
     lease_until: Instant,
 }
 
 impl Task {
+    /// Lets one step pass; a throttled task does half as much in it.
+    fn work(&mut self) {
+        let done = if self.is_throttled { STEP / 2 } else { STEP };
+        self.left = self.left.saturating_sub(done);
+    }
+
     fn report(&self) -> TaskReport {
         let ran = self.started_at.elapsed();
         let usage = if ran > USAGE_LAG { self.start.size } else { Size::default() };
@@ -60,6 +68,8 @@
 struct State {
     faults: WorkerFaults,
     tasks: HashMap<JobId, Task>,
+    /// Time left of jobs that wrote a checkpoint here; a later attempt goes on from it.
+    checkpoints: HashMap<JobId, Duration>,
     counts: WorkerCounts,
 }
 
@@ -79,13 +89,14 @@
         loop {
             tokio::time::sleep(STEP).await;
             let mut state = self.lock();
-            let State { faults, tasks, counts } = &mut *state;
+            let State { faults, tasks, counts, .. } = &mut *state;
             for task in tasks.values_mut().filter(|task| task.state == TaskState::Running) {
+                task.work();
                 if Instant::now() >= task.lease_until {
                     task.state = TaskState::Stopped;
                 } else if faults.is_failing {
                     task.state = TaskState::Failed;
-                } else if task.started_at.elapsed() >= task.work {
+                } else if task.left.is_zero() {
                     task.state = TaskState::Done;
                     *counts.completed.entry(task.start.job.clone()).or_default() += 1;
                 }
@@ -105,9 +116,15 @@
             .map_or(Duration::ZERO, |work| Duration::from_micros(work.work_us));
         let lease_until = Instant::now() + Duration::from_millis(start.lease_ms);
         let job = start.job.clone();
-        let state_at_start = TaskState::Running;
-        let task =
-            Task { start, state: state_at_start, started_at: Instant::now(), work, lease_until };
+        let left = state.checkpoints.get(&job).copied().unwrap_or(work);
+        let task = Task {
+            start,
+            state: TaskState::Running,
+            started_at: Instant::now(),
+            left,
+            is_throttled: false,
+            lease_until,
+        };
         let mut reply = json(&task.report());
         state.tasks.insert(job, task);
         if state.faults.is_losing_answers {
@@ -118,7 +135,8 @@
 
     fn command(&self, command: &TaskCommand) -> Reply {
         let mut state = self.lock();
-        let Some(task) = state.tasks.get_mut(&command.job) else { return not_found() };
+        let State { tasks, checkpoints, .. } = &mut *state;
+        let Some(task) = tasks.get_mut(&command.job) else { return not_found() };
         if task.start.attempt != command.attempt {
             return not_found();
         }
@@ -127,7 +145,11 @@
                 task.lease_until = Instant::now() + Duration::from_millis(task.start.lease_ms);
             }
             TaskAction::Stop if task.state == TaskState::Running => task.state = TaskState::Stopped,
-            _ => {}
+            TaskAction::Throttle => task.is_throttled = true,
+            TaskAction::Checkpoint => {
+                checkpoints.insert(command.job.clone(), task.left);
+            }
+            TaskAction::Renew | TaskAction::Stop => {}
         }
         json(&task.report())
     }
--- a/crates/jackdawpierd/src/capacity.rs
+++ b/crates/jackdawpierd/src/capacity.rs
@@ -6,6 +6,7 @@
 
 mod fleet_view;
 mod held;
+mod measures;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -35,7 +36,11 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use self::held::{CapacityRecord, Held};
+use self::{
+    fleet_view::DAY_S,
+    held::{CapacityRecord, Held},
+    measures::{DayMeasures, Measures},
+};
 use crate::{demand::DemandMilli, entry::Entry};
 
 /// The shard that the role's holder owns; no service can have this name.
@@ -198,6 +203,16 @@
         }
     }
 
+    /// The sums of each day, the present one included; `None` where this entry is not the holder.
+    pub(crate) fn days(&self) -> Option<String> {
+        let state = self.lock();
+        let held = state.held.as_ref().filter(|held| held.cell.is_open())?;
+        let mut days = held.days.clone();
+        days.insert(held.measures.today.day, held.measures.today.clone());
+        let shown: Vec<&DayMeasures> = days.values().filter(|day| day.day > 0).collect();
+        Some(serde_json::to_string(&shown).expect("sums are plain data"))
+    }
+
     /// Explains a service's pool; `None` where this entry is not the holder.
     pub(crate) fn explain(&self, service: &str) -> Option<String> {
         let state = self.lock();
@@ -259,6 +274,8 @@
             next_order: 0,
             epoch: 0,
             moves: 0,
+            measures: Measures::default(),
+            days: BTreeMap::new(),
             demands: BTreeMap::new(),
         });
         self.follow(entry.now(), outputs)
@@ -312,6 +329,7 @@
         self.start_steps(&inputs.ceilings);
         self.planner.set_ceilings(inputs.ceilings);
         self.plan_moves(now, &forecasts);
+        self.measure(now, inputs);
         actions.extend(self.resend(now));
         actions.extend(self.tick_cell(now));
         actions
@@ -388,10 +406,27 @@
             let id = Arc::clone(&self.ids[decided.instance as usize]);
             log::info!(event = "move", instance = &*id, pool = &*name; "{}", decided.reason);
             held.moves += 1;
+            held.measures.today.moves += 1;
             held.record_order(id, OrderAction::MoveTo(name), 0, false);
         }
     }
 
+    /// Adds to the day's sums, and makes them durable now and then.
+    fn measure(&mut self, now: Now, inputs: &Inputs) {
+        let Some(held) = &mut self.held else { return };
+        let buffer: u64 =
+            self.pools.values().map(|ix| u64::from(explain(self.fleet.pool(*ix)).buffer)).sum();
+        let state = held.wave.as_ref().map(Wave::state);
+        let is_under_way = matches!(state, Some(WaveState::Running | WaveState::Paused { .. }));
+        held.measures.note_wave(now.as_secs(), is_under_way);
+        let day = inputs.since_epoch.as_secs() / DAY_S;
+        if let Some(sums) = held.measures.add(now.as_secs(), day, buffer) {
+            let subject = format!("measures/{}", sums.day).into();
+            held.days.insert(sums.day, sums.clone());
+            held.cell.put(subject, &CapacityRecord::Day(sums));
+        }
+    }
+
     fn resend(&mut self, now: Now) -> Vec<Action> {
         let Some(held) = &mut self.held else { return Vec::new() };
         let mut actions = Vec::new();
--- a/crates/jackdawpierd/src/capacity/fleet_view.rs
+++ b/crates/jackdawpierd/src/capacity/fleet_view.rs
@@ -25,7 +25,7 @@
 /// The first of January 1970 was a Thursday.
 const EPOCH_WEEKDAY: u64 = 3;
 
-const DAY_S: u64 = 24 * 3600;
+pub(super) const DAY_S: u64 = 24 * 3600;
 
 const FIRST_WEEKEND_DAY: u64 = 5;
 
--- a/crates/jackdawpierd/src/capacity/held.rs
+++ b/crates/jackdawpierd/src/capacity/held.rs
@@ -21,7 +21,11 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use super::{Inputs, MILLI, fleet_view::day_kind};
+use super::{
+    Inputs, MILLI,
+    fleet_view::day_kind,
+    measures::{DayMeasures, Measures},
+};
 
 pub(super) struct Pending {
     pub(super) order: Order,
@@ -46,6 +50,9 @@
     pub(super) epoch: u64,
     /// Instances moved since this entry took the role.
     pub(super) moves: u64,
+    pub(super) measures: Measures,
+    /// Sums of the days that were written.
+    pub(super) days: BTreeMap<u64, DayMeasures>,
     /// Learned demand by service, with the largest of the present slot.
     pub(super) demands: BTreeMap<Arc<str>, LearnedDemand>,
 }
@@ -60,9 +67,22 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum CapacityRecord {
-    Wave { id: u64, state: WaveState },
-    Order { order: Order, wave: u64, was_serving: bool, end: Option<Progress> },
-    Demand { service: Arc<str>, demand: Demand },
+    Wave {
+        id: u64,
+        state: WaveState,
+    },
+    Order {
+        order: Order,
+        wave: u64,
+        was_serving: bool,
+        end: Option<Progress>,
+    },
+    /// Sums of one day.
+    Day(DayMeasures),
+    Demand {
+        service: Arc<str>,
+        demand: Demand,
+    },
 }
 
 impl Held {
@@ -71,6 +91,10 @@
         let mut orders = Vec::new();
         for (_, record) in states {
             match record {
+                CapacityRecord::Day(day) => {
+                    self.measures.recover(day.clone());
+                    self.days.insert(day.day, day);
+                }
                 CapacityRecord::Demand { service, demand } => {
                     let learned = LearnedDemand { demand, slot: 0, largest_milli: 0 };
                     self.demands.insert(service, learned);
--- /dev/null
+++ b/crates/jackdawpierd/src/capacity/measures.rs
@@ -0,0 +1,73 @@
+//! What the users measure, added up by the day: buffer cost, moves and roll-out time.
+
+use serde::{Deserialize, Serialize};
+
+/// Seconds after which the present day's sums are written again.
+const WRITE_INTERVAL_S: u64 = 60;
+
+/// Sums of one day, counted in days since the first of January 1970.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct DayMeasures {
+    pub(crate) day: u64,
+    /// Instances beyond the need, times the time that they were held.
+    pub(crate) buffer_instance_s: f64,
+    /// Time that was observed.
+    pub(crate) observed_s: f64,
+    /// Instances that changed pools.
+    pub(crate) moves: u64,
+    /// Waves that finished.
+    pub(crate) waves: u64,
+    /// Time from their starts to their ends.
+    pub(crate) roll_out_s: f64,
+}
+
+/// The present day's sums, and when they were last written.
+#[derive(Debug, Default)]
+pub(crate) struct Measures {
+    pub(crate) today: DayMeasures,
+    last_s: Option<u64>,
+    written_s: u64,
+    wave_since_s: Option<u64>,
+}
+
+impl Measures {
+    /// Goes on with what an earlier holder has added up.
+    pub(crate) fn recover(&mut self, day: DayMeasures) {
+        if day.day >= self.today.day {
+            self.today = day;
+        }
+    }
+
+    /// Adds the time since the last call, with this buffer. Returns the sums that are to be made
+    /// durable now, if any.
+    pub(crate) fn add(&mut self, now_s: u64, day: u64, buffer: u64) -> Option<DayMeasures> {
+        let finished = (self.today.day != day).then(|| {
+            std::mem::replace(&mut self.today, DayMeasures { day, ..DayMeasures::default() })
+        });
+        let passed_s = self.last_s.map_or(0, |last| now_s.saturating_sub(last));
+        self.last_s = Some(now_s);
+        self.today.buffer_instance_s += (buffer * passed_s) as f64;
+        self.today.observed_s += passed_s as f64;
+        if let Some(finished) = finished.filter(|day| day.observed_s > 0.0) {
+            return Some(finished);
+        }
+        let is_due = now_s >= self.written_s + WRITE_INTERVAL_S;
+        if is_due {
+            self.written_s = now_s;
+        }
+        is_due.then(|| self.today.clone())
+    }
+
+    /// Notes whether a wave is under way.
+    pub(crate) fn note_wave(&mut self, now_s: u64, is_running: bool) {
+        match (self.wave_since_s, is_running) {
+            (None, true) => self.wave_since_s = Some(now_s),
+            (Some(since), false) => {
+                self.wave_since_s = None;
+                self.today.waves += 1;
+                self.today.roll_out_s += now_s.saturating_sub(since) as f64;
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/jackdawpierd/src/messages.rs
+++ b/crates/jackdawpierd/src/messages.rs
@@ -64,6 +64,7 @@
     Job { service: ServiceName, job: JobId, action: JobAction },
     Wave(WaveAction),
     Explain { service: ServiceName },
+    Days,
 }
 
 /// Answers between entries.
--- a/crates/jackdawpierd/src/operators.rs
+++ b/crates/jackdawpierd/src/operators.rs
@@ -94,6 +94,7 @@
             Ok(change) => runtime.block_on(apply(entry, change)),
             Err(error) => text(400, format!("{error}\n")),
         },
+        (Method::Get, "/v1/days") => runtime.block_on(days(entry)),
         (Method::Get, "/v1/wave") => runtime.block_on(wave(entry, WaveAction::Status)),
         (Method::Post, "/v1/wave/start") => runtime.block_on(wave(entry, WaveAction::Start)),
         (Method::Post, "/v1/wave/pause") => runtime.block_on(wave(entry, WaveAction::Pause)),
@@ -153,6 +154,18 @@
     }
 }
 
+/// The sums of each day, for `jackdawpier report`.
+async fn days(entry: &Arc<Entry>) -> Answer {
+    let shown = match entry.capacity.days() {
+        Some(shown) => Some(shown),
+        None => ask_holder(entry, &PeerRequest::Days).await,
+    };
+    match shown {
+        Some(body) => Answer { status: 200, content_type: "application/json", body },
+        None => text(503, NO_HOLDER),
+    }
+}
+
 /// Explains the pool of a class.
 async fn explain(entry: &Arc<Entry>, class: &str) -> Answer {
     let service =
--- a/crates/jackdawpierd/src/peers.rs
+++ b/crates/jackdawpierd/src/peers.rs
@@ -42,6 +42,7 @@
                 PeerAnswer::Heartbeat { heartbeat: heartbeats::own_heartbeat(entry), newer }
             }
             PeerRequest::Wave(action) => PeerAnswer::Capacity(entry.capacity.wave(entry, action)),
+            PeerRequest::Days => PeerAnswer::Capacity(entry.capacity.days()),
             PeerRequest::Explain { service } => {
                 PeerAnswer::Capacity(entry.capacity.explain(&service))
             }
--- a/crates/jackdawpierd/tests/command_line.rs
+++ b/crates/jackdawpierd/tests/command_line.rs
@@ -80,6 +80,11 @@
     for part in ["configuration", "members", "entry-a", "entry-b", "render", "margin", "wave"] {
         assert!(status.contains(part), "{part} is missing in\n{status}");
     }
+    let svg = deployment.file("report.svg");
+    let drawn = svg.display().to_string();
+    wait_for("a report", || run(&daemons[1], &["report", "--svg", &drawn]).status.success());
+    let plot = std::fs::read_to_string(svg).expect("it was drawn");
+    assert!(plot.contains("<svg") && plot.contains("moves"), "a plot of the measures");
     wait_for("an explanation", || run(&daemons[0], &["explain", "render"]).status.success());
 }
 
--- a/crates/jackdawpierd/tests/traces.rs
+++ b/crates/jackdawpierd/tests/traces.rs
@@ -2,7 +2,13 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+};
+
+use jackdawpier_http::{Handler, IncomingRequest, Reply};
+use jackdawpier_standin::process;
 
 use serde_json::Value;
 use support::{DECLARATION, Daemon, Deployment, http, wait_for, work};
@@ -58,3 +64,47 @@
     assert_eq!(count("peer > decide"), 1, "{links:?}");
     assert_eq!(count("decide > executor") + count("request > executor"), 2, "{links:?}");
 }
+
+/// A collector that keeps what it is sent.
+#[derive(Clone, Default)]
+struct Collector {
+    bodies: Arc<Mutex<Vec<String>>>,
+}
+
+impl Handler for Collector {
+    async fn handle(&self, request: IncomingRequest) -> Reply {
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        self.bodies.lock().expect("no holder of this lock panics").push(body);
+        Reply::new(200, "application/json", "{}")
+    }
+}
+
+#[test]
+fn collector_told() {
+    let deployment = Deployment::new("collector-told", 1, 0);
+    let collector = Collector::default();
+    let handler = collector.clone();
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        process::block_on(async move {
+            let any_port = "127.0.0.1:0".parse().expect("it is an address");
+            let (listener, address) = process::bind(any_port).await.expect("it can be bound");
+            sender.send(address).expect("the test waits for it");
+            process::serve_forever(listener, process::default_limits(), handler).await;
+        });
+    });
+    let address = receiver.recv().expect("the collector starts");
+    let more = format!("traces: {{ collector_url: \"http://{address}/v1/traces\" }}");
+    let mut daemon = deployment.start("a", &more);
+    wait_for("the declaration", || daemon.apply(0, DECLARATION).0 != 503);
+    wait_for("it to be ready", || daemon.is_ready());
+    let traceparent = format!("00-{TRACE}-{CALLER_SPAN}-01");
+    let headers = [("traceparent", traceparent.as_str())];
+    let answer = http("POST", daemon.callers, "/render/x", &headers, &work(1, 100));
+    assert_eq!(answer.expect("it answers").0, 200);
+    daemon.signal("TERM");
+    assert!(daemon.wait());
+    let sent = collector.bodies.lock().expect("no holder of this lock panics").join("\n");
+    assert!(sent.contains("resourceSpans") && sent.contains(TRACE), "OTLP over HTTP: {sent}");
+    assert!(sent.contains("\"executor\"") && sent.contains("\"request\""), "both hops: {sent}");
+}
