--- a/crates/jackdawpier_peer/src/lib.rs
+++ b/crates/jackdawpier_peer/src/lib.rs
@@ -227,7 +227,11 @@
     let message =
         receive.read_to_end(MAX_MESSAGE_BYTES).await.map_err(|error| error.to_string())?;
     let request = postcard::from_bytes(&message).map_err(|error| error.to_string())?;
-    let answer = service.handle(request).await;
+    // A peer that gives the stream up wants no answer any more.
+    let answer = tokio::select! {
+        answer = service.handle(request) => answer,
+        _ = send.stopped() => return Err("the peer has given the request up".to_owned()),
+    };
     let message = postcard::to_stdvec(&answer).map_err(|error| error.to_string())?;
     send.write_all(&message).await.map_err(|error| error.to_string())?;
     send.finish().map_err(|error| error.to_string())
--- a/crates/jackdawpier_route/src/directory.rs
+++ b/crates/jackdawpier_route/src/directory.rs
@@ -17,15 +17,18 @@
     Nowhere,
 }
 
-/// Chooses the place for a request without a key.
+/// Chooses the place for a request without a key. An entry that is stopping decides only where
+/// nobody else can, as the others leave it out too.
 pub fn place_unkeyed<'a>(
     service: &str,
     own: &'a str,
+    is_stopping: bool,
     candidates: impl Iterator<Item = &'a str>,
     is_reachable: impl Fn(&str) -> bool,
 ) -> Place {
     let usable = candidates.filter(|name| *name != own && is_reachable(name));
-    match rendezvous::owner(service, usable.chain([own])) {
+    let own_candidate = (!is_stopping).then_some(own);
+    match rendezvous::owner(service, usable.chain(own_candidate)) {
         Some(name) if name != own => Place::Peer(name.into()),
         _ => Place::Here,
     }
--- a/crates/jackdawpier_route/src/dispatcher.rs
+++ b/crates/jackdawpier_route/src/dispatcher.rs
@@ -273,11 +273,12 @@
         self.dispatch(now)
     }
 
-    /// Drops a request whose caller is gone. One that runs keeps its slot until it ends.
-    pub fn cancel(&mut self, ticket: Ticket) {
-        if self.pending.get(&ticket).is_some_and(|pending| pending.running_on.is_none()) {
-            self.take_queued(ticket);
-        }
+    /// Drops a request whose caller is gone, and returns whether it did. One that runs keeps its
+    /// slot until it ends.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let is_waiting =
+            self.pending.get(&ticket).is_some_and(|pending| pending.running_on.is_none());
+        is_waiting && self.take_queued(ticket).is_some()
     }
 
     /// Learns that an attempt ended, and decides what follows.
--- a/crates/jackdawpierd/src/entry.rs
+++ b/crates/jackdawpierd/src/entry.rs
@@ -57,6 +57,8 @@
     pub(crate) traces: Traces,
     pub(crate) capacity: Capacity,
     pub(crate) is_stopping: AtomicBool,
+    /// Whether the instance list was read at least once.
+    pub(crate) is_list_loaded: AtomicBool,
     pub(crate) requests_in_flight: AtomicUsize,
     started_at: Instant,
     next_request: AtomicU64,
@@ -96,6 +98,7 @@
             traces: Traces::new(&settings),
             capacity: Capacity::new(),
             is_stopping: AtomicBool::new(false),
+            is_list_loaded: AtomicBool::new(false),
             requests_in_flight: AtomicUsize::new(0),
             started_at: Instant::now(),
             next_request: AtomicU64::new(0),
@@ -126,8 +129,13 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// Whether callers may be served.
+    /// Whether callers may be served: the configuration is in force here, and the executors are
+    /// known, without which every request would be refused.
     pub(crate) fn is_ready(&self) -> bool {
+        self.is_list_loaded.load(Ordering::Relaxed) && self.has_configuration()
+    }
+
+    fn has_configuration(&self) -> bool {
         let now = self.now();
         let mut coordination = self.coordination();
         let Coordination { membership, view, configuration, .. } = &mut *coordination;
--- a/crates/jackdawpierd/src/instance_reader.rs
+++ b/crates/jackdawpierd/src/instance_reader.rs
@@ -1,6 +1,9 @@
 //! Reads the platform's instance list; what it says lags, so other signs may come first.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use jackdawpier_kernel::instance::{InstanceList, LIST_PATH};
 
@@ -41,9 +44,11 @@
 
 fn take(entry: &Arc<Entry>, list: InstanceList) {
     if *entry.instances() == list.instances {
+        entry.is_list_loaded.store(true, Ordering::Relaxed);
         return;
     }
     entry.set_instances(list.instances);
+    entry.is_list_loaded.store(true, Ordering::Relaxed);
     for service in entry.services() {
         service.refresh();
     }
--- a/crates/jackdawpierd/src/router.rs
+++ b/crates/jackdawpierd/src/router.rs
@@ -40,7 +40,8 @@
         let owner = view.owner(&work.service).map(|owner| &*owner.entry);
         place_keyed(entry.name(), owner, reachable)
     } else {
-        place_unkeyed(&work.service, entry.name(), view.candidates(), reachable)
+        let is_stopping = entry.is_stopping();
+        place_unkeyed(&work.service, entry.name(), is_stopping, view.candidates(), reachable)
     };
     let address = match &place {
         Place::Peer(peer) => view.member(peer).and_then(|member| member.peer_address.parse().ok()),
--- a/crates/jackdawpierd/src/service.rs
+++ b/crates/jackdawpierd/src/service.rs
@@ -120,6 +120,19 @@
     Outcome::NotRun { reason, retry_after }
 }
 
+/// Drops a request that still waits when whoever asked for it is gone. After the end it finds
+/// nothing to drop.
+struct CancelOnDrop {
+    service: Arc<Service>,
+    ticket: Ticket,
+}
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        self.service.lock().cancel(self.ticket);
+    }
+}
+
 impl Service {
     pub(crate) fn new(entry: &Arc<Entry>, name: ServiceName) -> Self {
         let limits = entry.settings.limits;
@@ -208,7 +221,8 @@
     /// Decides on a request here and returns its outcome.
     pub(crate) async fn submit(self: &Arc<Self>, work: WorkRequest) -> Outcome {
         let (reply, outcome) = oneshot::channel();
-        self.act(|state, now| ((), state.submit(now, work, reply)));
+        let ticket = self.act(|state, now| state.submit(now, work, reply));
+        let _cancel = CancelOnDrop { service: Arc::clone(self), ticket };
         let lost = Outcome::Unknown { detail: "the owner of the request changed".to_owned() };
         outcome.await.unwrap_or(lost)
     }
--- a/crates/jackdawpierd/src/service_state.rs
+++ b/crates/jackdawpierd/src/service_state.rs
@@ -53,6 +53,30 @@
         now: Now,
         work: WorkRequest,
         reply: oneshot::Sender<Outcome>,
+    ) -> (Ticket, Vec<Action>) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        (ticket, self.submit_as(now, ticket, work, reply))
+    }
+
+    /// Forgets a request without a key that waits. One with a key has its intent on record and
+    /// runs for the repeat.
+    pub(crate) fn cancel(&mut self, ticket: Ticket) {
+        let is_keyed = |running: &Running| running.work.key.is_some();
+        if self.requests.get(&ticket).is_none_or(is_keyed) {
+            return;
+        }
+        if self.dispatcher.cancel(ticket) {
+            self.requests.remove(&ticket);
+        }
+    }
+
+    fn submit_as(
+        &mut self,
+        now: Now,
+        ticket: Ticket,
+        work: WorkRequest,
+        reply: oneshot::Sender<Outcome>,
     ) -> Vec<Action> {
         let Some(class) = self.class(&work.class) else {
             let _ = reply.send(not_run(RefusalReason::UnknownClass, STORE_RETRY_AFTER));
@@ -62,8 +86,6 @@
         if class.kind == Kind::Refresh {
             return self.submit_job(now, &work, class.idempotent, reply);
         }
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
         let deadline = now + work.time_left;
         if work.key.is_some() {
             return self.submit_keyed(now, ticket, work, is_idempotent, reply);
--- a/crates/jackdawpierd/tests/whole_path.rs
+++ b/crates/jackdawpierd/tests/whole_path.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::{io::Write, net::TcpStream};
+
 use support::{DECLARATION, Deployment, http, http_full, part, set_faults, wait_for, work};
 
 #[test]
@@ -78,3 +80,34 @@
     assert_eq!(conflict["current"]["revision"], 2);
     wait_for("both to have the change", || daemons.iter().all(|daemon| daemon.revision() == 2));
 }
+
+#[test]
+fn callers_gone() {
+    let deployment = Deployment::new("callers-gone", 1, 0);
+    let daemons = deployment.start_all(2);
+    let busy: Vec<_> = (0..8)
+        .map(|nonce| {
+            let callers = daemons[0].callers;
+            std::thread::spawn(move || {
+                http("POST", callers, "/update/x", &[], &work(nonce, 1_500_000))
+            })
+        })
+        .collect();
+    wait_for("all slots to be busy", || deployment.runs().len() == 8);
+    for nonce in 100..140 {
+        let mut stream = TcpStream::connect(daemons[nonce % 2].callers).expect("it listens");
+        let body = String::from_utf8(work(nonce as u64, 100)).expect("it is text");
+        let text = format!(
+            "POST /update/x HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(text.as_bytes()).expect("it is read");
+    }
+    for caller in busy {
+        assert_eq!(caller.join().expect("the caller ends").expect("it answers").0, 200);
+    }
+    let last = http("POST", daemons[0].callers, "/update/x", &[], &work(500, 100));
+    assert_eq!(last.expect("it answers").0, 200);
+    let ran = deployment.runs().keys().filter(|nonce| (100..140).contains(*nonce)).count();
+    assert!(ran <= 4, "{ran} of 40 requests ran though their callers were gone");
+}
