--- a/crates/jackdawpier_bench/src/jobs.rs
+++ b/crates/jackdawpier_bench/src/jobs.rs
@@ -106,7 +106,7 @@
     last_commit_at: Now,
     later: BTreeMap<(Now, u64), Message>,
     sequence: u64,
-    running: HashMap<JobId, Running>,
+    running: BTreeMap<JobId, Running>,
     submitted: HashMap<JobId, Now>,
     accepted: BTreeSet<JobId>,
     completions: HashMap<JobId, u32>,
@@ -139,7 +139,7 @@
         last_commit_at: Now::ZERO,
         later: BTreeMap::new(),
         sequence: 0,
-        running: HashMap::new(),
+        running: BTreeMap::new(),
         submitted: HashMap::new(),
         accepted: BTreeSet::new(),
         completions: HashMap::new(),
@@ -398,7 +398,7 @@
         if self.now < self.run.time / 2 || !self.now.as_millis().is_multiple_of(1000) {
             return;
         }
-        let mut by_worker: HashMap<&WorkerId, u64> = HashMap::new();
+        let mut by_worker: BTreeMap<&WorkerId, u64> = BTreeMap::new();
         for task in self.running.values() {
             *by_worker.entry(&task.worker).or_default() += task.used.cores_milli;
         }
--- a/crates/jackdawpier_bench/src/scale.rs
+++ b/crates/jackdawpier_bench/src/scale.rs
@@ -29,6 +29,7 @@
 };
 use jackdawpier_route::{
     dedupe::Dedupe,
+    directory::{self, place_unkeyed},
     dispatcher::{AttemptEnd, Command, Dispatcher, RequestInfo},
     executors::ExecutorInfo,
 };
@@ -45,6 +46,7 @@
 /// Zones at each of them.
 const ZONES: [u32; 4] = [3, 6, 15, 47];
 const EXECUTOR_COUNTS: [u32; 4] = [50, 200, 1_000, 5_000];
+const SERVICES: [&str; 4] = ["widgets", "reports", "rooms", "keys"];
 const ENTRY_COUNTS: [u32; 4] = [8, 32, 200, 800];
 const KEY_COUNTS: [u32; 4] = [1_000, 10_000, 60_000, 300_000];
 const JOB_COUNTS: [u32; 4] = [500, 5_000, 50_000, 200_000];
@@ -148,6 +150,23 @@
     }
 }
 
+/// A view of `entries` members.
+pub fn view(entries: u32) -> View {
+    let mut view = View::default();
+    for ix in 0..entries {
+        let value = serde_json::to_string(&member(ix)).expect("members are plain data");
+        let key = format!("coord/members/entry-{ix}");
+        view.apply_record(&Record { key, value, revision: u64::from(ix), lease: Some(1) });
+    }
+    view
+}
+
+/// Chooses the deciding entry of one of four services, as seen by the first entry.
+pub fn choose_entry(view: &mut View, step: u32) -> directory::Place {
+    let ranking = view.ranking(SERVICES[(step % 4) as usize]);
+    place_unkeyed(&ranking, "entry-0", false, |_| true)
+}
+
 fn class(name: &str, service: &str) -> Class {
     Class {
         name: name.into(),
@@ -325,6 +344,7 @@
 
 fn coordination_rows() -> Vec<Row> {
     let mut apply = Vec::new();
+    let mut place = Vec::new();
     let mut memory = Vec::new();
     let mut record_bytes = Vec::new();
     for entries in ENTRY_COUNTS {
@@ -346,6 +366,10 @@
         let sent: usize =
             changes.iter().map(|c| serde_json::to_string(c).map_or(0, |t| t.len())).sum();
         record_bytes.push((f64::from(entries), sent as f64));
+        let time = mean_time(20_000, |ix| {
+            black_box(choose_entry(&mut view, ix));
+        });
+        place.push((f64::from(entries), time * 1e6));
     }
     let mut parse = Vec::new();
     let mut size = Vec::new();
@@ -358,6 +382,7 @@
         parse.push((f64::from(classes), time * 1e6));
     }
     vec![
+        Row { name: "request path: choice of the entry", unit: "us", points: place, target: 800.0 },
         Row {
             name: "membership: one change of the view",
             unit: "us",
--- a/crates/jackdawpier_bench/tests/operations.rs
+++ b/crates/jackdawpier_bench/tests/operations.rs
@@ -25,6 +25,16 @@
     allocations(|ticket| scale::route_one(&mut dispatcher, ticket))
 }
 
+fn entry_allocations(entries: u32) -> f64 {
+    let mut view = scale::view(entries);
+    (0..4).for_each(|step| {
+        scale::choose_entry(&mut view, step);
+    });
+    allocations(|step| {
+        scale::choose_entry(&mut view, step as u32);
+    })
+}
+
 fn lookup_allocations(keys: u64) -> f64 {
     let mut dedupe = Dedupe::new(std::time::Duration::from_secs(300));
     let key = |ix: u64| format!("k/export/key-{ix}").into();
@@ -52,6 +62,9 @@
     let (small, large) = (route_allocations(50), route_allocations(5_000));
     println!("route: {small:.2} allocations at 50 executors, {large:.2} at 5,000");
     assert!(large <= small * 1.25 + 1.0, "{large:.2} against {small:.2}");
+    let (small, large) = (entry_allocations(8), entry_allocations(800));
+    println!("choice of the entry: {small:.2} allocations at 8 entries, {large:.2} at 800");
+    assert!(large <= small + 0.1, "{large:.2} against {small:.2}");
     let (small, large) = (lookup_allocations(1_000), lookup_allocations(100_000));
     println!("key look-up: {small:.2} allocations at 1,000 keys, {large:.2} at 100,000");
     assert!(large <= small + 1.0, "{large:.2} against {small:.2}");
--- a/crates/jackdawpier_coord/src/membership.rs
+++ b/crates/jackdawpier_coord/src/membership.rs
@@ -4,11 +4,12 @@
 //! before the store could let it lapse. What a pause between that check and an effect can do is
 //! bounded by the fences: see `docs/design/coordination.md`.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jackdawpier_kernel::{
     Now,
     ids::{EntryId, Revision, ZoneName},
+    rendezvous,
 };
 use jackdawpier_store::{Change, Condition, LeaseId, Record, Request, Response, StoreResult};
 use serde::{Deserialize, Serialize};
@@ -211,6 +212,8 @@
     members: BTreeMap<EntryId, Member>,
     owners: BTreeMap<String, Owner>,
     documents: BTreeMap<String, Revision>,
+    /// Rankings of the candidates by shard, made when first asked for after a change of members.
+    rankings: BTreeMap<String, Arc<[EntryId]>>,
     /// Revision up to which the view has seen.
     pub store_revision: Revision,
 }
@@ -238,6 +241,7 @@
         self.store_revision = self.store_revision.max(record.revision);
         if let Some(name) = record.key.strip_prefix(keys::MEMBERS) {
             if let Ok(member) = serde_json::from_str::<Member>(&record.value) {
+                self.note_candidate(name, &member);
                 self.members.insert(name.into(), member);
             }
         } else if let Some(shard) = record.key.strip_prefix(keys::SHARDS)
@@ -266,6 +270,7 @@
                 self.store_revision = self.store_revision.max(*revision);
                 if let Some(name) = key.strip_prefix(keys::MEMBERS) {
                     self.members.remove(name);
+                    self.rankings.clear();
                 } else if let Some(shard) = key.strip_prefix(keys::SHARDS) {
                     self.owners.remove(shard);
                 }
@@ -273,6 +278,25 @@
         }
     }
 
+    /// Only a change of who may own shards ends the rankings; reports of revisions do not.
+    fn note_candidate(&mut self, name: &str, member: &Member) {
+        let before = self.members.get(name).map(|known| known.is_stopping);
+        if before != Some(member.is_stopping) {
+            self.rankings.clear();
+        }
+    }
+
+    /// The candidates from the most to the least preferred owner of `shard`.
+    pub fn ranking(&mut self, shard: &str) -> Arc<[EntryId]> {
+        if let Some(known) = self.rankings.get(shard) {
+            return Arc::clone(known);
+        }
+        let ranked: Arc<[EntryId]> =
+            rendezvous::ranking(shard, self.candidates()).into_iter().map(EntryId::from).collect();
+        self.rankings.insert(shard.to_owned(), Arc::clone(&ranked));
+        ranked
+    }
+
     /// The members in the order of their names.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/crates/jackdawpier_proofs/tests/jobs.rs
+++ b/crates/jackdawpier_proofs/tests/jobs.rs
@@ -1,9 +1,6 @@
 //! Durable jobs over seeded histories: owners die, starts and answers come late, workers vanish.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use jackdawpier_jobs::{
     job::{Job, JobState, ParkReason},
@@ -48,7 +45,7 @@
 
 #[derive(Default)]
 struct Worker {
-    tasks: HashMap<JobId, Task>,
+    tasks: BTreeMap<JobId, Task>,
     is_cut: bool,
 }
 
@@ -70,8 +67,8 @@
     writes: u64,
     later: Vec<(Now, Message)>,
     accepted: Vec<JobId>,
-    runs: HashMap<JobId, u32>,
-    completions: HashMap<JobId, u32>,
+    runs: BTreeMap<JobId, u32>,
+    completions: BTreeMap<JobId, u32>,
     next_job: u32,
 }
 
@@ -122,8 +119,8 @@
             writes: 0,
             later: Vec::new(),
             accepted: Vec::new(),
-            runs: HashMap::new(),
-            completions: HashMap::new(),
+            runs: BTreeMap::new(),
+            completions: BTreeMap::new(),
             next_job: 0,
         }
     }
--- a/crates/jackdawpier_route/src/directory.rs
+++ b/crates/jackdawpier_route/src/directory.rs
@@ -4,7 +4,7 @@
 //! other request goes to the preferred *reachable* member: the store need not be up for that, and
 //! a dead owner costs no wait for its lease. See `docs/design/routing.md`.
 
-use jackdawpier_kernel::{ids::EntryId, rendezvous};
+use jackdawpier_kernel::ids::EntryId;
 
 /// Where a request is decided.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,19 +17,17 @@
     Nowhere,
 }
 
-/// Chooses the place for a request without a key. An entry that is stopping decides only where
-/// nobody else can, as the others leave it out too.
-pub fn place_unkeyed<'a>(
-    service: &str,
-    own: &'a str,
+/// Chooses the place for a request without a key, from the ranking of the service's candidates.
+/// An entry that is stopping decides only where nobody else can, as the others leave it out too.
+pub fn place_unkeyed(
+    ranking: &[EntryId],
+    own: &str,
     is_stopping: bool,
-    candidates: impl Iterator<Item = &'a str>,
     is_reachable: impl Fn(&str) -> bool,
 ) -> Place {
-    let usable = candidates.filter(|name| *name != own && is_reachable(name));
-    let own_candidate = (!is_stopping).then_some(own);
-    match rendezvous::owner(service, usable.chain(own_candidate)) {
-        Some(name) if name != own => Place::Peer(name.into()),
+    let is_usable = |name: &str| if name == own { !is_stopping } else { is_reachable(name) };
+    match ranking.iter().find(|name| is_usable(name)) {
+        Some(name) if **name != *own => Place::Peer(name.clone()),
         _ => Place::Here,
     }
 }
--- a/crates/jackdawpierd/src/capacity.rs
+++ b/crates/jackdawpierd/src/capacity.rs
@@ -268,6 +268,7 @@
             cell,
             wave_id: 0,
             wave: None,
+            has_recovered_wave: false,
             recovered: Vec::new(),
             orders: HashMap::new(),
             hold: None,
--- a/crates/jackdawpierd/src/capacity/held.rs
+++ b/crates/jackdawpierd/src/capacity/held.rs
@@ -42,6 +42,8 @@
     pub(super) cell: Cell<CapacityRecord>,
     pub(super) wave_id: u64,
     pub(super) wave: Option<Wave>,
+    /// Whether a wave was read from the records and not filled yet.
+    pub(super) has_recovered_wave: bool,
     /// Ends of the present wave's orders, from records read before the fleet was known.
     pub(super) recovered: Vec<(Arc<str>, Progress, bool)>,
     pub(super) orders: HashMap<Arc<str>, Pending>,
@@ -60,6 +62,8 @@
 pub(super) struct LearnedDemand {
     pub(super) demand: Demand,
     pub(super) slot: u64,
+    /// Whether this holder has seen the slot from its start.
+    pub(super) is_whole: bool,
     pub(super) largest_milli: u32,
 }
 
@@ -96,7 +100,8 @@
                     self.days.insert(day.day, day);
                 }
                 CapacityRecord::Demand { service, demand } => {
-                    let learned = LearnedDemand { demand, slot: 0, largest_milli: 0 };
+                    let learned =
+                        LearnedDemand { demand, slot: 0, is_whole: false, largest_milli: 0 };
                     self.demands.insert(service, learned);
                 }
                 CapacityRecord::Wave { id, state } => {
@@ -127,6 +132,7 @@
                 self.orders.insert(id, pending);
             }
         }
+        self.has_recovered_wave = wave_state.is_some();
         self.wave = wave_state.map(|state| Wave::restore(state, []));
     }
 
@@ -136,13 +142,14 @@
         for (service, peak) in peaks {
             let milli = inputs.demand_milli.get(service).copied().unwrap_or(0);
             let learned = self.demands.entry(Arc::clone(service)).or_insert_with(|| {
-                LearnedDemand { demand: Demand::new(peak.need), slot, largest_milli: 0 }
+                let demand = Demand::new(peak.need);
+                LearnedDemand { demand, slot, is_whole: false, largest_milli: 0 }
             });
             learned.demand.set_peak(peak.need);
-            let is_whole = learned.slot + 1 == slot;
             if learned.slot != slot {
                 // A slot that this holder has not seen from its start to its end teaches nothing.
-                if is_whole && learned.largest_milli > 0 {
+                let is_next = learned.slot + 1 == slot;
+                if is_next && learned.is_whole && learned.largest_milli > 0 {
                     let start = SLOT * u32::try_from(learned.slot).unwrap_or(u32::MAX);
                     let demand = f64::from(learned.largest_milli) / f64::from(MILLI);
                     learned.demand.observe(start, day_kind(start), demand);
@@ -153,28 +160,29 @@
                     self.cell.put(format!("demand/{service}").into(), &record);
                 }
                 learned.slot = slot;
+                learned.is_whole = is_next;
                 learned.largest_milli = 0;
             }
             learned.largest_milli = learned.largest_milli.max(milli);
         }
     }
 
-    /// Fills the restored wave once the list has shown the instances.
+    /// Fills the wave of an earlier holder once the list has shown the instances.
     pub(super) fn restore_wave(&mut self, by_id: &HashMap<Arc<str>, InstanceIx>) {
-        if self.recovered.is_empty() && self.wave.as_ref().is_none_or(|wave| wave.pending() > 0) {
+        if !self.has_recovered_wave || by_id.is_empty() {
             return;
         }
+        self.has_recovered_wave = false;
         let Some(wave) = &mut self.wave else { return };
-        if wave.state() == WaveState::Finished || by_id.is_empty() {
-            return;
-        }
-        if !self.recovered.is_empty() {
-            let steps = self.recovered.drain(..).filter_map(|(id, progress, was_serving)| {
+        let steps: Vec<(InstanceIx, Progress, bool)> = self
+            .recovered
+            .drain(..)
+            .filter_map(|(id, progress, was_serving)| {
                 Some((*by_id.get(&id)?, progress, was_serving))
-            });
-            *wave = Wave::restore(wave.state(), steps.collect::<Vec<_>>());
-        }
-        if wave.done() == 0 && wave.out().is_empty() || wave.pending() == 0 {
+            })
+            .collect();
+        *wave = Wave::restore(wave.state(), steps);
+        if wave.state() != WaveState::Finished {
             by_id.values().for_each(|ix| wave.add(*ix));
         }
     }
@@ -193,7 +201,7 @@
         };
         let order = Order { id: order_id, instance: Arc::clone(&id), action };
         let record = CapacityRecord::Order { order: order.clone(), wave, was_serving, end: None };
-        let Some(number) = self.cell.put(order_subject(&id), &record) else { return };
+        let Some(number) = self.cell.put(order_subject(&order), &record) else { return };
         let pending = Pending {
             order,
             wave,
@@ -209,13 +217,14 @@
     pub(super) fn end_order(&mut self, id: &Arc<str>, is_done: bool, ix: Option<InstanceIx>) {
         let Some(pending) = self.orders.remove(id) else { return };
         let progress = if is_done { Progress::Done } else { Progress::Failed };
+        let subject = order_subject(&pending.order);
         let record = CapacityRecord::Order {
             order: pending.order,
             wave: pending.wave,
             was_serving: pending.was_serving,
             end: Some(progress),
         };
-        self.cell.put(order_subject(id), &record);
+        self.cell.put(subject, &record);
         if let (Some(wave), Some(ix)) = (&mut self.wave, ix)
             && pending.wave == self.wave_id
         {
@@ -250,6 +259,11 @@
     }
 }
 
-fn order_subject(id: &str) -> Arc<str> {
-    format!("order/{id}").into()
+/// A wave's record of an instance must outlive later moves of it, or a new holder would repeat the
+/// maintenance; so the two kinds of orders have subjects of their own.
+fn order_subject(order: &Order) -> Arc<str> {
+    match order.action {
+        OrderAction::Maintain => format!("maintain/{}", order.instance).into(),
+        OrderAction::MoveTo(_) => format!("move/{}", order.instance).into(),
+    }
 }
--- a/crates/jackdawpierd/src/entry.rs
+++ b/crates/jackdawpierd/src/entry.rs
@@ -155,9 +155,9 @@
             return Arc::clone(service);
         }
         let service = Arc::new(Service::new(self, name.clone()));
-        services.insert(name.clone(), Arc::clone(&service));
-        drop(services);
+        // Nobody may find the service before it knows its classes and executors.
         service.refresh();
+        services.insert(name.clone(), Arc::clone(&service));
         service
     }
 
--- a/crates/jackdawpierd/src/instance_reader.rs
+++ b/crates/jackdawpierd/src/instance_reader.rs
@@ -48,8 +48,9 @@
         return;
     }
     entry.set_instances(list.instances);
-    entry.is_list_loaded.store(true, Ordering::Relaxed);
     for service in entry.services() {
         service.refresh();
     }
+    // Only now can a request find executors.
+    entry.is_list_loaded.store(true, Ordering::Relaxed);
 }
--- a/crates/jackdawpierd/src/router.rs
+++ b/crates/jackdawpierd/src/router.rs
@@ -33,15 +33,15 @@
 }
 
 fn place(entry: &Entry, work: &WorkRequest, needs_owner: bool) -> (Place, Option<SocketAddr>) {
-    let coordination = entry.coordination();
+    let mut coordination = entry.coordination();
+    let ranking = coordination.view.ranking(&work.service);
     let view = &coordination.view;
     let reachable = |peer: &str| is_reachable(entry, &coordination, peer);
     let place = if needs_owner {
         let owner = view.owner(&work.service).map(|owner| &*owner.entry);
         place_keyed(entry.name(), owner, reachable)
     } else {
-        let is_stopping = entry.is_stopping();
-        place_unkeyed(&work.service, entry.name(), is_stopping, view.candidates(), reachable)
+        place_unkeyed(&ranking, entry.name(), entry.is_stopping(), reachable)
     };
     let address = match &place {
         Place::Peer(peer) => view.member(peer).and_then(|member| member.peer_address.parse().ok()),
--- a/crates/jackdawpierd/tests/callers_port.rs
+++ b/crates/jackdawpierd/tests/callers_port.rs
@@ -77,7 +77,8 @@
         (0..20).map(|_| TcpStream::connect(daemon.callers).expect("it listens")).collect();
     drop(held);
     let answer = http("POST", daemon.callers, "/render/x", &[], &work(1, 100));
-    assert_eq!(answer.expect("it takes callers again").0, 200);
+    let (status, body) = answer.expect("it takes callers again");
+    assert_eq!(status, 200, "{body}");
 }
 
 #[test]
