--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,6 +1,6 @@
 # Common parts of the scripts: starting processes on free loopback ports and ending them by id.
 # shellcheck shell=bash
-bin=target/release
+bin=${CARGO_TARGET_DIR:-target}/release
 work=$(mktemp -d)
 pids=()
 
