Keep the keys of customers apart

Cause: a key's subject had the class and the key but not the customer, so two customers with the same key and body shared one run and one answer, and two jobs with the same key were one: the second was lost. Seen failing: keys_apart (3 runs of 4). Ruled out: joining the parts with a separator alone, which a customer's name may contain. After: 4 runs, 4 jobs for 4 pairs of customer and key; a repeat is still one. Conclusion: "never another's" now holds by construction of the subject.

--- a/crates/jackdawpier/src/commands/report.rs
+++ b/crates/jackdawpier/src/commands/report.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use plotters::prelude::*;
+use plotters::{drawing::DrawingAreaErrorKind, prelude::*};
 use serde::Deserialize;
 
 use crate::{
@@ -38,6 +38,9 @@
     }
 }
 
+/// What can go wrong while drawing into a file.
+type DrawError = DrawingAreaErrorKind<std::io::Error>;
+
 /// A line of the plot: name, colour and points.
 type Series = (&'static str, RGBColor, Vec<(f64, f64)>);
 
@@ -84,7 +87,7 @@
     println!("{table}\ndays are counted from 1970-01-01");
 }
 
-fn draw(file: &Path, days: &[DaySums]) -> Result<(), Box<dyn std::error::Error>> {
+fn draw(file: &Path, days: &[DaySums]) -> Result<(), DrawError> {
     let first = days.first().map_or(0, |day| day.day) as f64;
     let last = days.last().map_or(0, |day| day.day) as f64;
     let series: [Series; 3] = [
--- a/crates/jackdawpier_bench/src/fit.rs
+++ b/crates/jackdawpier_bench/src/fit.rs
@@ -15,12 +15,11 @@
     /// Fits a line through at least two points, each weighed by one over its value squared, so
     /// that small sizes count as much as large ones.
     pub fn fit(points: &[(f64, f64)]) -> Self {
-        let weight = |y: f64| 1.0 / y.max(1e-12).powi(2);
-        let sum = |f: &dyn Fn(f64, f64) -> f64| -> f64 {
-            points.iter().map(|(x, y)| weight(*y) * f(*x, *y)).sum()
+        let sum = |f: fn(f64, f64) -> f64| -> f64 {
+            points.iter().map(|(x, y)| f(*x, *y) / y.max(1e-12).powi(2)).sum()
         };
-        let (w, wx, wy) = (sum(&|_, _| 1.0), sum(&|x, _| x), sum(&|_, y| y));
-        let (wxx, wxy) = (sum(&|x, _| x * x), sum(&|x, y| x * y));
+        let (w, wx, wy) = (sum(|_, _| 1.0), sum(|x, _| x), sum(|_, y| y));
+        let (wxx, wxy) = (sum(|x, _| x * x), sum(|x, y| x * y));
         let determinant = w * wxx - wx * wx;
         let slope = if determinant.abs() < f64::EPSILON * w * wxx {
             0.0
--- a/crates/jackdawpier_bench/src/report.rs
+++ b/crates/jackdawpier_bench/src/report.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, time::Duration};
 
 use jackdawpier_capacity::planner::Ceilings;
-use plotters::prelude::*;
+use plotters::{drawing::DrawingAreaErrorKind, prelude::*};
 
 use crate::{
     days::{self, Measured, Policy, Run},
@@ -92,6 +92,9 @@
     }
 }
 
+/// What can go wrong while drawing into a file.
+type DrawError = DrawingAreaErrorKind<std::io::Error>;
+
 /// One point of the trade-off: the ceiling, moves a day, buffer over its bound.
 pub type Point = (String, f64, f64);
 
@@ -132,10 +135,7 @@
     draw(file, &series).map_err(|error| error.to_string())
 }
 
-fn draw(
-    file: &Path,
-    series: &[(Deployment, Vec<Point>)],
-) -> Result<(), Box<dyn std::error::Error>> {
+fn draw(file: &Path, series: &[(Deployment, Vec<Point>)]) -> Result<(), DrawError> {
     let all = || series.iter().flat_map(|(_, points)| points);
     let most_moves = all().map(|point| point.1).fold(1.0, f64::max) * 1.1;
     let most_buffer = all().map(|point| point.2).fold(1.0, f64::max) * 1.1;
--- a/crates/jackdawpier_standin/src/load_report.rs
+++ b/crates/jackdawpier_standin/src/load_report.rs
@@ -192,6 +192,26 @@
     }
 }
 
+fn write_row(f: &mut fmt::Formatter<'_>, name: &str, figures: &Latency) -> fmt::Result {
+    let ms = |us: u64| us as f64 / 1000.0;
+    let Latency { count, p50_us, p99_us, max_us } = *figures;
+    let (p50, p99, max) = (ms(p50_us), ms(p99_us), ms(max_us));
+    writeln!(f, "{name:<16} {count:>8} {p50:>10.2} {p99:>10.2} {max:>10.2}")
+}
+
+/// The latency of each customer, as a table.
+#[derive(Debug)]
+pub struct ByCustomer<'a>(pub &'a Report);
+
+impl fmt::Display for ByCustomer<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .by_customer
+            .iter()
+            .try_for_each(|(number, figures)| write_row(f, &format!("customer {number}"), figures))
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
@@ -199,27 +219,11 @@
             "{:<16} {:>8} {:>10} {:>10} {:>10}",
             "class", "answered", "p50 ms", "p99 ms", "max ms"
         )?;
-        let rows = self
-            .by_class
-            .iter()
-            .map(|(class, figures)| (class.as_str(), figures))
-            .map(|(class, figures)| (class.to_owned(), figures))
-            .chain(self.by_customer.iter().map(|(n, figures)| (format!("customer {n}"), figures)))
-            .chain([
-                ("loud customer".to_owned(), &self.loud_customer),
-                ("others".to_owned(), &self.other_customers),
-            ]);
-        for (name, figures) in rows {
-            let ms = |us: u64| us as f64 / 1000.0;
-            writeln!(
-                f,
-                "{name:<16} {:>8} {:>10.2} {:>10.2} {:>10.2}",
-                figures.count,
-                ms(figures.p50_us),
-                ms(figures.p99_us),
-                ms(figures.max_us)
-            )?;
+        for (class, figures) in &self.by_class {
+            write_row(f, class, figures)?;
         }
+        write_row(f, "loud customer", &self.loud_customer)?;
+        write_row(f, "others", &self.other_customers)?;
         writeln!(f, "outcomes: {:?}", self.outcomes)?;
         writeln!(
             f,
--- a/crates/jackdawpier_standin/src/main.rs
+++ b/crates/jackdawpier_standin/src/main.rs
@@ -7,6 +7,7 @@
 use jackdawpier_standin::{
     executor, instance_list, keys,
     load::{self, LoadPlan, MixPart},
+    load_report::ByCustomer,
     process::block_on,
     store_server, worker,
 };
@@ -151,6 +152,8 @@
     worker: Vec<String>,
     /// Some back end is killed during the run and takes its counts along
     lost_counters: bool,
+    /// Also prints the latency of each customer
+    by_customer: bool,
     /// Prints JSON
     json: bool,
 }
@@ -196,6 +199,9 @@
     if args.json {
         println!("{}", serde_json::to_string(&report).expect("reports are plain data"));
     } else {
+        if args.by_customer {
+            print!("{}", ByCustomer(&report));
+        }
         println!("{report}");
     }
     if report.violations.is_zero() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- a/crates/jackdawpierd/src/service_jobs.rs
+++ b/crates/jackdawpierd/src/service_jobs.rs
@@ -61,6 +61,24 @@
     jobs.jobs().filter(|job| matches!(job.state, JobState::Parked { .. }))
 }
 
+/// The id of a job: its class, its customer and the key that its caller chose. Neither a class nor
+/// an encoded customer has the separator, so two customers can't share a job.
+fn job_id(work: &WorkRequest) -> JobId {
+    let name = work.key.as_deref().unwrap_or(&work.request_id);
+    let (customer, name) = (path_safe(&work.customer, ""), path_safe(name, "-."));
+    format!("{}~{customer}~{name}", work.class).into()
+}
+
+/// Letters, digits and `kept` characters as they are, every other byte as `_` and two digits.
+fn path_safe(text: &str, kept: &str) -> String {
+    text.bytes()
+        .map(|byte| match char::from(byte) {
+            c if c.is_ascii_alphanumeric() || kept.contains(c) => c.to_string(),
+            _ => format!("_{byte:02x}"),
+        })
+        .collect()
+}
+
 fn job_subject(id: &str) -> JobId {
     format!("j/{id}").into()
 }
@@ -126,8 +144,7 @@
             return Vec::new();
         }
         let owned = self.owned.as_mut().expect("only an owner gets here");
-        let name = work.key.as_deref().unwrap_or(&work.request_id);
-        let id: JobId = format!("{}-{name}", work.class).into();
+        let id = job_id(work);
         let job = Job {
             id: id.clone(),
             class: work.class.clone(),
--- a/crates/jackdawpierd/src/service_state.rs
+++ b/crates/jackdawpierd/src/service_state.rs
@@ -39,8 +39,12 @@
     xxh3_64_with_seed(&work.body, hash)
 }
 
-fn key_subject(class: &str, key: &str) -> RequestKey {
-    format!("k/{class}/{key}").into()
+/// A key belongs to its class and customer; the length keeps `a/b` with `c` apart from `a` with
+/// `b/c`.
+fn key_subject(work: &WorkRequest) -> RequestKey {
+    let WorkRequest { class, customer, key, .. } = work;
+    let key = key.as_deref().unwrap_or_default();
+    format!("k/{class}/{}/{customer}/{key}", customer.len()).into()
 }
 
 impl ServiceState {
@@ -121,7 +125,7 @@
         let deadline = now + work.time_left;
         let admitted = self.dispatcher.admits(now, &work.class, &work.customer, deadline);
         let owned = self.owned.as_mut().expect("only an owner gets here");
-        let subject = key_subject(&work.class, work.key.as_deref().unwrap_or_default());
+        let subject = key_subject(&work);
         match owned.dedupe.begin(&subject, fingerprint(&work), ticket) {
             Decision::Wait => {
                 owned.waiters.insert(ticket, reply);
@@ -207,8 +211,8 @@
     fn finish(&mut self, now: Now, ticket: Ticket, outcome: Outcome) -> Vec<Action> {
         let Some(running) = self.requests.remove(&ticket) else { return Vec::new() };
         let mut actions = Vec::new();
-        if let (Some(key), Some(owned)) = (&running.work.key, &mut self.owned) {
-            let subject = key_subject(&running.work.class, key);
+        if let (Some(_), Some(owned)) = (&running.work.key, &mut self.owned) {
+            let subject = key_subject(&running.work);
             if let Some((state, waiters)) = owned.dedupe.end(now, &subject, &outcome) {
                 owned.cell.put(subject, &CellState::Key(state));
                 for waiter in waiters.iter().filter_map(|ticket| owned.waiters.remove(ticket)) {
--- a/crates/jackdawpierd/tests/outages.rs
+++ b/crates/jackdawpierd/tests/outages.rs
@@ -113,7 +113,7 @@
     std::thread::sleep(Duration::from_secs(10));
     set_faults(deployment.store, &json!({}));
     wait_for("the job to be done and not parked", || {
-        let path = "/ledger/jobs/ledger-key-9";
+        let path = "/ledger/jobs/ledger~none~key-9";
         let shown = http("GET", daemons[0].callers, path, &[], b"").expect("it answers").1;
         assert_ne!(shown["state"]["state"], "parked", "an outage must not end a running task");
         shown["state"]["state"] == "done"
--- a/crates/jackdawpierd/tests/parked.rs
+++ b/crates/jackdawpierd/tests/parked.rs
@@ -16,7 +16,7 @@
         assert_eq!(accepted.expect("it answers").0, 202);
     }
     let state = |key: &str, action: &str| {
-        let path = format!("/v1/jobs/ledger/ledger-{key}/{action}");
+        let path = format!("/v1/jobs/ledger/ledger~none~{key}/{action}");
         let answer = http("POST", daemons[1].operators, &path, &[], b"").expect("it answers");
         assert_eq!(answer.0, 200, "{}", answer.1);
         answer.1["state"]["state"].as_str().unwrap_or_default().to_owned()
--- a/crates/jackdawpierd/tests/whole_path.rs
+++ b/crates/jackdawpierd/tests/whole_path.rs
@@ -111,3 +111,24 @@
     let ran = deployment.runs().keys().filter(|nonce| (100..140).contains(*nonce)).count();
     assert!(ran <= 4, "{ran} of 40 requests ran though their callers were gone");
 }
+
+#[test]
+fn keys_apart() {
+    let deployment = Deployment::new("keys-apart", 1, 1);
+    let daemons = deployment.start_all(2);
+    let send = |class: &str, customer: &str, key: &str| {
+        let headers = [("idempotency-key", key), ("x-customer", customer)];
+        let path = format!("/{class}/x");
+        http("POST", daemons[0].callers, &path, &headers, &work(77, 1_000)).expect("it answers")
+    };
+    for (customer, key) in [("one", "same"), ("two", "same"), ("a/b", "c"), ("a", "b/c")] {
+        assert_eq!(send("export", customer, key).0, 200);
+    }
+    assert_eq!(deployment.runs().get(&77), Some(&4), "a key belongs to its customer");
+    let jobs: std::collections::BTreeSet<String> =
+        [("one", "same"), ("two", "same"), ("a-b", "c"), ("a", "b-c"), ("one", "same")]
+            .into_iter()
+            .map(|(customer, key)| send("nightly", customer, key).1["job"].to_string())
+            .collect();
+    assert_eq!(jobs.len(), 4, "{jobs:?}");
+}
