--- a/crates/jackdawpierd/tests/leaving.rs
+++ b/crates/jackdawpierd/tests/leaving.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
 use serde_json::json;
 use support::{Deployment, http, set_faults, wait_for, work};
 
@@ -19,6 +21,7 @@
     }
     let counts = http("GET", leaving, "/admin/counts", &[], b"").expect("it answers").1;
     let tried = counts["new_while_leaving"].as_u64().expect("it counts");
+    println!("last new work {} ms after its own word", counts["last_new_while_leaving_ms"]);
     assert!(tried <= 2, "one word of its own is enough at each deciding entry: {tried}");
 }
 
@@ -32,6 +35,8 @@
         let counts = http("GET", address, "/admin/counts", &[], b"").expect("it answers").1;
         counts["runs"].as_object().map_or(0, serde_json::Map::len)
     };
+    let marked_at = Instant::now();
+    let mut last_work = Duration::ZERO;
     let mut nonce = 0;
     wait_for("the leaving executor to get no more work", || {
         let before = runs(*address);
@@ -40,6 +45,11 @@
             let answer = http("POST", daemons[0].callers, "/render/x", &[], &work(nonce, 100));
             assert_eq!(answer.expect("it answers").0, 200);
         }
-        runs(*address) == before
+        let is_quiet = runs(*address) == before;
+        if !is_quiet {
+            last_work = marked_at.elapsed();
+        }
+        is_quiet
     });
+    println!("last new work at most {} ms after the list's word", last_work.as_millis());
 }
