Merge what stood twice in fixtures' checks, stand-in starts and refusals

Cause: a reading of the whole change found the same lines in the settings' tests, in the starting of stand-ins for tests, and in the refusal of what can't be made durable; the refusal now stands before the choice of keyed or job. Left alone: pairs that share only their shape (tables of two deployments, the seeded runners of two crates' proofs).

--- a/crates/jackdawpier_settings/tests/findings.rs
+++ b/crates/jackdawpier_settings/tests/findings.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, path::Path};
 
+use jackdawpier_kernel::diagnostic::Diagnostic;
 use jackdawpier_settings::{
     loader::{load_declaration, load_settings},
     rules::RULES,
@@ -25,41 +26,33 @@
     all
 }
 
+fn shown<T>(result: Result<T, Vec<Diagnostic>>) -> Vec<String> {
+    result.err().into_iter().flatten().map(|finding| finding.to_string()).collect()
+}
+
+fn settings_findings() -> String {
+    findings("settings", |name, text| shown(load_settings(name, text)))
+}
+
+fn declaration_findings() -> String {
+    findings("declarations", |name, text| shown(load_declaration(name, text)))
+}
+
 #[test]
 fn settings_files() {
-    let all = findings("settings", |name, text| {
-        load_settings(name, text)
-            .err()
-            .into_iter()
-            .flatten()
-            .map(|finding| finding.to_string())
-            .collect()
-    });
+    let all = settings_findings();
     insta::assert_snapshot!(all);
 }
 
 #[test]
 fn declaration_files() {
-    let all = findings("declarations", |name, text| {
-        load_declaration(name, text)
-            .err()
-            .into_iter()
-            .flatten()
-            .map(|finding| finding.to_string())
-            .collect()
-    });
+    let all = declaration_findings();
     insta::assert_snapshot!(all);
 }
 
 #[test]
 fn every_rule() {
-    let all = findings("settings", |name, text| {
-        let settings = load_settings(name, text).err().into_iter().flatten();
-        settings.map(|finding| finding.to_string()).collect()
-    }) + &findings("declarations", |name, text| {
-        let declaration = load_declaration(name, text).err().into_iter().flatten();
-        declaration.map(|finding| finding.to_string()).collect()
-    });
+    let all = settings_findings() + &declaration_findings();
     for rule in RULES {
         assert!(all.contains(rule.code), "no fixture shows {} {}", rule.code, rule.name);
         assert!(rule.source.starts_with("//!"), "{} has no user page", rule.code);
--- a/crates/jackdawpier_standin/src/main.rs
+++ b/crates/jackdawpier_standin/src/main.rs
@@ -8,7 +8,7 @@
     executor, instance_list, keys,
     load::{self, LoadPlan, MixPart},
     load_report::ByCustomer,
-    process::block_on,
+    process::{any_port, block_on},
     store_server, worker,
 };
 
@@ -16,10 +16,6 @@
 const JOB_POLLS: u32 = 300;
 const JOB_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 /// Stand-ins for the platform and back ends, for development only
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
--- a/crates/jackdawpier_standin/src/process.rs
+++ b/crates/jackdawpier_standin/src/process.rs
@@ -1,6 +1,6 @@
 //! Common parts of the stand-in processes: listening, JSON and the ready line.
 
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{future::Future, net::SocketAddr, sync::mpsc, time::Duration};
 
 use jackdawpier_http::{Handler, IncomingRequest, Reply, ServerLimits, serve};
 use serde::{Serialize, de::DeserializeOwned};
@@ -19,6 +19,21 @@
     STANDIN_LIMITS
 }
 
+/// A free loopback port.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Runs a stand-in on a thread of its own, for tests, and returns the address that it reports.
+pub fn spawn<F>(run: impl FnOnce(mpsc::Sender<SocketAddr>) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = std::io::Result<()>>,
+{
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || block_on(run(sender)));
+    receiver.recv().expect("the stand-in starts")
+}
+
 /// Runs a future on a runtime of its own.
 pub fn block_on<F: Future>(future: F) -> F::Output {
     tokio::runtime::Builder::new_multi_thread()
--- a/crates/jackdawpier_standin/tests/faults.rs
+++ b/crates/jackdawpier_standin/tests/faults.rs
@@ -1,26 +1,16 @@
 //! The stand-ins do what their switches say.
 
-use std::{net::SocketAddr, sync::mpsc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use jackdawpier_kernel::task::{
     Size, StartTask, TASKS_PATH, TaskAction, TaskCommand, TaskReport, TaskState,
 };
-use jackdawpier_standin::{process::block_on, store_server, worker};
+use jackdawpier_standin::{
+    process::{any_port, spawn as spawn_standin},
+    store_server, worker,
+};
 use jackdawpier_store::{Request, StoreClient, StoreError};
 
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-fn start<F>(run: impl FnOnce(mpsc::Sender<SocketAddr>) -> F + Send + 'static) -> SocketAddr
-where
-    F: Future<Output = std::io::Result<()>>,
-{
-    let (sender, receiver) = mpsc::channel();
-    std::thread::spawn(move || block_on(run(sender)));
-    receiver.recv().expect("the stand-in starts")
-}
-
 fn post(address: SocketAddr, path: &str, body: &str) -> Vec<u8> {
     let answer = ureq::post(format!("http://{address}{path}")).send(body);
     answer.expect("it answers").body_mut().read_to_vec().expect("it is whole")
@@ -28,7 +18,7 @@
 
 #[test]
 fn rate_limit() {
-    let address = start(|ready| {
+    let address = spawn_standin(|ready| {
         store_server::run(any_port(), 1, move |at| ready.send(at).expect("the test waits"))
     });
     let client = StoreClient::new(&format!("http://{address}"));
@@ -64,8 +54,9 @@
 
 #[test]
 fn checkpoint_kept() {
-    let address =
-        start(|ready| worker::run(any_port(), move |at| ready.send(at).expect("the test waits")));
+    let address = spawn_standin(|ready| {
+        worker::run(any_port(), move |at| ready.send(at).expect("the test waits"))
+    });
     assert_eq!(begin(address, 1, 1_500_000).state, TaskState::Running);
     tell(address, TaskAction::Throttle);
     std::thread::sleep(Duration::from_millis(600));
--- a/crates/jackdawpierd/src/service_jobs.rs
+++ b/crates/jackdawpierd/src/service_jobs.rs
@@ -139,10 +139,6 @@
         is_idempotent: bool,
         reply: oneshot::Sender<Outcome>,
     ) -> Vec<Action> {
-        if let Some(refusal) = self.durable_refusal() {
-            let _ = reply.send(refusal);
-            return Vec::new();
-        }
         let owned = self.owned.as_mut().expect("only an owner gets here");
         let id = job_id(work);
         let job = Job {
--- a/crates/jackdawpierd/src/service_state.rs
+++ b/crates/jackdawpierd/src/service_state.rs
@@ -87,8 +87,14 @@
             return Vec::new();
         };
         let is_idempotent = class.idempotent || work.method == "GET" || work.method == "HEAD";
-        if class.kind == Kind::Refresh {
-            return self.submit_job(now, &work, class.idempotent, reply);
+        let (is_job, may_repeat) = (class.kind == Kind::Refresh, class.idempotent);
+        let refusal = if is_job || work.key.is_some() { self.durable_refusal() } else { None };
+        if let Some(refusal) = refusal {
+            let _ = reply.send(refusal);
+            return Vec::new();
+        }
+        if is_job {
+            return self.submit_job(now, &work, may_repeat, reply);
         }
         let deadline = now + work.time_left;
         if work.key.is_some() {
@@ -100,7 +106,7 @@
     }
 
     /// The reason for which nothing can be made durable now, if there is one.
-    pub(crate) fn durable_refusal(&self) -> Option<Outcome> {
+    fn durable_refusal(&self) -> Option<Outcome> {
         match &self.owned {
             Some(owned) if owned.cell.is_open() && !owned.is_releasing => owned
                 .cell
@@ -118,10 +124,6 @@
         is_idempotent: bool,
         reply: oneshot::Sender<Outcome>,
     ) -> Vec<Action> {
-        if let Some(refusal) = self.durable_refusal() {
-            let _ = reply.send(refusal);
-            return Vec::new();
-        }
         let deadline = now + work.time_left;
         let admitted = self.dispatcher.admits(now, &work.class, &work.customer, deadline);
         let owned = self.owned.as_mut().expect("only an owner gets here");
--- a/crates/jackdawpierd/tests/support/mod.rs
+++ b/crates/jackdawpierd/tests/support/mod.rs
@@ -17,7 +17,7 @@
     executor, instance_list, keys,
     load::{self, LoadPlan, MixPart},
     load_report::Report,
-    process::block_on,
+    process::{any_port, spawn as spawn_standin},
     store_server, worker,
 };
 use serde_json::{Value, json};
@@ -26,20 +26,6 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Starts a stand-in on a thread and returns its address.
-fn start<F>(run: impl FnOnce(mpsc::Sender<SocketAddr>) -> F + Send + 'static) -> SocketAddr
-where
-    F: Future<Output = std::io::Result<()>>,
-{
-    let (sender, receiver) = mpsc::channel();
-    std::thread::spawn(move || block_on(run(sender)));
-    receiver.recv().expect("the stand-in starts")
-}
-
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 /// One daemon.
 pub(crate) struct Daemon {
     pub(crate) name: String,
@@ -143,8 +129,9 @@
             std::env::temp_dir().join(format!("jackdawpier-{test}-{}", std::process::id()));
         let names: Vec<String> = ["a", "b", "c"].map(str::to_owned).to_vec();
         keys::write_keys(&folder, &names).expect("the folder can be written");
-        let store = start(|ready| store_server::run(any_port(), 1, move |at| send(&ready, at)));
-        let list = start(|ready| {
+        let store =
+            spawn_standin(|ready| store_server::run(any_port(), 1, move |at| send(&ready, at)));
+        let list = spawn_standin(|ready| {
             instance_list::run(any_port(), Duration::ZERO, move |at| send(&ready, at))
         });
         let mut deployment = Self {
@@ -157,13 +144,14 @@
         };
         for index in 0..executors {
             let address =
-                start(|ready| executor::run(any_port(), 8, 64, move |at| send(&ready, at)));
+                spawn_standin(|ready| executor::run(any_port(), 8, 64, move |at| send(&ready, at)));
             let id = format!("widgets-{index}");
             deployment.register(&id, Role::Executor, "widgets", address);
             deployment.executors.push((id, address));
         }
         for index in 0..workers {
-            let address = start(|ready| worker::run(any_port(), move |at| send(&ready, at)));
+            let address =
+                spawn_standin(|ready| worker::run(any_port(), move |at| send(&ready, at)));
             deployment.register(&format!("worker-{index}"), Role::Worker, "refresh", address);
             deployment.workers.push(address);
         }
