--- a/crates/jackdawpier_bench/src/coordination.rs
+++ b/crates/jackdawpier_bench/src/coordination.rs
@@ -62,7 +62,7 @@
     let mut owners: Vec<Owner> = (0..run.cells)
         .map(|ix| Owner {
             cell: Cell::new(&format!("cell-{ix}"), "entry".into(), 1, COMMIT_INTERVAL),
-            dedupe: Dedupe::new(run.retention),
+            dedupe: Dedupe::new("entry".into(), run.retention),
             keys: BTreeMap::new(),
             call: None,
             working: Vec::new(),
@@ -114,7 +114,7 @@
         if let Decision::Record { state } = self.dedupe.begin(&key, ticket, ticket)
             && let Some(number) = self.cell.put(Arc::clone(&key), &state)
         {
-            self.dedupe.recording(number, ticket);
+            self.dedupe.recording(number, ticket, &key);
             self.keys.insert(ticket, (key, step));
         }
         let outputs = self.cell.tick(now);
@@ -143,7 +143,8 @@
             };
             let outcome = jackdawpier_kernel::outcome::Outcome::Answered(answer);
             if let Some((state, _)) = self.dedupe.end(now, &key, &outcome) {
-                self.cell.put(key, &state);
+                let number = self.cell.put(Arc::clone(&key), &state).expect("the cell is open");
+                self.dedupe.ending(number, &key);
             }
         }
         for key in self.dedupe.expire(now) {
@@ -158,7 +159,7 @@
             match output {
                 Output::Call(request) => self.call = Some((step + STORE_STEPS, request)),
                 Output::Committed { up_to } => {
-                    for ticket in self.dedupe.committed(up_to) {
+                    for ticket in self.dedupe.committed(up_to).sendable {
                         if let Some((key, since)) = self.keys.remove(&ticket) {
                             waits.0 += step - since;
                             waits.1 += 1;
--- a/crates/jackdawpier_bench/src/scale.rs
+++ b/crates/jackdawpier_bench/src/scale.rs
@@ -317,7 +317,7 @@
     for keys in KEY_COUNTS {
         let key = |ix: u32| RequestKey::from(format!("k/export/key-{ix}"));
         let (mut dedupe, bytes) = with_memory(|| {
-            let mut dedupe = Dedupe::new(Duration::from_secs(300));
+            let mut dedupe = Dedupe::new("entry".into(), Duration::from_secs(300));
             (0..keys).for_each(|ix| {
                 dedupe.begin(&key(ix), 1, u64::from(ix));
             });
--- a/crates/jackdawpier_bench/tests/operations.rs
+++ b/crates/jackdawpier_bench/tests/operations.rs
@@ -36,7 +36,7 @@
 }
 
 fn lookup_allocations(keys: u64) -> f64 {
-    let mut dedupe = Dedupe::new(std::time::Duration::from_secs(300));
+    let mut dedupe = Dedupe::new("entry".into(), std::time::Duration::from_secs(300));
     let key = |ix: u64| format!("k/export/key-{ix}").into();
     (0..keys).for_each(|ix| {
         dedupe.begin(&key(ix), 1, ix);
--- a/crates/jackdawpier_proofs/tests/histories.rs
+++ b/crates/jackdawpier_proofs/tests/histories.rs
@@ -28,6 +28,12 @@
     );
 }
 
+/// Two owners write one log: an end goes missing, and so may an intent.
+#[test]
+fn fence_off() {
+    must_fail(Switches { ignores_fence: true, ..Switches::default() }, "is forgotten");
+}
+
 #[test]
 fn intent_off() {
     must_fail(Switches { skips_intent: true, ..Switches::default() }, "ran twice");
@@ -38,6 +44,16 @@
     must_fail(Switches { forgets_intents: true, ..Switches::default() }, "ran twice");
 }
 
+#[test]
+fn ends_forgotten() {
+    must_fail(Switches { forgets_ends: true, ..Switches::default() }, "is forgotten");
+}
+
+#[test]
+fn told_early() {
+    must_fail(Switches { tells_early: true, ..Switches::default() }, "is forgotten");
+}
+
 #[test]
 fn monotony_off() {
     must_fail(Switches { adopts_older: true, ..Switches::default() }, "went back to");
--- a/crates/jackdawpier_proofs/tests/world/checks.rs
+++ b/crates/jackdawpier_proofs/tests/world/checks.rs
@@ -60,7 +60,7 @@
                 return Err(Violation(format!("{} does not serve after healing", entry.name)));
             }
         }
-        Ok(())
+        self.check_answers()
     }
 
     pub(super) fn tell(&mut self, key: RequestKey, attempt: u64, outcome: Outcome) {
--- a/crates/jackdawpier_proofs/tests/world/entry.rs
+++ b/crates/jackdawpier_proofs/tests/world/entry.rs
@@ -14,7 +14,10 @@
     ids::{EntryId, RequestKey},
     outcome::{Outcome, RefusalReason},
 };
-use jackdawpier_route::dedupe::{Decision, Dedupe, KeyState};
+use jackdawpier_route::{
+    dedupe::{Decision, Dedupe, KeyState, Settled},
+    former::FormerKeys,
+};
 use jackdawpier_store::{Request, Response, StoreResult};
 
 use super::{DEPLOYMENT, SHARD, Switches};
@@ -44,6 +47,14 @@
     keys: HashMap<u64, RequestKey>,
 }
 
+impl Owned {
+    fn write_end(&mut self, key: &RequestKey, state: &KeyState) {
+        if let Some(number) = self.cell.put(Arc::clone(key), state) {
+            self.dedupe.ending(number, key);
+        }
+    }
+}
+
 /// The decisions of one daemon.
 pub(crate) struct Entry {
     pub(crate) name: EntryId,
@@ -54,12 +65,15 @@
     pub(crate) calls: Vec<(Purpose, Request)>,
     pub(crate) sends: Vec<(RequestKey, u64)>,
     pub(crate) told: Vec<(RequestKey, u64, Outcome)>,
+    /// Questions about keys in doubt: (entry that is asked, key).
+    pub(crate) asks: Vec<(EntryId, RequestKey)>,
     /// Ends of attempts in flight: (step, key, attempt, outcome).
     pub(crate) ends: Vec<(u64, RequestKey, u64, Outcome)>,
     membership: Membership,
     view: View,
     ownership: Ownership,
     owned: Option<Owned>,
+    former: FormerKeys,
     is_view_loaded: bool,
     is_reading_view: bool,
     read_view_at: Now,
@@ -86,11 +100,13 @@
             calls: Vec::new(),
             sends: Vec::new(),
             told: Vec::new(),
+            asks: Vec::new(),
             ends: Vec::new(),
             membership: Membership::new(own, LEASE),
             view: View::default(),
             ownership: Ownership::new(name.clone(), incarnation),
             owned: None,
+            former: FormerKeys::new(RETENTION),
             is_view_loaded: false,
             is_reading_view: false,
             read_view_at: Now::ZERO,
@@ -172,16 +188,65 @@
                 if switches.skips_intent {
                     self.sends.push((Arc::clone(key), attempt));
                 } else {
-                    owned.dedupe.recording(number, attempt);
+                    owned.dedupe.recording(number, attempt, key);
                 }
                 let outputs = owned.cell.tick(now);
                 self.follow_cell(now, switches, outputs);
             }
             Decision::Repeat(outcome) => self.told.push((Arc::clone(key), attempt, outcome)),
-            Decision::Wait | Decision::KeyReused => {}
+            Decision::Ask(entry) => {
+                owned.keys.insert(attempt, Arc::clone(key));
+                self.asks.push((entry, Arc::clone(key)));
+            }
+            Decision::Wait => {
+                owned.keys.insert(attempt, Arc::clone(key));
+            }
+            Decision::KeyReused => {}
         }
     }
 
+    /// What this entry remembers of a key that it owned before.
+    pub(crate) fn recall(&self, switches: Switches, key: &RequestKey) -> Option<KeyState> {
+        if switches.forgets_ends { None } else { self.former.recall(key) }
+    }
+
+    /// Takes what the entry that was asked said.
+    pub(crate) fn on_recalled(
+        &mut self,
+        now: Now,
+        switches: Switches,
+        key: &RequestKey,
+        word: Option<KeyState>,
+    ) {
+        let now = now + self.clock_ahead;
+        let Some(owned) = &mut self.owned else { return };
+        let (outcome, waiters) = match owned.dedupe.settle(key, word) {
+            Settled::Write(state) => {
+                owned.write_end(key, &state);
+                if let (true, KeyState::Ended { outcome, .. }) = (switches.tells_early, &state) {
+                    self.told.push((Arc::clone(key), 0, outcome.clone()));
+                }
+                (not_run(), Vec::new())
+            }
+            Settled::Release(waiters) => {
+                owned.write_end(key, &KeyState::Released);
+                (not_run(), waiters)
+            }
+            Settled::Unknown(waiters) => (Outcome::Unknown { detail: String::new() }, waiters),
+        };
+        for waiter in waiters {
+            self.told.push((Arc::clone(key), waiter, outcome.clone()));
+        }
+        let outputs = owned.cell.tick(now);
+        self.follow_cell(now, switches, outputs);
+    }
+
+    /// What a repeat of `key` would make this owner do.
+    pub(crate) fn repeat(&mut self, key: &RequestKey) -> Option<Decision> {
+        let owned = self.owned.as_mut().filter(|owned| owned.cell.is_open())?;
+        Some(owned.dedupe.begin(key, FINGERPRINT, 0))
+    }
+
     pub(crate) fn tick(&mut self, now: Now, switches: Switches) {
         let now = now + self.clock_ahead;
         self.step += 1;
@@ -208,7 +273,7 @@
     fn tick_ownership(&mut self, now: Now) {
         if self.membership.lease(now).is_none() {
             self.ownership.lose_all();
-            self.drop_owned();
+            self.drop_owned(now);
             return;
         }
         if !self.is_view_loaded {
@@ -227,7 +292,7 @@
                 }
                 OwnershipOutput::Acquired { .. } => self.acquire(now),
                 OwnershipOutput::Release { shard } => {
-                    self.drop_owned();
+                    self.drop_owned(now);
                     self.ownership.released(&shard);
                 }
             }
@@ -242,15 +307,15 @@
         self.owned = Some(Owned {
             generation: self.generation,
             cell,
-            dedupe: Dedupe::new(RETENTION),
+            dedupe: Dedupe::new(self.name.clone(), RETENTION),
             keys: HashMap::new(),
         });
         self.follow_cell(now, Switches::default(), outputs);
     }
 
-    fn drop_owned(&mut self) {
-        let Some(mut owned) = self.owned.take() else { return };
-        for attempt in owned.dedupe.fenced() {
+    fn drop_owned(&mut self, now: Now) {
+        let Some(owned) = self.owned.take() else { return };
+        for attempt in owned.dedupe.retire(now, &mut self.former) {
             if let Some(key) = owned.keys.get(&attempt) {
                 self.told.push((Arc::clone(key), attempt, not_run()));
             }
@@ -265,20 +330,28 @@
                     self.calls.push((Purpose::Cell(owned.generation), request));
                 }
                 CellOutput::Opened { states, .. } => {
-                    for (subject, state) in states {
-                        let is_intent = matches!(state, KeyState::Intent { .. });
-                        if !(switches.forgets_intents && is_intent) {
-                            owned.dedupe.recover(now, subject, state);
-                        }
+                    let is_forgotten = |state: &KeyState| {
+                        switches.forgets_intents && matches!(state, KeyState::Intent { .. })
+                    };
+                    let states = states.into_iter().filter(|(_, state)| !is_forgotten(state));
+                    for (key, state) in owned.dedupe.recover(now, states, &mut self.former) {
+                        owned.write_end(&key, &state);
                     }
                 }
                 CellOutput::Committed { up_to } => {
-                    for attempt in owned.dedupe.committed(up_to) {
+                    let committed = owned.dedupe.committed(up_to);
+                    for (outcome, waiters) in committed.learned {
+                        for waiter in waiters {
+                            let key = Arc::clone(&owned.keys[&waiter]);
+                            self.told.push((key, waiter, outcome.clone()));
+                        }
+                    }
+                    for attempt in committed.sendable {
                         let key = Arc::clone(&owned.keys[&attempt]);
                         self.sends.push((key, attempt));
                     }
                 }
-                CellOutput::Fenced => self.drop_owned(),
+                CellOutput::Fenced => self.drop_owned(now),
             }
         }
     }
@@ -289,10 +362,9 @@
             std::mem::take(&mut self.ends).into_iter().partition(|(at, ..)| *at <= step);
         self.ends = rest;
         for (_, key, attempt, outcome) in due {
-            if let Some(owned) = &mut self.owned
-                && let Some((state, waiters)) = owned.dedupe.end(now, &key, &outcome)
-            {
-                owned.cell.put(Arc::clone(&key), &state);
+            let ended = self.owned.as_mut().and_then(|owned| owned.dedupe.end(now, &key, &outcome));
+            if let (Some(owned), Some((state, waiters))) = (&mut self.owned, ended) {
+                owned.write_end(&key, &state);
                 for waiter in waiters {
                     if !matches!(outcome, Outcome::NotRun { .. }) {
                         self.told.push((Arc::clone(&key), waiter, outcome.clone()));
@@ -300,6 +372,8 @@
                 }
                 let outputs = owned.cell.tick(now);
                 self.follow_cell(now, switches, outputs);
+            } else {
+                self.former.end(now, &key, &outcome);
             }
             self.told.push((key, attempt, outcome));
         }
--- a/crates/jackdawpier_proofs/tests/world/mod.rs
+++ b/crates/jackdawpier_proofs/tests/world/mod.rs
@@ -8,6 +8,7 @@
 mod checks;
 mod entry;
 mod network;
+mod recalls;
 mod schedule;
 
 use std::{
@@ -27,6 +28,7 @@
 use self::{
     changes::Change,
     network::{Call, Delivery, Run},
+    recalls::Question,
 };
 pub(crate) use self::{
     entry::{Entry, Purpose},
@@ -36,14 +38,18 @@
 const STEP: Duration = Duration::from_millis(50);
 /// Steps after the faults in which everything must come right again.
 const HEALING_STEPS: u16 = 500;
+/// The last steps, in which nobody asks for anything and everything under way ends.
+const QUIET_STEPS: u16 = 150;
 pub(crate) const SHARD: &str = "keys";
 pub(crate) const DEPLOYMENT: &str = "proof";
 
 /// Mechanisms that a test may turn off.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Switches {
-    /// The store ignores the conditions of writes: no fence, no conflict.
+    /// The store ignores the conditions of all writes but those of a cell's log: no conflict.
     pub(crate) ignores_conditions: bool,
+    /// The store ignores the conditions of a cell's log: no fence.
+    pub(crate) ignores_fence: bool,
     /// Requests are sent before their intent is durable.
     pub(crate) skips_intent: bool,
     /// A recovered intent counts as unused.
@@ -52,6 +58,10 @@
     pub(crate) adopts_older: bool,
     /// Entries serve however long they are cut off.
     pub(crate) ignores_isolation: bool,
+    /// Entries forget the ends that they could not write.
+    pub(crate) forgets_ends: bool,
+    /// An end that was learned from another entry is told before it is durable.
+    pub(crate) tells_early: bool,
     /// Operators' changes are written without regard to their base.
     pub(crate) ignores_base: bool,
 }
@@ -70,6 +80,9 @@
     calls: Vec<Call>,
     deliveries: Vec<Delivery>,
     runs: Vec<Run>,
+    questions: Vec<Question>,
+    /// Who gave an answer: its place and incarnation.
+    answers: Vec<(RequestKey, usize, u64)>,
     ran: BTreeMap<RequestKey, u32>,
     ran_attempts: BTreeSet<u64>,
     told: Vec<(RequestKey, u64, Outcome)>,
@@ -125,6 +138,8 @@
             calls: Vec::new(),
             deliveries: Vec::new(),
             runs: Vec::new(),
+            questions: Vec::new(),
+            answers: Vec::new(),
             ran: BTreeMap::new(),
             ran_attempts: BTreeSet::new(),
             told: Vec::new(),
@@ -174,8 +189,11 @@
 
     /// Runs a whole history and returns what it did, or the first broken promise.
     pub(crate) fn run(mut self, schedule: &Schedule) -> Result<Summary, Violation> {
-        for step in 0..FAULTY_STEPS + HEALING_STEPS {
+        for step in 0..FAULTY_STEPS + HEALING_STEPS + QUIET_STEPS {
             self.begin_and_end_faults(schedule, step);
+            if step < FAULTY_STEPS + HEALING_STEPS && self.random.random_range(0..4) == 0 {
+                self.submit();
+            }
             self.one_step(step < FAULTY_STEPS);
             if let Some(violation) = self.violations.first() {
                 return Err(Violation(format!("step {step}: {}", violation.0)));
@@ -233,6 +251,7 @@
         self.store.expire(self.now());
         self.carry_calls();
         self.carry_runs();
+        self.carry_questions();
         self.deliver();
         for index in 0..ENTRIES {
             if !self.is_frozen(index) {
@@ -242,9 +261,6 @@
         if self.step.is_multiple_of(10) {
             self.heartbeats();
         }
-        if self.random.random_range(0..4) == 0 {
-            self.submit();
-        }
         if is_faulty && self.random.random_range(0..60) == 0 {
             self.change_configuration();
         }
@@ -260,14 +276,22 @@
         entry.tick(now, switches);
         let calls = std::mem::take(&mut entry.calls);
         let sends = std::mem::take(&mut entry.sends);
+        let asks = std::mem::take(&mut entry.asks);
         let told = std::mem::take(&mut entry.told);
+        let incarnation = entry.incarnation;
         for (purpose, request) in calls {
             self.call(index, purpose, request);
         }
         for (key, attempt) in sends {
             self.send(index, &key, attempt);
         }
+        for (asked, key) in asks {
+            self.ask(index, &asked, key);
+        }
         for (key, attempt, outcome) in told {
+            if matches!(outcome, Outcome::Answered(_)) {
+                self.answers.push((Arc::clone(&key), index, incarnation));
+            }
             self.tell(key, attempt, outcome);
         }
     }
@@ -326,10 +350,13 @@
 thread_local! {
     static SWITCHES: std::cell::Cell<Switches> = const { std::cell::Cell::new(Switches {
         ignores_conditions: false,
+        ignores_fence: false,
         skips_intent: false,
         forgets_intents: false,
         adopts_older: false,
         ignores_isolation: false,
+        forgets_ends: false,
+        tells_early: false,
         ignores_base: false,
     }) };
 }
--- a/crates/jackdawpier_proofs/tests/world/network.rs
+++ b/crates/jackdawpier_proofs/tests/world/network.rs
@@ -10,7 +10,7 @@
 use jackdawpier_store::{Condition, Request, Response, StoreError, StoreResult};
 use rand::RngExt;
 
-use super::{ENTRIES, FaultKind, Purpose, Violation, World};
+use super::{ENTRIES, FaultKind, Purpose, Switches, Violation, World};
 
 pub(super) struct Call {
     pub(super) entry: usize,
@@ -103,10 +103,12 @@
 
     pub(super) fn execute(&mut self, mut request: Request) -> Response {
         let now = self.now();
-        if self.switches.ignores_conditions
-            && let Request::Put { condition, .. } = &mut request
-        {
-            *condition = Condition::Always;
+        if let Request::Put { key, condition, .. } = &mut request {
+            let is_segment = keys::segment_number(key).is_some();
+            let Switches { ignores_fence, ignores_conditions, .. } = self.switches;
+            if is_segment && ignores_fence || !is_segment && ignores_conditions {
+                *condition = Condition::Always;
+            }
         }
         let is_coordination =
             matches!(&request, Request::Range { prefix, .. } if prefix == keys::COORDINATION);
--- a/crates/jackdawpier_route/src/dedupe.rs
+++ b/crates/jackdawpier_route/src/dedupe.rs
@@ -1,7 +1,8 @@
 //! Keyed requests run at most once, over all entries and over the replacement of any entry.
 //!
 //! The intent is durable before the first byte leaves. An intent that a new owner finds without
-//! an end is never sent again by anyone; a repeat of it is told "unknown". See
+//! an end is never sent again by anyone; a repeat of it makes the owner ask the entry that wrote
+//! the intent, and is told "unknown" only if that entry can't say. See
 //! `docs/design/at-most-once.md`.
 
 use std::{
@@ -12,11 +13,13 @@
 
 use jackdawpier_kernel::{
     Now,
-    ids::{RequestKey, Ticket},
+    ids::{EntryId, RequestKey, Ticket},
     outcome::{Answer, Outcome},
 };
 use serde::{Deserialize, Serialize};
 
+use crate::former::FormerKeys;
+
 /// Largest answer body that is kept for a repeat, in bytes.
 pub const MAX_KEPT_BODY_BYTES: usize = 16 * 1024;
 
@@ -31,6 +34,8 @@
     Intent {
         /// Hash of the request.
         fingerprint: Fingerprint,
+        /// The entry that wrote this, which alone can know how the request ended.
+        entry: EntryId,
     },
     /// The request has ended with this outcome.
     Ended {
@@ -53,35 +58,78 @@
     },
     /// The same request is under way: its outcome will be returned for this ticket too.
     Wait,
+    /// An earlier owner may have sent it: ask this entry, and give its word to
+    /// [`Dedupe::settle`], which returns this ticket.
+    Ask(EntryId),
     /// The request has ended before: this is its outcome.
     Repeat(Outcome),
     /// The key was used for another request.
     KeyReused,
 }
 
+/// What to do once the entry that wrote an intent was asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Settled {
+    /// Make the end durable; [`Committed::learned`] then returns those that wait. Told earlier, an
+    /// answer could be lost with the one process that can tell it again.
+    Write(KeyState),
+    /// It never ran: make the release durable, and let those that wait ask again.
+    Release(Vec<Ticket>),
+    /// Nothing was learned: tell those that wait that the outcome is unknown.
+    Unknown(Vec<Ticket>),
+}
+
+/// What became durable.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Committed {
+    /// Tickets whose intents are durable, so that they may be sent.
+    pub sendable: Vec<Ticket>,
+    /// Ends learned from an earlier owner, each with the tickets that wait for it.
+    pub learned: Vec<(Outcome, Vec<Ticket>)>,
+}
+
 #[derive(Debug)]
 enum Live {
-    Running { fingerprint: Fingerprint, waiters: Vec<Ticket> },
-    Ended { fingerprint: Fingerprint, outcome: Outcome },
+    Running {
+        fingerprint: Fingerprint,
+        waiters: Vec<Ticket>,
+    },
+    Ended {
+        fingerprint: Fingerprint,
+        outcome: Outcome,
+    },
+    /// An earlier owner's intent; `learned` is its end while that is not durable here.
+    Doubtful {
+        fingerprint: Fingerprint,
+        entry: EntryId,
+        waiters: Vec<Ticket>,
+        learned: Option<Outcome>,
+    },
 }
 
 /// The keys of one shard.
 #[derive(Debug)]
 pub struct Dedupe {
+    entry: EntryId,
     retention: Duration,
     keys: HashMap<RequestKey, Live>,
     expiring: BTreeSet<(Now, RequestKey)>,
-    uncommitted: VecDeque<(u64, Ticket)>,
+    /// Intents that are not durable yet, by the number of their write.
+    uncommitted: VecDeque<(u64, Ticket, RequestKey)>,
+    /// Ends that are not durable yet, by the number of their write.
+    unwritten: VecDeque<(u64, RequestKey)>,
 }
 
 impl Dedupe {
-    /// Returns an empty table that keeps outcomes for `retention`.
-    pub fn new(retention: Duration) -> Self {
+    /// Returns the empty table of the owner `entry`, which keeps outcomes for `retention`.
+    pub fn new(entry: EntryId, retention: Duration) -> Self {
         Self {
+            entry,
             retention,
             keys: HashMap::new(),
             expiring: BTreeSet::new(),
             uncommitted: VecDeque::new(),
+            unwritten: VecDeque::new(),
         }
     }
 
@@ -95,18 +143,50 @@
         self.keys.is_empty()
     }
 
-    /// Takes over the durable state of a key from an earlier owner.
-    pub fn recover(&mut self, now: Now, key: RequestKey, state: KeyState) {
-        let (fingerprint, outcome) = match state {
-            KeyState::Intent { fingerprint } => {
-                let detail = "an earlier owner may have sent this request".to_owned();
-                (fingerprint, Outcome::Unknown { detail })
+    /// Takes over the durable states of an earlier owner, which may have been this entry: `former`
+    /// is what it remembers. Returns the states to make durable, where more is known than the log
+    /// says.
+    ///
+    /// `former` is empty afterwards, since this table knows better from now on. Without that an
+    /// entry that loses the shard again and has not noticed could call a key released that it has
+    /// sent meanwhile.
+    pub fn recover(
+        &mut self,
+        now: Now,
+        states: impl IntoIterator<Item = (RequestKey, KeyState)>,
+        former: &mut FormerKeys,
+    ) -> Vec<(RequestKey, KeyState)> {
+        let mut news = Vec::new();
+        for (key, state) in states {
+            let remembered = match &state {
+                KeyState::Intent { entry, .. } if *entry == self.entry => former.recall(&key),
+                _ => None,
+            };
+            match remembered {
+                Some(KeyState::Intent { fingerprint, .. }) => {
+                    self.keys.insert(key, Live::Running { fingerprint, waiters: Vec::new() });
+                }
+                Some(state) => {
+                    self.recover_one(now, Arc::clone(&key), state.clone());
+                    news.push((key, state));
+                }
+                None => self.recover_one(now, key, state),
+            }
+        }
+        former.clear();
+        news
+    }
+
+    fn recover_one(&mut self, now: Now, key: RequestKey, state: KeyState) {
+        let live = match state {
+            KeyState::Intent { fingerprint, entry } => {
+                Live::Doubtful { fingerprint, entry, waiters: Vec::new(), learned: None }
             }
-            KeyState::Ended { fingerprint, outcome } => (fingerprint, outcome),
+            KeyState::Ended { fingerprint, outcome } => Live::Ended { fingerprint, outcome },
             KeyState::Released => return,
         };
         self.expiring.insert((now + self.retention, Arc::clone(&key)));
-        self.keys.insert(key, Live::Ended { fingerprint, outcome });
+        self.keys.insert(key, live);
     }
 
     /// Decides on a request. After [`Decision::Record`] the caller says by
@@ -121,7 +201,8 @@
             None => {
                 let live = Live::Running { fingerprint, waiters: Vec::new() };
                 self.keys.insert(Arc::clone(key), live);
-                Decision::Record { state: KeyState::Intent { fingerprint } }
+                let entry = self.entry.clone();
+                Decision::Record { state: KeyState::Intent { fingerprint, entry } }
             }
             Some(Live::Running { fingerprint: known, waiters }) if *known == fingerprint => {
                 waiters.push(ticket);
@@ -130,24 +211,95 @@
             Some(Live::Ended { fingerprint: known, outcome }) if *known == fingerprint => {
                 Decision::Repeat(outcome.clone())
             }
+            Some(Live::Doubtful { fingerprint: known, entry, waiters, learned })
+                if *known == fingerprint =>
+            {
+                waiters.push(ticket);
+                let is_first = waiters.len() == 1 && learned.is_none();
+                if is_first { Decision::Ask(entry.clone()) } else { Decision::Wait }
+            }
             Some(_) => Decision::KeyReused,
         }
     }
 
+    /// Takes the word of the entry that was asked: what it remembers of the key, if anything.
+    /// Without an end the key stays in doubt, and the next repeat asks again.
+    pub fn settle(&mut self, key: &RequestKey, word: Option<KeyState>) -> Settled {
+        let Some(Live::Doubtful { waiters, learned, .. }) = self.keys.get_mut(key) else {
+            return Settled::Unknown(Vec::new());
+        };
+        match word {
+            Some(KeyState::Ended { fingerprint, outcome }) => {
+                *learned = Some(outcome.clone());
+                Settled::Write(KeyState::Ended { fingerprint, outcome })
+            }
+            Some(KeyState::Released) if learned.is_none() => {
+                let waiters = std::mem::take(waiters);
+                self.keys.remove(key);
+                Settled::Release(waiters)
+            }
+            _ if learned.is_some() => Settled::Unknown(Vec::new()),
+            _ => Settled::Unknown(std::mem::take(waiters)),
+        }
+    }
+
     /// Says that durable write `number` carries the intent of `ticket`.
-    pub fn recording(&mut self, number: u64, ticket: Ticket) {
-        self.uncommitted.push_back((number, ticket));
+    pub fn recording(&mut self, number: u64, ticket: Ticket, key: &RequestKey) {
+        self.uncommitted.push_back((number, ticket, Arc::clone(key)));
+    }
+
+    /// Says that durable write `number` carries the end of `key`.
+    pub fn ending(&mut self, number: u64, key: &RequestKey) {
+        self.unwritten.push_back((number, Arc::clone(key)));
     }
 
-    /// Returns the tickets whose intents are durable now, so that they may be sent.
-    pub fn committed(&mut self, up_to: u64) -> Vec<Ticket> {
-        let count = self.uncommitted.iter().take_while(|(number, _)| *number <= up_to).count();
-        self.uncommitted.drain(..count).map(|(_, ticket)| ticket).collect()
+    /// Returns what is durable now.
+    pub fn committed(&mut self, up_to: u64) -> Committed {
+        let written = self.unwritten.iter().take_while(|(number, _)| *number <= up_to).count();
+        let written: Vec<RequestKey> =
+            self.unwritten.drain(..written).map(|(_, key)| key).collect();
+        let learned = written.iter().filter_map(|key| self.confirm(key)).collect();
+        let count = self.uncommitted.iter().take_while(|(number, ..)| *number <= up_to).count();
+        let sendable = self.uncommitted.drain(..count).map(|(_, ticket, _)| ticket).collect();
+        Committed { sendable, learned }
     }
 
-    /// Returns the tickets whose intents are not durable and never will be, after a fence.
-    pub fn fenced(&mut self) -> Vec<Ticket> {
-        self.uncommitted.drain(..).map(|(_, ticket)| ticket).collect()
+    /// Turns a learned end that is durable into an end like any other.
+    fn confirm(&mut self, key: &RequestKey) -> Option<(Outcome, Vec<Ticket>)> {
+        let live = self.keys.get_mut(key)?;
+        let Live::Doubtful { fingerprint, waiters, learned: Some(outcome), .. } = live else {
+            return None;
+        };
+        let (outcome, waiters) = (outcome.clone(), std::mem::take(waiters));
+        *live = Live::Ended { fingerprint: *fingerprint, outcome: outcome.clone() };
+        Some((outcome, waiters))
+    }
+
+    /// Ends this ownership: `former` remembers what the next owner can't read in the log. Returns
+    /// the tickets whose intents are not known to be durable; they are never sent.
+    pub fn retire(mut self, now: Now, former: &mut FormerKeys) -> Vec<Ticket> {
+        let mut unsent = Vec::new();
+        for (_, ticket, key) in std::mem::take(&mut self.uncommitted) {
+            self.keys.remove(&key);
+            former.remember(now, key, KeyState::Released);
+            unsent.push(ticket);
+        }
+        for (_, key) in std::mem::take(&mut self.unwritten) {
+            match self.keys.remove(&key) {
+                Some(Live::Ended { fingerprint, outcome }) => {
+                    former.remember(now, key, KeyState::Ended { fingerprint, outcome });
+                }
+                Some(live) => drop(self.keys.insert(key, live)),
+                None => former.remember(now, key, KeyState::Released),
+            }
+        }
+        for (key, live) in self.keys {
+            if let Live::Running { fingerprint, .. } = live {
+                let entry = self.entry.clone();
+                former.remember(now, key, KeyState::Intent { fingerprint, entry });
+            }
+        }
+        unsent
     }
 
     /// Notes the outcome of a request that was recorded. Returns the state to make durable and
@@ -185,7 +337,7 @@
     }
 }
 
-fn kept_outcome(outcome: &Outcome) -> Outcome {
+pub(crate) fn kept_outcome(outcome: &Outcome) -> Outcome {
     match outcome {
         Outcome::Answered(answer) if answer.body.len() > MAX_KEPT_BODY_BYTES => {
             Outcome::Answered(Answer {
--- a/crates/jackdawpier_route/src/lib.rs
+++ b/crates/jackdawpier_route/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod directory;
 pub mod dispatcher;
 pub mod executors;
+pub mod former;
 pub mod service_time;
--- a/crates/jackdawpier_route/tests/dedupe.rs
+++ b/crates/jackdawpier_route/tests/dedupe.rs
@@ -7,7 +7,10 @@
     ids::RequestKey,
     outcome::{Answer, Outcome, RefusalReason},
 };
-use jackdawpier_route::dedupe::{Decision, Dedupe, KeyState, MAX_KEPT_BODY_BYTES};
+use jackdawpier_route::{
+    dedupe::{Decision, Dedupe, KeyState, MAX_KEPT_BODY_BYTES, Settled},
+    former::FormerKeys,
+};
 
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -25,11 +28,11 @@
 
 #[test]
 fn repeat_answered() {
-    let mut dedupe = Dedupe::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
     assert!(matches!(dedupe.begin(&key(), 1, 1), Decision::Record { .. }));
-    dedupe.recording(1, 1);
-    assert!(dedupe.committed(0).is_empty(), "not durable yet, so it must not be sent");
-    assert_eq!(dedupe.committed(1), [1]);
+    dedupe.recording(1, 1, &key());
+    assert!(dedupe.committed(0).sendable.is_empty(), "not durable yet, so it must not be sent");
+    assert_eq!(dedupe.committed(1).sendable, [1]);
     assert_eq!(dedupe.begin(&key(), 1, 2), Decision::Wait);
     let (_, waiters) = dedupe.end(Now::ZERO, &key(), &answered(b"done")).expect("it ran");
     assert_eq!(waiters, [2]);
@@ -38,22 +41,117 @@
 
 #[test]
 fn key_reused() {
-    let mut dedupe = Dedupe::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
     dedupe.begin(&key(), 1, 1);
     assert_eq!(dedupe.begin(&key(), 2, 2), Decision::KeyReused);
 }
 
+/// A table of `entry-b` that read an intent of `entry-a` in the log.
+fn in_doubt() -> Dedupe {
+    let mut dedupe = Dedupe::new("entry-b".into(), RETENTION);
+    let intent = KeyState::Intent { fingerprint: 1, entry: "entry-a".into() };
+    let mut former = FormerKeys::new(RETENTION);
+    let news = dedupe.recover(Now::ZERO, [(key(), intent)], &mut former);
+    assert!(news.is_empty(), "nothing is known beyond the log");
+    dedupe
+}
+
 #[test]
 fn intent_recovered() {
-    let mut dedupe = Dedupe::new(RETENTION);
-    dedupe.recover(Now::ZERO, key(), KeyState::Intent { fingerprint: 1 });
-    let decision = dedupe.begin(&key(), 1, 1);
-    assert!(matches!(decision, Decision::Repeat(Outcome::Unknown { .. })), "{decision:?}");
+    let mut dedupe = in_doubt();
+    assert_eq!(dedupe.begin(&key(), 1, 1), Decision::Ask("entry-a".into()));
+    assert_eq!(dedupe.begin(&key(), 1, 2), Decision::Wait);
+    assert_eq!(dedupe.begin(&key(), 2, 3), Decision::KeyReused);
+    assert_eq!(dedupe.settle(&key(), None), Settled::Unknown(vec![1, 2]));
+    assert_eq!(dedupe.begin(&key(), 1, 4), Decision::Ask("entry-a".into()), "it is asked again");
+}
+
+#[test]
+fn end_recalled() {
+    let mut former = FormerKeys::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
+    dedupe.begin(&key(), 1, 1);
+    dedupe.recording(1, 1, &key());
+    dedupe.committed(1);
+    dedupe.end(Now::ZERO, &key(), &answered(b"done"));
+    dedupe.ending(2, &key());
+    assert!(dedupe.retire(Now::ZERO, &mut former).is_empty());
+    let word = former.recall(&key());
+    let mut next = in_doubt();
+    next.begin(&key(), 1, 7);
+    let ended = word.clone().expect("the end was not written");
+    assert_eq!(next.settle(&key(), word), Settled::Write(ended));
+    next.ending(1, &key());
+    assert_eq!(next.begin(&key(), 1, 9), Decision::Wait, "not told before it is durable");
+    assert_eq!(next.committed(1).learned, [(answered(b"done"), vec![7, 9])]);
+    assert_eq!(next.begin(&key(), 1, 8), Decision::Repeat(answered(b"done")));
+}
+
+#[test]
+fn unsent_released() {
+    let mut former = FormerKeys::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
+    dedupe.begin(&key(), 1, 1);
+    dedupe.recording(1, 1, &key());
+    assert_eq!(dedupe.retire(Now::ZERO, &mut former), [1], "it is not sent any more");
+    let mut next = in_doubt();
+    next.begin(&key(), 1, 7);
+    assert_eq!(next.settle(&key(), former.recall(&key())), Settled::Release(vec![7]));
+    assert!(matches!(next.begin(&key(), 1, 8), Decision::Record { .. }));
+}
+
+#[test]
+fn owned_again() {
+    let mut former = FormerKeys::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
+    let Decision::Record { state: intent } = dedupe.begin(&key(), 1, 1) else {
+        panic!("a new key is recorded");
+    };
+    dedupe.recording(1, 1, &key());
+    dedupe.committed(1);
+    dedupe.retire(Now::ZERO, &mut former);
+    assert_eq!(former.recall(&key()), Some(intent.clone()), "it still runs here");
+    let mut again = Dedupe::new("entry-a".into(), RETENTION);
+    assert!(again.recover(Now::ZERO, [(key(), intent)], &mut former).is_empty());
+    assert_eq!(again.begin(&key(), 1, 2), Decision::Wait);
+    let (_, waiters) = again.end(Now::ZERO, &key(), &answered(b"done")).expect("it ran");
+    assert_eq!(waiters, [2]);
+}
+
+/// The intent of the first ownership never became durable. In the second the key is sent; were it
+/// still remembered as unsent, an owner that asks now would let it run again.
+#[test]
+fn former_outdated() {
+    let mut former = FormerKeys::new(RETENTION);
+    let mut first = Dedupe::new("entry-a".into(), RETENTION);
+    first.begin(&key(), 1, 1);
+    first.recording(1, 1, &key());
+    first.retire(Now::ZERO, &mut former);
+    assert_eq!(former.recall(&key()), Some(KeyState::Released));
+    let mut second = Dedupe::new("entry-a".into(), RETENTION);
+    second.recover(Now::ZERO, [], &mut former);
+    second.begin(&key(), 1, 2);
+    second.recording(1, 2, &key());
+    assert_eq!(second.committed(1).sendable, [2], "it is sent");
+    assert_eq!(former.recall(&key()), None);
+}
+
+#[test]
+fn end_after_loss() {
+    let mut former = FormerKeys::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
+    dedupe.begin(&key(), 1, 1);
+    dedupe.retire(Now::ZERO, &mut former);
+    former.end(Now::ZERO, &key(), &answered(b"done"));
+    let ended = KeyState::Ended { fingerprint: 1, outcome: answered(b"done") };
+    assert_eq!(former.recall(&key()), Some(ended));
+    former.expire(RETENTION);
+    assert!(former.is_empty());
 }
 
 #[test]
 fn not_run_released() {
-    let mut dedupe = Dedupe::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
     dedupe.begin(&key(), 1, 1);
     let outcome =
         Outcome::NotRun { reason: RefusalReason::NotConnected, retry_after: Duration::ZERO };
@@ -64,7 +162,7 @@
 
 #[test]
 fn long_answer() {
-    let mut dedupe = Dedupe::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
     dedupe.begin(&key(), 1, 1);
     dedupe.end(Now::ZERO, &key(), &answered(&vec![b'x'; MAX_KEPT_BODY_BYTES + 1]));
     let Decision::Repeat(Outcome::Answered(answer)) = dedupe.begin(&key(), 1, 2) else {
@@ -75,7 +173,7 @@
 
 #[test]
 fn retention_ends() {
-    let mut dedupe = Dedupe::new(RETENTION);
+    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
     dedupe.begin(&key(), 1, 1);
     dedupe.end(Now::ZERO, &key(), &answered(b"done"));
     assert!(dedupe.expire(RETENTION / 2).is_empty());
--- a/crates/jackdawpierd/src/lib.rs
+++ b/crates/jackdawpierd/src/lib.rs
@@ -20,6 +20,7 @@
 mod operators;
 mod peers;
 mod plugins;
+mod recall;
 mod router;
 mod service;
 mod service_jobs;
--- a/crates/jackdawpierd/src/messages.rs
+++ b/crates/jackdawpierd/src/messages.rs
@@ -61,10 +61,21 @@
 pub(crate) enum PeerRequest {
     Work(WorkRequest),
     Heartbeat(Heartbeat),
-    Job { service: ServiceName, job: JobId, action: JobAction },
+    Job {
+        service: ServiceName,
+        job: JobId,
+        action: JobAction,
+    },
     Wave(WaveAction),
-    Explain { service: ServiceName },
+    Explain {
+        service: ServiceName,
+    },
     Days,
+    /// What the asked entry remembers of a key that it owned before.
+    Recall {
+        service: ServiceName,
+        key: RequestKey,
+    },
 }
 
 /// Answers between entries.
@@ -78,6 +89,8 @@
     },
     /// State of a job as JSON, if it is known.
     Job(Option<String>),
+    /// State of a key as JSON, if the entry remembers it.
+    Recalled(Option<String>),
     /// JSON of the capacity role's holder, or nothing where the peer is not the holder.
     Capacity(Option<String>),
 }
--- a/crates/jackdawpierd/src/peers.rs
+++ b/crates/jackdawpierd/src/peers.rs
@@ -46,6 +46,9 @@
             PeerRequest::Explain { service } => {
                 PeerAnswer::Capacity(entry.capacity.explain(&service))
             }
+            PeerRequest::Recall { service, key } => {
+                PeerAnswer::Recalled(entry.service(&service).recall(&key))
+            }
             PeerRequest::Job { service, job, action } => {
                 PeerAnswer::Job(entry.service(&service).job(&job, action))
             }
--- a/crates/jackdawpierd/src/router.rs
+++ b/crates/jackdawpierd/src/router.rs
@@ -10,7 +10,7 @@
 use jackdawpier_route::directory::{Place, place_keyed, place_unkeyed};
 
 use crate::{
-    entry::{Coordination, Entry},
+    entry::{Coordination, Entry, PeerContact},
     messages::{PeerAnswer, PeerRequest, WorkRequest},
     service::OWNER_RETRY_AFTER,
 };
@@ -23,13 +23,24 @@
 /// Heartbeats may be missed for this many intervals before a peer counts as unreachable.
 const MISSED_HEARTBEATS: u32 = 3;
 
+/// The contact with `peer`, if it was heard lately.
+fn fresh_contact<'a>(
+    entry: &Entry,
+    coordination: &'a Coordination,
+    peer: &str,
+) -> Option<&'a PeerContact> {
+    let limit = entry.settings.timing.heartbeat_interval * MISSED_HEARTBEATS;
+    coordination.contacts.get(peer).filter(|contact| entry.now() < contact.heard_at + limit)
+}
+
+/// Whether `peer` was heard lately, so that it lives.
+pub(crate) fn is_heard(entry: &Entry, peer: &str) -> bool {
+    fresh_contact(entry, &entry.coordination(), peer).is_some()
+}
+
 /// Whether `peer` was heard lately and serves.
 pub(crate) fn is_reachable(entry: &Entry, coordination: &Coordination, peer: &str) -> bool {
-    let limit = entry.settings.timing.heartbeat_interval * MISSED_HEARTBEATS;
-    coordination
-        .contacts
-        .get(peer)
-        .is_some_and(|contact| contact.is_ready && entry.now() < contact.heard_at + limit)
+    fresh_contact(entry, coordination, peer).is_some_and(|contact| contact.is_ready)
 }
 
 fn place(entry: &Entry, work: &WorkRequest, needs_owner: bool) -> (Place, Option<SocketAddr>) {
--- a/crates/jackdawpierd/src/service.rs
+++ b/crates/jackdawpierd/src/service.rs
@@ -13,21 +13,22 @@
 use jackdawpier_jobs::{job::Job, queue::JobQueue};
 use jackdawpier_kernel::{
     Now,
-    ids::{ExecutorId, JobId, ServiceName, Ticket, WorkerId},
+    ids::{EntryId, ExecutorId, JobId, RequestKey, ServiceName, Ticket, WorkerId},
     outcome::{Answer, Outcome, RefusalReason},
     task::TaskCommand,
 };
 use jackdawpier_route::{
     dedupe::{Dedupe, KeyState},
     dispatcher::Dispatcher,
+    former::FormerKeys,
 };
 use jackdawpier_settings::declaration::Class;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use crate::{
-    entry::Entry, executor_client::ExecutorClient, messages::WorkRequest, service_jobs,
-    worker_client::WorkerClient,
+    entry::Entry, executor_client::ExecutorClient, messages::WorkRequest, recall::Recall,
+    service_jobs, worker_client::WorkerClient,
 };
 
 /// Time that a refused caller is told to wait when the store does not answer.
@@ -58,6 +59,13 @@
         request: jackdawpier_store::Request,
     },
     Job(service_jobs::JobCall),
+    /// Ask `entry` what became of a key that it may have sent.
+    Recall {
+        entry: EntryId,
+        key: RequestKey,
+        opened_at: Now,
+        deadline: Now,
+    },
 }
 
 pub(crate) struct Running {
@@ -76,6 +84,7 @@
     pub(crate) accepting: HashMap<JobId, Vec<oneshot::Sender<Outcome>>>,
     pub(crate) waiters: HashMap<Ticket, oneshot::Sender<Outcome>>,
     pub(crate) uncommitted: HashSet<Ticket>,
+    pub(crate) opened_at: Now,
     pub(crate) is_releasing: bool,
 }
 
@@ -90,6 +99,8 @@
     /// until one is recorded.
     pub(crate) kept_alive: Vec<(WorkerId, TaskCommand)>,
     pub(crate) owned: Option<Owned>,
+    /// Keys of the shard from the time before this entry lost it.
+    pub(crate) former: FormerKeys,
     pub(crate) next_ticket: Ticket,
     pub(crate) next_generation: u64,
 }
@@ -144,6 +155,7 @@
             classes: Vec::new(),
             kept_alive: Vec::new(),
             owned: None,
+            former: FormerKeys::new(entry.settings.timing.answer_retention),
             next_ticket: 0,
             next_generation: 0,
         };
@@ -192,6 +204,13 @@
                     service.act(|state, now| ((), state.on_cell_result(now, generation, result)));
                 });
             }
+            Action::Recall { entry: asked, key, opened_at, deadline } => {
+                tokio::spawn(async move {
+                    let recall = Recall { service: &service, asked: &asked, opened_at, deadline };
+                    let word = recall.ask(&entry, &key).await;
+                    service.act(|state, now| ((), state.on_recalled(now, &key, word)));
+                });
+            }
             Action::Job(call) => {
                 tokio::task::spawn_blocking(move || service_jobs::perform(&service, call));
             }
@@ -254,7 +273,16 @@
 
     /// Drops the cell when the shard was lost.
     pub(crate) fn lose(self: &Arc<Self>) {
-        self.lock().drop_owned();
+        self.act(|state, now| {
+            state.drop_owned(now);
+            ((), Vec::new())
+        });
+    }
+
+    /// What this entry remembers of a key that it owned before, as JSON.
+    pub(crate) fn recall(&self, key: &str) -> Option<String> {
+        let state = self.lock().former.recall(key)?;
+        Some(serde_json::to_string(&state).expect("states are plain data"))
     }
 
     /// Starts to give the cell up; returns whether it is settled.
--- a/crates/jackdawpierd/src/service_state.rs
+++ b/crates/jackdawpierd/src/service_state.rs
@@ -15,9 +15,10 @@
     outcome::{Outcome, RefusalReason},
 };
 use jackdawpier_route::{
-    dedupe::{Decision, Dedupe},
+    dedupe::{Decision, Dedupe, KeyState, Settled},
     dispatcher::{Command, RequestInfo},
     executors::ExecutorInfo,
+    former::FormerKeys,
 };
 use jackdawpier_settings::declaration::{Class, Kind};
 use tokio::sync::oneshot;
@@ -132,6 +133,11 @@
             Decision::Wait => {
                 owned.waiters.insert(ticket, reply);
             }
+            Decision::Ask(entry) => {
+                owned.waiters.insert(ticket, reply);
+                let opened_at = owned.opened_at;
+                return vec![Action::Recall { entry, key: subject, opened_at, deadline }];
+            }
             Decision::Repeat(outcome) => {
                 let _ = reply.send(outcome);
             }
@@ -146,8 +152,8 @@
                     let _ = reply.send(outcome);
                     return Vec::new();
                 }
-                let number = owned.cell.put(subject, &CellState::Key(state));
-                owned.dedupe.recording(number.expect("the cell is open"), ticket);
+                let number = owned.cell.put(Arc::clone(&subject), &CellState::Key(state));
+                owned.dedupe.recording(number.expect("the cell is open"), ticket, &subject);
                 owned.uncommitted.insert(ticket);
                 let running =
                     Running { work: Arc::new(work), reply: Some(reply), deadline, is_idempotent };
@@ -213,15 +219,8 @@
     fn finish(&mut self, now: Now, ticket: Ticket, outcome: Outcome) -> Vec<Action> {
         let Some(running) = self.requests.remove(&ticket) else { return Vec::new() };
         let mut actions = Vec::new();
-        if let (Some(_), Some(owned)) = (&running.work.key, &mut self.owned) {
-            let subject = key_subject(&running.work);
-            if let Some((state, waiters)) = owned.dedupe.end(now, &subject, &outcome) {
-                owned.cell.put(subject, &CellState::Key(state));
-                for waiter in waiters.iter().filter_map(|ticket| owned.waiters.remove(ticket)) {
-                    let _ = waiter.send(outcome.clone());
-                }
-                actions = self.tick_cell(now);
-            }
+        if running.work.key.is_some() {
+            actions = self.end_key(now, &key_subject(&running.work), &outcome);
         }
         if let Some(reply) = running.reply {
             let _ = reply.send(outcome);
@@ -229,7 +228,46 @@
         actions
     }
 
+    /// Records the end of a key, or remembers it for the owner where the shard was lost meanwhile.
+    fn end_key(&mut self, now: Now, key: &RequestKey, outcome: &Outcome) -> Vec<Action> {
+        let Some(owned) = &mut self.owned else {
+            self.former.end(now, key, outcome);
+            return Vec::new();
+        };
+        let Some((state, waiters)) = owned.dedupe.end(now, key, outcome) else {
+            self.former.end(now, key, outcome);
+            return Vec::new();
+        };
+        owned.write_end(key, state);
+        owned.answer(&waiters, outcome);
+        self.tick_cell(now)
+    }
+
+    /// Takes what an earlier owner said of a key.
+    pub(crate) fn on_recalled(
+        &mut self,
+        now: Now,
+        key: &RequestKey,
+        word: Option<KeyState>,
+    ) -> Vec<Action> {
+        let Some(owned) = &mut self.owned else { return Vec::new() };
+        match owned.dedupe.settle(key, word) {
+            Settled::Write(state) => owned.write_end(key, state),
+            Settled::Release(waiters) => {
+                owned.write_end(key, KeyState::Released);
+                // The router takes this as a change of the owner and asks again by itself.
+                owned.answer(&waiters, &not_run(RefusalReason::NoOwner, OWNER_RETRY_AFTER));
+            }
+            Settled::Unknown(waiters) => {
+                let detail = "an earlier owner may have sent this request".to_owned();
+                owned.answer(&waiters, &Outcome::Unknown { detail });
+            }
+        }
+        self.tick_cell(now)
+    }
+
     pub(crate) fn tick(&mut self, now: Now) -> Vec<Action> {
+        self.former.expire(now);
         let commands = self.dispatcher.tick(now);
         let mut actions = self.follow(now, commands);
         self.refuse_unwritten(now);
@@ -295,12 +333,16 @@
                 }
                 Output::Opened { epoch, states } => {
                     log::info!(event = "cell_opened", epoch, states = states.len(); "the cell is open");
-                    owned.recover(now, states);
+                    owned.opened_at = now;
+                    owned.recover(now, states, &mut self.former);
                 }
                 Output::Committed { up_to } => {
-                    let tickets = owned.dedupe.committed(up_to);
+                    let committed = owned.dedupe.committed(up_to);
                     let commands = owned.jobs.committed(now, up_to);
-                    for ticket in tickets {
+                    for (outcome, waiters) in &committed.learned {
+                        owned.answer(waiters, outcome);
+                    }
+                    for ticket in committed.sendable {
                         if let Some(owned) = &mut self.owned {
                             owned.uncommitted.remove(&ticket);
                         }
@@ -310,7 +352,7 @@
                 }
                 Output::Fenced => {
                     log::warn!(event = "cell_fenced"; "another entry has taken the shard over");
-                    self.drop_owned();
+                    self.drop_owned(now);
                 }
             }
         }
@@ -318,6 +360,7 @@
     }
 
     pub(crate) fn acquire(&mut self, now: Now, entry: &Entry, name: &ServiceName) -> Vec<Action> {
+        self.drop_owned(now);
         self.next_generation += 1;
         let timing = entry.settings.timing;
         let incarnation = entry.incarnation.wrapping_add(self.next_generation);
@@ -328,11 +371,12 @@
         let owned = Owned {
             generation: self.next_generation,
             cell,
-            dedupe: Dedupe::new(timing.answer_retention),
+            dedupe: Dedupe::new(entry.name().clone(), timing.answer_retention),
             jobs,
             accepting: HashMap::new(),
             waiters: HashMap::new(),
             uncommitted: HashSet::new(),
+            opened_at: now,
             is_releasing: false,
         };
         self.owned = Some(owned);
@@ -344,10 +388,10 @@
 
     /// Drops what only the owner has. Requests that were not sent are refused; those that wait for
     /// another's outcome are told that it is not known here any more.
-    pub(crate) fn drop_owned(&mut self) {
-        let Some(mut owned) = self.owned.take() else { return };
+    pub(crate) fn drop_owned(&mut self, now: Now) {
+        let Some(owned) = self.owned.take() else { return };
         self.kept_alive = owned.jobs.keep_alive();
-        for ticket in owned.dedupe.fenced() {
+        for ticket in owned.dedupe.retire(now, &mut self.former) {
             let reply = self.requests.remove(&ticket).and_then(|mut running| running.reply.take());
             if let Some(reply) = reply {
                 let _ = reply.send(not_run(RefusalReason::NoOwner, OWNER_RETRY_AFTER));
@@ -393,12 +437,28 @@
 }
 
 impl Owned {
-    fn recover(&mut self, now: Now, states: Vec<(RequestKey, CellState)>) {
+    fn recover(&mut self, now: Now, states: Vec<(RequestKey, CellState)>, former: &mut FormerKeys) {
+        let mut keys = Vec::new();
         for (subject, state) in states {
             match state {
-                CellState::Key(state) => self.dedupe.recover(now, subject, state),
+                CellState::Key(state) => keys.push((subject, state)),
                 CellState::Job(job) => self.jobs.recover(now, job),
             }
         }
+        for (key, state) in self.dedupe.recover(now, keys, former) {
+            self.write_end(&key, state);
+        }
+    }
+
+    fn write_end(&mut self, key: &RequestKey, state: KeyState) {
+        if let Some(number) = self.cell.put(Arc::clone(key), &CellState::Key(state)) {
+            self.dedupe.ending(number, key);
+        }
+    }
+
+    fn answer(&mut self, waiters: &[Ticket], outcome: &Outcome) {
+        for waiter in waiters.iter().filter_map(|ticket| self.waiters.remove(ticket)) {
+            let _ = waiter.send(outcome.clone());
+        }
     }
 }
--- a/crates/jackdawpierd/tests/outages.rs
+++ b/crates/jackdawpierd/tests/outages.rs
@@ -43,6 +43,34 @@
     assert_eq!(deployment.runs().get(&1), Some(&1));
 }
 
+/// The request ends while the store is down, so that its end can't be written before its owner
+/// changes; whoever owns the key afterwards still gives the same answer.
+#[test]
+fn end_unwritten() {
+    let deployment = Deployment::new("end-unwritten", 2, 0).with_default_timing();
+    let daemons = deployment.start_all(2);
+    let key = [("idempotency-key", "slow")];
+    let body = work(1, 1_500_000);
+    let callers = daemons[0].callers;
+    let first = std::thread::scope(|scope| {
+        let first = scope.spawn(|| http("POST", callers, "/export/x", &key, &body));
+        wait_for("the request to run", || deployment.runs().contains_key(&1));
+        set_faults(deployment.store, &json!({ "is_down": true }));
+        first.join().expect("the caller ends").expect("it answers")
+    });
+    assert_eq!(first.0, 200);
+    std::thread::sleep(Duration::from_secs(4));
+    set_faults(deployment.store, &json!({}));
+    wait_for("the shard to be owned again", || {
+        daemons.iter().any(|daemon| daemon.owned().contains(&"widgets".to_owned()))
+    });
+    for daemon in &daemons {
+        let repeat = http("POST", daemon.callers, "/export/x", &key, &body).expect("it answers");
+        assert_eq!(repeat, first, "the end outlives the outage");
+    }
+    assert_eq!(deployment.runs().get(&1), Some(&1));
+}
+
 #[test]
 fn answers_lost() {
     let deployment = Deployment::new("answers-lost", 2, 1).with_default_timing();
--- a/crates/jackdawpierd/tests/owners.rs
+++ b/crates/jackdawpierd/tests/owners.rs
@@ -107,6 +107,31 @@
     wait_for("the thawed entry to serve again", || owner.is_ready());
 }
 
+/// The owner freezes with a request under way and another takes over. The repeat is told "unknown"
+/// while nobody can know, and the answer as soon as the first owner can be asked.
+#[test]
+fn end_recalled() {
+    let deployment = Deployment::new("end-recalled", 2, 0).with_default_timing();
+    let (owner, others) = owner_of_widgets(deployment.start_all(2));
+    let key = [("idempotency-key", "slow")];
+    let body = work(1, 1_000_000);
+    thread::scope(|scope| {
+        let first = scope.spawn(|| http("POST", owner.callers, "/export/x", &key, &body));
+        wait_for("the request to run", || deployment.runs().contains_key(&1));
+        owner.signal("STOP");
+        wait_for("the other entry to take over", || {
+            others[0].owned().contains(&"widgets".to_owned())
+        });
+        let repeat = || http("POST", others[0].callers, "/export/x", &key, &body);
+        assert_eq!(repeat().expect("it answers").0, 504, "nobody can know");
+        owner.signal("CONT");
+        let first = first.join().expect("the caller ends").expect("it answers");
+        assert_eq!(first.0, 200, "{}", first.1);
+        wait_for("the other entry to learn the answer", || repeat().as_ref() == Some(&first));
+    });
+    assert_eq!(deployment.runs().get(&1), Some(&1));
+}
+
 #[test]
 fn views_differ() {
     let deployment = Deployment::new("views-differ", 2, 0).with_default_timing();
