Swap whole pools in a wave, by instances that are done

A minute-by-minute trace of one wave showed where: the canary started three minutes late for want of a pool with slack and counted only pool instances; free instances were lent before they were maintained and had to be taken out later; pools got a third or a quarter on top and took three or four steps while up to 18 free instances idled; and what was lent came back under the ceiling of moves, hours later.

Change: free instances first, beside the canary; then they take the places of whole pools, spread by what stays; given back at once, outside the ceiling. One hysteresis of 10 minutes instead of two, since 45 minutes bought no move once lending was out of the ceiling.

--- a/crates/jackdawpier_bench/src/days.rs
+++ b/crates/jackdawpier_bench/src/days.rs
@@ -73,6 +73,8 @@
     pub buffer_minutes: f64,
     /// The same of the lower bound.
     pub buffer_bound_minutes: f64,
+    /// The same of a bound that knows the pattern and the size of the noise, but not its draws.
+    pub buffer_informed_minutes: f64,
     /// Instances that joined a pool.
     pub moves: u32,
     /// Lower bound of that.
@@ -405,7 +407,7 @@
             (wave, _) = self.wave.take().expect("it was put there");
         }
         wave.resume();
-        lend(&wave, &mut self.fleet, &mut self.planner, &self.deployment.ceilings);
+        lend(&wave, &mut self.fleet, &mut self.planner);
         let (starts, _) = wave.start_steps(&mut self.fleet);
         for ix in starts {
             self.later(MAINTENANCE_MINUTES, Event::Maintained(ix));
@@ -453,6 +455,10 @@
             let pool = &self.fleet.pools()[ix];
             let size = lower_bound::pool_size(self.deployment, spec, need);
             self.measured.buffer_bound_minutes += f64::from(size - need);
+            let likely = f64::from(spec.peak) * level(spec.shape, self.minute);
+            let most = (likely * (1.0 + self.run.noise)).ceil().min(f64::from(spec.peak)) as u32;
+            let informed = lower_bound::pool_size(self.deployment, spec, most);
+            self.measured.buffer_informed_minutes += f64::from(informed) - f64::from(need);
             self.measured.buffer_minutes += f64::from(pool.committed.total()) - f64::from(need);
             if pool.serving.total() + spec.may_lose < need {
                 let is_beyond =
--- a/crates/jackdawpier_capacity/src/fleet.rs
+++ b/crates/jackdawpier_capacity/src/fleet.rs
@@ -60,6 +60,8 @@
     pub pool: Option<PoolIx>,
     /// Its phase.
     pub phase: Phase,
+    /// Whether a wave still has to take it out.
+    pub awaits_wave: bool,
 }
 
 /// What a pool must keep.
@@ -158,10 +160,16 @@
     pub target: PoolTarget,
     /// Instances wanted on top while a wave goes through the pool, so that some can be out.
     pub wave_extra: u32,
+    /// Committed instances that the pool needs beside those on top.
+    pub wave_base: u32,
+    /// Instances that the pool got for a wave and has not given back.
+    pub lent: u32,
     /// Instances that take work.
     pub serving: Spread,
     /// Instances that take work or soon will: serving and warming.
     pub committed: Spread,
+    /// The committed ones that no wave has to take out any more.
+    pub staying: Spread,
     /// All instances of the pool by zone, whatever their phase.
     pub members: Vec<BTreeSet<InstanceIx>>,
 }
@@ -178,9 +186,11 @@
         PoolTarget { need, ..self.target }.margin(spread)
     }
 
-    /// Committed instances in the failure domains of `place`, the surviving kind first.
+    /// Committed instances in the failure domains of `place`, the surviving kind first. Those that
+    /// a wave takes out don't count while others take their places.
     pub fn load_at(&self, place: &Place) -> (u32, u32, u32) {
-        let (zone, switch, rack) = self.committed.at(place);
+        let spread = if self.wave_extra > 0 { &self.staying } else { &self.committed };
+        let (zone, switch, rack) = spread.at(place);
         match self.target.survive {
             Domain::Instance | Domain::Zone => (zone, switch, rack),
             Domain::Switch => (switch, rack, zone),
@@ -188,6 +198,12 @@
         }
     }
 
+    /// Instances that the pool still waits for, so that a wave can go through it.
+    pub fn missing_for_wave(&self) -> u32 {
+        let wanted = if self.wave_extra > 0 { self.wave_base + self.wave_extra } else { 0 };
+        wanted.saturating_sub(self.committed.total())
+    }
+
     /// Whether the pool is below its availability budget at this moment.
     pub fn is_below_budget(&self) -> bool {
         self.serving.total() + self.target.may_lose < self.target.need
@@ -213,8 +229,11 @@
         self.pools.push(Pool {
             target,
             wave_extra: 0,
+            wave_base: 0,
+            lent: 0,
             serving: Spread::default(),
             committed: Spread::default(),
+            staying: Spread::default(),
             members: Vec::new(),
         });
         self.pools.len() as PoolIx - 1
@@ -223,7 +242,7 @@
     /// Adds a free instance.
     pub fn add_instance(&mut self, place: Place) -> InstanceIx {
         let ix = self.instances.len() as InstanceIx;
-        self.instances.push(Instance { place, pool: None, phase: Phase::Free });
+        self.instances.push(Instance { place, pool: None, phase: Phase::Free, awaits_wave: false });
         set_at(&mut self.free, place.zone).insert(ix);
         ix
     }
@@ -243,9 +262,25 @@
         self.pools[ix as usize].target = target;
     }
 
-    /// Asks for instances on top of the target while a wave goes through the pool.
+    /// Asks for instances on top of what the pool has while a wave goes through it. With none the
+    /// pool owes back what it got.
     pub fn set_wave_extra(&mut self, ix: PoolIx, extra: u32) {
-        self.pools[ix as usize].wave_extra = extra;
+        let pool = &mut self.pools[ix as usize];
+        if pool.wave_extra == 0 {
+            // What a wave takes out must not endanger the need that may come before it is back.
+            let shortfall = -pool.cautious_margin(&pool.committed).min(0);
+            pool.wave_base = pool.committed.total() + shortfall as u32;
+        }
+        if extra == 0 {
+            pool.lent = pool.committed.total().saturating_sub(pool.wave_base);
+        }
+        pool.wave_extra = extra;
+    }
+
+    /// Notes that a pool gave an instance back that it got for a wave.
+    pub fn give_back(&mut self, ix: PoolIx) {
+        let pool = &mut self.pools[ix as usize];
+        pool.lent = pool.lent.saturating_sub(1);
     }
 
     /// All instances.
@@ -278,8 +313,18 @@
         self.list(ix);
     }
 
+    /// Notes whether a wave still has to take an instance out.
+    pub fn set_awaits_wave(&mut self, ix: InstanceIx, awaits_wave: bool) {
+        if self.instance(ix).awaits_wave == awaits_wave {
+            return;
+        }
+        self.unlist(ix);
+        self.instances[ix as usize].awaits_wave = awaits_wave;
+        self.list(ix);
+    }
+
     fn unlist(&mut self, ix: InstanceIx) {
-        let Instance { place, pool, phase } = self.instances[ix as usize].clone();
+        let Instance { place, pool, phase, awaits_wave } = self.instances[ix as usize].clone();
         match pool {
             None => {
                 set_at(&mut self.free, place.zone).remove(&ix);
@@ -293,12 +338,15 @@
                 if is_committed(phase) {
                     pool.committed.remove(&place);
                 }
+                if is_committed(phase) && !awaits_wave {
+                    pool.staying.remove(&place);
+                }
             }
         }
     }
 
     fn list(&mut self, ix: InstanceIx) {
-        let Instance { place, pool, phase } = self.instances[ix as usize].clone();
+        let Instance { place, pool, phase, awaits_wave } = self.instances[ix as usize].clone();
         match pool {
             None if phase == Phase::Free => {
                 set_at(&mut self.free, place.zone).insert(ix);
@@ -313,6 +361,9 @@
                 if is_committed(phase) {
                     pool.committed.add(&place);
                 }
+                if is_committed(phase) && !awaits_wave {
+                    pool.staying.add(&place);
+                }
             }
         }
     }
--- a/crates/jackdawpier_capacity/src/lending.rs
+++ b/crates/jackdawpier_capacity/src/lending.rs
@@ -1,22 +1,18 @@
 //! Instances that pools get on top while a wave goes through them.
 
 use crate::{
-    PoolIx,
+    InstanceIx, PoolIx,
     fleet::Fleet,
-    planner::{Ceilings, Planner},
-    wave::Wave,
+    planner::Planner,
+    wave::{Wave, WaveState},
 };
 
-/// Steps in which a wave should get through a pool, and where moves weigh most.
-const WAVE_STEPS: u32 = 3;
-const WAVE_STEPS_FEW_MOVES: u32 = 4;
-
 /// Asks for what each pool needs on top so that `wave` gets through it. What a pool was promised
 /// stays until the wave is through, since the wave counts on it.
-pub fn lend(wave: &Wave, fleet: &mut Fleet, planner: &mut Planner, ceilings: &Ceilings) {
-    let has_few_moves = ceilings.moves_per_day.is_some();
-    let steps = if has_few_moves { WAVE_STEPS_FEW_MOVES } else { WAVE_STEPS };
-    for (ix, extra) in wave.extras(fleet, steps).into_iter().enumerate() {
+pub fn lend(wave: &Wave, fleet: &mut Fleet, planner: &mut Planner) {
+    let is_running = wave.state() == WaveState::Running;
+    wave.pending_instances().for_each(|ix| fleet.set_awaits_wave(ix, is_running));
+    for (ix, extra) in wave.extras(fleet).into_iter().enumerate() {
         let before = fleet.pools()[ix].wave_extra;
         let wanted = if extra == 0 { 0 } else { before.max(extra) };
         set_extra(ix, wanted, fleet, planner);
@@ -26,6 +22,7 @@
 /// Takes everything back, after the wave.
 pub fn take_back(fleet: &mut Fleet, planner: &mut Planner) {
     (0..fleet.pools().len()).for_each(|ix| set_extra(ix, 0, fleet, planner));
+    (0..fleet.instances().len()).for_each(|ix| fleet.set_awaits_wave(ix as InstanceIx, false));
 }
 
 fn set_extra(ix: usize, extra: u32, fleet: &mut Fleet, planner: &mut Planner) {
--- a/crates/jackdawpier_capacity/src/planner.rs
+++ b/crates/jackdawpier_capacity/src/planner.rs
@@ -49,9 +49,7 @@
 }
 
 /// How long a surplus must last before it is given up.
-const SURPLUS_LASTS: Duration = Duration::from_secs(45 * 60);
-/// The same where the buffer weighs more than moves.
-const SURPLUS_LASTS_PROMPT: Duration = Duration::from_secs(10 * 60);
+const SURPLUS_LASTS: Duration = Duration::from_secs(10 * 60);
 const DAY: Duration = Duration::from_secs(24 * 3600);
 
 /// The planner of one fleet.
@@ -117,10 +115,7 @@
         loop {
             let pool = fleet.pool(ix);
             let margin = pool.margin(&pool.committed);
-            // What a wave takes out must not endanger the need that may come before it is back.
-            let cautious = pool.cautious_margin(&pool.committed);
-            let has_extra = pool.wave_extra == 0 || cautious >= i64::from(pool.wave_extra);
-            if margin >= 0 && has_extra {
+            if margin >= 0 && pool.missing_for_wave() == 0 {
                 return;
             }
             let is_short = pool.committed.total() < pool.target.need;
@@ -149,7 +144,7 @@
         let place = |instance: &InstanceIx| &fleet.instance(*instance).place;
         let best = candidates
             .iter()
-            .min_by_key(|instance| (pool.load_at(place(instance)), **instance))
+            .min_by_key(|ix| (fleet.instance(**ix).awaits_wave, pool.load_at(place(ix)), **ix))
             .copied()?;
         // One more in the worst domain helps only if others can follow in another domain.
         let is_worst = pool.load_at(place(&best)).0 >= pool.committed.worst(pool.target.survive);
@@ -176,27 +171,21 @@
             return;
         };
         let since = *self.surplus_since[ix as usize].get_or_insert(now);
-        let lasts = if outlook.is_prompt { Duration::ZERO } else { self.surplus_lasts() };
-        let may_move = |planner: &Self| outlook.is_prompt || planner.may_move();
-        if now < since + lasts || !may_move(self) {
+        let is_lent = |fleet: &Fleet| outlook.is_prompt || fleet.pool(ix).lent > 0;
+        let lasts = if is_lent(fleet) { Duration::ZERO } else { SURPLUS_LASTS };
+        if now < since + lasts {
             return;
         }
         let mut next = Some(instance);
-        while let Some(instance) = next.filter(|_| may_move(self)) {
-            self.shrinks_today += 1;
+        while let Some(instance) = next.filter(|_| is_lent(fleet) || self.may_move()) {
+            self.shrinks_today += u32::from(fleet.pool(ix).lent == 0);
+            fleet.give_back(ix);
             fleet.set(instance, Some(ix), Phase::Draining);
             moves.push(Move { instance, to: None, reason: MoveReason::DemandFell });
             next = Self::choose_surplus(fleet, ix, later);
         }
     }
 
-    fn surplus_lasts(&self) -> Duration {
-        match self.ceilings.buffer_instances {
-            Some(_) => SURPLUS_LASTS_PROMPT,
-            None => SURPLUS_LASTS,
-        }
-    }
-
     /// Each instance given up is one that joins again later, so the ceiling counts those.
     fn may_move(&self) -> bool {
         self.ceilings.moves_per_day.is_none_or(|most| self.shrinks_today < most)
@@ -205,11 +194,8 @@
     /// A serving instance that the pool can do without, now and at its `later` need.
     fn choose_surplus(fleet: &Fleet, ix: PoolIx, later: u32) -> Option<InstanceIx> {
         let pool = fleet.pool(ix);
-        let for_wave = if pool.wave_extra > 0 { pool.target.cautious_need } else { 0 };
-        let need = pool.target.need.max(later).max(for_wave);
-        let target = PoolTarget { need, ..pool.target };
-        let extra = i64::from(pool.wave_extra);
-        if target.margin(&pool.serving) < extra {
+        let target = PoolTarget { need: pool.target.need.max(later), ..pool.target };
+        if target.margin(&pool.serving) < 0 {
             return None;
         }
         let zone = pool.members.iter().max_by_key(|zone| zone.len())?;
@@ -219,7 +205,7 @@
             .max_by_key(|instance| pool.serving.at(&fleet.instance(**instance).place))
             .filter(|instance| {
                 let place = &fleet.instance(**instance).place;
-                target.margin_without(&pool.serving, place) >= extra
+                target.margin_without(&pool.serving, place) >= 0
             })
             .copied()
     }
--- a/crates/jackdawpier_capacity/src/wave.rs
+++ b/crates/jackdawpier_capacity/src/wave.rs
@@ -5,6 +5,7 @@
 //! repeating a reboot.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -18,14 +19,16 @@
     reason::HoldReason,
 };
 
-/// Instances of the canary.
+/// Instances that must be back before the canary is judged, one of them from a pool; also the most
+/// that it takes out of pools.
 const CANARY_INSTANCES: usize = 2;
-/// One free instance in this many of the fleet is left alone by a wave.
-const FREE_RESERVE_DIVISOR: usize = 25;
-/// Steps beyond which a pool is done one instance at a time.
-const MAX_WAVE_STEPS: u32 = 64;
+/// One free instance in this many of the fleet is left alone by a wave, to replace failures. Some
+/// ten times as many as fail within an hour of an ordinary day.
+const FREE_RESERVE_DIVISOR: usize = 250;
 /// Failed steps after which the rate is judged.
 const MIN_FAILURES: usize = 3;
+/// Steps in which the part of the free instances that every pool gets is rounded.
+const PARTS: u32 = 32;
 /// A wave stops when this part of its recent steps has failed.
 const FAILED_SHARE_DIVISOR: usize = 5;
 /// Steps that count as recent.
@@ -198,11 +201,11 @@
             WaveState::Cancelled | WaveState::Finished => return (Vec::new(), None),
             WaveState::Running => {}
         }
-        let canary_left = CANARY_INSTANCES.saturating_sub(self.done_serving);
-        let is_canary = canary_left > 0 && self.has_serving_pending(fleet);
+        let is_canary = self.is_canary(fleet);
+        let canary_out = self.done_serving + self.out_serving.len();
         let mut serving_room =
-            if is_canary { canary_left.saturating_sub(self.out_serving.len()) } else { MAX_STARTS };
-        let kept_free = free_reserve(fleet) + extras_not_granted(fleet);
+            if is_canary { CANARY_INSTANCES.saturating_sub(canary_out) } else { MAX_STARTS };
+        let kept_free = free_reserve(fleet) + missing_for_wave(fleet) as usize;
         let mut free_room = fleet.free_count().saturating_sub(kept_free);
         let mut starts = Vec::new();
         let mut hold = None;
@@ -223,6 +226,7 @@
             if pool.is_some() {
                 self.out_serving.insert(ix);
             }
+            fleet.set_awaits_wave(ix, false);
             fleet.set(ix, pool, Phase::InMaintenance);
             self.pending.remove(&ix);
             self.out.insert(ix);
@@ -232,6 +236,12 @@
         (starts, hold)
     }
 
+    /// Whether too little has come back healthy to go on with the pools.
+    fn is_canary(&self, fleet: &Fleet) -> bool {
+        let is_judged = self.done >= CANARY_INSTANCES && self.done_serving > 0;
+        !is_judged && self.has_serving_pending(fleet)
+    }
+
     fn has_serving_pending(&self, fleet: &Fleet) -> bool {
         self.pending.iter().chain(&self.out).any(|ix| fleet.instance(*ix).pool.is_some())
     }
@@ -251,21 +261,37 @@
         left
     }
 
-    /// Instances that each pool should have on top, so that about `steps` further steps are
-    /// enough. Together they are no more than what is free or already lent.
-    pub fn extras(&self, fleet: &Fleet, steps: u32) -> Vec<u32> {
+    /// Instances that each pool should have on top, so that its own can be out. Free instances are
+    /// maintained first and then take the places of a whole pool, so that one step gets through it;
+    /// where they are too few, every pool has its part of them.
+    pub fn extras(&self, fleet: &Fleet) -> Vec<u32> {
         let left = self.left_by_pool(fleet);
         if self.state != WaveState::Running {
             return vec![0; left.len()];
         }
+        if self.done == 0 {
+            return self.extras_for_canary(fleet, &left);
+        }
         let promised: u32 = fleet.pools().iter().map(|pool| pool.wave_extra).sum();
-        let available = fleet.free_count().saturating_sub(free_reserve(fleet)) as u32 + promised;
-        let share =
-            |steps: u32| -> Vec<u32> { left.iter().map(|count| count.div_ceil(steps)).collect() };
-        (steps.max(1)..MAX_WAVE_STEPS)
-            .map(share)
-            .find(|extras| extras.iter().sum::<u32>() <= available)
-            .unwrap_or_else(|| share(MAX_WAVE_STEPS))
+        let granted = promised.saturating_sub(missing_for_wave(fleet));
+        proportional(&left, fleet.free_count() as u32 + granted)
+    }
+
+    /// One for the pool that is nearest to it, if no pool can spare an instance for the canary.
+    fn extras_for_canary(&self, fleet: &Fleet, left: &[u32]) -> Vec<u32> {
+        let mut extras = vec![0; left.len()];
+        let can_spare =
+            |ix: &&InstanceIx| fleet.instance(**ix).pool.is_some() && fleet.can_spare(**ix);
+        let has_canary =
+            !self.out_serving.is_empty() || self.pending.iter().any(|ix| can_spare(&ix));
+        let margin = |pool: &Pool| pool.cautious_margin(&pool.committed);
+        let nearest = (0..left.len())
+            .filter(|ix| left[*ix] > 0)
+            .max_by_key(|ix| (margin(&fleet.pools()[*ix]), Reverse(*ix)));
+        if !has_canary && let Some(pool) = nearest {
+            extras[pool] = 1;
+        }
+        extras
     }
 
     /// Pending instances, those first whose loss makes the worst domain smaller: the wave then
@@ -279,6 +305,11 @@
         order
     }
 
+    /// Instances not touched yet, in the order of their numbers.
+    pub fn pending_instances(&self) -> impl Iterator<Item = InstanceIx> {
+        self.pending.iter().copied()
+    }
+
     /// Notes that an instance came back, or did not. A repeated word changes nothing.
     pub fn finish_step(&mut self, ix: InstanceIx, is_healthy: bool) {
         if !self.out.remove(&ix) {
@@ -318,11 +349,31 @@
 }
 
 /// Free instances that pools still wait for, so that the wave can go through them.
-fn extras_not_granted(fleet: &Fleet) -> usize {
-    let missing =
-        |pool: &Pool| i64::from(pool.wave_extra) - pool.cautious_margin(&pool.committed).max(0);
-    let missing: i64 = fleet.pools().iter().map(|pool| missing(pool).max(0)).sum();
-    missing as usize
+fn missing_for_wave(fleet: &Fleet) -> u32 {
+    fleet.pools().iter().map(Pool::missing_for_wave).sum()
+}
+
+/// All of `wanted` if they are no more than `available`, else the same part of each, and one where
+/// the part is less than one: a pool with none would hold the whole wave up.
+fn proportional(wanted: &[u32], available: u32) -> Vec<u32> {
+    let part = |parts: u32| -> Vec<u32> {
+        wanted.iter().map(|count| (count * parts).div_ceil(PARTS)).collect()
+    };
+    (1..=PARTS)
+        .rev()
+        .map(part)
+        .find(|extras| extras.iter().sum::<u32>() <= available)
+        .unwrap_or_else(|| one_each(wanted, available))
+}
+
+fn one_each(wanted: &[u32], available: u32) -> Vec<u32> {
+    let mut left = available;
+    let one = |count: &u32| {
+        let extra = (*count).min(1).min(left);
+        left -= extra;
+        extra
+    };
+    wanted.iter().map(one).collect()
 }
 
 /// Free instances that a wave leaves alone, to replace ordinary failures. What the pools have
@@ -330,7 +381,7 @@
 fn free_reserve(fleet: &Fleet) -> usize {
     let surplus = |pool: &Pool| pool.margin(&pool.serving).max(0);
     let surplus: i64 = fleet.pools().iter().map(surplus).sum();
-    let wanted = fleet.instances().len().div_ceil(FREE_RESERVE_DIVISOR);
+    let wanted = fleet.instances().len() / FREE_RESERVE_DIVISOR;
     wanted.saturating_sub(surplus as usize)
 }
 
--- a/crates/jackdawpierd/src/capacity.rs
+++ b/crates/jackdawpierd/src/capacity.rs
@@ -327,7 +327,7 @@
         held.learn(&peaks, inputs);
         let forecasts = self.follow_demand(&peaks, inputs);
         let mut actions = self.end_orders(now, &inputs.instances);
-        self.start_steps(&inputs.ceilings);
+        self.start_steps();
         self.planner.set_ceilings(inputs.ceilings);
         self.plan_moves(now, &forecasts);
         self.measure(now, inputs);
@@ -364,11 +364,11 @@
         Vec::new()
     }
 
-    fn start_steps(&mut self, ceilings: &Ceilings) {
+    fn start_steps(&mut self) {
         let Some(held) = &mut self.held else { return };
         let Some(wave) = &mut held.wave else { return };
         let state_before = wave.state();
-        lend(wave, &mut self.fleet, &mut self.planner, ceilings);
+        lend(wave, &mut self.fleet, &mut self.planner);
         let phases: HashMap<InstanceIx, Phase> =
             self.by_id.values().map(|ix| (*ix, self.fleet.instance(*ix).phase)).collect();
         let (starts, held_by) = wave.start_steps(&mut self.fleet);
