Tie a shard's record to the lease that it stands under

Ruled out: going on with renewals (the one-way cut needs them to stop).

Change: the shards that an entry holds stand under one lease; with another one all are given up, also where no tick saw the time without a lease. A record of one's own under another lease doesn't count as the claim's success and is claimed again under the present one.

--- a/crates/jackdawpier_coord/src/ownership.rs
+++ b/crates/jackdawpier_coord/src/ownership.rs
@@ -73,6 +73,8 @@
     incarnation: u64,
     names: BTreeSet<String>,
     held: BTreeMap<String, Shard>,
+    /// The lease under which the records of `held` stand.
+    lease: Option<LeaseId>,
     is_stopping: bool,
 }
 
@@ -84,6 +86,7 @@
             incarnation,
             names: BTreeSet::new(),
             held: BTreeMap::new(),
+            lease: None,
             is_stopping: false,
         }
     }
@@ -123,6 +126,12 @@
         self.held.remove(shard);
     }
 
+    /// Whether every record of this entry stands under `lease`, the one that can be relied on. If
+    /// not, they lapse with an earlier one, and [`Ownership::lose_all`] has to be called.
+    pub fn stands_under(&self, lease: Option<LeaseId>) -> bool {
+        self.held.is_empty() || lease.is_some() && self.lease == lease
+    }
+
     /// Drops every shard, when the member lease was lost.
     pub fn lose_all(&mut self) -> Vec<String> {
         std::mem::take(&mut self.held).into_keys().collect()
@@ -138,6 +147,7 @@
     /// Decides on every shard. `lease` is the member lease while it can be relied on.
     pub fn tick(&mut self, now: Now, lease: Option<LeaseId>, view: &View) -> Vec<Output> {
         let Some(lease) = lease else { return Vec::new() };
+        self.lease = Some(lease);
         let names: Vec<String> = self
             .names
             .iter()
@@ -240,8 +250,9 @@
     pub fn on_result(&mut self, now: Now, shard: &str, result: &StoreResult) -> Vec<Output> {
         let own_revision = match result {
             Ok(Response::Written { revision }) => Some(*revision),
-            // The answer to the first try was lost; the record shows that it took effect.
-            Ok(Response::Conflict { current: Some(record) }) => {
+            // The answer to the first try was lost; the record shows that it took effect. One that
+            // stands under an earlier lease lapses with it, and is claimed again.
+            Ok(Response::Conflict { current: Some(record) }) if record.lease == self.lease => {
                 let owner = serde_json::from_str::<Owner>(&record.value).ok();
                 owner.filter(|owner| self.is_self(owner)).map(|_| record.revision)
             }
--- a/crates/jackdawpier_proofs/tests/world/entry.rs
+++ b/crates/jackdawpier_proofs/tests/world/entry.rs
@@ -271,10 +271,9 @@
     }
 
     fn tick_ownership(&mut self, now: Now) {
-        if self.membership.lease(now).is_none() {
+        if !self.ownership.stands_under(self.membership.lease(now)) {
             self.ownership.lose_all();
             self.drop_owned(now);
-            return;
         }
         if !self.is_view_loaded {
             return;
--- a/crates/jackdawpierd/src/control.rs
+++ b/crates/jackdawpierd/src/control.rs
@@ -119,11 +119,12 @@
     });
 }
 
-/// Without a lease that can be relied on, nothing durable is decided here any more.
+/// Without the lease that its records stand under, nothing durable is decided here any more.
 fn drop_after_lost_lease(entry: &Arc<Entry>) {
     let lost = {
         let mut coordination = entry.coordination();
-        if coordination.membership.lease(entry.now()).is_some() {
+        let lease = coordination.membership.lease(entry.now());
+        if coordination.ownership.stands_under(lease) {
             return;
         }
         coordination.ownership.lose_all()
