Keep doubtful keys in a box

Cause: the new state of a key in doubt made every key larger, found by running `scripts/capacity` again: 187 -> 259 bytes a key, 56 -> 77.6 MB at 300,000.

--- a/crates/jackdawpier_route/src/dedupe.rs
+++ b/crates/jackdawpier_route/src/dedupe.rs
@@ -98,15 +98,22 @@
         fingerprint: Fingerprint,
         outcome: Outcome,
     },
-    /// An earlier owner's intent; `learned` is its end while that is not durable here.
+    /// An earlier owner's intent. It is seldom, and boxed so that the other keys stay small.
     Doubtful {
         fingerprint: Fingerprint,
-        entry: EntryId,
-        waiters: Vec<Ticket>,
-        learned: Option<Outcome>,
+        doubt: Box<Doubt>,
     },
 }
 
+#[derive(Debug)]
+struct Doubt {
+    /// The entry that wrote the intent.
+    entry: EntryId,
+    waiters: Vec<Ticket>,
+    /// Its end while that is not durable here.
+    learned: Option<Outcome>,
+}
+
 /// The keys of one shard.
 #[derive(Debug)]
 pub struct Dedupe {
@@ -180,7 +187,8 @@
     fn recover_one(&mut self, now: Now, key: RequestKey, state: KeyState) {
         let live = match state {
             KeyState::Intent { fingerprint, entry } => {
-                Live::Doubtful { fingerprint, entry, waiters: Vec::new(), learned: None }
+                let doubt = Doubt { entry, waiters: Vec::new(), learned: None };
+                Live::Doubtful { fingerprint, doubt: Box::new(doubt) }
             }
             KeyState::Ended { fingerprint, outcome } => Live::Ended { fingerprint, outcome },
             KeyState::Released => return,
@@ -211,12 +219,10 @@
             Some(Live::Ended { fingerprint: known, outcome }) if *known == fingerprint => {
                 Decision::Repeat(outcome.clone())
             }
-            Some(Live::Doubtful { fingerprint: known, entry, waiters, learned })
-                if *known == fingerprint =>
-            {
-                waiters.push(ticket);
-                let is_first = waiters.len() == 1 && learned.is_none();
-                if is_first { Decision::Ask(entry.clone()) } else { Decision::Wait }
+            Some(Live::Doubtful { fingerprint: known, doubt }) if *known == fingerprint => {
+                doubt.waiters.push(ticket);
+                let is_first = doubt.waiters.len() == 1 && doubt.learned.is_none();
+                if is_first { Decision::Ask(doubt.entry.clone()) } else { Decision::Wait }
             }
             Some(_) => Decision::KeyReused,
         }
@@ -225,9 +231,10 @@
     /// Takes the word of the entry that was asked: what it remembers of the key, if anything.
     /// Without an end the key stays in doubt, and the next repeat asks again.
     pub fn settle(&mut self, key: &RequestKey, word: Option<KeyState>) -> Settled {
-        let Some(Live::Doubtful { waiters, learned, .. }) = self.keys.get_mut(key) else {
+        let Some(Live::Doubtful { doubt, .. }) = self.keys.get_mut(key) else {
             return Settled::Unknown(Vec::new());
         };
+        let Doubt { waiters, learned, .. } = &mut **doubt;
         match word {
             Some(KeyState::Ended { fingerprint, outcome }) => {
                 *learned = Some(outcome.clone());
@@ -267,10 +274,9 @@
     /// Turns a learned end that is durable into an end like any other.
     fn confirm(&mut self, key: &RequestKey) -> Option<(Outcome, Vec<Ticket>)> {
         let live = self.keys.get_mut(key)?;
-        let Live::Doubtful { fingerprint, waiters, learned: Some(outcome), .. } = live else {
-            return None;
-        };
-        let (outcome, waiters) = (outcome.clone(), std::mem::take(waiters));
+        let Live::Doubtful { fingerprint, doubt } = live else { return None };
+        let outcome = doubt.learned.take()?;
+        let waiters = std::mem::take(&mut doubt.waiters);
         *live = Live::Ended { fingerprint: *fingerprint, outcome: outcome.clone() };
         Some((outcome, waiters))
     }
