--- a/crates/jackdawpier_route/tests/dedupe.rs
+++ b/crates/jackdawpier_route/tests/dedupe.rs
@@ -26,11 +26,17 @@
     })
 }
 
-#[test]
-fn repeat_answered() {
+/// A table of `entry-a` whose write 1 carries the intent of ticket 1.
+fn recorded() -> Dedupe {
     let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
     assert!(matches!(dedupe.begin(&key(), 1, 1), Decision::Record { .. }));
     dedupe.recording(1, 1, &key());
+    dedupe
+}
+
+#[test]
+fn repeat_answered() {
+    let mut dedupe = recorded();
     assert!(dedupe.committed(0).sendable.is_empty(), "not durable yet, so it must not be sent");
     assert_eq!(dedupe.committed(1).sendable, [1]);
     assert_eq!(dedupe.begin(&key(), 1, 2), Decision::Wait);
@@ -69,9 +75,7 @@
 #[test]
 fn end_recalled() {
     let mut former = FormerKeys::new(RETENTION);
-    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
-    dedupe.begin(&key(), 1, 1);
-    dedupe.recording(1, 1, &key());
+    let mut dedupe = recorded();
     dedupe.committed(1);
     dedupe.end(Now::ZERO, &key(), &answered(b"done"));
     dedupe.ending(2, &key());
@@ -90,9 +94,7 @@
 #[test]
 fn unsent_released() {
     let mut former = FormerKeys::new(RETENTION);
-    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
-    dedupe.begin(&key(), 1, 1);
-    dedupe.recording(1, 1, &key());
+    let dedupe = recorded();
     assert_eq!(dedupe.retire(Now::ZERO, &mut former), [1], "it is not sent any more");
     let mut next = in_doubt();
     next.begin(&key(), 1, 7);
@@ -103,12 +105,9 @@
 #[test]
 fn owned_again() {
     let mut former = FormerKeys::new(RETENTION);
-    let mut dedupe = Dedupe::new("entry-a".into(), RETENTION);
-    let Decision::Record { state: intent } = dedupe.begin(&key(), 1, 1) else {
-        panic!("a new key is recorded");
-    };
-    dedupe.recording(1, 1, &key());
+    let mut dedupe = recorded();
     dedupe.committed(1);
+    let intent = KeyState::Intent { fingerprint: 1, entry: "entry-a".into() };
     dedupe.retire(Now::ZERO, &mut former);
     assert_eq!(former.recall(&key()), Some(intent.clone()), "it still runs here");
     let mut again = Dedupe::new("entry-a".into(), RETENTION);
@@ -123,10 +122,7 @@
 #[test]
 fn former_outdated() {
     let mut former = FormerKeys::new(RETENTION);
-    let mut first = Dedupe::new("entry-a".into(), RETENTION);
-    first.begin(&key(), 1, 1);
-    first.recording(1, 1, &key());
-    first.retire(Now::ZERO, &mut former);
+    recorded().retire(Now::ZERO, &mut former);
     assert_eq!(former.recall(&key()), Some(KeyState::Released));
     let mut second = Dedupe::new("entry-a".into(), RETENTION);
     second.recover(Now::ZERO, [], &mut former);
