--- /dev/null
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -0,0 +1,120 @@
+//! The configuration in force at this entry: the highest version that it has seen, never a lower.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use jackdawpier_kernel::{Now, ids::Revision};
+use serde_json::json;
+
+use crate::{
+    clock,
+    events::Events,
+    ports::{Configuration, Platform, Route},
+};
+
+/// A change has to be in force within two seconds; four looks leave room for one lost answer.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// The balancer is told that this entry is out of touch after this long without the store.
+const OUT_OF_TOUCH_AFTER: Duration = Duration::from_millis(1800);
+
+#[derive(Debug, Default)]
+struct State {
+    current: Option<Rc<Configuration>>,
+    revision: Revision,
+    heard_at: Option<Now>,
+}
+
+/// The configuration in force.
+#[derive(Debug, Clone, Default)]
+pub struct Active(Rc<RefCell<State>>);
+
+impl Active {
+    /// The configuration; none before the first has been read.
+    pub fn get(&self) -> Option<Rc<Configuration>> {
+        self.0.borrow().current.clone()
+    }
+
+    /// Revision of the store at which it was written.
+    pub fn revision(&self) -> Revision {
+        self.0.borrow().revision
+    }
+
+    /// Whether the store has answered lately, so that the configuration is known to be current.
+    pub fn is_in_touch(&self, now: Now) -> bool {
+        let state = self.0.borrow();
+        let is_fresh = |at: Now| now.saturating_sub(at) < OUT_OF_TOUCH_AFTER;
+        state.current.is_some() && state.heard_at.is_some_and(is_fresh)
+    }
+
+    /// Takes over a version if it is higher than the one in force.
+    pub fn offer(&self, configuration: Configuration, revision: Revision) -> bool {
+        let mut state = self.0.borrow_mut();
+        let is_newer =
+            state.current.as_ref().is_none_or(|current| configuration.version > current.version);
+        if is_newer {
+            state.current = Some(Rc::new(configuration));
+            state.revision = revision;
+        }
+        is_newer
+    }
+
+    /// The route of a request: the longest prefix of its host that the path begins with.
+    pub fn route(&self, host: &str, path: &str) -> Option<Route> {
+        let current = self.get()?;
+        let host = host.split(':').next().unwrap_or(host);
+        current
+            .routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix))
+            .max_by_key(|route| route.prefix.len())
+            .cloned()
+    }
+}
+
+/// Reads the configuration again and again.
+pub async fn follow<P: Platform>(platform: P, active: Active, events: Events) {
+    let mut was_in_touch = false;
+    loop {
+        let asked_at = clock::now();
+        match platform.get(platform.configuration_key()).await {
+            Ok(item) => {
+                active.0.borrow_mut().heard_at = Some(asked_at);
+                if let Some(item) = item.filter(|item| item.revision != active.revision()) {
+                    take(&platform, &active, &events, &item.value, item.revision);
+                }
+            }
+            Err(error) if was_in_touch => {
+                events.emit("store_missed", json!({ "for": "configuration", "why": error.to_string() }));
+            }
+            Err(_) => {}
+        }
+        let is_in_touch = active.is_in_touch(clock::now());
+        if is_in_touch != was_in_touch {
+            let event = if is_in_touch { "store_regained" } else { "store_lost" };
+            events.emit(event, json!({ "revision": active.revision() }));
+            was_in_touch = is_in_touch;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+fn take<P: Platform>(
+    platform: &P,
+    active: &Active,
+    events: &Events,
+    value: &[u8],
+    revision: Revision,
+) {
+    match platform.read_configuration(value) {
+        Ok(configuration) => {
+            let (version, routes) = (configuration.version, configuration.routes.len());
+            if active.offer(configuration, revision) {
+                let fields = json!({ "version": version, "revision": revision, "routes": routes });
+                events.emit("configuration", fields);
+            }
+        }
+        Err(error) => {
+            let fields = json!({ "revision": revision, "why": error.to_string() });
+            events.emit("configuration_unreadable", fields);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/src/http_client.rs
@@ -0,0 +1,167 @@
+//! The one HTTP client of the process: kept-alive connections a host, a timeout for every call.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request,
+    client::conn::http1::{SendRequest, handshake},
+    header::{CONTENT_TYPE, HOST},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
+
+/// Idle connections kept a host: a long poll, and a few orders at a time.
+const IDLE_PER_HOST: usize = 4;
+/// Time for a connection to open; beyond it the host is taken to be out of reach.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// What to send.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers besides the usual ones.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body as JSON; empty for none.
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    /// A call without a body.
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self { method, path: path.into(), headers: Vec::new(), body: Vec::new() }
+    }
+
+    /// Sets the body.
+    pub fn body(mut self, body: Vec<u8>) -> Self {
+        self.body = body;
+        self
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+}
+
+/// An answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// The request didn't leave.
+    NotSent,
+    /// It may have arrived.
+    Lost,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// The client.
+#[derive(Debug, Clone, Default)]
+pub struct HttpClient {
+    idle: Rc<RefCell<HashMap<Arc<str>, Vec<Sender>>>>,
+}
+
+impl HttpClient {
+    /// Sends a call and waits for its whole answer for at most `patience`. A connection on which
+    /// that fails is never used again, nor are its idle neighbours: they may be as silent.
+    pub async fn call(
+        &self,
+        host: &Arc<str>,
+        call: &Call,
+        patience: Duration,
+    ) -> Result<Answer, NoAnswer> {
+        let ended = timeout(patience, self.exchange(host, call)).await;
+        let answer = ended.unwrap_or(Err(NoAnswer::Lost));
+        if answer.is_err() {
+            self.idle.borrow_mut().remove(host);
+        }
+        answer
+    }
+
+    async fn exchange(&self, host: &Arc<str>, call: &Call) -> Result<Answer, NoAnswer> {
+        while let Some(mut sender) = self.take_idle(host) {
+            if sender.ready().await.is_err() {
+                continue;
+            }
+            match send(&mut sender, host, call).await {
+                // The host had closed it: nothing left, so a new one may be tried.
+                Err(NoAnswer::NotSent) => {}
+                Err(NoAnswer::Lost) => return Err(NoAnswer::Lost),
+                Ok(answer) => {
+                    self.keep(host, sender);
+                    return Ok(answer);
+                }
+            }
+        }
+        let mut sender = connect(host).await?;
+        let answer = send(&mut sender, host, call).await?;
+        self.keep(host, sender);
+        Ok(answer)
+    }
+
+    fn take_idle(&self, host: &Arc<str>) -> Option<Sender> {
+        self.idle.borrow_mut().get_mut(host)?.pop()
+    }
+
+    fn keep(&self, host: &Arc<str>, sender: Sender) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let of_host = idle.entry(host.clone()).or_default();
+        if of_host.len() < IDLE_PER_HOST {
+            of_host.push(sender);
+        }
+    }
+
+    /// Forgets the connections to hosts that `keep` refuses.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        self.idle.borrow_mut().retain(|host, _| keep(host));
+    }
+}
+
+async fn connect(host: &str) -> Result<Sender, NoAnswer> {
+    let opening = timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await;
+    let stream = opening.map_err(|_| NoAnswer::NotSent)?.map_err(|_| NoAnswer::NotSent)?;
+    // Without it small requests wait for acknowledgements.
+    stream.set_nodelay(true).map_err(|_| NoAnswer::NotSent)?;
+    let (sender, connection) =
+        handshake(TokioIo::new(stream)).await.map_err(|_| NoAnswer::NotSent)?;
+    // Its errors come back through the sender.
+    tokio::task::spawn_local(async move { drop(connection.await) });
+    Ok(sender)
+}
+
+async fn send(sender: &mut Sender, host: &str, call: &Call) -> Result<Answer, NoAnswer> {
+    let mut request =
+        Request::builder().method(&call.method).uri(&call.path).header(HOST, host);
+    if !call.body.is_empty() {
+        request = request.header(CONTENT_TYPE, "application/json");
+    }
+    for (name, value) in &call.headers {
+        request = request.header(*name, value);
+    }
+    let body = Full::new(Bytes::from(call.body.clone()));
+    let request = request.body(body).map_err(|_| NoAnswer::NotSent)?;
+    let response = sender
+        .send_request(request)
+        .await
+        .map_err(|error| if error.is_canceled() { NoAnswer::NotSent } else { NoAnswer::Lost })?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.map_err(|_| NoAnswer::Lost)?.to_bytes();
+    Ok(Answer { status, body })
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -0,0 +1,20 @@
+//! The entry process: every instance runs this one role.
+//!
+//! Each entry takes in jobs, answers for them and applies the configuration; one of them at a time
+//! owns the fleet and carries out the decisions of `jackdawpier_fleet`. All that must last lies in
+//! the store. What is spoken to the outside is behind the traits of [`ports`]. See
+//! `docs/design/platform.md`.
+
+pub mod acceptance;
+pub mod callers;
+pub mod clock;
+pub mod configuration;
+pub mod events;
+pub mod http_client;
+pub mod http_server;
+pub mod keys;
+pub mod owner;
+pub mod ownership;
+pub mod ports;
+pub mod run;
+pub mod settings;
--- /dev/null
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -0,0 +1,248 @@
+//! The loops of the entry that owns the fleet: they feed [`Fleet`] with what happens outside and
+//! carry its commands out. Nothing is decided here.
+
+mod commits;
+mod executors;
+mod intake;
+mod machines;
+mod takeover;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashSet,
+    rc::Rc,
+    time::Duration,
+};
+
+use jackdawpier_fleet::{
+    fleet::{Command, Fleet, FleetSettings, JobView},
+    spec::QueueName,
+};
+use jackdawpier_kernel::{Now, ids::ExecutorId};
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::{
+    clock,
+    configuration::Active,
+    events::Events,
+    ownership::{self, Term},
+    ports::Platform,
+    settings::EntrySettings,
+};
+
+/// Longest time between two looks of the decisions at the clock.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Decisions gather what arrives within this time.
+const TICK_GATHER: Duration = Duration::from_millis(2);
+/// Leases of executors are this long at most. Long enough for a change of owners (two seconds and
+/// the take-over), short enough that tasks of a lost executor run again within six seconds.
+const EXECUTOR_LEASE: Duration = Duration::from_millis(5000);
+/// How often jobs that have been over for long are forgotten.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The fleet, where callers' questions find it while this entry owns it.
+#[derive(Debug, Clone, Default)]
+pub struct OwnerCell(Rc<RefCell<Option<(Term, Rc<RefCell<Fleet>>)>>>);
+
+impl OwnerCell {
+    /// What is known of a job; none if this entry doesn't own the fleet or doesn't know the job.
+    pub fn view(&self, id: &str) -> Option<JobView> {
+        self.with(|fleet| fleet.view(id)).flatten()
+    }
+
+    /// Jobs of a queue that haven't begun; none if this entry doesn't own the fleet.
+    pub fn pending(&self, queue: &QueueName) -> Option<u64> {
+        self.with(|fleet| fleet.pending().get(queue).copied().unwrap_or(0))
+    }
+
+    fn with<T>(&self, read: impl FnOnce(&Fleet) -> T) -> Option<T> {
+        let cell = self.0.borrow();
+        let (term, fleet) = cell.as_ref()?;
+        term.is_valid().then(|| read(&fleet.borrow()))
+    }
+
+    /// Ends the ownership, if there is one.
+    pub async fn release<P: Platform>(&self, platform: &P) {
+        let held = self.0.borrow_mut().take();
+        if let Some((term, _)) = held {
+            term.release(platform).await;
+        }
+    }
+}
+
+/// What the loops of one term share.
+pub(crate) struct Owner<P> {
+    pub(crate) platform: P,
+    pub(crate) settings: Rc<EntrySettings>,
+    pub(crate) term: Term,
+    pub(crate) fleet: Rc<RefCell<Fleet>>,
+    pub(crate) active: Active,
+    pub(crate) events: Events,
+    /// Something has happened that may let tasks start.
+    pub(crate) changed: Notify,
+    /// Something waits to be written.
+    pub(crate) unwritten: Notify,
+    /// Something has become durable.
+    pub(crate) written: Notify,
+    /// Executors that have a loop of their own.
+    pub(crate) followed: RefCell<HashSet<ExecutorId>>,
+    configured_version: Cell<u64>,
+}
+
+impl<P: Platform> Owner<P> {
+    pub(crate) fn is_valid(&self) -> bool {
+        self.term.is_valid()
+    }
+
+    /// Lets decisions see the time and carries their commands out.
+    pub(crate) fn tick(self: &Rc<Self>) {
+        self.configure();
+        self.fleet.borrow_mut().tick(clock::now(), clock::wall_ms());
+        self.pump();
+    }
+
+    /// Carries out what has been decided.
+    pub(crate) fn pump(self: &Rc<Self>) {
+        let commands = self.fleet.borrow_mut().take_commands();
+        for command in commands {
+            let owner = self.clone();
+            match command {
+                Command::Start { .. } | Command::Stop { .. } | Command::Pace { .. } => {
+                    owner.order_executor(command);
+                }
+                Command::Advise { task, executors } => {
+                    tokio::task::spawn_local(async move { owner.advise(task, executors).await });
+                }
+                Command::Machine(order) => {
+                    tokio::task::spawn_local(async move { owner.order_machine(order).await });
+                }
+                Command::Wave(state) => {
+                    tokio::task::spawn_local(async move { owner.publish_wave(state).await });
+                }
+            }
+        }
+        if self.fleet.borrow().has_changes() {
+            self.unwritten.notify_one();
+        }
+    }
+
+    fn configure(&self) {
+        let Some(current) = self.active.get() else { return };
+        if self.configured_version.replace(current.version) == current.version {
+            return;
+        }
+        let queues = current.routes.iter().map(|route| route.queue.clone()).collect();
+        self.fleet.borrow_mut().configure(queues, current.services.clone());
+    }
+
+    async fn tick_loop(self: Rc<Self>) {
+        while self.is_valid() {
+            // Whether it is time or news that wakes it makes no difference.
+            let _ = tokio::time::timeout(TICK_INTERVAL, self.changed.notified()).await;
+            tokio::time::sleep(TICK_GATHER).await;
+            if self.is_valid() {
+                self.tick();
+            }
+        }
+    }
+
+    async fn renew_loop(self: Rc<Self>) {
+        while self.is_valid() {
+            if let Err(error) = self.term.renew(&self.platform).await {
+                let fields = json!({ "fence": self.term.fence, "why": error.to_string() });
+                self.events.emit("renewal_failed", fields);
+            }
+            self.term.confirm(&self.platform).await;
+            tokio::time::sleep(ownership::RENEW_INTERVAL).await;
+        }
+    }
+
+    async fn forget_loop(self: Rc<Self>) {
+        while self.is_valid() {
+            tokio::time::sleep(FORGET_INTERVAL).await;
+            let forgotten =
+                self.fleet.borrow_mut().forget_jobs(clock::now(), self.settings.retention);
+            for job in forgotten {
+                self.forget(&job).await;
+            }
+        }
+    }
+}
+
+fn fleet_settings(settings: &EntrySettings) -> FleetSettings {
+    let lease = settings.longest_lease.min(EXECUTOR_LEASE);
+    FleetSettings {
+        lease,
+        // An owner that was cut off may have renewed until its own lease ended.
+        doubt: ownership::TTL + lease * 21 / 20 + Duration::from_millis(300),
+        stop_timeout: settings.stop_timeout,
+        notice: settings.notice,
+        maintenance: settings.maintenance,
+        migration: settings.migration,
+        order_lease: settings.order_lease + Duration::from_millis(500),
+    }
+}
+
+/// Becomes the owner whenever there is none, and acts as such while it lasts.
+pub async fn own_when_free<P: Platform>(
+    platform: P,
+    settings: Rc<EntrySettings>,
+    active: Active,
+    cell: OwnerCell,
+    events: Events,
+    life: String,
+) {
+    loop {
+        match ownership::acquire(&platform, &settings.entry, &life).await {
+            Ok(Some(term)) => {
+                events.emit("owner", json!({ "fence": term.fence }));
+                let fence = term.fence;
+                run_term(&platform, &settings, &active, &cell, &events, term).await;
+                cell.0.borrow_mut().take();
+                events.emit("owner_no_more", json!({ "fence": fence }));
+            }
+            Ok(None) | Err(_) => {}
+        }
+        tokio::time::sleep(ownership::TRY_INTERVAL).await;
+    }
+}
+
+async fn run_term<P: Platform>(
+    platform: &P,
+    settings: &Rc<EntrySettings>,
+    active: &Active,
+    cell: &OwnerCell,
+    events: &Events,
+    term: Term,
+) {
+    let fleet = Rc::new(RefCell::new(Fleet::new(fleet_settings(settings), clock::now())));
+    let owner = Rc::new(Owner {
+        platform: platform.clone(),
+        settings: settings.clone(),
+        term: term.clone(),
+        fleet: fleet.clone(),
+        active: active.clone(),
+        events: events.clone(),
+        changed: Notify::new(),
+        unwritten: Notify::new(),
+        written: Notify::new(),
+        followed: RefCell::new(HashSet::new()),
+        configured_version: Cell::new(0),
+    });
+    tokio::task::spawn_local(owner.clone().renew_loop());
+    let Some(watch_from) = owner.take_over().await else { return };
+    *cell.0.borrow_mut() = Some((term, fleet));
+    let started_at: Now = clock::now();
+    tokio::task::spawn_local(owner.clone().follow_intake(watch_from));
+    tokio::task::spawn_local(owner.clone().list_intake_again());
+    tokio::task::spawn_local(owner.clone().follow_executors());
+    tokio::task::spawn_local(owner.clone().follow_machines());
+    tokio::task::spawn_local(owner.clone().commit_loop());
+    tokio::task::spawn_local(owner.clone().publish_pending());
+    tokio::task::spawn_local(owner.clone().forget_loop());
+    owner.clone().tick_loop().await;
+    owner.written.notify_waiters();
+    let lasted_ms = (clock::now() - started_at).as_millis() as u64;
+    events.emit("term_over", json!({ "fence": owner.term.fence, "lasted_ms": lasted_ms }));
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -0,0 +1,261 @@
+//! Talking to executors: the registry, a loop of holds each, and orders.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use jackdawpier_fleet::{
+    fleet::{Command, StartEnd, StopEnd},
+    spec::{RunNumber, TaskKey},
+};
+use jackdawpier_kernel::ids::ExecutorId;
+use serde_json::json;
+
+use super::Owner;
+use crate::{
+    clock,
+    ports::{CallError, HoldQuestion, OrderTarget, Platform, StartOrder},
+};
+
+/// How often the registry is read; an executor's notice of leaving counts two seconds later.
+const REGISTRY_INTERVAL: Duration = Duration::from_millis(400);
+/// How long an executor may wait for an end: one question a second where nothing happens.
+const HOLD_WAIT: Duration = Duration::from_millis(1000);
+/// Pause after a hold that failed.
+const HOLD_PAUSE: Duration = Duration::from_millis(200);
+/// Longest wait for ends to become durable before the executor is asked again.
+const DURABLE_WAIT: Duration = Duration::from_millis(500);
+/// An order without an answer is sent this many times before its task is given up there.
+const START_TRIES: usize = 2;
+/// Tries of a stop; after these it is repeated with each hold.
+const STOP_TRIES: usize = 3;
+
+impl<P: Platform> Owner<P> {
+    pub(super) async fn follow_executors(self: Rc<Self>) {
+        while self.is_valid() {
+            if let Ok(listing) = self.platform.list(self.platform.executor_prefix()).await
+                && self.is_valid()
+            {
+                let mut listed = Vec::new();
+                for item in &listing.items {
+                    match self.platform.read_executor(&item.key, &item.value) {
+                        Ok(info) => listed.push(info),
+                        Err(error) => self.unreadable(&item.key, &error.to_string()),
+                    }
+                }
+                self.fleet.borrow_mut().list_executors(clock::now(), listed);
+                self.follow_new();
+                self.changed.notify_one();
+            }
+            tokio::time::sleep(REGISTRY_INTERVAL).await;
+        }
+    }
+
+    fn follow_new(self: &Rc<Self>) {
+        let known: Vec<ExecutorId> =
+            self.fleet.borrow().executors().map(|(id, _)| id.clone()).collect();
+        for id in known {
+            if self.followed.borrow_mut().insert(id.clone()) {
+                tokio::task::spawn_local(self.clone().follow(id));
+            }
+        }
+    }
+
+    fn target(&self, executor: &ExecutorId) -> Option<OrderTarget> {
+        let address = self.fleet.borrow().executor_address(executor)?;
+        Some(OrderTarget { executor: executor.clone(), address, fence: self.term.fence })
+    }
+
+    /// Asks one executor again and again what runs there.
+    async fn follow(self: Rc<Self>, id: ExecutorId) {
+        let mut is_heard = false;
+        while self.is_valid() {
+            let order = self.fleet.borrow_mut().hold_order(clock::now(), &id);
+            let Some(order) = order else { break };
+            let Some(target) = self.target(&id) else {
+                tokio::time::sleep(HOLD_PAUSE).await;
+                continue;
+            };
+            let wait = if order.may_wait { HOLD_WAIT } else { Duration::ZERO };
+            let question = HoldQuestion {
+                acknowledged: order.acknowledged,
+                lease_until: order.lease_until,
+                wait,
+            };
+            let sent_at = clock::now();
+            let answer = self.platform.hold(&target, &question).await;
+            if !self.is_valid() {
+                break;
+            }
+            match answer {
+                Ok(report) => {
+                    if !is_heard {
+                        let fields = json!({ "executor": *id, "running": report.running.len(), "ended": report.ended.len() });
+                        self.events.emit("executor_heard", fields);
+                    }
+                    is_heard = true;
+                    let now = clock::now();
+                    self.fleet.borrow_mut().hold_answered(now, sent_at, &id, &report);
+                    for end in &report.ended {
+                        let fields = json!({ "executor": *id, "task": end.task.to_string(), "run": end.run, "how": format!("{:?}", end.how) });
+                        self.events.emit("task_ended", fields);
+                    }
+                    let stops = self.fleet.borrow().unconfirmed_stops(&id);
+                    stops.into_iter().for_each(|stop| self.clone().order_executor(stop));
+                    self.pump();
+                    self.changed.notify_one();
+                }
+                Err(CallError::Fenced) => {
+                    self.events.emit("fenced", json!({ "executor": *id }));
+                    self.term.lose();
+                }
+                Err(error) => {
+                    if is_heard {
+                        let fields = json!({ "executor": *id, "why": error.to_string() });
+                        self.events.emit("executor_silent", fields);
+                    }
+                    is_heard = false;
+                    tokio::time::sleep(HOLD_PAUSE).await;
+                }
+            }
+            self.wait_until_durable(&id).await;
+        }
+        self.followed.borrow_mut().remove(&id);
+    }
+
+    async fn wait_until_durable(&self, id: &ExecutorId) {
+        let began_at = clock::now();
+        loop {
+            // Taking the order looks at what is durable by now.
+            if self.fleet.borrow_mut().hold_order(clock::now(), id).is_none_or(|it| it.may_wait) {
+                return;
+            }
+            if !self.fleet.borrow().has_unacknowledged(id) {
+                return;
+            }
+            let left = DURABLE_WAIT.saturating_sub(clock::now() - began_at);
+            if left.is_zero() || !self.is_valid() {
+                return;
+            }
+            if tokio::time::timeout(left, self.written.notified()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Carries an order to an executor out.
+    pub(super) fn order_executor(self: Rc<Self>, command: Command) {
+        match command {
+            Command::Start { executor, task, run, payload, checkpoint, ticket } => {
+                tokio::task::spawn_local(async move {
+                    let order = Start { executor, task, run, payload, checkpoint, ticket };
+                    self.start(order).await;
+                });
+            }
+            Command::Stop { executor, task, run } => {
+                tokio::task::spawn_local(async move { self.stop(executor, task, run).await });
+            }
+            Command::Pace { executor, task, run, percent } => {
+                tokio::task::spawn_local(async move {
+                    if let Some(target) = self.target(&executor) {
+                        let is_taken = self.platform.pace(&target, &task, run, percent).await;
+                        let fields = json!({ "executor": *executor, "task": task.to_string(), "percent": percent, "taken": is_taken });
+                        self.events.emit("pace", fields);
+                    }
+                });
+            }
+            Command::Advise { .. } | Command::Machine(_) | Command::Wave(_) => {}
+        }
+    }
+
+    async fn start(self: Rc<Self>, start: Start) {
+        let mut is_certain = true;
+        let mut end = StartEnd::Unanswered;
+        for _ in 0..START_TRIES {
+            let is_wanted =
+                self.fleet.borrow().is_wanted(&start.executor, &start.task, start.run);
+            if !self.is_valid() || !is_wanted {
+                return;
+            }
+            let lease = self.fleet.borrow_mut().order_lease(clock::now(), &start.executor);
+            let (Some(target), Some(lease_until)) = (self.target(&start.executor), lease) else {
+                end = StartEnd::Unavailable;
+                break;
+            };
+            let order = StartOrder {
+                task: start.task.clone(),
+                run: start.run,
+                payload: start.payload.clone(),
+                lease_until,
+                checkpoint: start.checkpoint.clone(),
+                ticket: start.ticket.clone(),
+            };
+            end = self.platform.start(&target, &order).await;
+            if end != StartEnd::Unanswered {
+                break;
+            }
+            is_certain = false;
+        }
+        let fields = json!({ "executor": *start.executor, "task": start.task.to_string(), "run": start.run, "end": format!("{end:?}"), "certain": is_certain });
+        self.events.emit("task_started", fields);
+        if !self.is_valid() {
+            return;
+        }
+        let now = clock::now();
+        self.fleet.borrow_mut().start_ended(
+            now,
+            &start.executor,
+            &start.task,
+            start.run,
+            end,
+            is_certain,
+        );
+        self.pump();
+        if end != StartEnd::Started {
+            self.changed.notify_one();
+        }
+    }
+
+    async fn stop(self: Rc<Self>, executor: ExecutorId, task: TaskKey, run: RunNumber) {
+        for _ in 0..STOP_TRIES {
+            let Some(target) = self.target(&executor) else { return };
+            if !self.is_valid() {
+                return;
+            }
+            let end = self.platform.stop(&target, &task, run).await;
+            let fields = json!({ "executor": *executor, "task": task.to_string(), "run": run, "end": format!("{end:?}") });
+            self.events.emit("task_stopped", fields);
+            if end == StopEnd::Taken {
+                self.fleet.borrow_mut().stop_ended(clock::now(), &task, run, end);
+                return;
+            }
+        }
+    }
+
+    pub(super) async fn advise(self: Rc<Self>, task: TaskKey, executors: Vec<ExecutorId>) {
+        match self.platform.advise(&task, &executors).await {
+            Ok(approval) => {
+                let fields = json!({ "task": task.to_string(), "approved": approval.approved.len() });
+                self.events.emit("advice", fields);
+                self.fleet.borrow_mut().advised(
+                    clock::now(),
+                    &task,
+                    approval.approved,
+                    approval.valid_for,
+                );
+                self.changed.notify_one();
+            }
+            Err(error) => {
+                let fields = json!({ "task": task.to_string(), "why": error.to_string() });
+                self.events.emit("advice_failed", fields);
+            }
+        }
+    }
+}
+
+struct Start {
+    executor: ExecutorId,
+    task: TaskKey,
+    run: RunNumber,
+    payload: Arc<str>,
+    checkpoint: Box<str>,
+    ticket: Option<Arc<str>>,
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/src/owner/intake.rs
@@ -0,0 +1,101 @@
+//! Accepted jobs and cancellations as they come in.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use jackdawpier_kernel::ids::Revision;
+use serde_json::json;
+
+use super::Owner;
+use crate::{
+    clock, keys,
+    ports::{CallError, Change, Platform, Transaction},
+};
+
+/// How long a watch waits for changes; short, since a silent connection looks like a calm one.
+const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// Pause after a failed watch.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// A watch may miss changes without showing it; a full listing finds them this late.
+const LIST_INTERVAL: Duration = Duration::from_millis(2500);
+/// How often the counts of jobs that haven't begun are written, if they changed.
+const PENDING_INTERVAL: Duration = Duration::from_millis(1000);
+
+impl<P: Platform> Owner<P> {
+    pub(super) async fn follow_intake(self: Rc<Self>, mut after: Revision) {
+        while self.is_valid() {
+            match self.platform.watch(keys::INTAKE, after, WATCH_WAIT).await {
+                Ok(changes) => {
+                    after = changes.revision;
+                    let items: Vec<_> = changes
+                        .changes
+                        .into_iter()
+                        .filter_map(|change| match change {
+                            Change::Put(item) => Some(item),
+                            Change::Removed(_) => None,
+                        })
+                        .collect();
+                    if !items.is_empty() && self.is_valid() {
+                        self.take_in(items, &mut HashMap::new());
+                        self.changed.notify_one();
+                    }
+                }
+                Err(CallError::HistoryGone) => {
+                    self.events.emit("watch_restarted", json!({ "after": after }));
+                    if let Some(revision) = self.list_intake().await {
+                        after = revision;
+                    }
+                }
+                Err(_) => tokio::time::sleep(REPEAT_PAUSE).await,
+            }
+        }
+    }
+
+    pub(super) async fn list_intake_again(self: Rc<Self>) {
+        while self.is_valid() {
+            tokio::time::sleep(LIST_INTERVAL).await;
+            self.list_intake().await;
+        }
+    }
+
+    async fn list_intake(&self) -> Option<Revision> {
+        let listing = self.platform.list(keys::INTAKE).await.ok()?;
+        if !self.is_valid() {
+            return None;
+        }
+        self.take_in(listing.items, &mut HashMap::new());
+        self.changed.notify_one();
+        Some(listing.revision)
+    }
+
+    pub(super) async fn publish_pending(self: Rc<Self>) {
+        let mut published = Vec::new();
+        while self.is_valid() {
+            let counts = self.fleet.borrow().pending();
+            let value = serde_json::to_vec(&counts).unwrap_or_default();
+            if value != published {
+                let transaction = Transaction {
+                    expect: vec![(keys::OWNER.to_owned(), self.term.fence)],
+                    puts: vec![(keys::PENDING.to_owned(), value.clone(), None)],
+                    removes: Vec::new(),
+                };
+                if self.platform.commit(&transaction).await.is_ok() {
+                    published = value;
+                }
+            }
+            tokio::time::sleep(PENDING_INTERVAL).await;
+        }
+    }
+
+    /// Removes what the store holds of a job that has been over for long.
+    pub(super) async fn forget(&self, job: &str) {
+        let transaction = Transaction {
+            expect: vec![(keys::OWNER.to_owned(), self.term.fence)],
+            puts: Vec::new(),
+            removes: vec![keys::submission(job), keys::cancellation(job), keys::record(job)],
+        };
+        if let Err(error) = self.platform.commit(&transaction).await {
+            let fields = json!({ "job": job, "why": error.to_string(), "up_ms": clock::now().as_millis() as u64 });
+            self.events.emit("not_forgotten", fields);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -0,0 +1,101 @@
+//! Machines and waves of maintenance, as the platform and operators list them.
+
+use std::{rc::Rc, time::Duration};
+
+use jackdawpier_fleet::machines::{MachineId, MachineOrder, MachineOrderEnd, WaveState};
+use serde_json::json;
+
+use super::Owner;
+use crate::{
+    clock, keys,
+    ports::{Platform, Transaction},
+};
+
+/// How often machines and waves are listed.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause before the state of a wave is written again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+
+impl<P: Platform> Owner<P> {
+    pub(super) async fn follow_machines(self: Rc<Self>) {
+        while self.is_valid() {
+            if let Ok(machines) = self.platform.machines().await
+                && self.is_valid()
+            {
+                self.fleet.borrow_mut().list_machines(clock::now(), machines);
+            }
+            self.list_waves().await;
+            if self.is_valid() {
+                self.pump();
+                self.changed.notify_one();
+            }
+            tokio::time::sleep(LIST_INTERVAL).await;
+        }
+    }
+
+    async fn list_waves(&self) {
+        let Ok(listing) = self.platform.list(self.platform.wave_prefix()).await else { return };
+        let mut waves = Vec::new();
+        for item in &listing.items {
+            match self.platform.read_wave(&item.value) {
+                Ok(wave) => waves.push((wave, Duration::ZERO)),
+                Err(error) => self.unreadable(&item.key, &error.to_string()),
+            }
+        }
+        let numbers: Vec<u64> = waves.iter().map(|(wave, _)| wave.number).collect();
+        let is_new = |number: &u64| !self.fleet.borrow().knows_wave(*number);
+        let new: Vec<u64> = numbers.into_iter().filter(is_new).collect();
+        let mut maintained = Vec::new();
+        for number in new {
+            let Ok(item) = self.platform.get(&keys::wave(number)).await else { return };
+            let machines: Vec<MachineId> = item
+                .and_then(|item| serde_json::from_slice(&item.value).ok())
+                .unwrap_or_default();
+            maintained.push((number, machines));
+        }
+        if !self.is_valid() {
+            return;
+        }
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.set_waves(clock::now(), waves);
+        for (number, machines) in maintained {
+            fleet.recover_wave(number, machines);
+        }
+    }
+
+    /// Sends an order about a machine, once the store has confirmed the ownership: nothing else
+    /// keeps a former owner's order from mixing with a later one's.
+    pub(super) async fn order_machine(self: Rc<Self>, order: MachineOrder) {
+        let end = if self.term.confirm(&self.platform).await && self.is_valid() {
+            self.platform.order(&order, &self.settings.entry, self.term.fence).await
+        } else {
+            MachineOrderEnd::NotTaken
+        };
+        let fields = json!({ "machine": *order.machine, "work": format!("{:?}", order.work), "end": format!("{end:?}") });
+        self.events.emit("machine_ordered", fields);
+        if self.is_valid() {
+            self.fleet.borrow_mut().machine_order_ended(clock::now(), &order, end);
+            self.pump();
+            self.changed.notify_one();
+        }
+    }
+
+    /// Writes the state of a wave for operators and for later owners.
+    pub(super) async fn publish_wave(self: Rc<Self>, state: WaveState) {
+        let (key, value) = self.platform.wave_status(&state);
+        let maintained = serde_json::to_vec(&state.maintained).unwrap_or_default();
+        let transaction = Transaction {
+            expect: vec![(keys::OWNER.to_owned(), self.term.fence)],
+            puts: vec![(key, value, None), (keys::wave(state.number), maintained, None)],
+            removes: Vec::new(),
+        };
+        while self.is_valid() && self.fleet.borrow().is_current(&state) {
+            if self.platform.commit(&transaction).await.is_ok() {
+                let fields = json!({ "wave": state.number, "completed": state.is_completed, "maintained": state.maintained.len() });
+                self.events.emit("wave", fields);
+                return;
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -0,0 +1,89 @@
+//! What a new owner reads before its first decision.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use jackdawpier_fleet::{record::JobRecord, spec::Submission};
+use jackdawpier_kernel::ids::Revision;
+use serde_json::json;
+
+use super::Owner;
+use crate::{
+    clock, keys,
+    ports::{Listing, Platform},
+};
+
+/// Pause before a listing that failed is asked for again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+
+impl<P: Platform> Owner<P> {
+    /// Rebuilds the state from the store and returns the revision from which to watch the intake;
+    /// none if the ownership ended meanwhile.
+    pub(super) async fn take_over(self: &Rc<Self>) -> Option<Revision> {
+        let began_at = clock::now();
+        let intake = self.list_surely(keys::INTAKE).await?;
+        let records = self.list_surely(keys::RECORDS).await?;
+        let mut written: HashMap<String, (JobRecord, Revision)> = HashMap::new();
+        for item in records.items {
+            let job = item.key[keys::RECORDS.len()..].to_owned();
+            match serde_json::from_slice(&item.value) {
+                Ok(record) => {
+                    written.insert(job, (record, item.revision));
+                }
+                Err(error) => self.unreadable(&item.key, &error.to_string()),
+            }
+        }
+        let jobs = intake.items.len();
+        self.take_in(intake.items, &mut written);
+        self.tick();
+        let fields = json!({
+            "fence": self.term.fence,
+            "jobs": jobs,
+            "took_ms": (clock::now() - began_at).as_millis() as u64,
+        });
+        self.events.emit("taken_over", fields);
+        Some(intake.revision)
+    }
+
+    async fn list_surely(&self, prefix: &str) -> Option<Listing> {
+        while self.is_valid() {
+            match self.platform.list(prefix).await {
+                Ok(listing) => return Some(listing),
+                Err(_) => tokio::time::sleep(REPEAT_PAUSE).await,
+            }
+        }
+        None
+    }
+
+    /// Takes in accepted jobs first and cancellations after, whatever their order of arrival.
+    pub(super) fn take_in(
+        &self,
+        items: Vec<crate::ports::Item>,
+        written: &mut HashMap<String, (JobRecord, Revision)>,
+    ) {
+        let (now, wall_ms) = (clock::now(), clock::wall_ms());
+        let mut fleet = self.fleet.borrow_mut();
+        let (submissions, others): (Vec<_>, Vec<_>) =
+            items.into_iter().partition(|item| item.key.starts_with(keys::SUBMISSIONS));
+        for item in submissions {
+            let id = &item.key[keys::SUBMISSIONS.len()..];
+            if fleet.view(id).is_some() {
+                continue;
+            }
+            match serde_json::from_slice::<Submission>(&item.value) {
+                Ok(submission) => {
+                    fleet.recover_job(now, wall_ms, id.into(), submission, written.remove(id));
+                }
+                Err(error) => self.unreadable(&item.key, &error.to_string()),
+            }
+        }
+        for item in others {
+            if let Some(id) = item.key.strip_prefix(keys::CANCELLATIONS) {
+                fleet.cancel(now, &id.into());
+            }
+        }
+    }
+
+    pub(super) fn unreadable(&self, key: &str, why: &str) {
+        self.events.emit("unreadable", json!({ "key": key, "why": why }));
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/src/ownership.rs
@@ -0,0 +1,148 @@
+//! Which entry owns the fleet: one key of the store under a lease.
+//!
+//! The key's revision is the fence of the term. The key may vanish before the lease does, so each
+//! renewal also reads it, each durable write expects its revision, and machine orders ask for it
+//! anew.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use jackdawpier_kernel::{Now, ids::Revision};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock, keys,
+    ports::{CallError, CallResult, LeaseId, Platform, Transaction, TransactionEnd},
+};
+
+/// Life of the lease. A killed owner is followed after this long, and a store that doesn't answer
+/// for a little less costs the ownership.
+pub const TTL: Duration = Duration::from_millis(2000);
+/// Renewals an owner may miss: three of four.
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(400);
+/// The owner stops this long before its lease ends, for the way of an order and clocks' drift.
+const MARGIN: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct OwnerValue {
+    entry: String,
+    /// Tells the lives of an entry apart.
+    life: String,
+}
+
+#[derive(Debug)]
+struct State {
+    valid_until: Now,
+    /// When the question left to which the store confirmed the key.
+    confirmed_at: Now,
+    is_lost: bool,
+}
+
+/// One term of ownership.
+#[derive(Debug, Clone)]
+pub struct Term {
+    /// Fencing token of all orders.
+    pub fence: Revision,
+    lease: LeaseId,
+    state: Rc<RefCell<State>>,
+}
+
+impl Term {
+    /// Whether orders may leave now.
+    pub fn is_valid(&self) -> bool {
+        let state = self.state.borrow();
+        !state.is_lost && clock::now() < state.valid_until
+    }
+
+    /// Ends the term at this entry: another may have begun.
+    pub fn lose(&self) {
+        self.state.borrow_mut().is_lost = true;
+    }
+
+    /// Reads the key and returns whether it is still this term's.
+    pub async fn confirm<P: Platform>(&self, platform: &P) -> bool {
+        let asked_at = clock::now();
+        match platform.get(keys::OWNER).await {
+            Ok(Some(item)) if item.revision == self.fence => {
+                let mut state = self.state.borrow_mut();
+                state.confirmed_at = state.confirmed_at.max(asked_at);
+                true
+            }
+            Ok(_) => {
+                self.lose();
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Renews the lease once.
+    pub async fn renew<P: Platform>(&self, platform: &P) -> CallResult<()> {
+        let asked_at = clock::now();
+        match platform.renew_lease(self.lease).await {
+            Ok(()) => {
+                let mut state = self.state.borrow_mut();
+                state.valid_until = state.valid_until.max(asked_at + TTL - MARGIN);
+                Ok(())
+            }
+            Err(CallError::LeaseEnded) => {
+                self.lose();
+                Err(CallError::LeaseEnded)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Gives the ownership up, so that another entry needn't wait for the lease to end.
+    pub async fn release<P: Platform>(&self, platform: &P) {
+        self.lose();
+        // If this fails the lease ends by itself.
+        let _ = platform.end_lease(self.lease).await;
+    }
+}
+
+/// Tries to become the owner and returns the term if this entry is it now.
+pub async fn acquire<P: Platform>(platform: &P, entry: &str, life: &str) -> CallResult<Option<Term>> {
+    let held = platform.get(keys::OWNER).await?;
+    let expected = match &held {
+        None => 0,
+        Some(item) if is_former_life(&item.value, entry, life) => item.revision,
+        Some(_) => return Ok(None),
+    };
+    let asked_at = clock::now();
+    let lease = platform.grant_lease(TTL).await?;
+    let value = OwnerValue { entry: entry.to_owned(), life: life.to_owned() };
+    let value = serde_json::to_vec(&value).expect("plain strings can be written as JSON");
+    let transaction = Transaction {
+        expect: vec![(keys::OWNER.to_owned(), expected)],
+        puts: vec![(keys::OWNER.to_owned(), value.clone(), Some(lease))],
+        removes: Vec::new(),
+    };
+    let fence = match platform.commit(&transaction).await {
+        Ok(TransactionEnd::Committed(revision)) => revision,
+        Ok(TransactionEnd::Conflict(_)) | Err(CallError::NotDone { .. }) => {
+            let _ = platform.end_lease(lease).await;
+            return Ok(None);
+        }
+        // The answer is lost: the key says whether the write was carried out.
+        Err(_) => match platform.get(keys::OWNER).await? {
+            Some(item) if item.value == value => item.revision,
+            _ => {
+                // The lease's end keeps the write from being carried out later.
+                let _ = platform.end_lease(lease).await;
+                return Ok(None);
+            }
+        },
+    };
+    let valid_until = asked_at + TTL - MARGIN;
+    let state = State { valid_until, confirmed_at: asked_at, is_lost: false };
+    Ok(Some(Term { fence, lease, state: Rc::new(RefCell::new(state)) }))
+}
+
+/// The key was written by an earlier life of this very entry, which is certainly gone.
+fn is_former_life(value: &[u8], entry: &str, life: &str) -> bool {
+    serde_json::from_slice::<OwnerValue>(value)
+        .is_ok_and(|value| value.entry == entry && value.life != life)
+}
+
+/// Pause between two tries to become the owner.
+pub const TRY_INTERVAL: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -0,0 +1,136 @@
+//! The life of an entry process: start, reload, stop.
+
+use std::{io, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+use serde_json::json;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+
+use crate::{
+    acceptance::{self, Intake},
+    callers::Callers,
+    clock,
+    configuration::{self, Active},
+    events::Events,
+    http_server::{self, InFlight},
+    owner::{self, OwnerCell},
+    ports::Platform,
+    settings::EntrySettings,
+};
+
+/// After a request to stop the balancer still sends connections until it has missed two answers of
+/// the ready port, a second apart.
+const BALANCER_LAG: Duration = Duration::from_millis(2500);
+/// The process ends this long before it would be killed.
+const END_MARGIN: Duration = Duration::from_millis(800);
+/// How often a stopping process looks whether it is done.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs an entry until it is told to stop. `reload` is called when the settings may have changed
+/// and returns what was found, for the log.
+pub async fn run<P: Platform>(
+    platform: P,
+    settings: EntrySettings,
+    reload: impl Fn() -> String + 'static,
+) -> io::Result<()> {
+    let settings = Rc::new(settings);
+    let events = Events::new(&settings.entry);
+    let life = format!("{}-{}", std::process::id(), clock::wall_ms());
+    events.emit("started", json!({ "life": life, "callers": settings.callers.to_string() }));
+    let active = Active::default();
+    let intake = Intake::default();
+    let cell = OwnerCell::default();
+    let (stop, stopping) = watch::channel(false);
+    let in_flight = InFlight::default();
+
+    tokio::task::spawn_local(configuration::follow(
+        platform.clone(),
+        active.clone(),
+        events.clone(),
+    ));
+    tokio::task::spawn_local(acceptance::write_jobs(platform.clone(), intake.clone()));
+    let owning = tokio::task::spawn_local(owner::own_when_free(
+        platform.clone(),
+        settings.clone(),
+        active.clone(),
+        cell.clone(),
+        events.clone(),
+        life,
+    ));
+
+    let callers = Rc::new(Callers {
+        platform: platform.clone(),
+        active: active.clone(),
+        intake,
+        owner: cell.clone(),
+        events: events.clone(),
+    });
+    let answer = move |request| callers.clone().answer(request);
+    let serving =
+        http_server::serve(settings.callers, answer, in_flight.clone(), stopping.clone());
+    tokio::task::spawn_local(report_failure("callers", serving, events.clone()));
+    let ready = {
+        let (active, stopping) = (active.clone(), stopping.clone());
+        move |_| {
+            let is_ready = !*stopping.borrow() && active.is_in_touch(clock::now());
+            async move { ready_reply(is_ready) }
+        }
+    };
+    let serving =
+        http_server::serve(settings.ready, ready, InFlight::default(), stopping.clone());
+    tokio::task::spawn_local(report_failure("ready", serving, events.clone()));
+
+    wait_for_stop(&events, reload).await?;
+    events.emit("stopping", json!({ "in_flight": in_flight.count() }));
+    let asked_at = clock::now();
+    // Whoever sees that it is stopping finds it ended for new work.
+    let _ = stop.send(true);
+    owning.abort();
+    cell.release(&platform).await;
+    let end_by = asked_at + settings.grace.saturating_sub(END_MARGIN);
+    loop {
+        let now = clock::now();
+        let is_done = in_flight.count() == 0 && now >= asked_at + BALANCER_LAG;
+        if is_done || now >= end_by {
+            break;
+        }
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+    events.emit("stopped", json!({ "in_flight": in_flight.count() }));
+    // Gives the log's thread time to write its last lines.
+    tokio::time::sleep(STOP_LOOK * 2).await;
+    Ok(())
+}
+
+async fn wait_for_stop(events: &Events, reload: impl Fn() -> String) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = hang_up.recv() => events.emit("reload", json!({ "found": reload() })),
+        }
+    }
+}
+
+async fn report_failure(
+    port: &'static str,
+    serving: impl Future<Output = io::Result<()>>,
+    events: Events,
+) {
+    if let Err(error) = serving.await {
+        events.emit("port_failed", json!({ "port": port, "why": error.to_string() }));
+    }
+}
+
+fn ready_reply(is_ready: bool) -> http_server::Reply {
+    let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let mut reply = Response::new(Full::new(Bytes::new()));
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -0,0 +1,32 @@
+//! What a process has to know at its start.
+
+use std::{net::SocketAddr, time::Duration};
+
+/// The settings of an entry.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Name of the entry, unique among live ones.
+    pub entry: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the entry takes connections.
+    pub ready: SocketAddr,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Duration,
+    /// Longest lease that executors accept for what they run.
+    pub longest_lease: Duration,
+    /// An executor needs at most this long to stop a task.
+    pub stop_timeout: Duration,
+    /// A task that serves counts as back once it has been at work for this long.
+    pub notice: Duration,
+    /// How long a machine is away for maintenance.
+    pub maintenance: Duration,
+    /// How long a machine is away for a change of pool.
+    pub migration: Duration,
+    /// Holders of machine orders must not take turns within this time.
+    pub order_lease: Duration,
+    /// Shortest time to live of a lease that the store grants.
+    pub shortest_ttl: Duration,
+    /// How long the state of a job that is over has to be known.
+    pub retention: Duration,
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -0,0 +1,234 @@
+//! An executor as its owner sees it: room, leases by its own clock, and ends not yet acknowledged.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{ExecutorId, JobId, RackName, ServiceName, ZoneName},
+};
+
+use crate::{
+    job::TaskIndex,
+    spec::{Resources, RunNumber, TaskKey},
+};
+
+/// An executor as the registry lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ExecutorInfo {
+    /// Its id, which it keeps for one life.
+    pub id: ExecutorId,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Its network address; a later executor may get the same one.
+    pub address: Arc<str>,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its rack, if it names one.
+    pub rack: Option<RackName>,
+    /// What it can do, for tasks that need a label.
+    pub labels: Vec<Arc<str>>,
+    /// Its room.
+    pub capacity: Resources,
+    /// It takes no new work and leaves soon.
+    pub is_draining: bool,
+}
+
+/// What an executor says about itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct HoldReport {
+    /// Its steady clock when it answered.
+    pub clock: Duration,
+    /// What runs.
+    pub running: Vec<RunningTask>,
+    /// Ends that haven't been acknowledged, oldest first; at most [`MAX_ENDS_PER_REPORT`].
+    pub ended: Vec<EndedTask>,
+}
+
+/// An executor lists at most this many ends at a time (platform's protocol).
+pub const MAX_ENDS_PER_REPORT: usize = 500;
+
+/// One task that runs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunningTask {
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start.
+    pub run: RunNumber,
+    /// Its newest checkpoint; empty if there is none.
+    pub checkpoint: Box<str>,
+    /// Share of its full speed, in percent; 0 while it starts up.
+    pub percent: u32,
+    /// For a task that serves users the tail of its response times in milliseconds; for any other
+    /// the processor in use in thousandths of a core. A rough figure for the last half second.
+    pub gauge: u64,
+}
+
+/// One run that has ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndedTask {
+    /// Position in the executor's list of ends.
+    pub sequence: u64,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start.
+    pub run: RunNumber,
+    /// How it ended.
+    pub how: EndKind,
+    /// The checkpoint it left; empty if there is none.
+    pub checkpoint: Box<str>,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndKind {
+    /// It did its work.
+    Done,
+    /// It failed, by its own fault or the executor's.
+    Failed,
+    /// It was told to stop.
+    Stopped,
+    /// The executor's lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang didn't come in time.
+    Alone,
+}
+
+/// A task by its job and place.
+pub(crate) type TaskRef = (JobId, TaskIndex);
+
+#[derive(Debug)]
+struct PendingAck {
+    sequence: u64,
+    job: JobId,
+    needed_changes: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ClockReading {
+    executor_clock: Duration,
+    at: Now,
+}
+
+/// Executors' steady clocks may be this much slow (platform's protocol), in thousandths.
+const CLOCK_SLOW_PERMILLE: u32 = 20;
+/// Added to every judgement that a lease has run out, for the time that ending takes.
+const LAPSE_MARGIN: Duration = Duration::from_millis(250);
+/// An executor that hasn't answered for this long gets no longer leases until it does, so that the
+/// end of its tasks can be foreseen: a little over one long poll and its timeout.
+const RAISE_WHILE_HEARD_WITHIN: Duration = Duration::from_millis(1800);
+
+#[derive(Debug)]
+pub(crate) struct Executor {
+    pub(crate) info: Option<ExecutorInfo>,
+    pub(crate) booked: Resources,
+    /// It has answered under this ownership, so nothing of an earlier owner can start there.
+    pub(crate) is_synced: bool,
+    clock: Option<ClockReading>,
+    /// The longest lease that may have been given, by its clock.
+    lease_until: Option<Duration>,
+    /// When everything of earlier owners has lapsed there, even if it never answers.
+    pub(crate) doubt_until: Now,
+    pub(crate) tasks: BTreeSet<TaskRef>,
+    /// Room of steps with a bound a executor: tasks here by (job, slot).
+    pub(crate) per_slot: BTreeMap<(JobId, usize), u32>,
+    unacknowledged: VecDeque<PendingAck>,
+    acknowledged: u64,
+    pub(crate) seen: u64,
+    pub(crate) is_listed: bool,
+    /// No placements before this time, after a refusal or a missing answer.
+    pub(crate) avoid_until: Now,
+    /// Tasks here that serve users under a bound on their tail.
+    pub(crate) serving: u32,
+    /// Tasks here that use what the others leave.
+    pub(crate) fillers: u32,
+    /// Failures in a row of different jobs, for leaving out an executor that fails all it starts.
+    pub(crate) failures_in_row: u32,
+}
+
+impl Executor {
+    pub(crate) fn new(doubt_until: Now) -> Self {
+        Self {
+            info: None,
+            booked: Resources::default(),
+            is_synced: false,
+            clock: None,
+            lease_until: None,
+            doubt_until,
+            tasks: BTreeSet::new(),
+            per_slot: BTreeMap::new(),
+            unacknowledged: VecDeque::new(),
+            acknowledged: 0,
+            seen: 0,
+            is_listed: false,
+            avoid_until: Now::ZERO,
+            serving: 0,
+            fillers: 0,
+            failures_in_row: 0,
+        }
+    }
+
+    pub(crate) fn free(&self) -> Resources {
+        self.info.as_ref().map_or(Resources::default(), |info| info.capacity.minus(&self.booked))
+    }
+
+    pub(crate) fn heard(&mut self, now: Now, executor_clock: Duration) {
+        // Answers overtake each other: an older reading is no news.
+        if self.clock.is_none_or(|last| last.executor_clock <= executor_clock) {
+            self.clock = Some(ClockReading { executor_clock, at: now });
+        }
+    }
+
+    pub(crate) fn heard_at(&self) -> Option<Now> {
+        self.clock.map(|reading| reading.at)
+    }
+
+    /// The lease to ask for now, by the executor's clock, and remembers it as given: the order may
+    /// be carried out though its answer gets lost.
+    pub(crate) fn grant_lease(&mut self, now: Now, lease: Duration) -> Option<Duration> {
+        let reading = self.clock?;
+        let silent_for = now.saturating_sub(reading.at);
+        if silent_for > RAISE_WHILE_HEARD_WITHIN {
+            return self.lease_until;
+        }
+        let until = reading.executor_clock + silent_for + lease;
+        self.lease_until = Some(self.lease_until.map_or(until, |given| given.max(until)));
+        self.lease_until
+    }
+
+    /// Whether all that this process ever started here has lapsed.
+    pub(crate) fn has_lapsed(&self, now: Now) -> bool {
+        let Some(reading) = self.clock else {
+            return now >= self.doubt_until;
+        };
+        let slow = now.saturating_sub(reading.at) * (1000 - CLOCK_SLOW_PERMILLE) / 1000;
+        let clock_at_least = reading.executor_clock + slow;
+        self.lease_until.is_none_or(|until| clock_at_least >= until + LAPSE_MARGIN)
+            && (self.is_synced || now >= self.doubt_until)
+    }
+
+    pub(crate) fn note_end(&mut self, sequence: u64, job: JobId, needed_changes: u64) {
+        self.unacknowledged.push_back(PendingAck { sequence, job, needed_changes });
+    }
+
+    /// The position up to which all ends are durable.
+    pub(crate) fn acknowledge(&mut self, durable_changes: impl Fn(&JobId) -> u64) -> u64 {
+        while let Some(end) = self.unacknowledged.front() {
+            if durable_changes(&end.job) < end.needed_changes {
+                break;
+            }
+            self.acknowledged = end.sequence;
+            self.unacknowledged.pop_front();
+        }
+        self.acknowledged
+    }
+
+    pub(crate) fn has_unacknowledged(&self) -> bool {
+        !self.unacknowledged.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -0,0 +1,481 @@
+//! The state of the one process that owns the fleet: all jobs, executors and machines.
+//!
+//! Everything here is rebuilt by each new owner from the store and from what executors say, so
+//! nothing in it has to outlive the process. Orders leave only for placements that are durable.
+
+mod commits;
+mod gangs;
+mod maintenance;
+mod pacing;
+mod placement;
+mod reports;
+mod starts;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{ExecutorId, JobId, Revision, ServiceName},
+};
+
+pub use commits::Batch;
+pub use reports::HoldOrder;
+pub use starts::{StartEnd, StopEnd};
+
+use crate::{
+    executor::{Executor, ExecutorInfo, TaskRef},
+    job::{Job, Phase, TaskIndex},
+    machines::Machines,
+    record::{JobOutcome, JobRecord},
+    spec::{Queue, QueueName, RunNumber, Service, Submission, TaskKey},
+};
+
+/// What the owner's decisions are bounded by.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// Lease that executors get for what they run; a running task survives that long without
+    /// word from an owner.
+    pub lease: Duration,
+    /// How long after a take-over an executor that never answered may still run something.
+    pub doubt: Duration,
+    /// An executor needs at most this long to stop a task.
+    pub stop_timeout: Duration,
+    /// A task that serves counts as back once it has been at work for this long.
+    pub notice: Duration,
+    /// How long a machine is away for maintenance.
+    pub maintenance: Duration,
+    /// How long a machine is away for a change of pool.
+    pub migration: Duration,
+    /// An earlier holder's machine orders have all arrived this long after a take-over.
+    pub order_lease: Duration,
+}
+
+/// What the owner wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Start a task; report by [`Fleet::start_ended`].
+    Start {
+        /// The executor.
+        executor: ExecutorId,
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: RunNumber,
+        /// What the job's caller gave for its tasks.
+        payload: Arc<str>,
+        /// Checkpoint to go on from; empty if there is none.
+        checkpoint: Box<str>,
+        /// Permission of the placement advisor, where the queue needs one.
+        ticket: Option<Arc<str>>,
+    },
+    /// Stop a task; report by [`Fleet::stop_ended`].
+    Stop {
+        /// The executor.
+        executor: ExecutorId,
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: RunNumber,
+    },
+    /// Let a task work at this share of its speed.
+    Pace {
+        /// The executor.
+        executor: ExecutorId,
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: RunNumber,
+        /// The share in percent.
+        percent: u32,
+    },
+    /// Ask which of these executors may run a step; report by [`Fleet::advised`].
+    Advise {
+        /// A task of the step.
+        task: TaskKey,
+        /// The executors.
+        executors: Vec<ExecutorId>,
+    },
+    /// An order about a machine; report by [`Fleet::machine_order_ended`].
+    Machine(crate::machines::MachineOrder),
+    /// The state of a wave of maintenance, for the operators.
+    Wave(crate::machines::WaveState),
+}
+
+/// What a caller is told of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobView {
+    /// None of its tasks has begun.
+    Queued,
+    /// Some task has begun.
+    Running,
+    /// It is over, durably.
+    Over(JobOutcome),
+}
+
+/// Permissions of the placement advisor for one step.
+#[derive(Debug)]
+struct Advice {
+    asked_at: Now,
+    valid_until: Now,
+    tickets: HashMap<ExecutorId, Arc<str>>,
+}
+
+/// The owner's state.
+#[derive(Debug)]
+pub struct Fleet {
+    settings: FleetSettings,
+    started_at: Now,
+    queues: HashMap<QueueName, Queue>,
+    services: HashMap<ServiceName, Service>,
+    jobs: HashMap<JobId, Job>,
+    /// Jobs that aren't over, by queue.
+    open: BTreeMap<QueueName, BTreeSet<JobId>>,
+    /// Repeated jobs with occurrences to come.
+    scheduled: BTreeSet<JobId>,
+    executors: HashMap<ExecutorId, Executor>,
+    by_service: HashMap<ServiceName, Vec<ExecutorId>>,
+    dirty: VecDeque<JobId>,
+    over: VecDeque<JobId>,
+    advice: HashMap<(JobId, usize), Advice>,
+    gang_failures: HashMap<(JobId, usize), RunNumber>,
+    commands: Vec<Command>,
+    machines: Machines,
+    next_batch: u64,
+}
+
+impl Fleet {
+    /// Returns the state of an owner that has just taken over.
+    pub fn new(settings: FleetSettings, now: Now) -> Self {
+        Self {
+            machines: Machines::new(now + settings.order_lease),
+            settings,
+            started_at: now,
+            queues: HashMap::new(),
+            services: HashMap::new(),
+            jobs: HashMap::new(),
+            open: BTreeMap::new(),
+            scheduled: BTreeSet::new(),
+            executors: HashMap::new(),
+            by_service: HashMap::new(),
+            dirty: VecDeque::new(),
+            over: VecDeque::new(),
+            advice: HashMap::new(),
+            gang_failures: HashMap::new(),
+            commands: Vec::new(),
+            next_batch: 0,
+        }
+    }
+
+    /// Takes over the configuration. Queues that are gone keep their last settings for the jobs
+    /// that they accepted.
+    pub fn configure(&mut self, queues: Vec<Queue>, services: Vec<Service>) {
+        for queue in queues {
+            self.queues.insert(queue.name.clone(), queue);
+        }
+        self.services = services.into_iter().map(|one| (one.name.clone(), one)).collect();
+    }
+
+    /// Takes in the executors that the registry lists now.
+    pub fn list_executors(&mut self, now: Now, listed: Vec<ExecutorInfo>) {
+        for executor in self.executors.values_mut() {
+            executor.is_listed = false;
+        }
+        let doubt_until = self.started_at + self.settings.doubt;
+        self.by_service.clear();
+        for info in listed {
+            let of_service = self.by_service.entry(info.service.clone()).or_default();
+            of_service.push(info.id.clone());
+            let id = info.id.clone();
+            let executor =
+                self.executors.entry(id).or_insert_with(|| Executor::new(doubt_until));
+            executor.is_listed = true;
+            executor.info = Some(info);
+        }
+        self.by_service.values_mut().for_each(|of_service| of_service.sort_unstable());
+        self.expire_executors(now);
+    }
+
+    /// Ends the executors that can't run anything any more.
+    pub fn expire_executors(&mut self, now: Now) {
+        let lapsed: Vec<ExecutorId> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| {
+                let is_idle = executor.tasks.is_empty();
+                let is_silent = !executor.is_synced
+                    || executor.heard_at().is_none_or(|at| now - at > self.settings.lease / 2);
+                (!executor.is_listed || is_silent) && !is_idle && executor.has_lapsed(now)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        lapsed.iter().for_each(|id| self.release_tasks(now, id));
+        self.executors.retain(|_, executor| {
+            executor.is_listed
+                || !executor.tasks.is_empty()
+                || executor.has_unacknowledged()
+        });
+    }
+
+    /// An executor's life is certainly over, so everything that ran there has ended.
+    pub fn executor_ended(&mut self, now: Now, id: &ExecutorId) {
+        self.release_tasks(now, id);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.avoid_until = Now::MAX;
+        }
+    }
+
+    fn release_tasks(&mut self, now: Now, id: &ExecutorId) {
+        let Some(executor) = self.executors.get(id) else { return };
+        let tasks: Vec<TaskRef> = executor.tasks.iter().cloned().collect();
+        tasks.into_iter().for_each(|task| self.run_over(now, &task, None));
+    }
+
+    /// Takes in an accepted job. A job that is known already stays as it is.
+    pub fn add_job(&mut self, now: Now, wall_ms: u64, id: JobId, submission: Submission) {
+        self.recover_job(now, wall_ms, id, submission, None);
+    }
+
+    /// Takes in a job with what an earlier owner wrote of it.
+    pub fn recover_job(
+        &mut self,
+        now: Now,
+        wall_ms: u64,
+        id: JobId,
+        submission: Submission,
+        written: Option<(JobRecord, Revision)>,
+    ) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let age = Duration::from_millis(wall_ms.saturating_sub(submission.accepted_ms));
+        let mut job = Job::new(id.clone(), submission, now.saturating_sub(age));
+        if let Some((record, revision)) = &written {
+            job.restore(record, *revision);
+        }
+        if job.is_over() {
+            job.over_at = Some(now);
+            self.over.push_back(id.clone());
+        } else {
+            self.open.entry(job.queue.clone()).or_default().insert(id.clone());
+            if job.spec.schedule.is_some() {
+                self.scheduled.insert(id.clone());
+            }
+            self.place_doubtful(&job);
+            job.open_steps(wall_ms);
+        }
+        self.jobs.insert(id, job);
+    }
+
+    /// Books the room of the tasks that an earlier owner placed.
+    fn place_doubtful(&mut self, job: &Job) {
+        let doubt_until = self.started_at + self.settings.doubt;
+        for (index, task) in job.tasks.iter().enumerate() {
+            let Some(id) = task.phase.executor() else { continue };
+            let executor =
+                self.executors.entry(id.clone()).or_insert_with(|| Executor::new(doubt_until));
+            book(executor, job, index);
+        }
+    }
+
+    /// Its caller has cancelled a job, durably.
+    pub fn cancel(&mut self, now: Now, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.is_over() || job.is_cancelled {
+            return;
+        }
+        job.is_cancelled = true;
+        self.finish(now, &id.clone(), JobOutcome::Cancelled);
+    }
+
+    /// What a caller is told of a job; none if it isn't known here.
+    pub fn view(&self, id: &str) -> Option<JobView> {
+        let job = self.jobs.get(id)?;
+        Some(match job.shown {
+            Some(outcome) => JobView::Over(outcome),
+            None if job.has_begun => JobView::Running,
+            None => JobView::Queued,
+        })
+    }
+
+    /// Jobs of each queue of which no task has begun.
+    pub fn pending(&self) -> BTreeMap<QueueName, u64> {
+        let count = |ids: &BTreeSet<JobId>| {
+            ids.iter().filter(|id| self.jobs.get(*id).is_some_and(|job| !job.has_begun)).count()
+        };
+        self.open.iter().map(|(queue, ids)| (queue.clone(), count(ids) as u64)).collect()
+    }
+
+    /// Takes what has been decided since the last call.
+    pub fn take_commands(&mut self) -> Vec<Command> {
+        std::mem::take(&mut self.commands)
+    }
+
+    /// The executors that are known, with their addresses.
+    pub fn executors(&self) -> impl Iterator<Item = (&ExecutorId, Option<&ExecutorInfo>)> {
+        self.executors.iter().map(|(id, executor)| (id, executor.info.as_ref()))
+    }
+
+    /// Where to reach an executor; none once it is forgotten.
+    pub fn executor_address(&self, id: &str) -> Option<Arc<str>> {
+        self.executors.get(id)?.info.as_ref().map(|info| info.address.clone())
+    }
+
+    /// Whether a start is still wanted, asked right before its order leaves.
+    pub fn is_wanted(&self, executor: &str, key: &TaskKey, run: RunNumber) -> bool {
+        self.jobs.get(&key.job).is_some_and(|job| {
+            let index = job.index(key);
+            index.is_some_and(|index| {
+                let task = &job.tasks[index];
+                let is_starting = matches!(&task.phase, Phase::Starting { executor: at } if &**at == executor);
+                is_starting && task.run == run
+            })
+        })
+    }
+
+    /// Lets time pass: occurrences become due, leases lapse, waiting tasks get room.
+    pub fn tick(&mut self, now: Now, wall_ms: u64) {
+        self.open_due(wall_ms);
+        self.expire_executors(now);
+        self.plan_machines(now);
+        self.place(now);
+    }
+
+    fn open_due(&mut self, wall_ms: u64) {
+        let jobs = &mut self.jobs;
+        self.scheduled.retain(|id| {
+            let Some(job) = jobs.get_mut(id) else { return false };
+            job.open_steps(wall_ms);
+            !job.is_over() && job.has_unopened_occurrence()
+        });
+    }
+
+    /// Ends a job: nothing of it starts any more and what runs is stopped.
+    fn finish(&mut self, now: Now, id: &JobId, outcome: JobOutcome) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.outcome = Some(outcome);
+        job.over_at = Some(now);
+        job.startable.clear();
+        if let Some(open) = self.open.get_mut(&job.queue) {
+            open.remove(id);
+        }
+        self.over.push_back(id.clone());
+        for index in 0..job.tasks.len() {
+            self.stop_task(now, &(id.clone(), index));
+        }
+        self.touch(id);
+    }
+
+    /// Orders the end of a task that may run; one whose order hasn't left is simply dropped.
+    fn stop_task(&mut self, now: Now, task_ref: &TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
+        let task = &mut job.tasks[task_ref.1];
+        match &task.phase {
+            Phase::Waiting | Phase::Done | Phase::Stopping { .. } => {}
+            Phase::Planned { .. } => self.run_over(now, task_ref, None),
+            Phase::Starting { executor }
+            | Phase::Running { executor, .. }
+            | Phase::Doubt { executor } => {
+                let executor = executor.clone();
+                task.phase = Phase::Stopping { executor: executor.clone(), confirmed_at: None };
+                let run = task.run;
+                let task = job.key(task_ref.1);
+                self.commands.push(Command::Stop { executor, task, run });
+            }
+        }
+    }
+
+    /// Marks a job's durable state as changed.
+    fn touch(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.changes += 1;
+        if !job.is_dirty {
+            job.is_dirty = true;
+            self.dirty.push_back(id.clone());
+        }
+    }
+
+    /// A run is over for certain. `ended_as` is how; none if it never began or was cut short.
+    fn run_over(&mut self, now: Now, task_ref: &TaskRef, ended_as: Option<TaskEnd>) {
+        let (id, index) = (&task_ref.0, task_ref.1);
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if let Some(executor) = job.tasks[index].phase.executor().cloned() {
+            if let Some(executor) = self.executors.get_mut(&executor) {
+                unbook(executor, job, index);
+            }
+        }
+        let slot = job.slot(index);
+        let task = &mut job.tasks[index];
+        task.at_work_since = None;
+        task.phase = if ended_as == Some(TaskEnd::Done) { Phase::Done } else { Phase::Waiting };
+        if task.phase == Phase::Done {
+            job.progress[slot].remaining -= 1;
+        } else if ended_as == Some(TaskEnd::Failed) {
+            task.failures += 1;
+        }
+        if job.is_over() {
+            return;
+        }
+        if job.tasks[index].phase == Phase::Waiting && job.progress[slot].is_open {
+            job.startable.push_back(index);
+        }
+        let is_done = job.progress.iter().all(|slot| slot.remaining == 0);
+        self.touch(&id.clone());
+        if is_done {
+            self.finish(now, &id.clone(), JobOutcome::Completed);
+        }
+    }
+
+    /// Forgets jobs that ended over `retention` ago and returns them, for the store to follow.
+    pub fn forget_jobs(&mut self, now: Now, retention: Duration) -> Vec<JobId> {
+        let mut forgotten = Vec::new();
+        while let Some(id) = self.over.front() {
+            let over_at = self.jobs.get(id).and_then(|job| job.over_at);
+            if over_at.is_some_and(|at| now.saturating_sub(at) < retention) {
+                break;
+            }
+            let id = self.over.pop_front().expect("the front was just read");
+            self.jobs.remove(&id);
+            forgotten.push(id);
+        }
+        forgotten
+    }
+}
+
+/// How a run ended, as far as its task cares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TaskEnd {
+    Done,
+    Failed,
+}
+
+fn book(executor: &mut Executor, job: &Job, index: TaskIndex) {
+    let step = job.step(index);
+    if !executor.tasks.insert((job.id.clone(), index)) {
+        return;
+    }
+    executor.booked.add(&step.booked());
+    *executor.per_slot.entry((job.id.clone(), job.slot(index))).or_default() += 1;
+    executor.serving += u32::from(step.tail_target.is_some());
+    executor.fillers += u32::from(step.is_filler);
+}
+
+fn unbook(executor: &mut Executor, job: &Job, index: TaskIndex) {
+    let step = job.step(index);
+    if !executor.tasks.remove(&(job.id.clone(), index)) {
+        return;
+    }
+    executor.booked.subtract(&step.booked());
+    let slot = (job.id.clone(), job.slot(index));
+    if let Some(count) = executor.per_slot.get_mut(&slot) {
+        *count -= 1;
+        if *count == 0 {
+            executor.per_slot.remove(&slot);
+        }
+    }
+    executor.serving -= u32::from(step.tail_target.is_some());
+    executor.fillers -= u32::from(step.is_filler);
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -0,0 +1,106 @@
+//! Tasks that work only together: all of them are placed, or none.
+
+use jackdawpier_kernel::{Now, ids::JobId};
+
+use super::{Fleet, book, unbook};
+use crate::{
+    executor::TaskRef,
+    job::{Phase, TaskIndex},
+};
+
+impl Fleet {
+    /// Stops what runs of a gang, since a run without one member is worth nothing.
+    pub(super) fn stop_gang(&mut self, now: Now, id: &JobId, slot: usize) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let members: Vec<TaskRef> =
+            job.tasks_of(slot).map(|index| (id.clone(), index)).collect();
+        members.iter().for_each(|member| self.stop_task(now, member));
+    }
+
+    /// Whether another member of the task's gang has ended well in the same run, which counts for
+    /// all of them.
+    pub(super) fn gang_is_done(&self, task_ref: &TaskRef) -> bool {
+        let Some(job) = self.jobs.get(&task_ref.0) else { return false };
+        if !job.step(task_ref.1).is_gang {
+            return false;
+        }
+        let slot = job.slot(task_ref.1);
+        job.tasks_of(slot).any(|index| job.tasks[index].phase == Phase::Done)
+    }
+
+    /// Counts one failure a run for the whole gang.
+    pub(super) fn note_gang_failure(&mut self, id: &JobId, slot: usize, run: u32) {
+        let counted = self.gang_failures.entry((id.clone(), slot)).or_default();
+        if *counted >= run {
+            return;
+        }
+        *counted = run;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        for index in job.tasks_of(slot) {
+            job.tasks[index].failures += 1;
+        }
+    }
+
+    /// Places a whole gang or nothing of it.
+    pub(super) fn place_gang(&mut self, now: Now, id: &JobId, slot: usize) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let members: Vec<TaskIndex> = job.tasks_of(slot).collect();
+        let is_whole = members.iter().all(|&index| job.tasks[index].phase == Phase::Waiting);
+        if !is_whole {
+            return false;
+        }
+        let needs_one_rack = job.step(members[0]).same_rack;
+        let racks = if needs_one_rack { self.racks_of(id) } else { Vec::new() };
+        let tries = racks.into_iter().map(Some).chain([None]);
+        for rack in tries {
+            let mut placed = Vec::new();
+            for &index in &members {
+                let Some(executor) = self.choose(now, id, index, rack.as_deref()) else { break };
+                let job = &self.jobs[id];
+                book(self.executors.get_mut(&executor).expect("just chosen"), job, index);
+                placed.push((index, executor));
+            }
+            if placed.len() == members.len() {
+                self.plan_gang(id, &placed);
+                return true;
+            }
+            for (index, executor) in placed {
+                let job = &self.jobs[id];
+                unbook(self.executors.get_mut(&executor).expect("just booked"), job, index);
+            }
+        }
+        false
+    }
+
+    fn plan_gang(&mut self, id: &JobId, placed: &[(TaskIndex, jackdawpier_kernel::ids::ExecutorId)]) {
+        let job = self.jobs.get_mut(id).expect("the caller has just read it");
+        let run = placed.iter().map(|(index, _)| job.tasks[*index].run).max().unwrap_or(0) + 1;
+        let checkpoint = placed
+            .iter()
+            .map(|(index, _)| job.tasks[*index].checkpoint.clone())
+            .find(|checkpoint| !checkpoint.is_empty())
+            .unwrap_or_default();
+        for (index, executor) in placed {
+            let task = &mut job.tasks[*index];
+            task.run = run;
+            task.checkpoint.clone_from(&checkpoint);
+            task.phase = Phase::Planned { executor: executor.clone() };
+        }
+        let is_placed = |index: &TaskIndex| placed.iter().any(|(one, _)| one == index);
+        job.startable.retain(|index| !is_placed(index));
+        self.touch(id);
+    }
+
+    fn racks_of(&self, id: &JobId) -> Vec<std::sync::Arc<str>> {
+        let mut racks: Vec<_> = self
+            .service_of(id)
+            .and_then(|service| self.by_service.get(service))
+            .into_iter()
+            .flatten()
+            .filter_map(|executor| self.executors.get(executor)?.info.as_ref()?.rack.clone())
+            .collect();
+        racks.sort_unstable();
+        racks.dedup();
+        racks
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -0,0 +1,319 @@
+//! Waves of maintenance: machines are emptied and taken in time, idle ones first, within the
+//! wave's bound and what long-running work may miss.
+
+use std::time::Duration;
+
+use jackdawpier_kernel::{Now, ids::ExecutorId};
+
+use super::{Command, Fleet};
+use crate::machines::{
+    Errand, MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork,
+    Stage, Wave, WaveNumber, WaveProgress, WaveState,
+};
+
+/// An unanswered order about a machine is repeated after this time.
+const REPEAT_ORDER: Duration = Duration::from_millis(600);
+/// A machine that was busy is asked again after this time.
+const BUSY_PAUSE: Duration = Duration::from_millis(700);
+/// Time from the choice of a busy machine until it is back, beyond the maintenance itself: tasks of
+/// about two seconds run out, and its return is seen by polling.
+const TURNAROUND: Duration = Duration::from_millis(2500);
+/// A wave is planned to be over this long before it is due.
+const WAVE_RESERVE: Duration = Duration::from_secs(3);
+/// What runs on a machine that is to be taken gets this long to end before it is cut short.
+const LONGEST_VACATING: Duration = Duration::from_secs(4);
+/// Added to the time that long-running work has to be back, for what reports lag.
+const NOTICE_MARGIN: Duration = Duration::from_millis(400);
+
+impl Fleet {
+    /// Takes in the machines that the platform lists now.
+    pub fn list_machines(&mut self, now: Now, machines: Vec<MachineInfo>) {
+        let ended = self.machines.list(machines);
+        ended.iter().for_each(|executor| self.executor_ended(now, executor));
+        self.end_errands(now);
+    }
+
+    /// Takes in the waves that operators ask for; those that are gone are dropped.
+    pub fn set_waves(&mut self, now: Now, waves: Vec<(Wave, Duration)>) {
+        let numbers: Vec<WaveNumber> = waves.iter().map(|(wave, _)| wave.number).collect();
+        self.machines.waves.retain(|number, _| numbers.contains(number));
+        for (wave, age) in waves {
+            let number = wave.number;
+            if self.machines.waves.contains_key(&number) {
+                continue;
+            }
+            let due = (now + wave.within).saturating_sub(age);
+            let progress = WaveProgress {
+                wave,
+                due,
+                maintained: std::collections::BTreeSet::new(),
+                refused: std::collections::BTreeSet::new(),
+                is_completed: false,
+            };
+            self.commands.push(Command::Wave(progress.state()));
+            self.machines.waves.insert(number, progress);
+        }
+    }
+
+    /// Takes over what an earlier owner noted of a wave.
+    pub fn recover_wave(&mut self, number: WaveNumber, maintained: Vec<MachineId>) {
+        if let Some(progress) = self.machines.waves.get_mut(&number) {
+            progress.maintained.extend(maintained);
+        }
+    }
+
+    /// Whether a wave is known already.
+    pub fn knows_wave(&self, number: WaveNumber) -> bool {
+        self.machines.waves.contains_key(&number)
+    }
+
+    /// Whether this is still the newest state of its wave.
+    pub fn is_current(&self, state: &WaveState) -> bool {
+        self.machines.waves.get(&state.number).is_some_and(|progress| progress.state() == *state)
+    }
+
+    /// Machines that have come back are free again.
+    fn end_errands(&mut self, now: Now) {
+        let listed = &self.machines.listed;
+        let maintenance = self.settings.maintenance;
+        let migration = self.settings.migration;
+        self.machines.errands.retain(|machine, errand| {
+            let Some(info) = listed.get(machine) else { return false };
+            let Stage::Away { since } = errand.stage else { return true };
+            let takes = match errand.work {
+                MachineWork::Move(_) => migration,
+                MachineWork::Maintain(_) => maintenance,
+            };
+            let is_back = info.state == MachineState::Up && info.executor != errand.executor;
+            let is_off = info.executor.is_none() && info.state == MachineState::Up;
+            now < since + takes || !(is_back || is_off)
+        });
+    }
+
+    /// Chooses machines to vacate and orders those that are vacated.
+    pub(super) fn plan_machines(&mut self, now: Now) {
+        if !self.machines.has_listing {
+            return;
+        }
+        let numbers: Vec<WaveNumber> = self.machines.waves.keys().copied().collect();
+        numbers.iter().for_each(|number| self.plan_wave(now, *number));
+        self.order_vacated(now);
+        numbers.iter().for_each(|number| self.complete_wave(*number));
+    }
+
+    fn plan_wave(&mut self, now: Now, number: WaveNumber) {
+        let progress = &self.machines.waves[&number];
+        if progress.is_completed {
+            return;
+        }
+        let errands = &self.machines.errands;
+        let is_busy = |machine: &MachineId| errands.contains_key(machine);
+        let open: Vec<MachineId> = progress
+            .wave
+            .machines
+            .iter()
+            .filter(|machine| progress.is_open(machine) && !is_busy(machine))
+            .filter(|machine| {
+                self.machines
+                    .listed
+                    .get(*machine)
+                    .is_some_and(|info| info.state == MachineState::Up)
+            })
+            .cloned()
+            .collect();
+        let under_way = errands
+            .values()
+            .filter(|errand| errand.work == MachineWork::Maintain(number))
+            .count();
+        let most = progress.wave.most_away.max(1);
+        let left = progress.due.saturating_sub(now).saturating_sub(WAVE_RESERVE);
+        let each = self.settings.maintenance + TURNAROUND;
+        let rounds = (left.as_secs_f64() / each.as_secs_f64()).max(1.0);
+        let needed = ((open.len() + under_way) as f64 / rounds).ceil() as usize;
+        let mut ranked: Vec<(bool, usize, MachineId)> = open
+            .into_iter()
+            .map(|machine| {
+                let (lasting, others) = self.load_of(&machine);
+                (lasting > 0, lasting + others, machine)
+            })
+            .collect();
+        ranked.sort_unstable();
+        let mut slots = most.saturating_sub(under_way);
+        let mut wanted = needed.min(most).saturating_sub(under_way);
+        for (_, load, machine) in ranked {
+            if slots == 0 {
+                break;
+            }
+            let is_idle = load == 0;
+            if !is_idle && (wanted == 0 || !self.may_lose(now, &machine)) {
+                continue;
+            }
+            self.begin_errand(now, machine, MachineWork::Maintain(number));
+            slots -= 1;
+            wanted = wanted.saturating_sub(1);
+        }
+    }
+
+    pub(super) fn begin_errand(&mut self, now: Now, machine: MachineId, work: MachineWork) {
+        let executor = self.machines.listed.get(&machine).and_then(|info| info.executor.clone());
+        let stage = Stage::Vacating { since: now };
+        let errand = Errand { work, stage, executor, not_before: self.machines.orders_from };
+        self.machines.errands.insert(machine, errand);
+    }
+
+    /// Numbers of long-running and other tasks on a machine.
+    pub(super) fn load_of(&self, machine: &MachineId) -> (usize, usize) {
+        let executor = self
+            .machines
+            .listed
+            .get(machine)
+            .and_then(|info| info.executor.as_ref())
+            .and_then(|id| self.executors.get(id));
+        let Some(executor) = executor else { return (0, 0) };
+        let is_lasting = |task: &&crate::executor::TaskRef| {
+            self.jobs.get(&task.0).is_some_and(|job| job.step(task.1).is_long_running)
+        };
+        let lasting = executor.tasks.iter().filter(is_lasting).count();
+        (lasting, executor.tasks.len() - lasting)
+    }
+
+    /// Whether all long-running steps with tasks on a machine can spare those now.
+    pub(super) fn may_lose(&self, now: Now, machine: &MachineId) -> bool {
+        let executor = self.machines.listed.get(machine).and_then(|info| info.executor.as_ref());
+        executor.is_none_or(|id| self.may_lose_executor(now, id))
+    }
+
+    fn may_lose_executor(&self, now: Now, id: &ExecutorId) -> bool {
+        let Some(executor) = self.executors.get(id) else { return true };
+        executor.per_slot.iter().all(|((job_id, slot), &here)| {
+            let Some(job) = self.jobs.get(job_id) else { return true };
+            let first = job.tasks_of(*slot).start;
+            let step = job.step(first);
+            if !step.is_long_running || job.is_over() || step.may_miss == 0 {
+                return true;
+            }
+            let notice = self.settings.notice + NOTICE_MARGIN;
+            let away = job
+                .tasks_of(*slot)
+                .filter(|&index| job.tasks[index].phase.executor() != Some(id))
+                .filter(|&index| {
+                    let since = job.tasks[index].at_work_since;
+                    since.is_none_or(|since| now.saturating_sub(since) < notice)
+                })
+                .count() as u32;
+            away + here <= step.may_miss
+        })
+    }
+
+    fn order_vacated(&mut self, now: Now) {
+        let machines: Vec<MachineId> = self.machines.errands.keys().cloned().collect();
+        for machine in machines {
+            let errand = &self.machines.errands[&machine];
+            if now < errand.not_before {
+                continue;
+            }
+            let is_due = match errand.stage {
+                Stage::Vacating { since } => self.is_vacated(now, &machine, since),
+                Stage::Ordered { at } => now >= at + REPEAT_ORDER,
+                Stage::Away { .. } => false,
+            };
+            if !is_due || !self.has_wave_slot(&machine) {
+                continue;
+            }
+            self.lose_long_running(&machine);
+            let errand = self.machines.errands.get_mut(&machine).expect("it was read above");
+            errand.stage = Stage::Ordered { at: now };
+            let work = errand.work.clone();
+            self.commands.push(Command::Machine(MachineOrder { machine, work }));
+        }
+    }
+
+    fn is_vacated(&self, now: Now, machine: &MachineId, since: Now) -> bool {
+        let (_, others) = self.load_of(machine);
+        let is_empty = others == 0 || now >= since + LONGEST_VACATING;
+        is_empty && self.may_lose(now, machine)
+    }
+
+    /// Whether the order may leave without more machines of its wave away than allowed.
+    fn has_wave_slot(&self, machine: &MachineId) -> bool {
+        let errand = &self.machines.errands[machine];
+        let MachineWork::Maintain(number) = errand.work else { return true };
+        if errand.is_away() {
+            return true;
+        }
+        let Some(progress) = self.machines.waves.get(&number) else { return false };
+        let away = self
+            .machines
+            .errands
+            .values()
+            .filter(|one| one.work == errand.work && one.is_away())
+            .count();
+        away < progress.wave.most_away.max(1)
+    }
+
+    /// Long-running tasks on a machine count as away from the moment that its order leaves.
+    fn lose_long_running(&mut self, machine: &MachineId) {
+        let Some(id) = self.machines.listed.get(machine).and_then(|info| info.executor.clone())
+        else {
+            return;
+        };
+        let Some(executor) = self.executors.get(&id) else { return };
+        for (job_id, index) in &executor.tasks {
+            if let Some(job) = self.jobs.get_mut(job_id) {
+                job.tasks[*index].at_work_since = None;
+            }
+        }
+    }
+
+    /// An order about a machine has ended.
+    pub fn machine_order_ended(&mut self, now: Now, order: &MachineOrder, end: MachineOrderEnd) {
+        let Some(errand) = self.machines.errands.get_mut(&order.machine) else { return };
+        if errand.work != order.work {
+            return;
+        }
+        match end {
+            MachineOrderEnd::Taken => {
+                errand.stage = Stage::Away { since: now };
+                let executor = errand.executor.clone();
+                if let MachineWork::Maintain(number) = order.work {
+                    if let Some(progress) = self.machines.waves.get_mut(&number) {
+                        progress.maintained.insert(order.machine.clone());
+                        self.commands.push(Command::Wave(progress.state()));
+                    }
+                }
+                if let Some(executor) = executor {
+                    self.executor_ended(now, &executor);
+                }
+            }
+            MachineOrderEnd::Busy | MachineOrderEnd::NotTaken => {
+                errand.not_before = now + BUSY_PAUSE;
+            }
+            MachineOrderEnd::Refused => {
+                if let MachineWork::Maintain(number) = order.work
+                    && let Some(progress) = self.machines.waves.get_mut(&number)
+                {
+                    progress.refused.insert(order.machine.clone());
+                }
+                self.machines.errands.remove(&order.machine);
+            }
+            MachineOrderEnd::Unanswered => {}
+        }
+    }
+
+    fn complete_wave(&mut self, number: WaveNumber) {
+        let listed = &self.machines.listed;
+        let Some(progress) = self.machines.waves.get_mut(&number) else { return };
+        if progress.is_completed {
+            return;
+        }
+        let is_over = progress
+            .wave
+            .machines
+            .iter()
+            .all(|machine| progress.maintained.contains(machine) || !listed.contains_key(machine));
+        if is_over {
+            progress.is_completed = true;
+            self.commands.push(Command::Wave(progress.state()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -0,0 +1,256 @@
+//! What executors report: runs, ends, and that nothing of an earlier owner can start any more.
+
+use std::{collections::HashMap, time::Duration};
+
+use jackdawpier_kernel::{Now, ids::ExecutorId};
+
+use super::{Command, Fleet, TaskEnd};
+use crate::{
+    executor::{EndKind, EndedTask, HoldReport, MAX_ENDS_PER_REPORT, TaskRef},
+    job::Phase,
+    record::JobOutcome,
+    spec::RunNumber,
+};
+
+/// What to tell an executor in the next hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HoldOrder {
+    /// Ends up to this position may be forgotten.
+    pub acknowledged: u64,
+    /// The lease by the executor's clock; none before its clock is known.
+    pub lease_until: Option<Duration>,
+    /// Whether it may wait with its answer for an end.
+    pub may_wait: bool,
+}
+
+/// An executor that fails this many runs in a row, of whatever job, is left out for a while.
+const SUSPECT_FAILURES: u32 = 3;
+/// How long it is left out; doubled for each further failure in a row, see [`MAX_LEAVE_OUT`].
+const LEAVE_OUT: Duration = Duration::from_secs(1);
+/// Longest time for which an executor is left out, so that a recovered one is found again.
+const MAX_LEAVE_OUT: Duration = Duration::from_secs(4);
+/// A stop counts as carried out this long after the executor's own bound on it.
+const STOP_MARGIN: Duration = Duration::from_millis(100);
+
+impl Fleet {
+    /// What the next hold has to say; none if the executor is forgotten.
+    pub fn hold_order(&mut self, now: Now, id: &str) -> Option<HoldOrder> {
+        let lease = self.settings.lease;
+        let jobs = &self.jobs;
+        let executor = self.executors.get_mut(id)?;
+        // A job that is forgotten was durable long before.
+        let acknowledged =
+            executor.acknowledge(|job| jobs.get(job).map_or(u64::MAX, |job| job.durable_changes));
+        let is_heard = executor.heard_at().is_some();
+        let may_wait = executor.is_synced && is_heard && !executor.has_unacknowledged();
+        let lease_until = executor.grant_lease(now, lease);
+        Some(HoldOrder { acknowledged, lease_until, may_wait })
+    }
+
+    /// Whether ends of an executor wait to become durable.
+    pub fn has_unacknowledged(&self, id: &str) -> bool {
+        let Some(executor) = self.executors.get(id) else { return false };
+        executor.has_unacknowledged()
+    }
+
+    /// The lease to give with an order to an executor.
+    pub fn order_lease(&mut self, now: Now, id: &str) -> Option<Duration> {
+        let lease = self.settings.lease;
+        self.executors.get_mut(id)?.grant_lease(now, lease)
+    }
+
+    /// An executor has answered a hold that was sent at `sent_at`.
+    pub fn hold_answered(&mut self, now: Now, sent_at: Now, id: &ExecutorId, report: &HoldReport) {
+        let Some(executor) = self.executors.get_mut(id) else { return };
+        executor.heard(now, report.clock);
+        let seen = executor.seen;
+        let is_whole = report.ended.len() < MAX_ENDS_PER_REPORT;
+        for end in report.ended.iter().filter(|end| end.sequence > seen) {
+            self.end_reported(now, id, end);
+        }
+        self.runs_reported(now, sent_at, id, report, is_whole);
+        if is_whole && let Some(executor) = self.executors.get_mut(id) {
+            executor.is_synced = true;
+        }
+        self.pace_fillers(now, id, report);
+    }
+
+    fn end_reported(&mut self, now: Now, id: &ExecutorId, end: &EndedTask) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.seen = end.sequence;
+        }
+        let job_id = end.task.job.clone();
+        self.apply_end(now, id, end);
+        let needed = self.jobs.get(&job_id).map_or(0, |job| job.changes);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.note_end(end.sequence, job_id, needed);
+        }
+    }
+
+    fn apply_end(&mut self, now: Now, id: &ExecutorId, end: &EndedTask) {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let Some(index) = job.index(&end.task) else { return };
+        let task = &mut job.tasks[index];
+        let is_here = task.phase.executor() == Some(id) && task.run == end.run;
+        // A run that was given up as lapsed but ended well: nothing else ran, so it counts.
+        let is_late_success =
+            end.how == EndKind::Done && task.phase == Phase::Waiting && task.run == end.run;
+        if !is_here && !is_late_success {
+            return;
+        }
+        if !end.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        if !job.has_begun {
+            job.has_begun = true;
+        }
+        let step = job.step(index);
+        let (is_gang, is_long_running) = (step.is_gang, step.is_long_running);
+        let slot = job.slot(index);
+        let task_ref: TaskRef = (end.task.job.clone(), index);
+        self.note_health(now, id, end.how);
+        let ended_as = match end.how {
+            EndKind::Done if is_long_running => None,
+            EndKind::Done => Some(TaskEnd::Done),
+            EndKind::Failed if is_long_running => None,
+            EndKind::Failed if is_gang => {
+                self.note_gang_failure(&end.task.job, slot, end.run);
+                None
+            }
+            EndKind::Failed => Some(TaskEnd::Failed),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => None,
+        };
+        let is_done_by_gang = ended_as.is_none() && self.gang_is_done(&task_ref);
+        let ended_as = if is_done_by_gang { Some(TaskEnd::Done) } else { ended_as };
+        self.run_over(now, &task_ref, ended_as);
+        if is_gang && ended_as != Some(TaskEnd::Done) {
+            self.stop_gang(now, &end.task.job, slot);
+        }
+        self.check_attempts(now, &task_ref);
+    }
+
+    fn note_health(&mut self, now: Now, id: &ExecutorId, how: EndKind) {
+        let Some(executor) = self.executors.get_mut(id) else { return };
+        match how {
+            EndKind::Done => executor.failures_in_row = 0,
+            EndKind::Failed => {
+                executor.failures_in_row += 1;
+                if executor.failures_in_row >= SUSPECT_FAILURES {
+                    let doublings = (executor.failures_in_row - SUSPECT_FAILURES).min(2);
+                    let left_out = (LEAVE_OUT * (1 << doublings)).min(MAX_LEAVE_OUT);
+                    executor.avoid_until = executor.avoid_until.max(now + left_out);
+                }
+            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+    }
+
+    /// Ends the job once a task has failed as often as its queue allows.
+    fn check_attempts(&mut self, now: Now, task_ref: &TaskRef) {
+        let Some(job) = self.jobs.get(&task_ref.0) else { return };
+        let Some(queue) = self.queues.get(&job.queue) else { return };
+        let failures = job.tasks[task_ref.1].failures;
+        let is_spent = queue.max_attempts > 0 && failures >= queue.max_attempts;
+        if is_spent && !job.is_over() && !job.step(task_ref.1).is_long_running {
+            self.finish(now, &task_ref.0, JobOutcome::Failed);
+        }
+    }
+
+    /// Compares what runs with what should run.
+    fn runs_reported(
+        &mut self,
+        now: Now,
+        sent_at: Now,
+        id: &ExecutorId,
+        report: &HoldReport,
+        is_whole: bool,
+    ) {
+        let mut present: HashMap<TaskRef, RunNumber> = HashMap::new();
+        for running in &report.running {
+            let known = self.jobs.get_mut(&running.task.job).and_then(|job| {
+                let index = job.index(&running.task)?;
+                let task = &mut job.tasks[index];
+                let is_here = task.phase.executor() == Some(id) && task.run == running.run;
+                is_here.then_some((job, index))
+            });
+            let Some((job, index)) = known else {
+                self.stop_unknown(id, running);
+                continue;
+            };
+            let task = &mut job.tasks[index];
+            present.insert((job.id.clone(), index), running.run);
+            if !running.checkpoint.is_empty() {
+                task.checkpoint.clone_from(&running.checkpoint);
+            }
+            task.percent = running.percent;
+            let is_at_work = running.percent >= 100;
+            task.at_work_since =
+                if is_at_work { task.at_work_since.or(Some(now)) } else { None };
+            if matches!(task.phase, Phase::Doubt { .. } | Phase::Starting { .. }) {
+                task.phase = Phase::Running { executor: id.clone(), since: now };
+                if !job.has_begun {
+                    job.has_begun = true;
+                    self.touch(&running.task.job);
+                }
+            }
+        }
+        if is_whole {
+            self.absences_reported(now, sent_at, id, &present);
+        }
+    }
+
+    /// A run that nobody wants: of a job that is over, or from before a newer run.
+    fn stop_unknown(&mut self, id: &ExecutorId, running: &crate::executor::RunningTask) {
+        self.commands.push(Command::Stop {
+            executor: id.clone(),
+            task: running.task.clone(),
+            run: running.run,
+        });
+    }
+
+    /// Settles the tasks that an executor doesn't list though they were placed there.
+    fn absences_reported(
+        &mut self,
+        now: Now,
+        sent_at: Now,
+        id: &ExecutorId,
+        present: &HashMap<TaskRef, RunNumber>,
+    ) {
+        let Some(executor) = self.executors.get(id) else { return };
+        let absent: Vec<TaskRef> =
+            executor.tasks.iter().filter(|task| !present.contains_key(*task)).cloned().collect();
+        let stop_bound = self.settings.stop_timeout + STOP_MARGIN;
+        for task_ref in absent {
+            let Some(job) = self.jobs.get(&task_ref.0) else { continue };
+            match &job.tasks[task_ref.1].phase {
+                // The fence keeps a former owner's late order from starting it now.
+                Phase::Doubt { .. } => self.run_over(now, &task_ref, None),
+                Phase::Stopping { confirmed_at: Some(at), .. } if sent_at > *at + stop_bound => {
+                    self.run_over(now, &task_ref, None);
+                }
+                // Confirmed before the question left, and neither running nor ended: make sure.
+                Phase::Running { since, .. } if sent_at > *since => {
+                    self.stop_task(now, &task_ref);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Orders to stop that haven't been confirmed, to be repeated.
+    pub fn unconfirmed_stops(&self, id: &ExecutorId) -> Vec<Command> {
+        let Some(executor) = self.executors.get(id) else { return Vec::new() };
+        let pending = executor.tasks.iter().filter_map(|task_ref| {
+            let job = self.jobs.get(&task_ref.0)?;
+            let task = &job.tasks[task_ref.1];
+            matches!(&task.phase, Phase::Stopping { confirmed_at: None, .. }).then(|| {
+                Command::Stop {
+                    executor: id.clone(),
+                    task: job.key(task_ref.1),
+                    run: task.run,
+                }
+            })
+        });
+        pending.collect()
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -0,0 +1,125 @@
+//! What becomes of orders to start and to stop.
+
+use std::time::Duration;
+
+use jackdawpier_kernel::Now;
+
+use super::Fleet;
+use crate::{
+    job::Phase,
+    spec::{RunNumber, TaskKey},
+};
+
+/// How an order to start ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartEnd {
+    /// The task runs.
+    Started,
+    /// Refused for want of room; nothing was done.
+    NoRoom,
+    /// Refused because this run, or a later one, has ended there already.
+    RunIsOver,
+    /// Refused because the lease would have been over; nothing was done.
+    TooLate,
+    /// Refused because the placement advisor's ticket isn't valid; nothing was done.
+    BadTicket,
+    /// The executor is unhealthy or another one lives at its address; nothing was done.
+    Unavailable,
+    /// The order was wrong in itself; nothing was done.
+    Invalid,
+    /// No answer: it may have been started, or may yet be.
+    Unanswered,
+}
+
+/// How an order to stop ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopEnd {
+    /// The run can't begin there any more and ends within the time that executors have for it.
+    Taken,
+    /// Not taken; it has to be repeated.
+    NotTaken,
+}
+
+/// A refusing executor gets no placements for this long: about one report of its room.
+const AVOID_AFTER_REFUSAL: Duration = Duration::from_millis(400);
+/// Longer for one that doesn't answer or isn't healthy, so that few tasks wait on its timeouts.
+const AVOID_AFTER_SILENCE: Duration = Duration::from_millis(1500);
+/// A task whose order is invalid isn't tried again at once, so that it can't fill the channel.
+const PAUSE_AFTER_INVALID: Duration = Duration::from_secs(1);
+
+impl Fleet {
+    /// An order to start has ended. `is_certain` is false if an earlier try of the same order went
+    /// unanswered, so that a refusal of the last try doesn't prove that none is carried out.
+    pub fn start_ended(
+        &mut self,
+        now: Now,
+        executor_id: &str,
+        key: &TaskKey,
+        run: RunNumber,
+        end: StartEnd,
+        is_certain: bool,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(index) = job.index(key) else { return };
+        let task = &mut job.tasks[index];
+        let is_current = task.run == run
+            && matches!(&task.phase, Phase::Starting { executor } if &**executor == executor_id);
+        if !is_current {
+            return;
+        }
+        let task_ref = (key.job.clone(), index);
+        let executor = self.executors.get_mut(executor_id);
+        match end {
+            StartEnd::Started => {
+                let Phase::Starting { executor } = task.phase.clone() else { return };
+                task.phase = Phase::Running { executor, since: now };
+                task.percent = 0;
+                task.pace_percent = 100;
+                if !job.has_begun {
+                    job.has_begun = true;
+                    self.touch(&key.job);
+                }
+                return;
+            }
+            StartEnd::NoRoom => {
+                if let Some(executor) = executor {
+                    executor.avoid_until = now + AVOID_AFTER_REFUSAL;
+                }
+            }
+            StartEnd::Unavailable | StartEnd::Unanswered => {
+                if let Some(executor) = executor {
+                    executor.avoid_until = now + AVOID_AFTER_SILENCE;
+                }
+            }
+            StartEnd::Invalid => task.not_before = now + PAUSE_AFTER_INVALID,
+            StartEnd::BadTicket => {
+                let slot = job.slot(index);
+                self.advice.remove(&(key.job.clone(), slot));
+            }
+            StartEnd::RunIsOver | StartEnd::TooLate => {}
+        }
+        let is_gang = job.step(index).is_gang;
+        let slot = job.slot(index);
+        if is_certain && !matches!(end, StartEnd::Unanswered | StartEnd::RunIsOver) {
+            self.run_over(now, &task_ref, None);
+        } else {
+            self.stop_task(now, &task_ref);
+        }
+        if is_gang {
+            self.stop_gang(now, &key.job, slot);
+        }
+    }
+
+    /// An order to stop has ended.
+    pub fn stop_ended(&mut self, now: Now, key: &TaskKey, run: RunNumber, end: StopEnd) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(index) = job.index(key) else { return };
+        let task = &mut job.tasks[index];
+        if task.run != run || end == StopEnd::NotTaken {
+            return;
+        }
+        if let Phase::Stopping { confirmed_at, .. } = &mut task.phase {
+            confirmed_at.get_or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -0,0 +1,325 @@
+//! A job in memory: its tasks, what of it may start, and how far its record is durable.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::Duration,
+};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{ExecutorId, JobId, Revision},
+};
+
+use crate::{
+    record::{JobOutcome, JobRecord, Standing, TaskRecord},
+    spec::{JobSpec, QueueName, RunNumber, StepSpec, Submission, TaskKey},
+};
+
+/// Place of a task in the flat list of its job.
+pub type TaskIndex = usize;
+
+/// Where a task stands in this process.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Phase {
+    /// Nothing of it runs anywhere.
+    Waiting,
+    /// Chosen for an executor; the placement isn't durable yet, so no order has left.
+    Planned { executor: ExecutorId },
+    /// The order to start is on its way, or its answer was lost.
+    Starting { executor: ExecutorId },
+    /// The executor has confirmed the start.
+    Running { executor: ExecutorId, since: Now },
+    /// An earlier owner placed it; the executor hasn't spoken under this ownership yet.
+    Doubt { executor: ExecutorId },
+    /// An order to stop is on its way; `confirmed_at` is set once the executor has taken it.
+    Stopping { executor: ExecutorId, confirmed_at: Option<Now> },
+    /// It has ended well.
+    Done,
+}
+
+impl Phase {
+    /// The executor on which the task takes room, if any.
+    pub(crate) fn executor(&self) -> Option<&ExecutorId> {
+        match self {
+            Self::Waiting | Self::Done => None,
+            Self::Planned { executor }
+            | Self::Starting { executor }
+            | Self::Running { executor, .. }
+            | Self::Doubt { executor }
+            | Self::Stopping { executor, .. } => Some(executor),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Task {
+    pub(crate) phase: Phase,
+    pub(crate) run: RunNumber,
+    pub(crate) failures: u32,
+    pub(crate) checkpoint: Box<str>,
+    /// Last share of its full speed that the executor reported, in percent.
+    pub(crate) percent: u32,
+    /// Share of its full speed that was last ordered, in percent.
+    pub(crate) pace_percent: u32,
+    /// Since when it has been at work at full speed without a break.
+    pub(crate) at_work_since: Option<Now>,
+    /// Not to be placed before this time.
+    pub(crate) not_before: Now,
+}
+
+impl Task {
+    fn new() -> Self {
+        Self {
+            phase: Phase::Waiting,
+            run: 0,
+            failures: 0,
+            checkpoint: "".into(),
+            percent: 100,
+            pace_percent: 100,
+            at_work_since: None,
+            not_before: Now::ZERO,
+        }
+    }
+
+    fn record(&self) -> TaskRecord {
+        let standing = match (&self.phase, self.phase.executor()) {
+            (Phase::Done, _) => Standing::Done,
+            (_, Some(executor)) => Standing::Placed(executor.clone()),
+            (_, None) => Standing::Waiting,
+        };
+        TaskRecord {
+            standing,
+            run: self.run,
+            failures: self.failures,
+            checkpoint: self.checkpoint.clone(),
+        }
+    }
+}
+
+/// One step of one occurrence.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StepProgress {
+    /// Tasks that are not done yet.
+    pub(crate) remaining: u32,
+    /// Its tasks may start.
+    pub(crate) is_open: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) id: JobId,
+    pub(crate) queue: QueueName,
+    pub(crate) spec: Arc<JobSpec>,
+    pub(crate) accepted_ms: u64,
+    /// When it was accepted, on the clock of this process.
+    pub(crate) accepted_at: Now,
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) progress: Vec<StepProgress>,
+    /// Tasks that wait for an executor, in the order in which they are tried.
+    pub(crate) startable: VecDeque<TaskIndex>,
+    pub(crate) outcome: Option<JobOutcome>,
+    pub(crate) is_cancelled: bool,
+    pub(crate) has_begun: bool,
+    /// Estimated time from each step to the end.
+    pub(crate) chains: Vec<Duration>,
+    first_task_of_step: Vec<usize>,
+    tasks_per_occurrence: usize,
+    /// Counts changes of the durable state.
+    pub(crate) changes: u64,
+    pub(crate) durable_changes: u64,
+    pub(crate) is_writing: bool,
+    pub(crate) is_dirty: bool,
+    pub(crate) revision: Revision,
+    /// The outcome as far as it is durable: what callers may be told.
+    pub(crate) shown: Option<JobOutcome>,
+    pub(crate) over_at: Option<Now>,
+}
+
+impl Job {
+    pub(crate) fn new(id: JobId, submission: Submission, accepted_at: Now) -> Self {
+        let spec = Arc::new(submission.spec);
+        let first_task_of_step: Vec<usize> = spec
+            .steps
+            .iter()
+            .scan(0, |next, step| {
+                let first = *next;
+                *next += step.count as usize;
+                Some(first)
+            })
+            .collect();
+        let tasks_per_occurrence = spec.steps.iter().map(|step| step.count as usize).sum();
+        let occurrences = spec.occurrences() as usize;
+        let one: Vec<StepProgress> = spec
+            .steps
+            .iter()
+            .map(|step| StepProgress { remaining: step.count, is_open: false })
+            .collect();
+        Self {
+            id,
+            queue: submission.queue,
+            accepted_ms: submission.accepted_ms,
+            accepted_at,
+            tasks: vec![Task::new(); tasks_per_occurrence * occurrences],
+            progress: one.repeat(occurrences),
+            startable: VecDeque::new(),
+            outcome: None,
+            is_cancelled: false,
+            has_begun: false,
+            chains: spec.remaining_chains(),
+            first_task_of_step,
+            tasks_per_occurrence,
+            changes: 0,
+            durable_changes: 0,
+            is_writing: false,
+            is_dirty: false,
+            revision: 0,
+            shown: None,
+            over_at: None,
+            spec,
+        }
+    }
+
+    /// Takes over what an earlier owner wrote. Placed tasks become doubtful.
+    pub(crate) fn restore(&mut self, record: &JobRecord, revision: Revision) {
+        self.revision = revision;
+        self.outcome = record.outcome;
+        self.shown = record.outcome;
+        self.has_begun = record.has_begun;
+        for (index, (task, known)) in self.tasks.iter_mut().zip(&record.tasks).enumerate() {
+            task.run = known.run;
+            task.failures = known.failures;
+            task.checkpoint.clone_from(&known.checkpoint);
+            match &known.standing {
+                Standing::Waiting => {}
+                Standing::Placed(executor) => {
+                    task.phase = Phase::Doubt { executor: executor.clone() };
+                }
+                Standing::Done => {
+                    task.phase = Phase::Done;
+                    let per_occurrence = self.tasks_per_occurrence;
+                    let step = step_at(&self.first_task_of_step, index % per_occurrence);
+                    let steps = self.first_task_of_step.len();
+                    self.progress[index / per_occurrence * steps + step].remaining -= 1;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn record(&self) -> JobRecord {
+        let tasks = match self.outcome {
+            Some(_) => Vec::new(),
+            None => self.tasks.iter().map(Task::record).collect(),
+        };
+        JobRecord { outcome: self.outcome, has_begun: self.has_begun, tasks }
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        self.outcome.is_some()
+    }
+
+    pub(crate) fn step_number(&self, index: TaskIndex) -> usize {
+        step_at(&self.first_task_of_step, index % self.tasks_per_occurrence)
+    }
+
+    pub(crate) fn step(&self, index: TaskIndex) -> &StepSpec {
+        &self.spec.steps[self.step_number(index)]
+    }
+
+    /// Number of the step of the occurrence that the task belongs to, over all occurrences.
+    pub(crate) fn slot(&self, index: TaskIndex) -> usize {
+        let occurrence = index / self.tasks_per_occurrence;
+        occurrence * self.spec.steps.len() + self.step_number(index)
+    }
+
+    /// All tasks of a slot, see [`Self::slot`].
+    pub(crate) fn tasks_of(&self, slot: usize) -> std::ops::Range<TaskIndex> {
+        let (occurrence, step) = (slot / self.spec.steps.len(), slot % self.spec.steps.len());
+        let first = occurrence * self.tasks_per_occurrence + self.first_task_of_step[step];
+        first..first + self.spec.steps[step].count as usize
+    }
+
+    pub(crate) fn key(&self, index: TaskIndex) -> TaskKey {
+        let step = self.step_number(index);
+        let within = index % self.tasks_per_occurrence - self.first_task_of_step[step];
+        TaskKey {
+            job: self.id.clone(),
+            occurrence: (index / self.tasks_per_occurrence) as u32,
+            step: step as u32,
+            index: within as u32,
+        }
+    }
+
+    pub(crate) fn index(&self, key: &TaskKey) -> Option<TaskIndex> {
+        let step = key.step as usize;
+        let is_known = key.occurrence < self.spec.occurrences()
+            && step < self.spec.steps.len()
+            && key.index < self.spec.steps[step].count;
+        is_known.then(|| {
+            key.occurrence as usize * self.tasks_per_occurrence
+                + self.first_task_of_step[step]
+                + key.index as usize
+        })
+    }
+
+    /// Opens the steps whose turn has come and returns whether there was one.
+    pub(crate) fn open_steps(&mut self, wall_ms: u64) {
+        if self.is_over() || self.is_cancelled {
+            return;
+        }
+        let steps = self.spec.steps.len();
+        for slot in 0..self.progress.len() {
+            let progress = self.progress[slot];
+            if progress.is_open || progress.remaining == 0 {
+                continue;
+            }
+            let (occurrence, step) = (slot / steps, slot % steps);
+            let is_due = self.due_ms(occurrence).is_none_or(|due_ms| due_ms <= wall_ms);
+            let is_ready = self.spec.steps[step]
+                .after
+                .iter()
+                .all(|&after| self.progress[occurrence * steps + after].remaining == 0);
+            if is_due && is_ready {
+                self.progress[slot].is_open = true;
+                for index in self.tasks_of(slot) {
+                    if self.tasks[index].phase == Phase::Waiting {
+                        self.startable.push_back(index);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Time of day at which an occurrence is due; none for a job without a schedule.
+    pub(crate) fn due_ms(&self, occurrence: usize) -> Option<u64> {
+        let schedule = self.spec.schedule?;
+        Some(schedule.first_ms + schedule.interval_ms * occurrence as u64)
+    }
+
+    /// The next time of day at which an occurrence becomes due.
+    pub(crate) fn has_unopened_occurrence(&self) -> bool {
+        self.spec.schedule.is_some()
+            && self.progress.iter().any(|slot| !slot.is_open && slot.remaining > 0)
+    }
+
+    /// The estimated time that the job still needs once its next tasks start.
+    pub(crate) fn remaining_estimate(&self) -> Duration {
+        let steps = self.spec.steps.len();
+        self.progress
+            .iter()
+            .enumerate()
+            .filter(|(_, progress)| progress.remaining > 0 && progress.is_open)
+            .map(|(slot, _)| self.chains[slot % steps])
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// The estimated time of the longest chain of the whole job.
+    pub(crate) fn longest_chain(&self) -> Duration {
+        self.chains.iter().copied().max().unwrap_or_default()
+    }
+}
+
+fn step_at(first_task_of_step: &[usize], within: usize) -> usize {
+    first_task_of_step.partition_point(|first| *first <= within) - 1
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -0,0 +1,220 @@
+//! Machines: which pool they are in, what is being done with them, and waves of maintenance.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{ExecutorId, PoolName},
+};
+
+/// Name of a machine, which it keeps over the lives of its executors.
+pub type MachineId = Arc<str>;
+/// Number of a wave of maintenance.
+pub type WaveNumber = u64;
+
+/// What the platform says of a machine's state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineState {
+    /// It runs, or is switched off in a standby pool.
+    Up,
+    /// It is on its way to another pool.
+    Moving,
+    /// It is away for maintenance.
+    Maintenance,
+    /// It has failed.
+    Down,
+}
+
+/// A machine as the platform lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineInfo {
+    /// Its name.
+    pub id: MachineId,
+    /// The pool it is in.
+    pub pool: PoolName,
+    /// Its state.
+    pub state: MachineState,
+    /// The executor that lives on it, if one does.
+    pub executor: Option<ExecutorId>,
+    /// Its capabilities; a pool takes machines of its own kind only.
+    pub labels: Vec<Arc<str>>,
+}
+
+/// A wave of maintenance as operators ask for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wave {
+    /// Its number.
+    pub number: WaveNumber,
+    /// The machines to be maintained.
+    pub machines: Vec<MachineId>,
+    /// From its announcement all have to be maintained within this time.
+    pub within: Duration,
+    /// Most machines of it that may be away at once.
+    pub most_away: usize,
+}
+
+/// An order about a machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachineOrder {
+    /// The machine.
+    pub machine: MachineId,
+    /// What is to happen.
+    pub work: MachineWork,
+}
+
+/// What is to happen to a machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MachineWork {
+    /// It changes its pool.
+    Move(PoolName),
+    /// It is maintained for a wave.
+    Maintain(WaveNumber),
+}
+
+/// How an order about a machine ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineOrderEnd {
+    /// It is being carried out, or was before.
+    Taken,
+    /// The machine isn't up; ask later.
+    Busy,
+    /// It can't be carried out at all.
+    Refused,
+    /// It may or may not be carried out.
+    Unanswered,
+    /// Nothing was done; ask later.
+    NotTaken,
+}
+
+/// The state of a wave, for operators and for a later owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaveState {
+    /// Its number.
+    pub number: WaveNumber,
+    /// All of its machines have been maintained.
+    pub is_completed: bool,
+    /// Those that have.
+    pub maintained: Vec<MachineId>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Stage {
+    /// No new work goes there; what runs may end.
+    Vacating { since: Now },
+    /// The order has left.
+    Ordered { at: Now },
+    /// The order was taken; the machine comes back with another executor.
+    Away { since: Now },
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Errand {
+    pub(crate) work: MachineWork,
+    pub(crate) stage: Stage,
+    /// The executor that lived there when it began.
+    pub(crate) executor: Option<ExecutorId>,
+    /// Not to be ordered before this time, after a refusal.
+    pub(crate) not_before: Now,
+}
+
+impl Errand {
+    pub(crate) fn is_away(&self) -> bool {
+        !matches!(self.stage, Stage::Vacating { .. })
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct WaveProgress {
+    pub(crate) wave: Wave,
+    pub(crate) due: Now,
+    pub(crate) maintained: BTreeSet<MachineId>,
+    pub(crate) refused: BTreeSet<MachineId>,
+    pub(crate) is_completed: bool,
+}
+
+impl WaveProgress {
+    pub(crate) fn is_open(&self, machine: &MachineId) -> bool {
+        !self.maintained.contains(machine) && !self.refused.contains(machine)
+    }
+
+    pub(crate) fn state(&self) -> WaveState {
+        WaveState {
+            number: self.wave.number,
+            is_completed: self.is_completed,
+            maintained: self.maintained.iter().cloned().collect(),
+        }
+    }
+}
+
+/// Machines and what is being done with them.
+#[derive(Debug)]
+pub(crate) struct Machines {
+    /// Orders of an earlier holder may still arrive before this time.
+    pub(crate) orders_from: Now,
+    pub(crate) listed: BTreeMap<MachineId, MachineInfo>,
+    pub(crate) has_listing: bool,
+    pub(crate) errands: BTreeMap<MachineId, Errand>,
+    pub(crate) waves: BTreeMap<WaveNumber, WaveProgress>,
+    machine_of: HashMap<ExecutorId, MachineId>,
+}
+
+impl Machines {
+    pub(crate) fn new(orders_from: Now) -> Self {
+        Self {
+            orders_from,
+            listed: BTreeMap::new(),
+            has_listing: false,
+            errands: BTreeMap::new(),
+            waves: BTreeMap::new(),
+            machine_of: HashMap::new(),
+        }
+    }
+
+    /// Takes in a listing and returns the executors whose lives have ended by it: another one
+    /// lives on their machine now.
+    pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) -> Vec<ExecutorId> {
+        let mut ended = Vec::new();
+        for info in &machines {
+            let before = self.listed.get(&info.id).and_then(|one| one.executor.clone());
+            if let (Some(before), Some(now)) = (before, &info.executor)
+                && before != *now
+            {
+                ended.push(before);
+            }
+            if let Some(executor) = &info.executor {
+                self.machine_of.insert(executor.clone(), info.id.clone());
+            }
+        }
+        self.listed = machines.into_iter().map(|info| (info.id.clone(), info)).collect();
+        for (machine, errand) in &mut self.errands {
+            // It may have failed and come back before its turn came.
+            if let (Stage::Vacating { .. }, Some(info)) = (&errand.stage, self.listed.get(machine)) {
+                errand.executor.clone_from(&info.executor);
+            }
+        }
+        self.has_listing = true;
+        self.machine_of.retain(|_, machine| self.listed.contains_key(machine));
+        ended
+    }
+
+    /// No new work goes to an executor whose machine is about to be taken.
+    pub(crate) fn is_vacating(&self, executor: &ExecutorId) -> bool {
+        self.machine_of
+            .get(executor)
+            .and_then(|machine| self.errands.get(machine))
+            .is_some_and(|errand| errand.executor.as_ref() == Some(executor))
+    }
+
+    /// Whether the machine of an executor has maintenance to come.
+    pub(crate) fn is_due(&self, executor: &ExecutorId) -> bool {
+        self.machine_of.get(executor).is_some_and(|machine| {
+            self.waves.values().any(|one| {
+                !one.is_completed && one.wave.machines.contains(machine) && one.is_open(machine)
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/order.rs
@@ -0,0 +1,52 @@
+//! The order in which waiting jobs get room.
+//!
+//! Under a burst of several times a pool's room somebody has to wait. A job that comes too late is
+//! worth a fraction, so jobs that can still meet their objective go first, nearest deadline first;
+//! those that can't follow in order of acceptance, so that none waits for ever.
+
+use std::time::Duration;
+
+use jackdawpier_kernel::Now;
+
+use crate::{job::Job, spec::Queue};
+
+/// The place of a job in the order; lower goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    priority: u32,
+    lateness: Lateness,
+    due: Now,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Lateness {
+    /// Runs until it is cancelled: every second without it costs.
+    LongRunning,
+    OnTime,
+    Late,
+    Hopeless,
+}
+
+/// A late job counts as late up to this many times its objective; after that it earns nothing.
+const HOPELESS_AFTER: u32 = 3;
+
+/// The time that the queue gives a job from its acceptance.
+pub(crate) fn objective(job: &Job, queue: &Queue) -> Duration {
+    job.longest_chain().mul_f64(queue.slack_factor.max(0.0)) + queue.target
+}
+
+pub(crate) fn rank(now: Now, job: &Job, queue: &Queue) -> Rank {
+    let objective = objective(job, queue);
+    let due = job.accepted_at + objective;
+    let ends_at = now + job.remaining_estimate();
+    let lateness = if job.spec.steps.iter().any(|step| step.is_long_running) {
+        Lateness::LongRunning
+    } else if ends_at <= due {
+        Lateness::OnTime
+    } else if ends_at <= job.accepted_at + objective * HOPELESS_AFTER {
+        Lateness::Late
+    } else {
+        Lateness::Hopeless
+    };
+    Rank { priority: queue.priority, lateness, due }
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/record.rs
@@ -0,0 +1,68 @@
+//! The durable progress of a job: what a later owner of the fleet has to know.
+//!
+//! A placement is written before the first order leaves, so that whatever may be running anywhere
+//! is named in the store; an end is written before its executor may forget it.
+
+use jackdawpier_kernel::ids::ExecutorId;
+use serde::{Deserialize, Serialize};
+
+use crate::spec::RunNumber;
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobOutcome {
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as its queue allows.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+/// Where a task stands durably.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// Nothing of it runs anywhere.
+    #[default]
+    #[serde(rename = "w")]
+    Waiting,
+    /// A run may have been ordered at this executor.
+    #[serde(rename = "p")]
+    Placed(ExecutorId),
+    /// It has ended well.
+    #[serde(rename = "d")]
+    Done,
+}
+
+/// The durable state of one task.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRecord {
+    /// Where it stands.
+    #[serde(rename = "s")]
+    pub standing: Standing,
+    /// Number of its last start; 0 before the first.
+    #[serde(rename = "r", default)]
+    pub run: RunNumber,
+    /// Runs that ended in failure.
+    #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
+    pub failures: u32,
+    /// Checkpoint to go on from; empty if there is none.
+    #[serde(rename = "c", default, skip_serializing_if = "str::is_empty")]
+    pub checkpoint: Box<str>,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde hands over a reference")]
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+/// The durable state of one job, in the order of occurrences, steps and tasks.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Set once the job is over.
+    pub outcome: Option<JobOutcome>,
+    /// Some task has been ordered at least once.
+    pub has_begun: bool,
+    /// All tasks; empty once the job is over.
+    pub tasks: Vec<TaskRecord>,
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -0,0 +1,264 @@
+//! What callers ask for: jobs of steps of equal tasks, and the settings of the queues they enter.
+
+use std::{sync::Arc, time::Duration};
+
+use derive_more::{Display, Error};
+use jackdawpier_kernel::ids::{JobId, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// Name of a queue, from the configuration.
+pub type QueueName = Arc<str>;
+/// Number of a start of a task; a later start has a higher one.
+pub type RunNumber = u32;
+
+/// Most tasks that one job may have over all its steps and occurrences: a record of that many
+/// tasks still fits into one value of the store (a megabyte at some 40 bytes a task).
+pub const MAX_TASKS_PER_JOB: u64 = 16_384;
+
+/// An amount of an executor's room.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor, in thousandths of a core.
+    pub cpu_millicores: u64,
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub gpus: u64,
+}
+
+impl Resources {
+    /// Whether this much fits into `room`.
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu_millicores <= room.cpu_millicores
+            && self.memory_mb <= room.memory_mb
+            && self.gpus <= room.gpus
+    }
+
+    /// Adds `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.cpu_millicores += other.cpu_millicores;
+        self.memory_mb += other.memory_mb;
+        self.gpus += other.gpus;
+    }
+
+    /// Takes `other` away.
+    pub fn subtract(&mut self, other: &Self) {
+        self.cpu_millicores = self.cpu_millicores.saturating_sub(other.cpu_millicores);
+        self.memory_mb = self.memory_mb.saturating_sub(other.memory_mb);
+        self.gpus = self.gpus.saturating_sub(other.gpus);
+    }
+
+    /// What is left of this room once `used` is taken.
+    pub fn minus(&self, used: &Self) -> Self {
+        let mut left = *self;
+        left.subtract(used);
+        left
+    }
+}
+
+/// One step of a job: `count` tasks that are alike.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub count: u32,
+    /// What each task asks for.
+    pub need: Resources,
+    /// The caller's rough estimate of a task's run time.
+    pub estimate: Duration,
+    /// Earlier steps, all of whose tasks have to be done first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<usize>,
+    /// Tasks leave checkpoints from which a later run goes on.
+    #[serde(default)]
+    pub saves_progress: bool,
+    /// Tasks work only together and end together.
+    #[serde(default)]
+    pub is_gang: bool,
+    /// Tasks are slower when they run on more than one rack.
+    #[serde(default)]
+    pub same_rack: bool,
+    /// A label that the executor must have.
+    #[serde(default)]
+    pub required_label: Option<Arc<str>>,
+    /// The rack where the data lies; elsewhere the task is slower.
+    #[serde(default)]
+    pub data_rack: Option<Arc<str>>,
+    /// Most tasks of the step (of one occurrence) on one executor; 0 means no bound.
+    #[serde(default)]
+    pub max_per_executor: u32,
+    /// Copies of a task may run at the same time.
+    #[serde(default)]
+    pub is_speculative: bool,
+    /// Tasks run until the job is cancelled.
+    #[serde(default)]
+    pub is_long_running: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    #[serde(default)]
+    pub image: Option<Arc<str>>,
+    /// Bound on the tail of the response times of a long-running task that serves users.
+    #[serde(default)]
+    pub tail_target: Option<Duration>,
+    /// The processor need isn't counted: the tasks use what the others leave.
+    #[serde(default)]
+    pub is_filler: bool,
+    /// Tasks that may be away at the same time because of planned work; 0 means no such budget.
+    #[serde(default)]
+    pub may_miss: u32,
+}
+
+impl StepSpec {
+    /// The room that a task takes on an executor.
+    pub fn booked(&self) -> Resources {
+        let cpu_millicores = if self.is_filler { 0 } else { self.need.cpu_millicores };
+        Resources { cpu_millicores, ..self.need }
+    }
+}
+
+/// When the steps of a repeated job are due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// Due time of the first occurrence, in milliseconds since 1970.
+    pub first_ms: u64,
+    /// Milliseconds between occurrences.
+    pub interval_ms: u64,
+    /// Number of occurrences.
+    pub repeats: u32,
+}
+
+/// A job as its caller handed it in.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Opaque text that is handed to each task.
+    pub payload: Arc<str>,
+    /// The steps in the caller's order.
+    pub steps: Vec<StepSpec>,
+    /// Set for a job that runs at given times.
+    #[serde(default)]
+    pub schedule: Option<Schedule>,
+}
+
+/// Why a job can't be taken in. Nothing has been stored.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+pub enum SpecError {
+    /// There is nothing to run.
+    #[display("a job needs at least one step")]
+    NoSteps,
+    /// A step has no tasks.
+    #[display("step {step} has no tasks")]
+    EmptyStep {
+        /// Number of the step.
+        step: usize,
+    },
+    /// A step waits for itself, for a later step or for one that doesn't exist.
+    #[display("step {step} waits for step {after}, which isn't an earlier one")]
+    BadOrder {
+        /// Number of the step.
+        step: usize,
+        /// The step it waits for.
+        after: usize,
+    },
+    /// The job has more tasks than a record can hold.
+    #[display("{tasks} tasks are more than {MAX_TASKS_PER_JOB}")]
+    TooManyTasks {
+        /// Number of tasks over all occurrences.
+        tasks: u64,
+    },
+}
+
+impl JobSpec {
+    /// Number of occurrences; a job without a schedule has one.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.repeats.max(1))
+    }
+
+    /// Refuses what could never be carried out.
+    pub fn validate(&self) -> Result<(), SpecError> {
+        if self.steps.is_empty() {
+            return Err(SpecError::NoSteps);
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.count == 0 {
+                return Err(SpecError::EmptyStep { step: number });
+            }
+            if let Some(&after) = step.after.iter().find(|after| **after >= number) {
+                return Err(SpecError::BadOrder { step: number, after });
+            }
+        }
+        let per_occurrence: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let tasks = per_occurrence.saturating_mul(u64::from(self.occurrences()));
+        if tasks > MAX_TASKS_PER_JOB {
+            return Err(SpecError::TooManyTasks { tasks });
+        }
+        Ok(())
+    }
+
+    /// The estimated time of the longest chain of dependent steps from each step to the end.
+    pub fn remaining_chains(&self) -> Vec<Duration> {
+        let mut chains: Vec<Duration> = self.steps.iter().map(|step| step.estimate).collect();
+        for number in (0..self.steps.len()).rev() {
+            for &after in &self.steps[number].after {
+                let through = self.steps[after].estimate + chains[number];
+                chains[after] = chains[after].max(through);
+            }
+        }
+        chains
+    }
+}
+
+/// A job as it lies in the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Submission {
+    /// The queue it entered.
+    pub queue: QueueName,
+    /// Time of day of its acceptance, in milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// What to run.
+    pub spec: JobSpec,
+}
+
+/// The identity of one task over all its runs.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskKey {
+    /// The job.
+    pub job: JobId,
+    /// Number of the occurrence; 0 for a job without a schedule.
+    pub occurrence: u32,
+    /// Number of the step.
+    pub step: u32,
+    /// Number of the task in its step.
+    pub index: u32,
+}
+
+impl std::fmt::Display for TaskKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
+
+/// The settings of a queue that decisions need.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Queue {
+    /// Name of the queue.
+    pub name: QueueName,
+    /// The service whose executors run its tasks.
+    pub service: ServiceName,
+    /// 0 comes first.
+    pub priority: u32,
+    /// Failed runs of a task after which its job has failed; 0 means no bound.
+    pub max_attempts: u32,
+    /// Part of the objective: this many times the longest chain of work.
+    pub slack_factor: f64,
+    /// Part of the objective: this much more.
+    pub target: Duration,
+    /// Starts need a ticket of the placement advisor.
+    pub needs_advice: bool,
+}
+
+/// The settings of a service that decisions need.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Its machines are switched off and cost nothing.
+    pub is_standby: bool,
+}
