--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -145,6 +145,8 @@
     commands: Vec<Command>,
     machines: Machines,
     next_batch: u64,
+    /// Time of day at the last tick, in milliseconds since 1970.
+    wall_ms: u64,
 }
 
 impl Fleet {
@@ -167,6 +169,7 @@
             gang_failures: HashMap::new(),
             commands: Vec::new(),
             next_batch: 0,
+            wall_ms: 0,
         }
     }
 
@@ -338,6 +341,7 @@
 
     /// Lets time pass: occurrences become due, leases lapse, waiting tasks get room.
     pub fn tick(&mut self, now: Now, wall_ms: u64) {
+        self.wall_ms = wall_ms;
         self.open_due(wall_ms);
         self.expire_executors(now);
         self.plan_machines(now);
@@ -413,6 +417,9 @@
         task.phase = if ended_as == Some(TaskEnd::Done) { Phase::Done } else { Phase::Waiting };
         if task.phase == Phase::Done {
             job.progress[slot].remaining -= 1;
+            if job.progress[slot].remaining == 0 {
+                job.open_steps(self.wall_ms);
+            }
         } else if ended_as == Some(TaskEnd::Failed) {
             task.failures += 1;
         }
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -111,7 +111,6 @@
     pub(crate) id: JobId,
     pub(crate) queue: QueueName,
     pub(crate) spec: Arc<JobSpec>,
-    pub(crate) accepted_ms: u64,
     /// When it was accepted, on the clock of this process.
     pub(crate) accepted_at: Now,
     pub(crate) tasks: Vec<Task>,
@@ -158,7 +157,6 @@
         Self {
             id,
             queue: submission.queue,
-            accepted_ms: submission.accepted_ms,
             accepted_at,
             tasks: vec![Task::new(); tasks_per_occurrence * occurrences],
             progress: one.repeat(occurrences),
@@ -262,7 +260,7 @@
         })
     }
 
-    /// Opens the steps whose turn has come and returns whether there was one.
+    /// Opens the steps whose turn has come.
     pub(crate) fn open_steps(&mut self, wall_ms: u64) {
         if self.is_over() || self.is_cancelled {
             return;
