See ended executors in the list of machines; count silent ones as away

Change: what runs on a silent executor is away; an order that wasn't taken starts anew; an executor that the list of machines doesn't name has ended, so its tasks run again at once instead of after its lease or a new owner's doubt. Ruled out: trusting a lapsed entry of the registry (an executor that is cut off loses it and runs on).

--- a/crates/jackdawpier_entry/src/owner/machines.rs
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -11,18 +11,19 @@
     ports::{Platform, Transaction},
 };
 
-/// How often machines and waves are listed.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// How often machines and waves are listed: how late the end of an executor is seen.
+const LIST_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause before the state of a wave is written again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 
 impl<P: Platform> Owner<P> {
     pub(super) async fn follow_machines(self: Rc<Self>) {
         while self.is_valid() {
+            let asked_at = clock::now();
             if let Ok(machines) = self.platform.machines().await
                 && self.is_valid()
             {
-                self.fleet.borrow_mut().list_machines(clock::now(), machines);
+                self.fleet.borrow_mut().list_machines(clock::now(), asked_at, machines);
             }
             self.list_waves().await;
             if self.is_valid() {
--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -125,6 +125,8 @@
 
 #[derive(Debug)]
 pub(crate) struct Executor {
+    /// Since when this process knows of it.
+    pub(crate) known_at: Now,
     pub(crate) info: Option<ExecutorInfo>,
     pub(crate) booked: Resources,
     /// It has answered under this ownership, so nothing of an earlier owner can start there.
@@ -152,8 +154,9 @@
 }
 
 impl Executor {
-    pub(crate) fn new(doubt_until: Now) -> Self {
+    pub(crate) fn new(known_at: Now, doubt_until: Now) -> Self {
         Self {
+            known_at,
             info: None,
             booked: Resources::default(),
             is_synced: false,
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -194,7 +194,7 @@
             of_service.push(info.id.clone());
             let id = info.id.clone();
             let executor =
-                self.executors.entry(id).or_insert_with(|| Executor::new(doubt_until));
+                self.executors.entry(id).or_insert_with(|| Executor::new(now, doubt_until));
             executor.is_listed = true;
             executor.info = Some(info);
         }
@@ -278,8 +278,10 @@
         let doubt_until = self.started_at + self.settings.doubt;
         for (index, task) in job.tasks.iter().enumerate() {
             let Some(id) = task.phase.executor() else { continue };
-            let executor =
-                self.executors.entry(id.clone()).or_insert_with(|| Executor::new(doubt_until));
+            let executor = self
+                .executors
+                .entry(id.clone())
+                .or_insert_with(|| Executor::new(self.started_at, doubt_until));
             book(executor, job, index);
         }
     }
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -6,6 +6,7 @@
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
 use super::{Command, Fleet};
+use crate::job::Task;
 use crate::machines::{
     Errand, MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork,
     Stage, Wave, WaveNumber, WaveProgress, WaveState,
@@ -22,13 +23,29 @@
 const WAVE_RESERVE: Duration = Duration::from_secs(3);
 /// What runs on a machine that is to be taken gets this long to end before it is cut short.
 const LONGEST_VACATING: Duration = Duration::from_secs(4);
+/// A new executor may be in the registry this long before it is in the list of machines.
+const LISTING_LAG: Duration = Duration::from_secs(1);
+/// What runs on an executor counts as away once it hasn't answered for this long.
+const SILENT_AFTER: Duration = Duration::from_millis(1800);
 /// Added to the time that long-running work has to be back, for what reports lag.
 const NOTICE_MARGIN: Duration = Duration::from_millis(400);
 
 impl Fleet {
-    /// Takes in the machines that the platform lists now.
-    pub fn list_machines(&mut self, now: Now, machines: Vec<MachineInfo>) {
-        let ended = self.machines.list(machines);
+    /// Takes in the whole list of machines, which the platform was asked for at `asked_at`. It
+    /// names the executor that lives on each machine, so one that it doesn't name has ended.
+    pub fn list_machines(&mut self, now: Now, asked_at: Now, machines: Vec<MachineInfo>) {
+        if machines.is_empty() {
+            return;
+        }
+        self.machines.list(machines);
+        let ended: Vec<ExecutorId> = self
+            .executors
+            .iter()
+            .filter(|(id, executor)| {
+                !self.machines.has_executor(id) && asked_at > executor.known_at + LISTING_LAG
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
         ended.iter().for_each(|executor| self.executor_ended(now, executor));
         self.end_errands(now);
     }
@@ -196,15 +213,23 @@
             let away = job
                 .tasks_of(*slot)
                 .filter(|&index| job.tasks[index].phase.executor() != Some(id))
-                .filter(|&index| {
-                    let since = job.tasks[index].at_work_since;
-                    since.is_none_or(|since| now.saturating_sub(since) < notice)
-                })
+                .filter(|&index| !self.is_at_work(now, &job.tasks[index], notice))
                 .count() as u32;
             away + here <= step.may_miss
         })
     }
 
+    /// Whether a task has been at work for `notice`, as far as its executor still answers.
+    fn is_at_work(&self, now: Now, task: &Task, notice: Duration) -> bool {
+        let is_heard = task
+            .phase
+            .executor()
+            .and_then(|id| self.executors.get(id)?.heard_at())
+            .is_some_and(|at| now.saturating_sub(at) < SILENT_AFTER);
+        let since = task.at_work_since;
+        is_heard && since.is_some_and(|since| now.saturating_sub(since) >= notice)
+    }
+
     fn order_vacated(&mut self, now: Now) {
         let machines: Vec<MachineId> = self.machines.errands.keys().cloned().collect();
         for machine in machines {
@@ -214,7 +239,9 @@
             }
             let is_due = match errand.stage {
                 Stage::Vacating { since } => self.is_vacated(now, &machine, since),
-                Stage::Ordered { at } => now >= at + REPEAT_ORDER,
+                Stage::Ordered { at } => {
+                    now >= at + REPEAT_ORDER && self.may_lose(now, &machine)
+                }
                 Stage::Away { .. } => false,
             };
             if !is_due || !self.has_wave_slot(&machine) {
@@ -287,6 +314,8 @@
             }
             MachineOrderEnd::Busy | MachineOrderEnd::NotTaken => {
                 errand.not_before = now + BUSY_PAUSE;
+                // Nothing was done, so all conditions have to hold anew.
+                errand.stage = Stage::Vacating { since: now };
             }
             MachineOrderEnd::Refused => {
                 if let MachineWork::Maintain(number) = order.work
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -174,21 +174,12 @@
         }
     }
 
-    /// Takes in a listing and returns the executors whose lives have ended by it: another one
-    /// lives on their machine now.
-    pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) -> Vec<ExecutorId> {
-        let mut ended = Vec::new();
-        for info in &machines {
-            let before = self.listed.get(&info.id).and_then(|one| one.executor.clone());
-            if let (Some(before), Some(now)) = (before, &info.executor)
-                && before != *now
-            {
-                ended.push(before);
-            }
-            if let Some(executor) = &info.executor {
-                self.machine_of.insert(executor.clone(), info.id.clone());
-            }
-        }
+    /// Takes in a listing.
+    pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) {
+        self.machine_of = machines
+            .iter()
+            .filter_map(|info| Some((info.executor.clone()?, info.id.clone())))
+            .collect();
         self.listed = machines.into_iter().map(|info| (info.id.clone(), info)).collect();
         for (machine, errand) in &mut self.errands {
             // It may have failed and come back before its turn came.
@@ -197,8 +188,11 @@
             }
         }
         self.has_listing = true;
-        self.machine_of.retain(|_, machine| self.listed.contains_key(machine));
-        ended
+    }
+
+    /// Whether an executor lives on some machine by the last listing.
+    pub(crate) fn has_executor(&self, executor: &ExecutorId) -> bool {
+        self.machine_of.contains_key(executor)
     }
 
     /// No new work goes to an executor whose machine is about to be taken.
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/lost_executors.rs
@@ -0,0 +1,62 @@
+//! Executors that fall silent: their tasks run again, and only once it is certain that they don't
+//! run there any more. The world checks after every step that no task runs twice.
+
+mod world;
+
+use std::time::Duration;
+
+use jackdawpier_fleet::record::JobOutcome;
+use world::{World, job, step};
+
+#[test]
+fn dark_executor() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", job(vec![step(8, 2, 2_000)]));
+    world.run_for(Duration::from_millis(500));
+    world.crash("m-view-0", None);
+    let outcome = world.run_until_over("j", Duration::from_secs(12));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
+
+#[test]
+fn cut_executor() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", job(vec![step(8, 2, 20_000)]));
+    world.run_for(Duration::from_millis(500));
+    let cut = world.executor_of("m-view-0");
+    world.executors.get_mut(&cut).expect("it lives").cut(true);
+    world.run_for(Duration::from_secs(9));
+    world.executors.get_mut(&cut).expect("it lives").cut(false);
+    let outcome = world.run_until_over("j", Duration::from_secs(60));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
+
+/// The list of machines doesn't name an executor that has crashed, so that one's life is over: its
+/// tasks needn't wait for its lease, nor for a new owner's doubt.
+#[test]
+fn ended_life() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", lasting_job());
+    world.run_for(Duration::from_millis(1500));
+    world.crash("m-view-0", Some(Duration::from_secs(1)));
+    world.run_for(Duration::from_millis(1500));
+    assert_eq!(world.runs_of("j"), 2);
+}
+
+#[test]
+fn ended_life_at_takeover() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", lasting_job());
+    world.run_for(Duration::from_millis(1500));
+    world.crash("m-view-0", Some(Duration::from_millis(300)));
+    world.run_for(Duration::from_millis(310));
+    world.take_over();
+    world.run_for(Duration::from_millis(2500));
+    assert_eq!(world.runs_of("j"), 2);
+}
+
+fn lasting_job() -> jackdawpier_fleet::spec::JobSpec {
+    let mut lasting = step(2, 6, 0);
+    lasting.is_long_running = true;
+    job(vec![lasting])
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/spared_tasks.rs
@@ -0,0 +1,69 @@
+//! Long-running tasks that may miss only so many of their step: planned work takes no more, whatever
+//! else is away.
+
+mod world;
+
+use std::time::Duration;
+
+use jackdawpier_fleet::{
+    machines::{MachineWork, Wave},
+    spec::StepSpec,
+};
+use world::{World, job, step};
+
+fn lasting(count: u32) -> StepSpec {
+    StepSpec { is_long_running: true, may_miss: 1, max_per_executor: 1, ..step(count, 6, 0) }
+}
+
+fn wave(machines: &[&str], within_s: u64) -> Wave {
+    Wave {
+        number: 1,
+        machines: machines.iter().map(|machine| (*machine).into()).collect(),
+        within: Duration::from_secs(within_s),
+        most_away: 4,
+    }
+}
+
+/// A failed executor's tasks are away although nothing has said so yet.
+#[test]
+fn silent_executor() {
+    let mut world = World::new(&["view"], 3);
+    world.submit("j", "q-view", job(vec![lasting(3)]));
+    world.run_for(Duration::from_secs(7));
+    world.hides_machines = true;
+    world.crash("m-view-0", None);
+    world.run_for(Duration::from_millis(4600));
+    world.waves.push(wave(&["m-view-1"], 1));
+    let ordered_before = world.machine_orders.len();
+    world.run_for(Duration::from_millis(1500));
+    assert_eq!(world.machine_orders.len(), ordered_before, "one is away already");
+}
+
+/// An order that wasn't taken gives no leave to send it later, when another task is away.
+#[test]
+fn order_not_taken() {
+    let mut world = World::new(&["view"], 3);
+    world.submit("j", "q-view", job(vec![lasting(3)]));
+    world.run_for(Duration::from_secs(7));
+    world.takes_machine_orders = false;
+    world.waves.push(wave(&["m-view-1"], 1));
+    world.run_for(Duration::from_millis(500));
+    world.hides_machines = true;
+    world.crash("m-view-0", None);
+    world.run_for(Duration::from_millis(4000));
+    world.takes_machine_orders = true;
+    world.run_for(Duration::from_millis(1000));
+    assert!(world.machine_orders.is_empty(), "one is away already");
+}
+
+#[test]
+fn whole_wave() {
+    let mut world = World::new(&["view"], 4);
+    world.submit("j", "q-view", job(vec![lasting(3)]));
+    world.run_for(Duration::from_secs(7));
+    world.waves.push(wave(&["m-view-0", "m-view-1", "m-view-2", "m-view-3"], 40));
+    world.run_for(Duration::from_secs(40));
+    let maintained =
+        world.machine_orders.iter().filter(|(_, order)| order.work == MachineWork::Maintain(1));
+    assert_eq!(maintained.count(), 4);
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -0,0 +1,218 @@
+//! An executor that keeps the platform's rules and nothing else.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use jackdawpier_fleet::{
+    executor::{EndKind, EndedTask, ExecutorInfo, HoldReport, RunningTask},
+    fleet::{HoldOrder, StartEnd, StopEnd},
+    spec::{JobSpec, Resources, TaskKey},
+};
+
+/// An executor that has been silent for this long is no longer listed.
+const LISTED_FOR: Duration = Duration::from_millis(4500);
+/// A long-running task is at work this long after its start.
+const STARTUP: Duration = Duration::from_millis(700);
+
+#[derive(Debug)]
+struct Run {
+    run: u32,
+    need: Resources,
+    started_at: Duration,
+    ends_at: Option<Duration>,
+    stops_at: Option<Duration>,
+}
+
+#[derive(Debug)]
+pub struct FakeExecutor {
+    pub info: ExecutorInfo,
+    pub hold_due: Duration,
+    fence: u64,
+    running: BTreeMap<TaskKey, Run>,
+    over: HashMap<TaskKey, u32>,
+    ended: Vec<EndedTask>,
+    next_end: u64,
+    lease_until: Duration,
+    started_at: Duration,
+    now: Duration,
+    crashed_at: Option<Duration>,
+    /// Cut off from everybody, but alive.
+    pub is_cut: bool,
+    cut_at: Duration,
+    /// Each run ends in failure.
+    pub fails_all: bool,
+}
+
+impl FakeExecutor {
+    pub fn new(info: ExecutorInfo, now: Duration) -> Self {
+        Self {
+            info,
+            hold_due: Duration::ZERO,
+            fence: 0,
+            running: BTreeMap::new(),
+            over: HashMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            lease_until: Duration::ZERO,
+            started_at: now,
+            now,
+            crashed_at: None,
+            is_cut: false,
+            cut_at: now,
+            fails_all: false,
+        }
+    }
+
+    fn clock(&self, now: Duration) -> Duration {
+        // Its steady clock may be two hundredths slow.
+        (now - self.started_at) * 98 / 100 + Duration::from_secs(7)
+    }
+
+    pub fn is_reachable(&self) -> bool {
+        self.crashed_at.is_none() && !self.is_cut
+    }
+
+    pub fn is_alive(&self) -> bool {
+        self.crashed_at.is_none()
+    }
+
+    pub fn is_listed(&self, now: Duration) -> bool {
+        let silent_since = self.crashed_at.or(self.is_cut.then_some(self.cut_at));
+        silent_since.is_none_or(|at| now < at + LISTED_FOR)
+    }
+
+    pub fn crash(&mut self) {
+        self.crashed_at = Some(self.now);
+        self.running.clear();
+    }
+
+    pub fn cut(&mut self, is_cut: bool) {
+        self.is_cut = is_cut;
+        self.cut_at = self.now;
+    }
+
+    pub fn has_ends(&self) -> bool {
+        !self.ended.is_empty()
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &TaskKey> {
+        self.running.keys()
+    }
+
+    fn used(&self) -> Resources {
+        let mut used = Resources::default();
+        self.running.values().for_each(|run| used.add(&run.need));
+        used
+    }
+
+    pub fn check_room(&self) {
+        assert!(self.used().fits(&self.info.capacity), "{} is over its room", self.info.id);
+    }
+
+    pub fn advance(&mut self, now: Duration) {
+        self.now = now;
+        if self.crashed_at.is_some() {
+            return;
+        }
+        let has_lapsed = self.clock(now) > self.lease_until;
+        let ending: Vec<(TaskKey, EndKind)> = self
+            .running
+            .iter()
+            .filter_map(|(task, run)| {
+                let how = if run.ends_at.is_some_and(|at| at <= now) {
+                    if self.fails_all { EndKind::Failed } else { EndKind::Done }
+                } else if run.stops_at.is_some_and(|at| at <= now) {
+                    EndKind::Stopped
+                } else if has_lapsed {
+                    EndKind::Lapsed
+                } else {
+                    return None;
+                };
+                Some((task.clone(), how))
+            })
+            .collect();
+        for (task, how) in ending {
+            let run = self.running.remove(&task).expect("it was listed above").run;
+            self.over.insert(task.clone(), run);
+            let sequence = self.next_end;
+            self.next_end += 1;
+            self.ended.push(EndedTask { sequence, task, run, how, checkpoint: "".into() });
+        }
+    }
+
+    pub fn start(
+        &mut self,
+        now: Duration,
+        fence: u64,
+        task: &TaskKey,
+        run: u32,
+        spec: &JobSpec,
+        lease: Duration,
+    ) -> StartEnd {
+        if fence < self.fence {
+            return StartEnd::Unavailable;
+        }
+        self.fence = fence;
+        if self.running.get(task).is_some_and(|one| one.run == run) {
+            return StartEnd::Started;
+        }
+        if self.over.get(task).is_some_and(|over| *over >= run) {
+            return StartEnd::RunIsOver;
+        }
+        self.lease_until = self.lease_until.max(lease);
+        if lease <= self.clock(now) {
+            return StartEnd::TooLate;
+        }
+        let step = &spec.steps[task.step as usize];
+        let need = step.booked();
+        if !need.fits(&self.info.capacity.minus(&self.used())) {
+            return StartEnd::NoRoom;
+        }
+        let ends_at = (!step.is_long_running).then(|| now + step.estimate);
+        let run = Run { run, need, started_at: now, ends_at, stops_at: None };
+        self.running.insert(task.clone(), run);
+        StartEnd::Started
+    }
+
+    pub fn stop(&mut self, now: Duration, fence: u64, task: &TaskKey, run: u32) -> StopEnd {
+        if fence < self.fence {
+            return StopEnd::NotTaken;
+        }
+        self.fence = fence;
+        match self.running.get_mut(task) {
+            Some(one) if one.run <= run => {
+                one.stops_at = Some(now + Duration::from_millis(150));
+            }
+            _ => {
+                let over = self.over.entry(task.clone()).or_default();
+                *over = (*over).max(run);
+            }
+        }
+        StopEnd::Taken
+    }
+
+    pub fn hold(&mut self, now: Duration, fence: u64, order: &HoldOrder) -> Option<HoldReport> {
+        if fence < self.fence {
+            return None;
+        }
+        self.fence = fence;
+        self.ended.retain(|end| end.sequence > order.acknowledged);
+        if let Some(until) = order.lease_until {
+            self.lease_until = self.lease_until.max(until);
+        }
+        let running = self.running.iter().map(|(task, run)| RunningTask {
+            task: task.clone(),
+            run: run.run,
+            checkpoint: "".into(),
+            percent: if now >= run.started_at + STARTUP { 100 } else { 0 },
+            gauge: 0,
+        });
+        Some(HoldReport {
+            clock: self.clock(now),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -0,0 +1,509 @@
+//! A small deterministic model of the platform for the owner's decisions: executors with fences,
+//! leases, ends and late orders; machines; a store that can be slow. It checks, after every step,
+//! what must hold whatever happens.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of the world")]
+
+pub mod executor;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use executor::FakeExecutor;
+use jackdawpier_fleet::{
+    executor::ExecutorInfo,
+    fleet::{Batch, Command, Fleet, FleetSettings, JobView, StartEnd, StopEnd},
+    machines::{MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork, Wave},
+    record::{JobOutcome, JobRecord},
+    spec::{JobSpec, Queue, Resources, Service, StepSpec, Submission, TaskKey},
+};
+
+pub const STEP: Duration = Duration::from_millis(10);
+pub const MIGRATION: Duration = Duration::from_millis(1500);
+pub const MAINTENANCE: Duration = Duration::from_millis(2000);
+/// An executor waits this long for an end before it answers a hold.
+const HOLD_WAIT: Duration = Duration::from_millis(200);
+
+pub fn settings() -> FleetSettings {
+    FleetSettings {
+        lease: Duration::from_secs(5),
+        doubt: Duration::from_millis(7500),
+        stop_timeout: Duration::from_millis(200),
+        notice: Duration::from_millis(4500),
+        maintenance: MAINTENANCE,
+        migration: MIGRATION,
+        order_lease: Duration::from_millis(3500),
+    }
+}
+
+pub fn queue(name: &str, service: &str) -> Queue {
+    Queue {
+        name: name.into(),
+        service: service.into(),
+        priority: 0,
+        max_attempts: 3,
+        slack_factor: 1.6,
+        target: Duration::from_millis(600),
+        needs_advice: false,
+    }
+}
+
+pub fn step(count: u32, cores: u64, run_ms: u64) -> StepSpec {
+    StepSpec {
+        count,
+        need: Resources { cpu_millicores: cores * 1000, memory_mb: 1000, gpus: 0 },
+        estimate: Duration::from_millis(run_ms),
+        ..StepSpec::default()
+    }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec { payload: "payload".into(), steps, schedule: None }
+}
+
+/// What happens to orders to executors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    Answered,
+    /// Carried out, but the answer is lost.
+    AnswerLost,
+    /// Not answered, and carried out this much later.
+    Late(Duration),
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub pool: Arc<str>,
+    pub executor: Option<Arc<str>>,
+    pub back_at: Option<(Duration, Arc<str>)>,
+    pub maintained_for: Vec<u64>,
+}
+
+pub struct World {
+    pub now: Duration,
+    pub fleet: Fleet,
+    pub fence: u64,
+    pub executors: BTreeMap<Arc<str>, FakeExecutor>,
+    pub machines: BTreeMap<Arc<str>, Machine>,
+    /// The durable records, as a store would hold them.
+    pub store: HashMap<Arc<str>, (JobRecord, u64)>,
+    pub submissions: HashMap<Arc<str>, Submission>,
+    pub cancelled: Vec<Arc<str>>,
+    pub revision: u64,
+    /// Time that a write takes.
+    pub write_delay: Duration,
+    writes: Vec<(Duration, Batch)>,
+    /// Decides what becomes of an order, by its number.
+    pub delivery: Box<dyn FnMut(u64) -> Delivery>,
+    orders: u64,
+    late: Vec<(Duration, u64, Command)>,
+    pub queues: Vec<Queue>,
+    pub services: Vec<Service>,
+    pub machine_orders: Vec<(Duration, MachineOrder)>,
+    pub commands: Vec<(Duration, Command)>,
+    lives: u64,
+    /// Whether the machines' interface takes orders.
+    pub takes_machine_orders: bool,
+    pub waves: Vec<Wave>,
+    /// Whether the list of machines can't be had.
+    pub hides_machines: bool,
+}
+
+impl World {
+    /// `per_pool` executors of eight cores each in every pool.
+    pub fn new(pools: &[&str], per_pool: usize) -> Self {
+        let mut world = Self {
+            now: Duration::from_secs(100),
+            fleet: Fleet::new(settings(), Duration::from_secs(100)),
+            fence: 1,
+            executors: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            store: HashMap::new(),
+            submissions: HashMap::new(),
+            cancelled: Vec::new(),
+            revision: 1,
+            write_delay: Duration::from_millis(10),
+            writes: Vec::new(),
+            delivery: Box::new(|_| Delivery::Answered),
+            orders: 0,
+            late: Vec::new(),
+            queues: pools.iter().map(|pool| queue(&format!("q-{pool}"), pool)).collect(),
+            services: pools
+                .iter()
+                .map(|pool| Service { name: (*pool).into(), is_standby: pool.starts_with("off") })
+                .collect(),
+            machine_orders: Vec::new(),
+            commands: Vec::new(),
+            lives: 0,
+            takes_machine_orders: true,
+            waves: Vec::new(),
+            hides_machines: false,
+        };
+        for pool in pools {
+            for number in 0..per_pool {
+                let rack = format!("rack-{}", number / 2);
+                let machine: Arc<str> = format!("m-{pool}-{number}").into();
+                world.add_machine(&machine, pool, &rack);
+            }
+        }
+        world.configure();
+        world.run_for(Duration::from_millis(300));
+        world
+    }
+
+    pub fn configure(&mut self) {
+        self.fleet.configure(self.queues.clone(), self.services.clone());
+    }
+
+    fn is_standby(&self, pool: &str) -> bool {
+        self.services.iter().any(|service| &*service.name == pool && service.is_standby)
+    }
+
+    pub fn add_machine(&mut self, machine: &Arc<str>, pool: &str, rack: &str) {
+        let executor = (!self.is_standby(pool)).then(|| self.new_life(pool, rack, machine));
+        self.machines.insert(
+            machine.clone(),
+            Machine { pool: pool.into(), executor, back_at: None, maintained_for: Vec::new() },
+        );
+    }
+
+    fn new_life(&mut self, pool: &str, rack: &str, machine: &str) -> Arc<str> {
+        self.lives += 1;
+        let id: Arc<str> = format!("i-{}", self.lives).into();
+        let info = ExecutorInfo {
+            id: id.clone(),
+            service: pool.into(),
+            address: format!("{machine}:1").into(),
+            zone: "z".into(),
+            rack: Some(rack.into()),
+            labels: vec!["a".into(), rack.into()],
+            capacity: Resources { cpu_millicores: 8000, memory_mb: 64_000, gpus: 0 },
+            is_draining: false,
+        };
+        self.executors.insert(id.clone(), FakeExecutor::new(info, self.now));
+        id
+    }
+
+    pub fn executor_of(&self, machine: &str) -> Arc<str> {
+        self.machines[machine].executor.clone().expect("the machine is up")
+    }
+
+    /// The machine goes dark; with `back_after` it comes back with another executor.
+    pub fn crash(&mut self, machine: &str, back_after: Option<Duration>) {
+        let now = self.now;
+        let id = self.executor_of(machine);
+        self.executors.get_mut(&id).expect("it lives").crash();
+        let back = back_after.map(|after| (now + after, id));
+        self.machines.get_mut(machine).expect("it was read above").back_at = back;
+    }
+
+    pub fn submit(&mut self, id: &str, queue: &str, spec: JobSpec) {
+        let submission = Submission { queue: queue.into(), accepted_ms: self.wall_ms(), spec };
+        self.submissions.insert(id.into(), submission.clone());
+        self.fleet.add_job(self.now, self.wall_ms(), id.into(), submission);
+    }
+
+    pub fn cancel(&mut self, id: &str) {
+        self.cancelled.push(id.into());
+        self.fleet.cancel(self.now, &id.into());
+    }
+
+    pub fn wall_ms(&self) -> u64 {
+        1_000_000 + self.now.as_millis() as u64
+    }
+
+    /// Another entry takes over; nothing of the former one's memory is left.
+    pub fn take_over(&mut self) {
+        self.fence += 1;
+        self.revision += 1;
+        self.writes.clear();
+        self.fleet = Fleet::new(settings(), self.now);
+        self.configure();
+        let wall_ms = self.wall_ms();
+        for (id, submission) in &self.submissions {
+            let written = self.store.get(id).cloned();
+            self.fleet.recover_job(self.now, wall_ms, id.clone(), submission.clone(), written);
+        }
+        for id in &self.cancelled {
+            self.fleet.cancel(self.now, id);
+        }
+        self.executors.values_mut().for_each(|executor| executor.hold_due = Duration::ZERO);
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            self.advance();
+        }
+    }
+
+    /// Runs until the job is over and returns its outcome; none after `limit`.
+    pub fn run_until_over(&mut self, id: &str, limit: Duration) -> Option<JobOutcome> {
+        let until = self.now + limit;
+        while self.now < until {
+            if let Some(JobView::Over(outcome)) = self.fleet.view(id) {
+                return Some(outcome);
+            }
+            self.run_for(STEP);
+        }
+        None
+    }
+
+    fn advance(&mut self) {
+        let now = self.now;
+        self.executors.values_mut().for_each(|executor| executor.advance(now));
+        self.return_machines();
+        let is_listing = now.as_millis().is_multiple_of(200);
+        if is_listing {
+            self.list();
+        }
+        self.carry_out_late();
+        self.hold_all();
+        self.finish_writes();
+        self.fleet.tick(now, self.wall_ms());
+        self.carry_out();
+        while let Some(batch) = self.fleet.take_batch(15) {
+            self.writes.push((now + self.write_delay, batch));
+        }
+        self.check();
+    }
+
+    fn list(&mut self) {
+        let now = self.now;
+        let listed = self.executors.values().filter(|executor| executor.is_listed(now));
+        self.fleet.list_executors(now, listed.map(|executor| executor.info.clone()).collect());
+        let machines = self.machines.iter().map(|(id, machine)| MachineInfo {
+            id: id.clone(),
+            pool: machine.pool.clone(),
+            state: self.state_of(machine),
+            executor: machine.executor.clone().filter(|id| self.executors[id].is_alive()),
+            labels: vec!["a".into()],
+        });
+        let machines = machines.collect();
+        if !self.hides_machines {
+            self.fleet.list_machines(now, now - STEP, machines);
+        }
+        let waves = self.waves.iter().map(|wave| (wave.clone(), Duration::ZERO)).collect();
+        self.fleet.set_waves(now, waves);
+    }
+
+    fn state_of(&self, machine: &Machine) -> MachineState {
+        let is_dead = machine.executor.as_ref().is_some_and(|id| !self.executors[id].is_alive());
+        if is_dead || machine.back_at.is_some() { MachineState::Down } else { MachineState::Up }
+    }
+
+    fn return_machines(&mut self) {
+        let due: Vec<(Arc<str>, Arc<str>)> = self
+            .machines
+            .iter()
+            .filter_map(|(id, machine)| {
+                let (at, executor) = machine.back_at.as_ref()?;
+                (*at <= self.now).then(|| (id.clone(), executor.clone()))
+            })
+            .collect();
+        for (id, former) in due {
+            let rack = self.executors[&former].info.rack.clone().unwrap_or_default();
+            let pool = self.machines[&id].pool.clone();
+            self.executors.remove(&former);
+            let executor = (!self.is_standby(&pool)).then(|| self.new_life(&pool, &rack, &id));
+            let machine = self.machines.get_mut(&id).expect("it was listed above");
+            machine.executor = executor;
+            machine.back_at = None;
+        }
+    }
+
+    fn hold_all(&mut self) {
+        let now = self.now;
+        let ids: Vec<Arc<str>> = self.executors.keys().cloned().collect();
+        for id in ids {
+            let executor = self.executors.get_mut(&id).expect("it was listed above");
+            let has_ends = executor.has_ends();
+            if !executor.is_reachable() || (now < executor.hold_due && !has_ends) {
+                continue;
+            }
+            let Some(order) = self.fleet.hold_order(now, &id) else { continue };
+            let asked_at = now - STEP;
+            let Some(report) = executor.hold(now, self.fence, &order) else { continue };
+            executor.hold_due = now + HOLD_WAIT;
+            self.fleet.hold_answered(now, asked_at, &id, &report);
+            for stop in self.fleet.unconfirmed_stops(&id) {
+                self.order(stop);
+            }
+        }
+    }
+
+    fn finish_writes(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.writes).into_iter().partition(|(at, _)| *at <= now);
+        self.writes = rest;
+        for (_, batch) in due {
+            self.revision += 1;
+            for (id, record, _) in &batch.records {
+                self.store.insert(id.clone(), (record.clone(), self.revision));
+            }
+            let revisions = vec![self.revision; batch.records.len()];
+            self.fleet.batch_durable(now, &batch, &revisions);
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for command in self.fleet.take_commands() {
+            self.commands.push((self.now, command.clone()));
+            self.order(command);
+        }
+    }
+
+    fn order(&mut self, command: Command) {
+        match &command {
+            Command::Machine(order) => {
+                let end = self.order_machine(order);
+                self.fleet.machine_order_ended(self.now, order, end);
+                return;
+            }
+            Command::Wave(_) | Command::Advise { .. } => return,
+            Command::Start { .. } | Command::Stop { .. } | Command::Pace { .. } => {}
+        }
+        self.orders += 1;
+        match (self.delivery)(self.orders) {
+            Delivery::Answered => self.deliver(&command, self.fence, true),
+            Delivery::AnswerLost => self.deliver(&command, self.fence, false),
+            Delivery::Late(after) => {
+                self.late.push((self.now + after, self.fence, command.clone()));
+                self.report_unanswered(&command);
+            }
+        }
+    }
+
+    fn carry_out_late(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.late).into_iter().partition(|(at, _, _)| *at <= now);
+        self.late = rest;
+        for (_, fence, command) in due {
+            self.execute(&command, fence);
+        }
+    }
+
+    fn deliver(&mut self, command: &Command, fence: u64, is_answered: bool) {
+        let end = self.execute(command, fence);
+        match (command, end) {
+            (Command::Start { executor, task, run, .. }, Some(Executed::Start(end)))
+                if is_answered =>
+            {
+                self.fleet.start_ended(self.now, executor, task, *run, end, true);
+            }
+            (Command::Stop { task, run, .. }, Some(Executed::Stop(end))) if is_answered => {
+                self.fleet.stop_ended(self.now, task, *run, end);
+            }
+            _ => self.report_unanswered(command),
+        }
+    }
+
+    fn report_unanswered(&mut self, command: &Command) {
+        match command {
+            Command::Start { executor, task, run, .. } => {
+                let end = StartEnd::Unanswered;
+                self.fleet.start_ended(self.now, executor, task, *run, end, false);
+            }
+            Command::Stop { task, run, .. } => {
+                self.fleet.stop_ended(self.now, task, *run, StopEnd::NotTaken);
+            }
+            _ => {}
+        }
+    }
+
+    fn execute(&mut self, command: &Command, fence: u64) -> Option<Executed> {
+        let now = self.now;
+        match command {
+            Command::Start { executor, task, run, .. } => {
+                let lease = self.fleet.order_lease(now, executor)?;
+                let spec = self.submissions[&task.job].spec.clone();
+                let target = self.executors.get_mut(executor)?;
+                if !target.is_reachable() {
+                    return None;
+                }
+                Some(Executed::Start(target.start(now, fence, task, *run, &spec, lease)))
+            }
+            Command::Stop { executor, task, run } => {
+                let target = self.executors.get_mut(executor)?;
+                if !target.is_reachable() {
+                    return None;
+                }
+                Some(Executed::Stop(target.stop(now, fence, task, *run)))
+            }
+            _ => None,
+        }
+    }
+
+    fn order_machine(&mut self, order: &MachineOrder) -> MachineOrderEnd {
+        if !self.takes_machine_orders {
+            return MachineOrderEnd::NotTaken;
+        }
+        self.machine_orders.push((self.now, order.clone()));
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&order.machine) else {
+            return MachineOrderEnd::Refused;
+        };
+        if let MachineWork::Maintain(wave) = &order.work
+            && machine.maintained_for.contains(wave)
+        {
+            return MachineOrderEnd::Taken;
+        }
+        if machine.back_at.is_some() {
+            return MachineOrderEnd::Busy;
+        }
+        let takes = match &order.work {
+            MachineWork::Move(pool) => {
+                machine.pool = pool.clone();
+                MIGRATION
+            }
+            MachineWork::Maintain(wave) => {
+                machine.maintained_for.push(*wave);
+                MAINTENANCE
+            }
+        };
+        match machine.executor.clone() {
+            Some(executor) => {
+                machine.back_at = Some((now + takes, executor.clone()));
+                self.executors.get_mut(&executor).expect("it lives").crash();
+            }
+            None => {
+                let pool = machine.pool.clone();
+                if !self.is_standby(&pool) {
+                    let id = self.new_life(&pool, "rack-x", &order.machine);
+                    self.machines.get_mut(&order.machine).expect("read above").executor = Some(id);
+                }
+            }
+        }
+        MachineOrderEnd::Taken
+    }
+
+    /// What must hold whatever happens.
+    fn check(&self) {
+        let mut running: HashMap<&TaskKey, &Arc<str>> = HashMap::new();
+        for (id, executor) in &self.executors {
+            executor.check_room();
+            for task in executor.running() {
+                if let Some(other) = running.insert(task, id) {
+                    panic!("{task} runs on {id} and on {other}");
+                }
+            }
+        }
+    }
+
+    /// Starts that were begun on executors, over all their lives.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let of_job = |task: &&TaskKey| &*task.job == id;
+        self.executors.values().flat_map(FakeExecutor::running).filter(of_job).count()
+    }
+}
+
+enum Executed {
+    Start(StartEnd),
+    Stop(StopEnd),
+}
