Move idle machines to pools where work waits

Cause: each pool in its turn is asked for more than it holds while the others and the standby pool are idle; half of the late jobs waited for room. Change: every 100 ms each pool's need (what runs and what waits and can still earn) is compared with its machines; what it lacks comes from idle machines of pools that hold more than 80% of an equal share, then from the standby pool. Nothing is cut short. A pool that refuses a machine isn't asked again. Tests: pools.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -8,6 +8,7 @@
 mod maintenance;
 mod pacing;
 mod placement;
+mod pools;
 mod reports;
 mod starts;
 
@@ -144,6 +145,7 @@
     gang_failures: HashMap<(JobId, usize), RunNumber>,
     commands: Vec<Command>,
     machines: Machines,
+    pools_planned_at: Now,
     next_batch: u64,
     /// Time of day at the last tick, in milliseconds since 1970.
     wall_ms: u64,
@@ -168,6 +170,7 @@
             advice: HashMap::new(),
             gang_failures: HashMap::new(),
             commands: Vec::new(),
+            pools_planned_at: now,
             next_batch: 0,
             wall_ms: 0,
         }
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -114,6 +114,7 @@
         }
         let numbers: Vec<WaveNumber> = self.machines.waves.keys().copied().collect();
         numbers.iter().for_each(|number| self.plan_wave(now, *number));
+        self.plan_pools(now);
         self.order_vacated(now);
         numbers.iter().for_each(|number| self.complete_wave(*number));
     }
@@ -318,10 +319,16 @@
                 errand.stage = Stage::Vacating { since: now };
             }
             MachineOrderEnd::Refused => {
-                if let MachineWork::Maintain(number) = order.work
-                    && let Some(progress) = self.machines.waves.get_mut(&number)
-                {
-                    progress.refused.insert(order.machine.clone());
+                match &order.work {
+                    MachineWork::Maintain(number) => {
+                        if let Some(progress) = self.machines.waves.get_mut(number) {
+                            progress.refused.insert(order.machine.clone());
+                        }
+                    }
+                    MachineWork::Move(pool) => {
+                        let move_to = (order.machine.clone(), pool.clone());
+                        self.machines.refused_moves.insert(move_to);
+                    }
                 }
                 self.machines.errands.remove(&order.machine);
             }
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -0,0 +1,179 @@
+//! Which machines change pools.
+//!
+//! Each pool in its turn is asked for several times its mean, more than it holds, while others have
+//! room: a few machines that follow the demand serve more than any fixed split. Idle machines move;
+//! nothing is cut short for it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{JobId, PoolName},
+};
+
+use super::Fleet;
+use crate::{
+    machines::{MachineId, MachineState, MachineWork},
+    order::rank,
+};
+
+/// How often pools are compared: well below the time that a move takes.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of an equal share of all machines that a pool keeps though it needs less now, in percent:
+/// its own turn begins without notice, and machines take a second and a half to come back.
+const KEEP_PERCENT: usize = 80;
+/// Machines that a pool keeps free beyond its need.
+const SPARE_MACHINES: usize = 1;
+
+/// A pool as planning sees it.
+#[derive(Debug, Default, Clone)]
+struct Pool {
+    /// Machines in it that are up and stay.
+    up: usize,
+    /// Machines on their way to it.
+    arriving: usize,
+    /// Those of its machines that run nothing.
+    idle: Vec<MachineId>,
+    /// Room of one machine, in thousandths of a core.
+    machine_millicores: u64,
+    /// What runs and what waits, in thousandths of a core.
+    need_millicores: u64,
+}
+
+impl Pool {
+    fn needed(&self) -> usize {
+        self.need_millicores.div_ceil(self.machine_millicores.max(1)) as usize
+    }
+
+    fn holds(&self) -> usize {
+        self.up + self.arriving
+    }
+
+    fn lacks(&self) -> usize {
+        self.needed().saturating_sub(self.holds())
+    }
+}
+
+impl Fleet {
+    /// Begins the moves that bring machines to where work waits.
+    pub(super) fn plan_pools(&mut self, now: Now) {
+        if now < self.pools_planned_at + PLAN_INTERVAL || now < self.machines.orders_from {
+            return;
+        }
+        self.pools_planned_at = now;
+        let mut pools = self.view_pools(now);
+        let standby = self.idle_standby();
+        let total: usize = pools.values().map(Pool::holds).sum();
+        let share = (total * KEEP_PERCENT / 100).div_ceil(pools.len().max(1));
+        let mut lacking: Vec<(usize, PoolName)> = pools
+            .iter()
+            .map(|(name, pool)| (pool.lacks(), name.clone()))
+            .filter(|(lacks, _)| *lacks > 0)
+            .collect();
+        lacking.sort_unstable_by(|one, other| other.cmp(one));
+        let mut standby = standby.into_iter();
+        for (lacks, to) in lacking {
+            for _ in 0..lacks {
+                let machine = take_idle(&mut pools, &to, share, |machine| {
+                    self.may_move(machine, &to)
+                })
+                .or_else(|| standby.find(|machine| self.may_move(machine, &to)));
+                let Some(machine) = machine else { break };
+                self.begin_errand(now, machine, MachineWork::Move(to.clone()));
+            }
+        }
+    }
+
+    fn may_move(&self, machine: &MachineId, to: &PoolName) -> bool {
+        !self.machines.refused_moves.contains(&(machine.clone(), to.clone()))
+    }
+
+    fn is_standby(&self, pool: &PoolName) -> bool {
+        self.services.get(pool).is_some_and(|service| service.is_standby)
+    }
+
+    fn idle_standby(&self) -> Vec<MachineId> {
+        let listed = self.machines.listed.values();
+        listed
+            .filter(|info| info.state == MachineState::Up && self.is_standby(&info.pool))
+            .filter(|info| !self.machines.errands.contains_key(&info.id))
+            .map(|info| info.id.clone())
+            .collect()
+    }
+
+    fn view_pools(&self, now: Now) -> BTreeMap<PoolName, Pool> {
+        let mut pools: BTreeMap<PoolName, Pool> = self
+            .queues
+            .values()
+            .map(|queue| (queue.service.clone(), Pool::default()))
+            .collect();
+        let mut largest = 0;
+        for info in self.machines.listed.values() {
+            let errand = self.machines.errands.get(&info.id);
+            if let Some(MachineWork::Move(to)) = errand.map(|errand| &errand.work) {
+                if let Some(pool) = pools.get_mut(to) {
+                    pool.arriving += 1;
+                }
+                continue;
+            }
+            let Some(pool) = pools.get_mut(&info.pool) else { continue };
+            let executor = info.executor.as_ref().and_then(|id| self.executors.get(id));
+            let Some(executor) = executor.filter(|_| info.state == MachineState::Up) else {
+                continue;
+            };
+            let Some(known) = &executor.info else { continue };
+            largest = largest.max(known.capacity.cpu_millicores);
+            pool.machine_millicores = pool.machine_millicores.max(known.capacity.cpu_millicores);
+            pool.need_millicores += executor.booked.cpu_millicores;
+            if known.is_draining || errand.is_some() {
+                continue;
+            }
+            pool.up += 1;
+            if executor.tasks.is_empty() && executor.is_synced {
+                pool.idle.push(info.id.clone());
+            }
+        }
+        for pool in pools.values_mut() {
+            if pool.machine_millicores == 0 {
+                pool.machine_millicores = largest.max(1);
+            }
+        }
+        self.add_waiting(now, &mut pools);
+        pools
+    }
+
+    /// Adds what waits and may still be of use.
+    fn add_waiting(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
+        for (queue, ids) in &self.open {
+            let Some(queue) = self.queues.get(queue) else { continue };
+            let Some(pool) = pools.get_mut(&queue.service) else { continue };
+            let useful = |id: &&JobId| {
+                self.jobs.get(*id).is_some_and(|job| !rank(now, job, queue).is_hopeless())
+            };
+            for id in ids.iter().filter(useful) {
+                let job = &self.jobs[id];
+                let waiting = job.startable.iter().map(|&index| job.step(index).booked());
+                pool.need_millicores += waiting.map(|need| need.cpu_millicores).sum::<u64>();
+            }
+        }
+    }
+}
+
+/// Takes an idle machine from the pool that can best do without.
+fn take_idle(
+    pools: &mut BTreeMap<PoolName, Pool>,
+    to: &PoolName,
+    share: usize,
+    may_move: impl Fn(&MachineId) -> bool,
+) -> Option<MachineId> {
+    let surplus = |pool: &Pool| {
+        pool.up.saturating_sub(share.max(pool.needed() + SPARE_MACHINES)).min(pool.idle.len())
+    };
+    let (_, pool) = pools
+        .iter_mut()
+        .filter(|(name, pool)| *name != to && surplus(pool) > 0)
+        .max_by_key(|(_, pool)| surplus(pool))?;
+    let place = pool.idle.iter().position(may_move)?;
+    pool.up -= 1;
+    Some(pool.idle.swap_remove(place))
+}
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -159,6 +159,8 @@
     pub(crate) has_listing: bool,
     pub(crate) errands: BTreeMap<MachineId, Errand>,
     pub(crate) waves: BTreeMap<WaveNumber, WaveProgress>,
+    /// Pools that don't take a machine, since they are of other machines.
+    pub(crate) refused_moves: BTreeSet<(MachineId, PoolName)>,
     machine_of: HashMap<ExecutorId, MachineId>,
 }
 
@@ -170,6 +172,7 @@
             has_listing: false,
             errands: BTreeMap::new(),
             waves: BTreeMap::new(),
+            refused_moves: BTreeSet::new(),
             machine_of: HashMap::new(),
         }
     }
--- a/crates/jackdawpier_fleet/src/order.rs
+++ b/crates/jackdawpier_fleet/src/order.rs
@@ -18,6 +18,13 @@
     due: Now,
 }
 
+impl Rank {
+    /// The job can't earn anything any more.
+    pub(crate) fn is_hopeless(&self) -> bool {
+        self.lateness == Lateness::Hopeless
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Lateness {
     /// Runs until it is cancelled: every second without it costs.
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/pools.rs
@@ -0,0 +1,56 @@
+//! Machines follow the demand: a pool that is asked for more than it holds gets idle machines of
+//! other pools and of the standby pool, and nothing that runs is cut short for it.
+
+mod world;
+
+use std::time::Duration;
+
+use jackdawpier_fleet::{machines::MachineWork, record::JobOutcome};
+use world::{World, job, step};
+
+fn burst(world: &mut World, jobs: usize) {
+    for number in 0..jobs {
+        world.submit(&format!("j{number}"), "q-view", job(vec![step(8, 4, 1_000)]));
+    }
+}
+
+fn moves_to(world: &World, pool: &str) -> usize {
+    let to: MachineWork = MachineWork::Move(pool.into());
+    world.machine_orders.iter().filter(|(_, order)| order.work == to).count()
+}
+
+#[test]
+fn burst_borrows() {
+    let mut world = World::new(&["view", "report", "off"], 4);
+    world.run_for(Duration::from_secs(4));
+    burst(&mut world, 6);
+    let all_done = (0..6).all(|number| {
+        world.run_until_over(&format!("j{number}"), Duration::from_secs(6))
+            == Some(JobOutcome::Completed)
+    });
+    assert!(all_done);
+    // Four machines take two tasks each at a time, so 48 tasks would take six seconds there.
+    assert!(moves_to(&world, "view") >= 3);
+}
+
+#[test]
+fn refused_pool() {
+    let mut world = World::new(&["view", "off"], 2);
+    world.refuses_moves = true;
+    world.run_for(Duration::from_secs(4));
+    burst(&mut world, 4);
+    world.run_for(Duration::from_secs(6));
+    // Each machine is tried once.
+    assert_eq!(moves_to(&world, "view"), 2);
+}
+
+#[test]
+fn busy_machines_stay() {
+    let mut world = World::new(&["view", "report"], 3);
+    world.run_for(Duration::from_secs(4));
+    world.submit("busy", "q-report", job(vec![step(6, 3, 5_000)]));
+    world.run_for(Duration::from_millis(200));
+    burst(&mut world, 6);
+    world.run_for(Duration::from_millis(2_000));
+    assert_eq!(moves_to(&world, "view"), 0);
+}
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -110,6 +110,8 @@
     pub waves: Vec<Wave>,
     /// Whether the list of machines can't be had.
     pub hides_machines: bool,
+    /// Whether no pool takes a machine of another.
+    pub refuses_moves: bool,
 }
 
 impl World {
@@ -141,6 +143,7 @@
             takes_machine_orders: true,
             waves: Vec::new(),
             hides_machines: false,
+            refuses_moves: false,
         };
         for pool in pools {
             for number in 0..per_pool {
@@ -445,6 +448,9 @@
             return MachineOrderEnd::NotTaken;
         }
         self.machine_orders.push((self.now, order.clone()));
+        if self.refuses_moves && matches!(order.work, MachineWork::Move(_)) {
+            return MachineOrderEnd::Refused;
+        }
         let now = self.now;
         let Some(machine) = self.machines.get_mut(&order.machine) else {
             return MachineOrderEnd::Refused;
