--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -6,6 +6,7 @@
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
 use super::{Command, Fleet};
+use crate::executor::TaskRef;
 use crate::job::Task;
 use crate::machines::{
     Errand, MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork,
@@ -165,7 +166,8 @@
                 break;
             }
             let is_idle = load == 0;
-            if !is_idle && (wanted == 0 || !self.may_lose(now, &machine)) {
+            let is_ready = self.may_lose(now, &machine) || self.crowded_task(now, &machine).is_some();
+            if !is_idle && (wanted == 0 || !is_ready) {
                 continue;
             }
             self.begin_errand(now, machine, MachineWork::Maintain(number));
@@ -247,6 +249,7 @@
                 Stage::Away { .. } => false,
             };
             if !is_due || !self.has_wave_slot(&machine) {
+                self.thin_out(now, &machine);
                 continue;
             }
             self.lose_long_running(&machine);
@@ -257,6 +260,37 @@
         }
     }
 
+    /// Stops one task of a step of which more run on a machine than it may miss, so that the rest
+    /// can be missed later.
+    fn thin_out(&mut self, now: Now, machine: &MachineId) {
+        let is_vacating = matches!(self.machines.errands[machine].stage, Stage::Vacating { .. });
+        if is_vacating && let Some(task) = self.crowded_task(now, machine) {
+            self.stop_task(now, &task);
+        }
+    }
+
+    /// A task that may be stopped for that, if there is one and no other of its step is away.
+    fn crowded_task(&self, now: Now, machine: &MachineId) -> Option<TaskRef> {
+        let id = self.machines.listed.get(machine)?.executor.as_ref()?;
+        let executor = self.executors.get(id)?;
+        executor.per_slot.iter().find_map(|((job_id, slot), &here)| {
+            let job = self.jobs.get(job_id)?;
+            let indices = job.tasks_of(*slot);
+            let step = job.step(indices.start);
+            let is_crowded = step.is_long_running && step.may_miss > 0 && here > step.may_miss;
+            if !is_crowded || job.is_over() {
+                return None;
+            }
+            let is_away = |index: &usize| !self.is_at_work(now, &job.tasks[*index]);
+            let away = indices.clone().filter(is_away).count() as u32;
+            let is_here = |index: &usize| job.tasks[*index].phase.executor() == Some(id);
+            (away < step.may_miss)
+                .then(|| indices.clone().find(is_here))
+                .flatten()
+                .map(|index| (job_id.clone(), index))
+        })
+    }
+
     fn is_vacated(&self, now: Now, machine: &MachineId, since: Now) -> bool {
         let (_, others) = self.load_of(machine);
         let is_empty = others == 0 || now >= since + LONGEST_VACATING;
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -25,6 +25,9 @@
 /// How well an executor suits a task; the lowest is taken.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
+    /// More of a long-running step than it may miss would be here, so that the machine could never
+    /// be taken.
+    crowds: bool,
     /// Work that fills beside work that serves disturbs it.
     disturbs: bool,
     /// Its machine is due for maintenance, which would end a long-running task.
@@ -185,7 +188,9 @@
         let is_far = step.data_rack.as_ref().is_some_and(|data| rack != Some(data));
         let disturbs = (step.is_filler && executor.serving > 0)
             || (step.tail_target.is_some() && executor.fillers > 0);
+        let here = executor.per_slot.get(&(job.id.clone(), job.slot(index))).copied().unwrap_or(0);
         Fit {
+            crowds: step.is_long_running && step.may_miss > 0 && here >= step.may_miss,
             disturbs,
             is_due: step.is_long_running && self.machines.is_due(id),
             is_far,
--- a/crates/jackdawpier_fleet/tests/spared_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/spared_tasks.rs
@@ -67,3 +67,22 @@
         world.machine_orders.iter().filter(|(_, order)| order.work == MachineWork::Maintain(1));
     assert_eq!(maintained.count(), 4);
 }
+
+/// More tasks of a step run on a machine than it may miss: they leave it one by one.
+#[test]
+fn crowded_machine() {
+    let mut world = World::new(&["view"], 2);
+    let cut: Vec<_> = ["m-view-1"].iter().map(|machine| world.executor_of(machine)).collect();
+    cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(true));
+    world.run_for(Duration::from_secs(2));
+    let small = StepSpec { max_per_executor: 0, need: step(1, 2, 0).need, ..lasting(3) };
+    world.submit("j", "q-view", job(vec![small]));
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(world.runs_of("j"), 3, "all on the one machine that is left");
+    cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(false));
+    world.run_for(Duration::from_secs(2));
+    world.waves.push(wave(&["m-view-0"], 10));
+    world.run_for(Duration::from_secs(15));
+    assert_eq!(world.machine_orders.len(), 1);
+    assert_eq!(world.runs_of("j"), 3);
+}
