Let the rate of arrivals call machines before a backlog does

Cause: a burst showed only by its backlog; machines need 1.5 s to come, so the first seconds of each turn were lost. Change: a pool's need is at least what work arriving at the rate of the last second takes on the long run (at least 0.4 s of it, so that two jobs aren't a burst).

--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -71,7 +71,12 @@
             }
             match serde_json::from_slice::<Submission>(&item.value) {
                 Ok(submission) => {
-                    fleet.recover_job(now, wall_ms, id.into(), submission, written.remove(id));
+                    match written.remove(id) {
+                        Some(record) => {
+                            fleet.recover_job(now, wall_ms, id.into(), submission, Some(record));
+                        }
+                        None => fleet.add_job(now, wall_ms, id.into(), submission),
+                    }
                 }
                 Err(error) => self.unreadable(&item.key, &error.to_string()),
             }
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -28,6 +28,7 @@
 pub use starts::{StartEnd, StopEnd};
 
 use crate::{
+    demand::Arrivals,
     executor::{Executor, ExecutorInfo, TaskRef},
     job::{Job, Phase, TaskIndex},
     machines::Machines,
@@ -144,6 +145,7 @@
     commands: Vec<Command>,
     machines: Machines,
     pools_planned_at: Now,
+    arrivals: HashMap<ServiceName, Arrivals>,
     next_batch: u64,
     /// Time of day at the last tick, in milliseconds since 1970.
     wall_ms: u64,
@@ -169,6 +171,7 @@
             gang_failures: HashMap::new(),
             commands: Vec::new(),
             pools_planned_at: now,
+            arrivals: HashMap::new(),
             next_batch: 0,
             wall_ms: 0,
         }
@@ -240,6 +243,12 @@
 
     /// Takes in an accepted job. A job that is known already stays as it is.
     pub fn add_job(&mut self, now: Now, wall_ms: u64, id: JobId, submission: Submission) {
+        if let Some(queue) = self.queues.get(&submission.queue)
+            && !self.jobs.contains_key(&id)
+        {
+            let arrivals = self.arrivals.entry(queue.service.clone()).or_default();
+            arrivals.add(now, submission.spec.core_ms());
+        }
         self.recover_job(now, wall_ms, id, submission, None);
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -101,7 +101,7 @@
             .collect()
     }
 
-    fn view_pools(&self, now: Now) -> BTreeMap<PoolName, Pool> {
+    fn view_pools(&mut self, now: Now) -> BTreeMap<PoolName, Pool> {
         let mut pools: BTreeMap<PoolName, Pool> = self
             .queues
             .values()
@@ -139,6 +139,10 @@
             }
         }
         self.add_waiting(now, &mut pools);
+        for (name, pool) in &mut pools {
+            let arriving = self.arrivals.get_mut(name).map_or(0, |one| one.millicores(now));
+            pool.need_millicores = pool.need_millicores.max(arriving);
+        }
         pools
     }
 
--- a/crates/jackdawpier_fleet/src/spec.rs
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -192,6 +192,15 @@
         Ok(())
     }
 
+    /// The estimated work of one occurrence, in core-milliseconds.
+    pub fn core_ms(&self) -> u64 {
+        let of_step = |step: &StepSpec| {
+            let task = step.booked().cpu_millicores * step.estimate.as_millis() as u64 / 1000;
+            task * u64::from(step.count)
+        };
+        self.steps.iter().map(of_step).sum()
+    }
+
     /// The estimated time of the longest chain of dependent steps from each step to the end.
     pub fn remaining_chains(&self) -> Vec<Duration> {
         let mut chains: Vec<Duration> = self.steps.iter().map(|step| step.estimate).collect();
