Keep tasks near their data, borrow machines by label, judge occurrences by their due time

Cause (derived sites, scripts/derive-sites): tasks went far from their data though they took three times as long there and as much more room (data: 1,442 of 6,048 far); pools gave machines away whose label waiting tasks needed (labels: 30 jobs failed); later occurrences of a repeated job ranked as hopeless, since they were judged by the job's acceptance (timed: 390 of 1,129 widgets failed). Change: far only if the task still ends in time there or can't run near; need, machines and what may be given away also by label; an occurrence is judged by its due time.

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -179,6 +179,7 @@
         stop_timeout: settings.stop_timeout,
         maintenance: settings.maintenance,
         migration: settings.migration,
+        remote_factor: settings.remote_factor,
         order_lease: settings.order_lease + Duration::from_millis(500),
     }
 }
--- a/crates/jackdawpier_entry/src/settings.rs
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -21,6 +21,8 @@
     pub maintenance: Duration,
     /// How long a machine is away for a change of pool.
     pub migration: Duration,
+    /// A task away from its data takes this many times as long.
+    pub remote_factor: f64,
     /// Holders of machine orders must not take turns within this time.
     pub order_lease: Duration,
     /// Shortest time to live of a lease that the store grants.
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -50,6 +50,8 @@
     pub maintenance: Duration,
     /// How long a machine is away for a change of pool.
     pub migration: Duration,
+    /// A task away from its data takes this many times as long.
+    pub remote_factor: f64,
     /// An earlier holder's machine orders have all arrived this long after a take-over.
     pub order_lease: Duration,
 }
@@ -278,7 +280,7 @@
                 self.scheduled.insert(id.clone());
             }
             self.place_doubtful(&job);
-            job.open_steps(wall_ms);
+            job.open_steps(now, wall_ms);
         }
         self.jobs.insert(id, job);
     }
@@ -354,17 +356,17 @@
     /// Lets time pass: occurrences become due, leases lapse, waiting tasks get room.
     pub fn tick(&mut self, now: Now, wall_ms: u64) {
         self.wall_ms = wall_ms;
-        self.open_due(wall_ms);
+        self.open_due(now, wall_ms);
         self.expire_executors(now);
         self.plan_machines(now);
         self.place(now);
     }
 
-    fn open_due(&mut self, wall_ms: u64) {
+    fn open_due(&mut self, now: Now, wall_ms: u64) {
         let jobs = &mut self.jobs;
         self.scheduled.retain(|id| {
             let Some(job) = jobs.get_mut(id) else { return false };
-            job.open_steps(wall_ms);
+            job.open_steps(now, wall_ms);
             !job.is_over() && job.has_unopened_occurrence()
         });
     }
@@ -430,7 +432,7 @@
         if task.phase == Phase::Done {
             job.progress[slot].remaining -= 1;
             if job.progress[slot].remaining == 0 {
-                job.open_steps(self.wall_ms);
+                job.open_steps(now, self.wall_ms);
             }
         } else if ended_as == Some(TaskEnd::Failed) {
             task.failures += 1;
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -11,7 +11,7 @@
 use crate::{
     executor::Executor,
     job::{Job, Phase, TaskIndex},
-    order::{Rank, rank},
+    order::{Rank, objective, rank},
     spec::Resources,
 };
 
@@ -164,6 +164,7 @@
             return None;
         }
         let job = &self.jobs[id];
+        let may_go_far = self.may_go_far(now, &service, job, index);
         let advice = self.advice.get(&(id.clone(), job.slot(index))).filter(|_| needs_advice);
         self.by_service
             .get(&service)?
@@ -171,8 +172,12 @@
             .filter(|executor| advice.is_none_or(|one| one.tickets.contains_key(*executor)))
             .filter_map(|executor_id| {
                 let executor = self.executors.get(executor_id)?;
-                if !self.takes_work(now, executor_id, executor) || !suits(executor, job, index, rack)
-                {
+                let is_open = self.takes_work(now, executor_id, executor);
+                if !is_open || !suits(executor, job, index, rack) {
+                    return None;
+                }
+                let is_far = is_far(executor, job, index);
+                if is_far && !may_go_far {
                     return None;
                 }
                 Some((self.fit(executor_id, executor, job, index), executor_id))
@@ -181,11 +186,28 @@
             .map(|(_, executor_id)| executor_id.clone())
     }
 
+    /// Whether a task may be placed away from its data, where it takes several times as long and
+    /// so as much more room: only if it still ends in time there, or can't run near it at all.
+    fn may_go_far(&self, now: Now, service: &ServiceName, job: &Job, index: TaskIndex) -> bool {
+        let step = job.step(index);
+        let Some(data_rack) = &step.data_rack else { return true };
+        let Some(queue) = self.queues.get(&job.queue) else { return true };
+        let far = step.estimate.mul_f64(self.settings.remote_factor.max(1.0));
+        let rest = job.remaining_estimate().saturating_sub(step.estimate);
+        let is_in_time = now + far + rest <= job.next_began_at() + objective(job, queue);
+        let exists_near = self.by_service.get(service).into_iter().flatten().any(|id| {
+            self.executors.get(id).is_some_and(|executor| {
+                let info = executor.info.as_ref();
+                self.takes_work(now, id, executor)
+                    && info.is_some_and(|info| info.rack.as_ref() == Some(data_rack))
+            })
+        });
+        is_in_time || !exists_near
+    }
+
     fn fit(&self, id: &ExecutorId, executor: &Executor, job: &Job, index: TaskIndex) -> Fit {
         let step = job.step(index);
         let left = executor.free().minus(&step.booked());
-        let rack = executor.info.as_ref().and_then(|info| info.rack.as_ref());
-        let is_far = step.data_rack.as_ref().is_some_and(|data| rack != Some(data));
         let disturbs = (step.is_filler && executor.serving > 0)
             || (step.tail_target.is_some() && executor.fillers > 0);
         let here = executor.per_slot.get(&(job.id.clone(), job.slot(index))).copied().unwrap_or(0);
@@ -193,7 +215,7 @@
             crowds: step.is_long_running && step.may_miss > 0 && here >= step.may_miss,
             disturbs,
             is_due: step.is_long_running && self.machines.is_due(id),
-            is_far,
+            is_far: is_far(executor, job, index),
             left_millicores: left.cpu_millicores,
             left_mb: left.memory_mb,
         }
@@ -249,6 +271,11 @@
     }
 }
 
+fn is_far(executor: &Executor, job: &Job, index: TaskIndex) -> bool {
+    let rack = executor.info.as_ref().and_then(|info| info.rack.as_ref());
+    job.step(index).data_rack.as_ref().is_some_and(|data| rack != Some(data))
+}
+
 fn suits(executor: &Executor, job: &Job, index: TaskIndex, rack: Option<&str>) -> bool {
     let step = job.step(index);
     let Some(info) = &executor.info else { return false };
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -4,7 +4,7 @@
 //! room: a few machines that follow the demand serve more than any fixed split. Idle machines move;
 //! nothing is cut short for it.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jackdawpier_kernel::{
     Now,
@@ -13,6 +13,7 @@
 
 use super::Fleet;
 use crate::{
+    job::Phase,
     machines::{MachineId, MachineState, MachineWork},
     order::rank,
 };
@@ -38,6 +39,17 @@
     machine_millicores: u64,
     /// What runs and what waits, in thousandths of a core.
     need_millicores: u64,
+    /// Machines and need by label, for the labels that tasks ask for.
+    labels: BTreeMap<Label, OfLabel>,
+}
+
+/// What a machine can do.
+type Label = Arc<str>;
+
+#[derive(Debug, Default, Clone)]
+struct OfLabel {
+    machines: usize,
+    need_millicores: u64,
 }
 
 impl Pool {
@@ -52,6 +64,32 @@
     fn lacks(&self) -> usize {
         self.needed().saturating_sub(self.holds())
     }
+
+    fn count_labels(&mut self, labels: &[Label]) {
+        for label in labels {
+            if let Some(of_label) = self.labels.get_mut(label) {
+                of_label.machines += 1;
+            }
+        }
+    }
+
+    /// Machines with a label that are missing.
+    fn lacks_of(&self, label: &Label) -> usize {
+        self.labels.get(label).map_or(0, |of_label| {
+            let needed = of_label.need_millicores.div_ceil(self.machine_millicores.max(1)) as usize;
+            needed.saturating_sub(of_label.machines)
+        })
+    }
+
+    /// Whether a machine with these labels can go without one of them missing.
+    fn can_spare(&self, labels: &[Label]) -> bool {
+        labels.iter().all(|label| {
+            self.labels.get(label).is_none_or(|of_label| {
+                let left = of_label.machines.saturating_sub(1) as u64;
+                left * self.machine_millicores > of_label.need_millicores
+            })
+        })
+    }
 }
 
 impl Fleet {
@@ -65,25 +103,70 @@
         let standby = self.idle_standby();
         let total: usize = pools.values().map(Pool::holds).sum();
         let share = (total * KEEP_PERCENT / 100).div_ceil(pools.len().max(1));
-        let mut lacking: Vec<(usize, PoolName)> = pools
-            .iter()
-            .map(|(name, pool)| (pool.lacks(), name.clone()))
-            .filter(|(lacks, _)| *lacks > 0)
-            .collect();
+        let mut lacking: Vec<(usize, PoolName, Option<Label>)> = Vec::new();
+        for (name, pool) in &pools {
+            let by_label = pool.labels.keys().map(|label| (pool.lacks_of(label), Some(label)));
+            let lacks = by_label.chain([(pool.lacks(), None)]).filter(|(lacks, _)| *lacks > 0);
+            lacking.extend(lacks.map(|(lacks, label)| (lacks, name.clone(), label.cloned())));
+        }
         lacking.sort_unstable_by(|one, other| other.cmp(one));
-        let mut standby = standby.into_iter();
-        for (lacks, to) in lacking {
+        let mut standby = standby;
+        for (lacks, to, label) in lacking {
             for _ in 0..lacks {
-                let machine = take_idle(&mut pools, &to, share, |machine| {
+                let fits = |machine: &MachineId| {
                     self.may_move(machine, &to)
-                })
-                .or_else(|| standby.find(|machine| self.may_move(machine, &to)));
+                        && label.as_ref().is_none_or(|label| self.labels_of(machine).contains(label))
+                };
+                let machine = self.take_idle(&mut pools, &to, share, fits).or_else(|| {
+                    let place = standby.iter().position(fits)?;
+                    Some(standby.swap_remove(place))
+                });
                 let Some(machine) = machine else { break };
                 self.begin_errand(now, machine, MachineWork::Move(to.clone()));
             }
         }
     }
 
+    fn labels_of(&self, machine: &MachineId) -> &[Label] {
+        self.machines.listed.get(machine).map_or(&[], |info| &info.labels)
+    }
+
+    /// Takes an idle machine from the pool that can best do without.
+    fn take_idle(
+        &self,
+        pools: &mut BTreeMap<PoolName, Pool>,
+        to: &PoolName,
+        share: usize,
+        fits: impl Fn(&MachineId) -> bool,
+    ) -> Option<MachineId> {
+        let surplus = |pool: &Pool| {
+            pool.up.saturating_sub(share.max(pool.needed() + SPARE_MACHINES)).min(pool.idle.len())
+        };
+        let mut donors: Vec<(usize, &mut Pool)> = pools
+            .iter_mut()
+            .filter(|(name, _)| *name != to)
+            .map(|(_, pool)| (surplus(pool), pool))
+            .filter(|(surplus, _)| *surplus > 0)
+            .collect();
+        donors.sort_by_key(|(surplus, _)| std::cmp::Reverse(*surplus));
+        for (_, pool) in donors {
+            let place = pool
+                .idle
+                .iter()
+                .position(|machine| fits(machine) && pool.can_spare(self.labels_of(machine)));
+            let Some(place) = place else { continue };
+            let machine = pool.idle.swap_remove(place);
+            pool.up -= 1;
+            for label in self.labels_of(&machine) {
+                if let Some(of_label) = pool.labels.get_mut(label) {
+                    of_label.machines -= 1;
+                }
+            }
+            return Some(machine);
+        }
+        None
+    }
+
     fn may_move(&self, machine: &MachineId, to: &PoolName) -> bool {
         !self.machines.refused_moves.contains(&(machine.clone(), to.clone()))
     }
@@ -107,12 +190,14 @@
             .values()
             .map(|queue| (queue.service.clone(), Pool::default()))
             .collect();
+        self.add_label_needs(&mut pools);
         let mut largest = 0;
         for info in self.machines.listed.values() {
             let errand = self.machines.errands.get(&info.id);
             if let Some(MachineWork::Move(to)) = errand.map(|errand| &errand.work) {
                 if let Some(pool) = pools.get_mut(to) {
                     pool.arriving += 1;
+                    pool.count_labels(&info.labels);
                 }
                 continue;
             }
@@ -129,6 +214,7 @@
                 continue;
             }
             pool.up += 1;
+            pool.count_labels(&info.labels);
             if executor.tasks.is_empty() && executor.is_synced {
                 pool.idle.push(info.id.clone());
             }
@@ -146,6 +232,28 @@
         pools
     }
 
+    /// Counts what runs and waits and can only run on machines with a certain label.
+    fn add_label_needs(&self, pools: &mut BTreeMap<PoolName, Pool>) {
+        for (queue, ids) in &self.open {
+            let Some(queue) = self.queues.get(queue) else { continue };
+            let Some(pool) = pools.get_mut(&queue.service) else { continue };
+            for job in ids.iter().filter_map(|id| self.jobs.get(id)) {
+                if job.spec.steps.iter().all(|step| step.required_label.is_none()) {
+                    continue;
+                }
+                for (index, task) in job.tasks.iter().enumerate() {
+                    let step = job.step(index);
+                    let Some(label) = &step.required_label else { continue };
+                    let is_open = job.progress[job.slot(index)].is_open;
+                    let counts = is_open && task.phase != Phase::Done;
+                    let of_label = pool.labels.entry(label.clone()).or_default();
+                    of_label.need_millicores +=
+                        if counts { step.booked().cpu_millicores } else { 0 };
+                }
+            }
+        }
+    }
+
     /// Adds what waits and may still be of use.
     fn add_waiting(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
         for (queue, ids) in &self.open {
@@ -162,22 +270,3 @@
         }
     }
 }
-
-/// Takes an idle machine from the pool that can best do without.
-fn take_idle(
-    pools: &mut BTreeMap<PoolName, Pool>,
-    to: &PoolName,
-    share: usize,
-    may_move: impl Fn(&MachineId) -> bool,
-) -> Option<MachineId> {
-    let surplus = |pool: &Pool| {
-        pool.up.saturating_sub(share.max(pool.needed() + SPARE_MACHINES)).min(pool.idle.len())
-    };
-    let (_, pool) = pools
-        .iter_mut()
-        .filter(|(name, pool)| *name != to && surplus(pool) > 0)
-        .max_by_key(|(_, pool)| surplus(pool))?;
-    let place = pool.idle.iter().position(may_move)?;
-    pool.up -= 1;
-    Some(pool.idle.swap_remove(place))
-}
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -111,10 +111,10 @@
     pub(crate) id: JobId,
     pub(crate) queue: QueueName,
     pub(crate) spec: Arc<JobSpec>,
-    /// When it was accepted, on the clock of this process.
-    pub(crate) accepted_at: Now,
     pub(crate) tasks: Vec<Task>,
     pub(crate) progress: Vec<StepProgress>,
+    /// When each occurrence began: at its due time, or with the job's acceptance.
+    began_at: Vec<Now>,
     /// Tasks that wait for an executor, in the order in which they are tried.
     pub(crate) startable: VecDeque<TaskIndex>,
     pub(crate) outcome: Option<JobOutcome>,
@@ -157,9 +157,9 @@
         Self {
             id,
             queue: submission.queue,
-            accepted_at,
             tasks: vec![Task::new(); tasks_per_occurrence * occurrences],
             progress: one.repeat(occurrences),
+            began_at: vec![accepted_at; occurrences],
             startable: VecDeque::new(),
             outcome: None,
             is_cancelled: false,
@@ -261,7 +261,7 @@
     }
 
     /// Opens the steps whose turn has come.
-    pub(crate) fn open_steps(&mut self, wall_ms: u64) {
+    pub(crate) fn open_steps(&mut self, now: Now, wall_ms: u64) {
         if self.is_over() || self.is_cancelled {
             return;
         }
@@ -279,6 +279,10 @@
                 .all(|&after| self.progress[occurrence * steps + after].remaining == 0);
             if is_due && is_ready {
                 self.progress[slot].is_open = true;
+                if let Some(due_ms) = self.due_ms(occurrence) {
+                    let late = Duration::from_millis(wall_ms.saturating_sub(due_ms));
+                    self.began_at[occurrence] = now.saturating_sub(late);
+                }
                 for index in self.tasks_of(slot) {
                     if self.tasks[index].phase == Phase::Waiting {
                         self.startable.push_back(index);
@@ -294,7 +298,13 @@
         Some(schedule.first_ms + schedule.interval_ms * occurrence as u64)
     }
 
-    /// The next time of day at which an occurrence becomes due.
+    /// When the occurrence began that its next task belongs to.
+    pub(crate) fn next_began_at(&self) -> Now {
+        let next = self.startable.front().copied().unwrap_or(0);
+        self.began_at[next / self.tasks_per_occurrence.max(1)]
+    }
+
+    /// Whether occurrences are still to come.
     pub(crate) fn has_unopened_occurrence(&self) -> bool {
         self.spec.schedule.is_some()
             && self.progress.iter().any(|slot| !slot.is_open && slot.remaining > 0)
--- a/crates/jackdawpier_fleet/src/order.rs
+++ b/crates/jackdawpier_fleet/src/order.rs
@@ -10,7 +10,7 @@
 
 use crate::{job::Job, spec::Queue};
 
-/// The place of a job in the order; lower goes first.
+/// The place of a job in the order; lower goes first. A repeated job goes by its next occurrence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
     priority: u32,
@@ -44,13 +44,14 @@
 
 pub(crate) fn rank(now: Now, job: &Job, queue: &Queue) -> Rank {
     let objective = objective(job, queue);
-    let due = job.accepted_at + objective;
+    let began_at = job.next_began_at();
+    let due = began_at + objective;
     let ends_at = now + job.remaining_estimate();
     let lateness = if job.spec.steps.iter().any(|step| step.is_long_running) {
         Lateness::LongRunning
     } else if ends_at <= due {
         Lateness::OnTime
-    } else if ends_at <= job.accepted_at + objective * HOPELESS_AFTER {
+    } else if ends_at <= began_at + objective * HOPELESS_AFTER {
         Lateness::Late
     } else {
         Lateness::Hopeless
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -22,6 +22,7 @@
     need: Resources,
     started_at: Duration,
     ends_at: Option<Duration>,
+    is_far: bool,
     stops_at: Option<Duration>,
 }
 
@@ -101,6 +102,10 @@
         self.running.keys()
     }
 
+    pub fn far_runs(&self) -> usize {
+        self.running.values().filter(|run| run.is_far).count()
+    }
+
     fn used(&self) -> Resources {
         let mut used = Resources::default();
         self.running.values().for_each(|run| used.add(&run.need));
@@ -170,8 +175,13 @@
         if !need.fits(&self.info.capacity.minus(&self.used())) {
             return StartEnd::NoRoom;
         }
-        let ends_at = (!step.is_long_running).then(|| now + step.estimate);
-        let run = Run { run, need, started_at: now, ends_at, stops_at: None };
+        let is_far = step.data_rack.is_some() && step.data_rack != self.info.rack;
+        let takes = if is_far { step.estimate * 3 } else { step.estimate };
+        let has_label =
+            step.required_label.as_ref().is_none_or(|label| self.info.labels.contains(label));
+        assert!(has_label, "{task} needs a label that {} lacks", self.info.id);
+        let ends_at = (!step.is_long_running).then(|| now + takes);
+        let run = Run { run, need, started_at: now, ends_at, is_far, stops_at: None };
         self.running.insert(task.clone(), run);
         StartEnd::Started
     }
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -34,6 +34,7 @@
         stop_timeout: Duration::from_millis(200),
         maintenance: MAINTENANCE,
         migration: MIGRATION,
+        remote_factor: 3.0,
         order_lease: Duration::from_millis(3500),
     }
 }
@@ -111,6 +112,8 @@
     pub hides_machines: bool,
     /// Whether no pool takes a machine of another.
     pub refuses_moves: bool,
+    /// Labels of machines beside the common one.
+    pub labels: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 impl World {
@@ -143,6 +146,7 @@
             waves: Vec::new(),
             hides_machines: false,
             refuses_moves: false,
+            labels: BTreeMap::new(),
         };
         for pool in pools {
             for number in 0..per_pool {
@@ -283,7 +287,7 @@
             pool: machine.pool.clone(),
             state: self.state_of(machine),
             executor: machine.executor.clone().filter(|id| self.executors[id].is_alive()),
-            labels: vec!["a".into()],
+            labels: self.labels.get(id).into_iter().cloned().chain(["a".into()]).collect(),
         });
         let machines = machines.collect();
         if !self.hides_machines {
