Let late gangs leave their data, and settle gangs that lose a member

Change: once late, a gang may run anywhere and a task where half an executor is free; one member's good end counts for members that don't run; a member that is gone stops the others.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -419,6 +419,8 @@
     /// A run is over for certain. `ended_as` is how; none if it never began or was cut short.
     fn run_over(&mut self, now: Now, task_ref: &TaskRef, ended_as: Option<TaskEnd>) {
         let (id, index) = (&task_ref.0, task_ref.1);
+        let is_done_by_gang = ended_as.is_none() && self.gang_is_done(task_ref);
+        let ended_as = if is_done_by_gang { Some(TaskEnd::Done) } else { ended_as };
         let Some(job) = self.jobs.get_mut(id) else { return };
         if let Some(executor) = job.tasks[index].phase.executor().cloned() {
             if let Some(executor) = self.executors.get_mut(&executor) {
@@ -426,11 +428,15 @@
             }
         }
         let slot = job.slot(index);
+        let is_gang = job.step(index).is_gang;
         let task = &mut job.tasks[index];
         task.at_work_since = None;
         task.phase = if ended_as == Some(TaskEnd::Done) { Phase::Done } else { Phase::Waiting };
         if task.phase == Phase::Done {
             job.progress[slot].remaining -= 1;
+            if is_gang {
+                job.finish_waiting(slot);
+            }
             if job.progress[slot].remaining == 0 {
                 job.open_steps(now, self.wall_ms);
             }
@@ -444,9 +450,12 @@
             job.startable.push_back(index);
         }
         let is_done = job.progress.iter().all(|slot| slot.remaining == 0);
+        let is_broken = is_gang && job.tasks[index].phase == Phase::Waiting;
         self.touch(&id.clone());
         if is_done {
             self.finish(now, &id.clone(), JobOutcome::Completed);
+        } else if is_broken {
+            self.stop_gang(now, &id.clone(), slot);
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -39,6 +39,14 @@
     left_mb: u64,
 }
 
+/// Whether a task may be placed away from its data.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Far {
+    Allowed,
+    WhereRoomy,
+    Forbidden,
+}
+
 impl Fleet {
     /// Gives room to waiting tasks, in the order of [`crate::order`].
     pub(super) fn place(&mut self, now: Now) {
@@ -164,7 +172,7 @@
             return None;
         }
         let job = &self.jobs[id];
-        let may_go_far = self.may_go_far(now, &service, job, index);
+        let far = self.may_go_far(now, &service, job, index);
         let advice = self.advice.get(&(id.clone(), job.slot(index))).filter(|_| needs_advice);
         self.by_service
             .get(&service)?
@@ -176,8 +184,12 @@
                 if !is_open || !suits(executor, job, index, rack) {
                     return None;
                 }
-                let is_far = is_far(executor, job, index);
-                if is_far && !may_go_far {
+                let may_go = match far {
+                    Far::Allowed => true,
+                    Far::WhereRoomy => is_roomy(executor) || !is_far(executor, job, index),
+                    Far::Forbidden => !is_far(executor, job, index),
+                };
+                if !may_go {
                     return None;
                 }
                 Some((self.fit(executor_id, executor, job, index), executor_id))
@@ -187,22 +199,33 @@
     }
 
     /// Whether a task may be placed away from its data, where it takes several times as long and
-    /// so as much more room: only if it still ends in time there, or can't run near it at all.
-    fn may_go_far(&self, now: Now, service: &ServiceName, job: &Job, index: TaskIndex) -> bool {
+    /// so as much more room: if it still ends in time there or can't run near it at all, and once
+    /// it is late where room is plenty, so that it doesn't wait for ever.
+    fn may_go_far(&self, now: Now, service: &ServiceName, job: &Job, index: TaskIndex) -> Far {
         let step = job.step(index);
-        let Some(data_rack) = &step.data_rack else { return true };
-        let Some(queue) = self.queues.get(&job.queue) else { return true };
+        let Some(data_rack) = &step.data_rack else { return Far::Allowed };
+        let Some(queue) = self.queues.get(&job.queue) else { return Far::Allowed };
         let far = step.estimate.mul_f64(self.settings.remote_factor.max(1.0));
         let rest = job.remaining_estimate().saturating_sub(step.estimate);
-        let is_in_time = now + far + rest <= job.next_began_at() + objective(job, queue);
+        let due = job.next_began_at() + objective(job, queue);
         let exists_near = self.by_service.get(service).into_iter().flatten().any(|id| {
             self.executors.get(id).is_some_and(|executor| {
                 let info = executor.info.as_ref();
-                self.takes_work(now, id, executor)
-                    && info.is_some_and(|info| info.rack.as_ref() == Some(data_rack))
+                let is_near = info.is_some_and(|info| {
+                    info.rack.as_ref() == Some(data_rack) && step.booked().fits(&info.capacity)
+                });
+                is_near && self.takes_work(now, id, executor)
             })
         });
-        is_in_time || !exists_near
+        if now + far + rest <= due || !exists_near {
+            return Far::Allowed;
+        }
+        match (now > due, step.is_gang) {
+            (false, _) => Far::Forbidden,
+            (true, false) => Far::WhereRoomy,
+            // Its members need room at the same moment, which may never come near the data.
+            (true, true) => Far::Allowed,
+        }
     }
 
     fn fit(&self, id: &ExecutorId, executor: &Executor, job: &Job, index: TaskIndex) -> Fit {
@@ -276,6 +299,13 @@
     job.step(index).data_rack.as_ref().is_some_and(|data| rack != Some(data))
 }
 
+/// At least half of an executor is free.
+fn is_roomy(executor: &Executor) -> bool {
+    executor.info.as_ref().is_some_and(|info| {
+        executor.booked.cpu_millicores * 2 <= info.capacity.cpu_millicores
+    })
+}
+
 fn suits(executor: &Executor, job: &Job, index: TaskIndex, rack: Option<&str>) -> bool {
     let step = job.step(index);
     let Some(info) = &executor.info else { return false };
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -120,12 +120,7 @@
             EndKind::Failed => Some(TaskEnd::Failed),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => None,
         };
-        let is_done_by_gang = ended_as.is_none() && self.gang_is_done(&task_ref);
-        let ended_as = if is_done_by_gang { Some(TaskEnd::Done) } else { ended_as };
         self.run_over(now, &task_ref, ended_as);
-        if is_gang && ended_as != Some(TaskEnd::Done) {
-            self.stop_gang(now, &end.task.job, slot);
-        }
         self.check_attempts(now, &task_ref);
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -98,14 +98,13 @@
             }
             StartEnd::RunIsOver | StartEnd::TooLate => {}
         }
-        let is_gang = job.step(index).is_gang;
-        let slot = job.slot(index);
+        let gang = job.step(index).is_gang.then(|| job.slot(index));
         if is_certain && !matches!(end, StartEnd::Unanswered | StartEnd::RunIsOver) {
             self.run_over(now, &task_ref, None);
         } else {
             self.stop_task(now, &task_ref);
         }
-        if is_gang {
+        if let Some(slot) = gang {
             self.stop_gang(now, &key.job, slot);
         }
     }
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -298,6 +298,16 @@
         Some(schedule.first_ms + schedule.interval_ms * occurrence as u64)
     }
 
+    /// Marks the tasks of a gang that don't run as done, since another member's end counts for all.
+    pub(crate) fn finish_waiting(&mut self, slot: usize) {
+        for index in self.tasks_of(slot) {
+            if self.tasks[index].phase == Phase::Waiting {
+                self.tasks[index].phase = Phase::Done;
+                self.progress[slot].remaining -= 1;
+            }
+        }
+    }
+
     /// When the occurrence began that its next task belongs to.
     pub(crate) fn next_began_at(&self) -> Now {
         let next = self.startable.front().copied().unwrap_or(0);
