Count a task as away from the moment its stop is ordered

Change: a task is away once its stop is ordered, and a report can't make it at work again. Test task_being_stopped failed before.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -391,6 +391,8 @@
     fn stop_task(&mut self, now: Now, task_ref: &TaskRef) {
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
         let task = &mut job.tasks[task_ref.1];
+        // It is away from now on, though it takes a moment to end.
+        task.at_work_since = None;
         match &task.phase {
             Phase::Waiting | Phase::Done | Phase::Stopping { .. } => {}
             Phase::Planned { .. } => self.run_over(now, task_ref, None),
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -178,7 +178,8 @@
                 task.checkpoint.clone_from(&running.checkpoint);
             }
             task.percent = running.percent;
-            let is_at_work = running.percent >= 100;
+            let is_kept = !matches!(task.phase, Phase::Stopping { .. });
+            let is_at_work = running.percent >= 100 && is_kept;
             task.at_work_since =
                 if is_at_work { task.at_work_since.or(Some(now)) } else { None };
             if matches!(task.phase, Phase::Doubt { .. } | Phase::Starting { .. }) {
--- a/crates/jackdawpier_fleet/tests/spared_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/spared_tasks.rs
@@ -82,7 +82,32 @@
     cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(false));
     world.run_for(Duration::from_secs(2));
     world.waves.push(wave(&["m-view-0"], 10));
-    world.run_for(Duration::from_secs(15));
+    for _ in 0..1500 {
+        world.run_for(world::STEP);
+        assert!(world.at_work_of("j") >= 2, "one may be missed");
+    }
     assert_eq!(world.machine_orders.len(), 1);
     assert_eq!(world.runs_of("j"), 3);
 }
+
+/// A task that is being stopped is away already, whichever machine is asked about next.
+#[test]
+fn task_being_stopped() {
+    let mut world = World::new(&["view"], 4);
+    let cut: Vec<_> =
+        ["m-view-2", "m-view-3"].iter().map(|machine| world.executor_of(machine)).collect();
+    cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(true));
+    world.run_for(Duration::from_secs(2));
+    let small = StepSpec { max_per_executor: 2, need: step(1, 2, 0).need, ..lasting(3) };
+    world.submit("j", "q-view", job(vec![small]));
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(world.runs_of("j"), 3);
+    cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(false));
+    world.run_for(Duration::from_secs(2));
+    world.waves.push(wave(&["m-view-0", "m-view-1"], 1));
+    for _ in 0..1500 {
+        world.run_for(world::STEP);
+        assert!(world.at_work_of("j") >= 2, "one may be missed");
+    }
+    assert_eq!(world.machine_orders.len(), 2);
+}
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -102,6 +102,12 @@
         self.running.keys()
     }
 
+    /// Tasks whose startup is over.
+    pub fn at_work(&self) -> impl Iterator<Item = &TaskKey> {
+        let is_at_work = |run: &Run| self.now >= run.started_at + STARTUP;
+        self.running.iter().filter(move |(_, run)| is_at_work(run)).map(|(task, _)| task)
+    }
+
     pub fn far_runs(&self) -> usize {
         self.running.values().filter(|run| run.is_far).count()
     }
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -505,7 +505,13 @@
         }
     }
 
-    /// Starts that were begun on executors, over all their lives.
+    /// Tasks of a job that are at work.
+    pub fn at_work_of(&self, id: &str) -> usize {
+        let of_job = |task: &&TaskKey| &*task.job == id;
+        self.executors.values().flat_map(FakeExecutor::at_work).filter(of_job).count()
+    }
+
+    /// Tasks of a job that run, at work or starting up.
     pub fn runs_of(&self, id: &str) -> usize {
         let of_job = |task: &&TaskKey| &*task.job == id;
         self.executors.values().flat_map(FakeExecutor::running).filter(of_job).count()
