Let larger machines own, and plan machines less often

Change: machines are planned every 100 ms, decisions gather news for 8 ms (before: 2), and an entry with less than 0.2 of a core leaves a free ownership to others for 0.75 s. Test small_machine.

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -33,8 +33,9 @@
 
 /// Longest time between two looks of the decisions at the clock.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Decisions gather what arrives within this time.
-const TICK_GATHER: Duration = Duration::from_millis(2);
+/// Decisions gather what arrives within this time: a look costs up to 0.3 ms with 350 executors, and
+/// objectives are two seconds and more.
+const TICK_GATHER: Duration = Duration::from_millis(8);
 /// Leases of executors are this long at most. Long enough for a change of owners (two seconds and
 /// the take-over), short enough that tasks of a lost executor run again within six seconds.
 const EXECUTOR_LEASE: Duration = Duration::from_millis(5000);
@@ -196,8 +197,10 @@
     events: Events,
     life: String,
 ) {
+    let patience = ownership::patience(settings.cpu_share);
     loop {
-        if let Ok(Some(term)) = ownership::acquire(&platform, &settings.entry, &life).await {
+        let acquired = ownership::acquire(&platform, &settings.entry, &life, patience).await;
+        if let Ok(Some(term)) = acquired {
             events.emit("owner", json!({ "fence": term.fence }));
             let fence = term.fence;
             run_term(&platform, &settings, &active, &cell, &events, term).await;
--- a/crates/jackdawpier_entry/src/ownership.rs
+++ b/crates/jackdawpier_entry/src/ownership.rs
@@ -102,13 +102,25 @@
     }
 }
 
-/// Tries to become the owner and returns the term if this entry is it now.
+/// How long an entry leaves a free ownership to others. An owner of 350 executors takes some 0.15
+/// cores, more than the smallest machines have: those wait until every larger one has looked.
+pub fn patience(cpu_share: f64) -> Duration {
+    if cpu_share < ENOUGH_CPU { TRY_INTERVAL * 3 / 2 } else { Duration::ZERO }
+}
+
+/// Tries to become the owner and returns the term if this entry is it now. An ownership that nobody
+/// holds is taken only if it is still free after `patience`.
 pub async fn acquire<P: Platform>(
     platform: &P,
     entry: &str,
     life: &str,
+    patience: Duration,
 ) -> CallResult<Option<Term>> {
-    let held = platform.get(keys::OWNER).await?;
+    let mut held = platform.get(keys::OWNER).await?;
+    if held.is_none() && !patience.is_zero() {
+        tokio::time::sleep(patience).await;
+        held = platform.get(keys::OWNER).await?;
+    }
     let expected = match &held {
         None => 0,
         Some(item) if is_former_life(&item.value, entry, life) => item.revision,
@@ -150,6 +162,8 @@
         .is_ok_and(|value| value.entry == entry && value.life != life)
 }
 
+/// Share of a core from which an entry takes a free ownership at once.
+const ENOUGH_CPU: f64 = 0.2;
 /// Pause between two tries to become the owner. A stale reading, though cheaper, may show an owner
 /// that has been gone for seconds.
 pub const TRY_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/jackdawpier_entry/src/settings.rs
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -7,6 +7,8 @@
 pub struct EntrySettings {
     /// Name of the entry, unique among live ones.
     pub entry: String,
+    /// Share of a core that the process may use.
+    pub cpu_share: f64,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the entry takes connections.
--- a/crates/jackdawpier_entry/tests/ownership.rs
+++ b/crates/jackdawpier_entry/tests/ownership.rs
@@ -2,16 +2,21 @@
 
 mod support;
 
-use jackdawpier_entry::{keys, ownership::acquire};
+use std::time::Duration;
+
+use jackdawpier_entry::{
+    keys,
+    ownership::{acquire, patience},
+};
 use support::{Fake, Fate, run};
 
 #[test]
 fn one_owner() {
     run(async {
         let fake = Fake::default();
-        let first = acquire(&fake, "a", "1").await.expect("the store answers");
+        let first = acquire(&fake, "a", "1", Duration::ZERO).await.expect("the store answers");
         assert!(first.is_some_and(|term| term.is_valid()));
-        let second = acquire(&fake, "b", "1").await.expect("the store answers");
+        let second = acquire(&fake, "b", "1", Duration::ZERO).await.expect("the store answers");
         assert!(second.is_none());
     });
 }
@@ -21,8 +26,14 @@
 fn former_life() {
     run(async {
         let fake = Fake::default();
-        let first = acquire(&fake, "a", "1").await.expect("it answers").expect("nobody owns");
-        let second = acquire(&fake, "a", "2").await.expect("it answers").expect("it is gone");
+        let first = acquire(&fake, "a", "1", Duration::ZERO)
+            .await
+            .expect("it answers")
+            .expect("nobody owns");
+        let second = acquire(&fake, "a", "2", Duration::ZERO)
+            .await
+            .expect("it answers")
+            .expect("it is gone");
         assert!(second.fence > first.fence);
         assert!(!first.confirm(&fake).await);
         assert!(!first.is_valid());
@@ -34,7 +45,10 @@
 fn key_taken_away() {
     run(async {
         let fake = Fake::default();
-        let term = acquire(&fake, "a", "1").await.expect("it answers").expect("nobody owns");
+        let term = acquire(&fake, "a", "1", Duration::ZERO)
+            .await
+            .expect("it answers")
+            .expect("nobody owns");
         assert!(term.confirm(&fake).await);
         fake.remove(keys::OWNER);
         assert!(term.renew(&fake).await.is_ok());
@@ -47,7 +61,10 @@
 fn unreachable_store() {
     run(async {
         let fake = Fake::default();
-        let term = acquire(&fake, "a", "1").await.expect("it answers").expect("nobody owns");
+        let term = acquire(&fake, "a", "1", Duration::ZERO)
+            .await
+            .expect("it answers")
+            .expect("nobody owns");
         fake.set_down(true);
         assert!(!term.confirm(&fake).await, "no order about a machine without the store's word");
         assert!(term.is_valid(), "running work keeps its leases meanwhile");
@@ -59,7 +76,7 @@
     run(async {
         let fake = Fake::default();
         fake.next_writes(&[Fate::AnswerLost]);
-        let term = acquire(&fake, "a", "1").await.expect("it answers");
+        let term = acquire(&fake, "a", "1", Duration::ZERO).await.expect("it answers");
         assert!(term.is_some());
     });
 }
@@ -70,9 +87,27 @@
     run(async {
         let fake = Fake::default();
         fake.next_writes(&[Fate::Late]);
-        assert!(acquire(&fake, "a", "1").await.expect("it answers").is_none());
-        let other = acquire(&fake, "b", "1").await.expect("it answers");
+        assert!(acquire(&fake, "a", "1", Duration::ZERO).await.expect("it answers").is_none());
+        let other = acquire(&fake, "b", "1", Duration::ZERO).await.expect("it answers");
         fake.carry_out_late();
         assert!(other.expect("nobody owns").confirm(&fake).await);
     });
 }
+
+/// An entry with little processor leaves a free ownership to those with more.
+#[test]
+fn small_machine() {
+    run(async {
+        let fake = Fake::default();
+        let small = {
+            let fake = fake.clone();
+            tokio::task::spawn_local(async move {
+                acquire(&fake, "small", "1", patience(0.12)).await.expect("it answers").is_some()
+            })
+        };
+        tokio::task::yield_now().await;
+        let large = acquire(&fake, "large", "1", patience(0.5)).await.expect("it answers");
+        assert!(large.is_some());
+        assert!(!small.await.expect("it doesn't panic"));
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -400,6 +400,7 @@
 pub fn settings(entry: &str) -> EntrySettings {
     EntrySettings {
         entry: entry.to_owned(),
+        cpu_share: 1.0,
         callers: ([127, 0, 0, 1], 0).into(),
         ready: ([127, 0, 0, 1], 0).into(),
         grace: Duration::from_secs(1),
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -146,7 +146,7 @@
     gang_failures: HashMap<(JobId, usize), RunNumber>,
     commands: Vec<Command>,
     machines: Machines,
-    pools_planned_at: Now,
+    machines_planned_at: Now,
     arrivals: HashMap<ServiceName, Arrivals>,
     next_batch: u64,
     /// Time of day at the last tick, in milliseconds since 1970.
@@ -172,7 +172,7 @@
             advice: HashMap::new(),
             gang_failures: HashMap::new(),
             commands: Vec::new(),
-            pools_planned_at: now,
+            machines_planned_at: Now::ZERO,
             arrivals: HashMap::new(),
             next_batch: 0,
             wall_ms: 0,
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -13,6 +13,8 @@
     Stage, Wave, WaveNumber, WaveProgress, WaveState,
 };
 
+/// How often machines are planned: a small part of the time that anything with them takes.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// An unanswered order about a machine is repeated after this time.
 const REPEAT_ORDER: Duration = Duration::from_millis(600);
 /// A machine that was busy is asked again after this time.
@@ -111,9 +113,10 @@
 
     /// Chooses machines to vacate and orders those that are vacated.
     pub(super) fn plan_machines(&mut self, now: Now) {
-        if !self.machines.has_listing {
+        if !self.machines.has_listing || now < self.machines_planned_at + PLAN_INTERVAL {
             return;
         }
+        self.machines_planned_at = now;
         let numbers: Vec<WaveNumber> = self.machines.waves.keys().copied().collect();
         numbers.iter().for_each(|number| self.plan_wave(now, *number));
         self.plan_pools(now);
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -4,7 +4,7 @@
 //! room: a few machines that follow the demand serve more than any fixed split. Idle machines move;
 //! nothing is cut short for it.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc};
 
 use jackdawpier_kernel::{Now, ids::PoolName};
 
@@ -15,8 +15,6 @@
     order::rank,
 };
 
-/// How often pools are compared: well below the time that a move takes.
-const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Part of an equal share of all machines that a pool keeps though it needs less now, in percent:
 /// its own turn begins without notice, and machines take a second and a half to come back.
 const KEEP_PERCENT: usize = 80;
@@ -92,10 +90,9 @@
 impl Fleet {
     /// Begins the moves that bring machines to where work waits.
     pub(super) fn plan_pools(&mut self, now: Now) {
-        if now < self.pools_planned_at + PLAN_INTERVAL || now < self.machines.orders_from {
+        if now < self.machines.orders_from {
             return;
         }
-        self.pools_planned_at = now;
         let mut pools = self.view_pools(now);
         let standby = self.idle_standby();
         let total: usize = pools.values().map(Pool::holds).sum();
