Keep a term that has run out over, and release it

Change: a term that was seen invalid stays so, a renewal of it is refused, and it is released at once. Test late_renewal failed before.

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -213,7 +213,9 @@
                 tokio::task::spawn_local(give_up_after(platform.clone(), term.clone(), term_limit));
                 term_limit = LATER_SMALL_TERM;
             }
-            run_term(&platform, &settings, &active, &cell, &events, term).await;
+            run_term(&platform, &settings, &active, &cell, &events, term.clone()).await;
+            // If it only ran late, others needn't wait for the lease to end.
+            term.release(&platform).await;
             cell.0.borrow_mut().take();
             events.emit("owner_no_more", json!({ "fence": fence }));
         }
--- a/crates/jackdawpier_entry/src/ownership.rs
+++ b/crates/jackdawpier_entry/src/ownership.rs
@@ -49,10 +49,12 @@
 }
 
 impl Term {
-    /// Whether orders may leave now.
+    /// Whether orders may leave now. Once it isn't so it never is again: the loops of the term end
+    /// at different moments, and a term that came back would be kept alive by some of them only.
     pub fn is_valid(&self) -> bool {
-        let state = self.state.borrow();
-        !state.is_lost && clock::now() < state.valid_until
+        let mut state = self.state.borrow_mut();
+        state.is_lost |= clock::now() >= state.valid_until;
+        !state.is_lost
     }
 
     /// Ends the term at this entry: another may have begun.
@@ -79,8 +81,12 @@
 
     /// Renews the lease once.
     pub async fn renew<P: Platform>(&self, platform: &P) -> CallResult<()> {
+        if !self.is_valid() {
+            return Err(CallError::LeaseEnded);
+        }
         let asked_at = clock::now();
         match platform.renew_lease(self.lease).await {
+            Ok(()) if !self.is_valid() => Err(CallError::LeaseEnded),
             Ok(()) => {
                 let mut state = self.state.borrow_mut();
                 state.valid_until = state.valid_until.max(asked_at + VALID_FOR);
--- a/crates/jackdawpier_entry/tests/ownership.rs
+++ b/crates/jackdawpier_entry/tests/ownership.rs
@@ -6,7 +6,7 @@
 
 use jackdawpier_entry::{
     keys,
-    ownership::{acquire, patience},
+    ownership::{TTL, acquire, patience},
 };
 use support::{Fake, Fate, run};
 
@@ -111,3 +111,18 @@
         assert!(!small.await.expect("it doesn't panic"));
     });
 }
+
+/// A term that has run out at its holder stays over, even if a late renewal succeeds: its loops have
+/// ended, and nobody else could take over while the lease is kept alive.
+#[test]
+fn late_renewal() {
+    run(async {
+        let fake = Fake::default();
+        let term = acquire(&fake, "a", "1", Duration::ZERO).await.expect("it answers");
+        let term = term.expect("nobody owns");
+        tokio::time::sleep(TTL - Duration::from_millis(200)).await;
+        assert!(!term.is_valid());
+        assert!(term.renew(&fake).await.is_err());
+        assert!(!term.is_valid());
+    });
+}
