--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -24,6 +24,7 @@
     events::Events,
     http_server::Reply,
     keys,
+    metrics::Latency,
     owner::OwnerCell,
     pending,
     ports::{CallError, CallerLimits, Platform, Route, Transaction, TransactionEnd},
@@ -108,7 +109,9 @@
         };
         let queue = route.queue.name.clone();
         let submission = Submission { queue, accepted_ms: clock::wall_ms(), spec };
+        let arrived_at = clock::now();
         let fate = self.intake.submit(id.clone(), &submission, deadline).await;
+        self.events.metrics().took(Latency::Acceptance, clock::since(arrived_at));
         let queue = &*submission.queue;
         self.events
             .emit("job_in", json!({ "job": *id, "queue": queue, "fate": format!("{fate:?}") }));
--- a/crates/jackdawpier_entry/src/events.rs
+++ b/crates/jackdawpier_entry/src/events.rs
@@ -15,7 +15,7 @@
 use jackdawpier_kernel::Now;
 use serde_json::{Map, Value, json};
 
-use crate::clock;
+use crate::{clock, metrics::Metrics};
 
 /// Lines that may wait for the writing thread: about a megabyte.
 const QUEUED_LINES: usize = 4096;
@@ -36,6 +36,7 @@
     lines: SyncSender<String>,
     rates: HashMap<&'static str, Rate>,
     dropped: u64,
+    metrics: Metrics,
 }
 
 /// Writes log lines.
@@ -48,13 +49,20 @@
         let (lines, queue) = sync_channel(QUEUED_LINES);
         std::thread::spawn(move || write_lines(&queue));
         let entry = entry.to_owned();
-        let inner = Inner { entry, lines, rates: HashMap::new(), dropped: 0 };
+        let inner =
+            Inner { entry, lines, rates: HashMap::new(), dropped: 0, metrics: Metrics::default() };
         Self(Rc::new(RefCell::new(inner)))
     }
 
+    /// The metrics that count the lines.
+    pub fn metrics(&self) -> Metrics {
+        self.0.borrow().metrics.clone()
+    }
+
     /// Writes one line of a kind; `fields` has to be an object.
     pub fn emit(&self, kind: &'static str, fields: Value) {
         let mut inner = self.0.borrow_mut();
+        inner.metrics.count(kind, &outcome(&fields));
         let now = clock::now();
         if let Some(left_out) = inner.admit(kind, now) {
             if left_out > 0 {
@@ -101,6 +109,17 @@
     }
 }
 
+/// Fields that tell how something went, for the metrics.
+const OUTCOME_FIELDS: [&str; 4] = ["end", "how", "fate", "status"];
+
+fn outcome(fields: &Value) -> String {
+    let found = OUTCOME_FIELDS.iter().find_map(|name| fields.get(name));
+    found.map_or_else(String::new, |value| match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    })
+}
+
 /// Writes lines in groups, so that a burst costs few system calls.
 fn write_lines(queue: &Receiver<String>) {
     let mut output = std::io::stdout();
--- /dev/null
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -0,0 +1,120 @@
+//! Counters and latency histograms, served as text on the address that the settings give.
+//!
+//! Each log line counts here under its event and outcome, also where its rate kept it out of the
+//! log, so counts are whole while the log's volume is bounded.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::{Registry, Unit},
+};
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EventLabels {
+    event: &'static str,
+    outcome: String,
+}
+
+/// What took how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Latency {
+    /// From a job's arrival to the store's word.
+    Acceptance,
+    /// From the first try to write a group of records until it is durable.
+    Write,
+    /// From an order to start until its outcome, repeats included.
+    Start,
+    /// From a take-over's begin until the state is rebuilt.
+    TakeOver,
+}
+
+impl Latency {
+    const ALL: [Self; 4] = [Self::Acceptance, Self::Write, Self::Start, Self::TakeOver];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Acceptance => "acceptance",
+            Self::Write => "record_write",
+            Self::Start => "task_start",
+            Self::TakeOver => "takeover",
+        }
+    }
+
+    fn help(self) -> &'static str {
+        match self {
+            Self::Acceptance => "From the arrival of a job to its acceptance or refusal",
+            Self::Write => "From the first try to write a group of records until it is durable",
+            Self::Start => "From an order to start a task until its outcome, repeats included",
+            Self::TakeOver => "From the begin of a take-over until the state is rebuilt",
+        }
+    }
+}
+
+/// The shortest time that is told apart, in seconds.
+const SHORTEST_S: f64 = 0.001;
+/// Buckets, each twice as long as the one before: up to eight seconds.
+const BUCKETS: u16 = 14;
+
+#[derive(Debug)]
+struct Inner {
+    registry: Registry,
+    events: Family<EventLabels, Counter>,
+    latencies: Vec<Histogram>,
+    is_owner: Gauge,
+}
+
+/// The metrics of the process.
+#[derive(Debug, Clone)]
+pub struct Metrics(Rc<RefCell<Inner>>);
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("jackdawpier");
+        let events = Family::<EventLabels, Counter>::default();
+        registry.register("events", "Events of the log, by outcome", events.clone());
+        let is_owner = Gauge::default();
+        registry.register("owner", "1 while this entry owns the fleet", is_owner.clone());
+        let latencies = Latency::ALL.map(|latency| {
+            let histogram = Histogram::new(exponential_buckets(SHORTEST_S, 2.0, BUCKETS));
+            let (name, help) = (latency.name(), latency.help());
+            registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
+            histogram
+        });
+        let latencies = latencies.into();
+        Self(Rc::new(RefCell::new(Inner { registry, events, latencies, is_owner })))
+    }
+}
+
+impl Metrics {
+    /// Counts an event with its outcome; empty if it has none.
+    pub fn count(&self, event: &'static str, outcome: &str) {
+        let labels = EventLabels { event, outcome: outcome.to_owned() };
+        self.0.borrow().events.get_or_create(&labels).inc();
+    }
+
+    /// Notes how long something took.
+    pub fn took(&self, latency: Latency, time: Duration) {
+        let place = Latency::ALL.iter().position(|one| *one == latency);
+        let place = place.expect("every latency is in the list");
+        self.0.borrow().latencies[place].observe(time.as_secs_f64());
+    }
+
+    /// Notes whether this entry owns the fleet.
+    pub fn set_owner(&self, is_owner: bool) {
+        self.0.borrow().is_owner.set(i64::from(is_owner));
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.0.borrow().registry).expect("writing to a string can't fail");
+        text
+    }
+}
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -217,6 +217,7 @@
             // If it only ran late, others needn't wait for the lease to end.
             term.release(&platform).await;
             cell.0.borrow_mut().take();
+            events.metrics().set_owner(false);
             events.emit("owner_no_more", json!({ "fence": fence }));
         }
         tokio::time::sleep(ownership::TRY_INTERVAL).await;
@@ -254,6 +255,7 @@
     tokio::task::spawn_local(owner.clone().renew_loop());
     let Some(watch_from) = owner.take_over().await else { return };
     *cell.0.borrow_mut() = Some((term, fleet));
+    events.metrics().set_owner(true);
     let started_at: Now = clock::now();
     tokio::task::spawn_local(owner.clone().follow_intake(watch_from));
     tokio::task::spawn_local(owner.clone().list_intake_again());
--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -9,6 +9,7 @@
 use super::Owner;
 use crate::{
     clock, keys,
+    metrics::Latency,
     ports::{CallError, Platform, Transaction, TransactionEnd},
 };
 
@@ -58,7 +59,10 @@
     }
 
     async fn write(self: &Rc<Self>, batch: Batch) {
-        match self.write_until_known(&batch).await {
+        let began_at = clock::now();
+        let end = self.write_until_known(&batch).await;
+        self.events.metrics().took(Latency::Write, clock::since(began_at));
+        match end {
             WriteEnd::Durable(revisions) => {
                 self.fleet.borrow_mut().batch_durable(clock::now(), &batch, &revisions);
                 if self.is_valid() {
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -12,6 +12,7 @@
 use super::Owner;
 use crate::{
     clock,
+    metrics::Latency,
     ports::{CallError, HoldQuestion, OrderTarget, Platform, StartOrder},
 };
 
@@ -171,6 +172,7 @@
     }
 
     async fn start(self: Rc<Self>, start: Start) {
+        let began_at = clock::now();
         let mut is_certain = true;
         let mut end = StartEnd::Unanswered;
         for _ in 0..START_TRIES {
@@ -198,6 +200,7 @@
             is_certain = false;
         }
         let fields = json!({ "executor": *start.executor, "task": start.task.to_string(), "run": start.run, "end": format!("{end:?}"), "certain": is_certain });
+        self.events.metrics().took(Latency::Start, clock::since(began_at));
         self.events.emit("task_started", fields);
         if !self.is_valid() {
             return;
--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -9,6 +9,7 @@
 use super::Owner;
 use crate::{
     clock, keys,
+    metrics::Latency,
     ports::{Listing, Platform},
 };
 
@@ -40,6 +41,7 @@
             "jobs": jobs,
             "took_ms": clock::since(began_at).as_millis() as u64,
         });
+        self.events.metrics().took(Latency::TakeOver, clock::since(began_at));
         self.events.emit("taken_over", fields);
         Some(intake.revision)
     }
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -83,6 +83,16 @@
     let serving = http_server::serve(settings.ready, ready, InFlight::default(), stopping.clone());
     tokio::task::spawn_local(report_failure("ready", serving, events.clone()));
 
+    if let Some(address) = settings.metrics {
+        let metrics = events.metrics();
+        let answer = move |_| {
+            let text = metrics.text();
+            async move { Response::new(Full::new(Bytes::from(text))) }
+        };
+        let serving = http_server::serve(address, answer, InFlight::default(), stopping.clone());
+        tokio::task::spawn_local(report_failure("metrics", serving, events.clone()));
+    }
+
     wait_for_stop(&events, reload).await?;
     events.emit("stopping", json!({ "in_flight": in_flight.count() }));
     let asked_at = clock::now();
--- a/crates/jackdawpier_entry/src/settings.rs
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -13,6 +13,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether the entry takes connections.
     pub ready: SocketAddr,
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Time from the request to stop until the process is killed.
     pub grace: Duration,
     /// Longest lease that executors accept for what they run.
--- /dev/null
+++ b/crates/jackdawpier_entry/tests/metrics.rs
@@ -0,0 +1,25 @@
+//! Counts are whole though the log's volume is bounded.
+
+use std::time::Duration;
+
+use jackdawpier_entry::{events::Events, metrics::Latency};
+use serde_json::json;
+
+#[test]
+fn every_event() {
+    let events = Events::new("entry");
+    for _ in 0..2000 {
+        events.emit("task_started", json!({ "end": "Started" }));
+    }
+    let text = events.metrics().text();
+    let line = "jackdawpier_events_total{event=\"task_started\",outcome=\"Started\"} 2000";
+    assert!(text.contains(line), "{text}");
+}
+
+#[test]
+fn latency_histogram() {
+    let events = Events::new("entry");
+    events.metrics().took(Latency::Write, Duration::from_millis(20));
+    let text = events.metrics().text();
+    assert!(text.contains("jackdawpier_record_write_seconds_count 1"), "{text}");
+}
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -403,6 +403,7 @@
         cpu_share: 1.0,
         callers: ([127, 0, 0, 1], 0).into(),
         ready: ([127, 0, 0, 1], 0).into(),
+        metrics: None,
         grace: Duration::from_secs(1),
         longest_lease: Duration::from_secs(5),
         stop_timeout: Duration::from_millis(200),
