Answer what still comes on open connections while stopping

Change: they stay open and end with their next answer, which says so. Test open_connection failed before.

--- a/crates/jackdawpier_entry/src/http_server.rs
+++ b/crates/jackdawpier_entry/src/http_server.rs
@@ -4,7 +4,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, sync::watch};
 
@@ -48,8 +54,9 @@
     }
 }
 
-/// Serves a port until `stopping` turns true; then each connection ends with its next answer, and
-/// new ones are still taken, since the balancer may not have noticed yet.
+/// Serves a port. Once `stopping` is true each connection ends with its next answer; idle ones stay
+/// open, since a request may be on its way, and new ones are taken, since the balancer may not have
+/// noticed yet.
 pub async fn serve<H, F>(
     address: SocketAddr,
     handler: H,
@@ -72,32 +79,29 @@
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let in_flight = in_flight.clone();
-        let mut stopping = stopping.clone();
+        let stopping = stopping.clone();
         tokio::task::spawn_local(async move {
             let _slot = slot;
             let service = service_fn(move |request| {
                 let counted = Counted::new(in_flight.clone());
                 let reply = handler(request);
+                let stopping = stopping.clone();
                 async move {
-                    let reply = reply.await;
+                    let mut reply = reply.await;
+                    if *stopping.borrow() {
+                        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                    }
                     drop(counted);
                     Ok::<_, std::convert::Infallible>(reply)
                 }
             });
-            let connection = http1::Builder::new()
+            // A caller that breaks off is no event for us.
+            let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT)
                 .max_buf_size(BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), service);
-            let mut connection = std::pin::pin!(connection);
-            tokio::select! {
-                // A caller that breaks off is no event for us.
-                _ = connection.as_mut() => return,
-                _ = stopping.wait_for(|is_stopping| *is_stopping) => {
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
-            let _ = connection.await;
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
     }
 }
--- /dev/null
+++ b/crates/jackdawpier_entry/tests/stopping.rs
@@ -0,0 +1,57 @@
+//! A stopping process answers what still comes on open connections, and asks callers to leave.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use jackdawpier_entry::http_server::{InFlight, serve};
+use support::run;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+};
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    listener.local_addr().expect("it is bound")
+}
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    loop {
+        match TcpStream::connect(address).await {
+            Ok(stream) => return stream,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
+
+async fn ask(stream: &mut TcpStream) -> String {
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("it is open");
+    let mut buffer = [0; 1024];
+    let count = stream.read(&mut buffer).await.expect("it is answered");
+    String::from_utf8_lossy(&buffer[..count]).to_ascii_lowercase()
+}
+
+#[test]
+fn open_connection() {
+    run(async {
+        let address = free_address();
+        let (stop, stopping) = watch::channel(false);
+        let handler = |_| async { Response::new(Full::new(Bytes::from("yes"))) };
+        tokio::task::spawn_local(serve(address, handler, InFlight::default(), stopping));
+        let mut idle = connect(address).await;
+        assert!(!ask(&mut idle).await.contains("connection: close"));
+        stop.send(true).expect("the server watches");
+        tokio::task::yield_now().await;
+        let answer = ask(&mut idle).await;
+        assert!(answer.starts_with("http/1.1 200"), "{answer}");
+        assert!(answer.contains("connection: close"), "{answer}");
+        let mut rest = Vec::new();
+        let count = idle.read_to_end(&mut rest).await.expect("it is closed in order");
+        assert_eq!(count, 0);
+    });
+}
