--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -65,6 +65,7 @@
         match end {
             WriteEnd::Durable(revisions) => {
                 self.fleet.borrow_mut().batch_durable(clock::now(), &batch, &revisions);
+                self.log_finished();
                 if self.is_valid() {
                     self.pump();
                     self.written.notify_waiters();
@@ -77,6 +78,20 @@
         }
     }
 
+    fn log_finished(&self) {
+        for job in self.fleet.borrow_mut().take_finished() {
+            let fields = json!({
+                "job": *job.job,
+                "queue": *job.queue,
+                "end": format!("{:?}", job.outcome),
+                "took_ms": job.took.as_millis() as u64,
+                "objective_ms": job.objective.as_millis() as u64,
+                "most_failures": job.most_failures,
+            });
+            self.events.emit("job_over", fields);
+        }
+    }
+
     async fn write_until_known(&self, batch: &Batch) -> WriteEnd {
         let mut expect = vec![(keys::OWNER.to_owned(), self.term.fence)];
         expect
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -23,7 +23,7 @@
     ids::{ExecutorId, JobId, Revision, ServiceName},
 };
 
-pub use commits::Batch;
+pub use commits::{Batch, FinishedJob};
 pub use reports::HoldOrder;
 pub use starts::{StartEnd, StopEnd};
 
@@ -145,6 +145,7 @@
     advice: HashMap<(JobId, usize), Advice>,
     gang_failures: HashMap<(JobId, usize), RunNumber>,
     commands: Vec<Command>,
+    finished: Vec<FinishedJob>,
     machines: Machines,
     machines_planned_at: Now,
     arrivals: HashMap<ServiceName, Arrivals>,
@@ -172,6 +173,7 @@
             advice: HashMap::new(),
             gang_failures: HashMap::new(),
             commands: Vec::new(),
+            finished: Vec::new(),
             machines_planned_at: Now::ZERO,
             arrivals: HashMap::new(),
             next_batch: 0,
--- a/crates/jackdawpier_fleet/src/fleet/commits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/commits.rs
@@ -1,12 +1,36 @@
 //! Making changes durable in groups, and what may happen once they are.
 
+use std::time::Duration;
+
 use jackdawpier_kernel::{
     Now,
     ids::{JobId, Revision},
 };
 
 use super::{Command, Fleet};
-use crate::{job::Phase, record::JobRecord, spec::TaskKey};
+use crate::{
+    job::Phase,
+    order::objective,
+    record::{JobOutcome, JobRecord},
+    spec::{QueueName, TaskKey},
+};
+
+/// The durable end of a job, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FinishedJob {
+    /// The job.
+    pub job: JobId,
+    /// Its queue.
+    pub queue: QueueName,
+    /// How it ended.
+    pub outcome: JobOutcome,
+    /// Time from its begin, which is its acceptance if it isn't repeated.
+    pub took: Duration,
+    /// The time that it should have taken at most.
+    pub objective: Duration,
+    /// Failed runs of the task that failed most often.
+    pub most_failures: u32,
+}
 
 /// Records to be written in one transaction.
 #[derive(Debug)]
@@ -52,21 +76,43 @@
 
     /// A batch is durable at these revisions, one a record: its placements may be ordered, its ends
     /// acknowledged and its outcomes shown.
-    pub fn batch_durable(&mut self, _now: Now, batch: &Batch, revisions: &[Revision]) {
+    pub fn batch_durable(&mut self, now: Now, batch: &Batch, revisions: &[Revision]) {
         let written = batch.records.iter().zip(&batch.changes).zip(revisions);
         for (((id, record, _), &changes), &revision) in written {
             let Some(job) = self.jobs.get_mut(id) else { continue };
             job.is_writing = false;
             job.revision = revision;
             job.durable_changes = changes;
-            if record.outcome.is_some() {
-                job.shown = record.outcome;
+            if let Some(outcome) = record.outcome {
+                let is_news = job.shown.replace(outcome).is_none();
+                if is_news {
+                    self.note_finished(now, id, outcome);
+                }
                 continue;
             }
             self.order_starts(id, record);
         }
     }
 
+    fn note_finished(&mut self, now: Now, id: &JobId, outcome: JobOutcome) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let queue = self.queues.get(&job.queue);
+        let worst = job.tasks.iter().max_by_key(|task| task.failures);
+        self.finished.push(FinishedJob {
+            job: id.clone(),
+            queue: job.queue.clone(),
+            outcome,
+            took: now.saturating_sub(job.next_began_at()),
+            objective: queue.map(|queue| objective(job, queue)).unwrap_or_default(),
+            most_failures: worst.map_or(0, |task| task.failures),
+        });
+    }
+
+    /// Jobs whose ends have become durable since the last call.
+    pub fn take_finished(&mut self) -> Vec<FinishedJob> {
+        std::mem::take(&mut self.finished)
+    }
+
     fn order_starts(&mut self, id: &JobId, record: &JobRecord) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         for (index, written) in record.tasks.iter().enumerate() {
