Answer a caller after half a second without the store's word

Change: after 0.5 s (questions and cancellations 0.6 s) the final answer is given, so that the caller can ask another entry. Test silent_store (60 s of patience) would have held the caller for a minute before.

--- a/crates/jackdawpier_entry/src/acceptance.rs
+++ b/crates/jackdawpier_entry/src/acceptance.rs
@@ -19,6 +19,9 @@
 const JOBS_PER_WRITE: usize = 15;
 /// Writes under way at once; with four milliseconds each some 15,000 jobs a second.
 const WRITES_AT_ONCE: usize = 4;
+/// A store that gave no answer is asked again for this long; then the caller is told that the outcome
+/// is unknown, so that it can ask another entry.
+const DOUBT_PATIENCE: Duration = Duration::from_millis(500);
 /// Pause before a write is repeated, so that a failing store isn't pressed.
 const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 
@@ -38,11 +41,21 @@
     id: JobId,
     value: Vec<u8>,
     deadline: Now,
-    /// A write of it went unanswered.
-    may_be_stored: bool,
+    /// When a write of it first went unanswered.
+    unanswered_at: Option<Now>,
     answer: oneshot::Sender<Acceptance>,
 }
 
+impl Entry {
+    fn may_be_stored(&self) -> bool {
+        self.unanswered_at.is_some()
+    }
+
+    fn is_given_up(&self, now: Now) -> bool {
+        now >= self.deadline || self.unanswered_at.is_some_and(|at| now >= at + DOUBT_PATIENCE)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Queue {
     waiting: VecDeque<Entry>,
@@ -60,7 +73,7 @@
     pub async fn submit(&self, id: JobId, submission: &Submission, deadline: Now) -> Acceptance {
         let Ok(value) = serde_json::to_vec(submission) else { return Acceptance::Refused };
         let (answer, fate) = oneshot::channel();
-        let entry = Entry { id, value, deadline, may_be_stored: false, answer };
+        let entry = Entry { id, value, deadline, unanswered_at: None, answer };
         self.queue.borrow_mut().waiting.push_back(entry);
         self.arrived.notify_one();
         fate.await.unwrap_or(Acceptance::Unknown)
@@ -113,21 +126,24 @@
             Err(CallError::NotDone { .. }) => {
                 // What no earlier write can have stored is refused at once.
                 let (doubtful, rest): (Vec<_>, Vec<_>) =
-                    batch.into_iter().partition(|entry| entry.may_be_stored);
+                    batch.into_iter().partition(Entry::may_be_stored);
                 answer_all(rest, Acceptance::Refused);
                 batch = doubtful;
                 tokio::time::sleep(REPEAT_PAUSE).await;
             }
             Err(_) => {
-                batch.iter_mut().for_each(|entry| entry.may_be_stored = true);
+                let now = clock::now();
+                batch.iter_mut().for_each(|entry| {
+                    entry.unanswered_at.get_or_insert(now);
+                });
                 tokio::time::sleep(REPEAT_PAUSE).await;
             }
         }
         let now = clock::now();
         let (late, rest): (Vec<_>, Vec<_>) =
-            batch.into_iter().partition(|entry| now >= entry.deadline);
+            batch.into_iter().partition(|entry| entry.is_given_up(now));
         let (doubtful, untried): (Vec<_>, Vec<_>) =
-            late.into_iter().partition(|entry| entry.may_be_stored);
+            late.into_iter().partition(Entry::may_be_stored);
         answer_all(doubtful, Acceptance::Unknown);
         answer_all(untried, Acceptance::Refused);
         batch = rest;
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -36,6 +36,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// When a caller that was refused for the store's sake should come back, in seconds.
 const RETRY_AFTER_S: &str = "1";
+/// A store that can't be reached is asked again for this long; then the caller may try another entry.
+const STORE_PATIENCE: Duration = Duration::from_millis(600);
 /// Pause before a store that gave no answer is asked again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(60);
 
@@ -76,8 +78,8 @@
         let id: JobId = id.into();
         match *request.method() {
             Method::POST => self.submit(&route, id, request, configuration.limits, deadline).await,
-            Method::GET => self.look(&id, deadline).await,
-            Method::DELETE => self.cancel(&id, deadline).await,
+            Method::GET => self.look(&id, deadline.min(clock::now() + STORE_PATIENCE)).await,
+            Method::DELETE => self.cancel(&id, deadline.min(clock::now() + STORE_PATIENCE)).await,
             _ => self.problem(StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE"),
         }
     }
--- a/crates/jackdawpier_entry/tests/acceptance.rs
+++ b/crates/jackdawpier_entry/tests/acceptance.rs
@@ -97,3 +97,14 @@
         assert!(fake.commits() <= 8, "{} writes for 60 jobs", fake.commits());
     });
 }
+
+/// A caller isn't held until its own time is over where the store gives no answers.
+#[test]
+fn silent_store() {
+    run(async {
+        let fake = Fake::default();
+        fake.next_writes(&[Fate::Lost; 200]);
+        assert_eq!(submit(&fake, 60_000).await, Acceptance::Unknown);
+        assert!(fake.commits() < 50, "{} tries", fake.commits());
+    });
+}
