Repeat lost orders on pace; test advice and priorities

Cause: an order on pace whose answer or arrival was lost was never repeated. Change: what the executor reports counts. Test order_lost failed before.

--- a/crates/jackdawpier_fleet/src/fleet/pacing.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pacing.rs
@@ -39,7 +39,9 @@
                 Some(percent) if percent > RETURN_BELOW_PERCENT => task.pace_percent,
                 _ => (task.pace_percent + RETURN_STEP_PERCENT).min(100),
             };
-            if wanted != task.pace_percent {
+            // An order may have been lost: what the executor reports counts, once it is at work.
+            let is_obeyed = task.percent == wanted || task.percent == 0;
+            if wanted != task.pace_percent || !is_obeyed {
                 task.pace_percent = wanted;
                 let (run, percent) = (task.run, wanted);
                 self.commands.push(Command::Pace { executor: id.clone(), task: key, run, percent });
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -48,6 +48,9 @@
     /// Cut off from everybody, but alive.
     pub is_cut: bool,
     cut_at: Duration,
+    /// Tail of the response times of what serves here, in milliseconds.
+    pub tail_ms: u64,
+    paces: HashMap<TaskKey, u32>,
     /// Each run ends in failure.
     pub fails_all: bool,
 }
@@ -72,6 +75,8 @@
             crashed_at: None,
             is_cut: false,
             cut_at: now,
+            tail_ms: 0,
+            paces: HashMap::new(),
             fails_all: false,
         }
     }
@@ -224,6 +229,14 @@
         StopEnd::Taken
     }
 
+    pub fn pace(&mut self, task: &TaskKey, percent: u32) {
+        self.paces.insert(task.clone(), percent);
+    }
+
+    pub fn pace_of(&self, task: &TaskKey) -> u32 {
+        self.paces.get(task).copied().unwrap_or(100)
+    }
+
     pub fn hold(&mut self, now: Duration, fence: u64, order: &HoldOrder) -> Option<HoldReport> {
         if fence < self.fence {
             return None;
@@ -245,8 +258,8 @@
             task: task.clone(),
             run: run.number,
             checkpoint: "".into(),
-            percent: if now >= run.started_at + STARTUP { 100 } else { 0 },
-            gauge: 0,
+            percent: if now >= run.started_at + STARTUP { self.pace_of(task) } else { 0 },
+            gauge: self.tail_ms,
         });
         Some(HoldReport {
             clock: self.clock(now),
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -117,6 +117,9 @@
     /// Time that an order about a machine takes to arrive.
     pub machine_order_delay: Duration,
     machine_orders_under_way: Vec<(Duration, MachineOrder)>,
+    /// Executors that the advisor approves of, and how often it was asked.
+    pub approved: Vec<Arc<str>>,
+    pub advised: usize,
     /// Labels of machines beside the common one.
     pub labels: BTreeMap<Arc<str>, Arc<str>>,
 }
@@ -155,6 +158,8 @@
             refuses_moves: false,
             machine_order_delay: Duration::ZERO,
             machine_orders_under_way: Vec::new(),
+            approved: Vec::new(),
+            advised: 0,
             labels: BTreeMap::new(),
         };
         for pool in pools {
@@ -387,7 +392,17 @@
                 }
                 return;
             }
-            Command::Wave(_) | Command::Advise { .. } => return,
+            Command::Wave(_) => return,
+            Command::Advise { task, executors } => {
+                let approved = executors
+                    .iter()
+                    .filter(|id| self.approved.contains(*id))
+                    .map(|id| (id.clone(), format!("ticket-{id}").into()))
+                    .collect();
+                self.advised += 1;
+                self.fleet.advised(self.now, task, approved, Duration::from_secs(3));
+                return;
+            }
             Command::Start { .. } | Command::Stop { .. } | Command::Pace { .. } => {}
         }
         self.orders += 1;
@@ -466,6 +481,10 @@
                 }
                 Some(Executed::Stop(target.stop(now, fence, task, *run)))
             }
+            Command::Pace { executor, task, percent, .. } => {
+                self.executors.get_mut(executor)?.pace(task, *percent);
+                None
+            }
             _ => None,
         }
     }
