Send at most three orders at once to one executor

Cause: a whole step placed on one executor opened a connection for each of its starts, and four were kept. Change: three orders at a time; the rest follow on the same connections, and are withheld if the executor has just failed to answer.

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -9,7 +9,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
@@ -20,7 +20,7 @@
 };
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 use serde_json::json;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::{
     clock,
@@ -96,6 +96,8 @@
     pub(crate) written: Notify,
     /// Executors that have a loop of their own.
     pub(crate) followed: RefCell<HashSet<ExecutorId>>,
+    /// Orders that may be under way at each executor.
+    pub(crate) order_slots: RefCell<HashMap<ExecutorId, Rc<Semaphore>>>,
     configured_version: Cell<u64>,
 }
 
@@ -250,6 +252,7 @@
         unwritten: Notify::new(),
         written: Notify::new(),
         followed: RefCell::new(HashSet::new()),
+        order_slots: RefCell::new(HashMap::new()),
         configured_version: Cell::new(0),
     });
     tokio::task::spawn_local(owner.clone().renew_loop());
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -8,6 +8,7 @@
 };
 use jackdawpier_kernel::ids::ExecutorId;
 use serde_json::json;
+use tokio::sync::Semaphore;
 
 use super::Owner;
 use crate::{
@@ -26,6 +27,9 @@
 const DURABLE_WAIT: Duration = Duration::from_millis(500);
 /// An order without an answer is sent this many times before its task is given up there.
 const START_TRIES: usize = 2;
+/// Orders under way at once at one executor: they share a few kept-alive connections, where a whole
+/// step that is placed there would open one each.
+const ORDERS_AT_ONCE: usize = 3;
 /// Tries of a stop; after these it is repeated with each hold.
 const STOP_TRIES: usize = 3;
 
@@ -124,6 +128,7 @@
             }
         }
         self.followed.borrow_mut().remove(&id);
+        self.order_slots.borrow_mut().remove(&id);
     }
 
     async fn wait_until_durable(&self, id: &ExecutorId) {
@@ -171,7 +176,15 @@
         }
     }
 
+    fn order_slot(&self, executor: &ExecutorId) -> Rc<Semaphore> {
+        let mut slots = self.order_slots.borrow_mut();
+        let slot = slots.entry(executor.clone());
+        slot.or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE))).clone()
+    }
+
     async fn start(self: Rc<Self>, start: Start) {
+        let slot = self.order_slot(&start.executor);
+        let _permit = slot.acquire().await.expect("it is never closed");
         let began_at = clock::now();
         let mut is_certain = true;
         let mut end = StartEnd::Unanswered;
@@ -180,6 +193,11 @@
             if !self.is_valid() || !is_wanted {
                 return;
             }
+            if self.fleet.borrow().is_avoided(clock::now(), &start.executor) {
+                // It has just failed to answer another order.
+                end = if is_certain { StartEnd::Withheld } else { StartEnd::Unanswered };
+                break;
+            }
             let lease = self.fleet.borrow_mut().order_lease(clock::now(), &start.executor);
             let (Some(target), Some(lease_until)) = (self.target(&start.executor), lease) else {
                 end = StartEnd::Unavailable;
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -347,6 +347,11 @@
         self.executors.get(id)?.info.as_ref().map(|info| info.address.clone())
     }
 
+    /// Whether an executor is left out for now, after a refusal or a missing answer.
+    pub fn is_avoided(&self, now: Now, executor: &str) -> bool {
+        self.executors.get(executor).is_none_or(|executor| now < executor.avoid_until)
+    }
+
     /// Whether a start is still wanted, asked right before its order leaves.
     pub fn is_wanted(&self, executor: &str, key: &TaskKey, run: RunNumber) -> bool {
         self.jobs.get(&key.job).is_some_and(|job| {
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -25,6 +25,8 @@
     BadTicket,
     /// The executor is unhealthy or another one lives at its address; nothing was done.
     Unavailable,
+    /// The order wasn't sent, since the executor had just failed to take another.
+    Withheld,
     /// The order was wrong in itself; nothing was done.
     Invalid,
     /// No answer: it may have been started, or may yet be.
@@ -96,7 +98,7 @@
                 let slot = job.slot(index);
                 self.advice.remove(&(key.job.clone(), slot));
             }
-            StartEnd::RunIsOver | StartEnd::TooLate => {}
+            StartEnd::RunIsOver | StartEnd::TooLate | StartEnd::Withheld => {}
         }
         let gang = job.step(index).is_gang.then(|| job.slot(index));
         if is_certain && !matches!(end, StartEnd::Unanswered | StartEnd::RunIsOver) {
