Keep a queue's settings with its jobs

Cause: an owner that takes over after a route was removed never sees the queue's settings, so jobs that had been accepted there would wait for ever. Change: each accepted job carries the settings that its queue had. Tests of the take-over: running_tasks, late_orders, removed_queue; the last failed before.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -110,7 +110,8 @@
             Err(error) => return self.problem(StatusCode::BAD_REQUEST, &error.to_string()),
         };
         let queue = route.queue.name.clone();
-        let submission = Submission { queue, accepted_ms: clock::wall_ms(), spec };
+        let settings = Some(route.queue.clone());
+        let submission = Submission { queue, settings, accepted_ms: clock::wall_ms(), spec };
         let arrived_at = clock::now();
         let fate = self.intake.submit(id.clone(), &submission, deadline).await;
         self.events.metrics().took(Latency::Acceptance, clock::since(arrived_at));
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -272,6 +272,10 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        if let Some(settings) = &submission.settings {
+            let known = self.queues.entry(submission.queue.clone());
+            known.or_insert_with(|| settings.clone());
+        }
         let age = Duration::from_millis(wall_ms.saturating_sub(submission.accepted_ms));
         let mut job = Job::new(id.clone(), submission, now.saturating_sub(age));
         if let Some((record, revision)) = &written {
--- a/crates/jackdawpier_fleet/src/spec.rs
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -220,6 +220,10 @@
 pub struct Submission {
     /// The queue it entered.
     pub queue: QueueName,
+    /// The queue's settings at that time, for an owner that never sees them: the queue may be removed
+    /// while its jobs wait.
+    #[serde(default)]
+    pub settings: Option<Queue>,
     /// Time of day of its acceptance, in milliseconds since 1970.
     pub accepted_ms: u64,
     /// What to run.
@@ -246,7 +250,7 @@
 }
 
 /// The settings of a queue that decisions need.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Name of the queue.
     pub name: QueueName,
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/takeover.rs
@@ -0,0 +1,46 @@
+//! A new owner goes on where the former one stood, knowing only the store and the executors.
+
+mod world;
+
+use std::time::Duration;
+
+use jackdawpier_fleet::record::JobOutcome;
+use world::{World, job, step};
+
+#[test]
+fn running_tasks() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", job(vec![step(6, 2, 2_000)]));
+    world.run_for(Duration::from_millis(700));
+    world.take_over();
+    world.run_for(Duration::from_millis(300));
+    assert_eq!(world.runs_of("j"), 6, "what runs goes on");
+    let outcome = world.run_until_over("j", Duration::from_secs(4));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
+
+/// The orders of a former owner that arrive late start nothing any more.
+#[test]
+fn late_orders() {
+    let mut world = World::new(&["view"], 2);
+    world.delivery = Box::new(|_| world::Delivery::Late(Duration::from_millis(2_500)));
+    world.submit("j", "q-view", job(vec![step(4, 2, 1_000)]));
+    world.run_for(Duration::from_millis(100));
+    world.delivery = Box::new(|_| world::Delivery::Answered);
+    world.take_over();
+    let outcome = world.run_until_over("j", Duration::from_secs(6));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(world.runs_of("j"), 0);
+}
+
+/// The route of an accepted job has been removed, and no entry remembers it.
+#[test]
+fn removed_queue() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", job(vec![step(6, 2, 500)]));
+    world.queues.clear();
+    world.take_over();
+    let outcome = world.run_until_over("j", Duration::from_secs(4));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -221,7 +221,9 @@
     }
 
     pub fn submit(&mut self, id: &str, queue: &str, spec: JobSpec) {
-        let submission = Submission { queue: queue.into(), accepted_ms: self.wall_ms(), spec };
+        let settings = self.queues.iter().find(|one| &*one.name == queue).cloned();
+        let submission =
+            Submission { queue: queue.into(), settings, accepted_ms: self.wall_ms(), spec };
         self.submissions.insert(id.into(), submission.clone());
         self.fleet.add_job(self.now, self.wall_ms(), id.into(), submission);
     }
