Plan waves to be over seven seconds before they are due

Cause: a change of owner late in a wave (3.5 s without machine orders) left machines undone. Change: the reserve is 7 s instead of 3 s.

--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -22,8 +22,9 @@
 /// Time from the choice of a busy machine until it is back, beyond the maintenance itself: tasks of
 /// about two seconds run out, and its return is seen by polling.
 const TURNAROUND: Duration = Duration::from_millis(2500);
-/// A wave is planned to be over this long before it is due.
-const WAVE_RESERVE: Duration = Duration::from_secs(3);
+/// A wave is planned to be over this long before it is due: a change of owner on the way costs half of
+/// it.
+const WAVE_RESERVE: Duration = Duration::from_secs(7);
 /// What runs on a machine that is to be taken gets this long to end before it is cut short.
 const LONGEST_VACATING: Duration = Duration::from_secs(4);
 /// A new executor may be in the registry this long before it is in the list of machines.
