Ask the store for no shorter lease than it grants; drop settings that nothing reads

An entry that would own the fleet is described by one type; the life of its lease is the longer of two seconds and what the store grants at least. Test shortest_lease.

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -26,7 +26,7 @@
     clock,
     configuration::Active,
     events::Events,
-    ownership::{self, Term},
+    ownership::{self, Candidate, Term},
     ports::Platform,
     settings::EntrySettings,
 };
@@ -186,10 +186,9 @@
     FleetSettings {
         lease,
         // An owner that was cut off may have renewed until its own lease ended.
-        doubt: ownership::TTL + lease * 21 / 20 + Duration::from_millis(300),
+        doubt: ownership::ttl(settings.shortest_ttl) + lease * 21 / 20 + Duration::from_millis(300),
         stop_timeout: settings.stop_timeout,
         maintenance: settings.maintenance,
-        migration: settings.migration,
         remote_factor: settings.remote_factor,
         order_lease: settings.order_lease + Duration::from_millis(500),
     }
@@ -204,14 +203,19 @@
     events: Events,
     life: String,
 ) {
-    let patience = ownership::patience(settings.cpu_share);
+    let candidate = Candidate {
+        entry: settings.entry.clone(),
+        life,
+        patience: ownership::patience(settings.cpu_share),
+        ttl: ownership::ttl(settings.shortest_ttl),
+    };
     let mut term_limit = FIRST_SMALL_TERM;
     loop {
-        let acquired = ownership::acquire(&platform, &settings.entry, &life, patience).await;
+        let acquired = ownership::acquire(&platform, &candidate).await;
         if let Ok(Some(term)) = acquired {
             events.emit("owner", json!({ "fence": term.fence }));
             let fence = term.fence;
-            if !patience.is_zero() {
+            if !candidate.patience.is_zero() {
                 tokio::task::spawn_local(give_up_after(platform.clone(), term.clone(), term_limit));
                 term_limit = LATER_SMALL_TERM;
             }
--- a/crates/jackdawpier_entry/src/ownership.rs
+++ b/crates/jackdawpier_entry/src/ownership.rs
@@ -16,13 +16,11 @@
 
 /// Life of the lease. A killed owner is followed after this long, and a store that doesn't answer
 /// for a little less costs the ownership.
-pub const TTL: Duration = Duration::from_millis(2000);
+const TTL: Duration = Duration::from_millis(2000);
 /// Renewals an owner may miss: three of four.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 /// The owner stops this long before its lease ends, for the way of an order and clocks' drift.
 const MARGIN: Duration = Duration::from_millis(300);
-/// How long a renewal holds, from the moment at which it was asked for.
-const VALID_FOR: Duration = TTL.saturating_sub(MARGIN);
 
 #[derive(Debug, Serialize, Deserialize)]
 struct OwnerValue {
@@ -45,10 +43,16 @@
     /// Fencing token of all orders.
     pub fence: Revision,
     lease: LeaseId,
+    ttl: Duration,
     state: Rc<RefCell<State>>,
 }
 
 impl Term {
+    /// How long a renewal holds, from the moment at which it was asked for.
+    fn valid_for(&self) -> Duration {
+        self.ttl.saturating_sub(MARGIN)
+    }
+
     /// Whether orders may leave now. Once it isn't so it never is again: the loops of the term end
     /// at different moments, and a term that came back would be kept alive by some of them only.
     pub fn is_valid(&self) -> bool {
@@ -89,7 +93,7 @@
             Ok(()) if !self.is_valid() => Err(CallError::LeaseEnded),
             Ok(()) => {
                 let mut state = self.state.borrow_mut();
-                state.valid_until = state.valid_until.max(asked_at + VALID_FOR);
+                state.valid_until = state.valid_until.max(asked_at + self.valid_for());
                 Ok(())
             }
             Err(CallError::LeaseEnded) => {
@@ -108,6 +112,24 @@
     }
 }
 
+/// An entry that would own the fleet.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// Name of the entry.
+    pub entry: String,
+    /// Tells the lives of an entry apart.
+    pub life: String,
+    /// How long a free ownership is left to others, see [`patience`].
+    pub patience: Duration,
+    /// Life of the lease, see [`ttl`].
+    pub ttl: Duration,
+}
+
+/// Life of the lease, where the store grants none below `shortest`.
+pub fn ttl(shortest: Duration) -> Duration {
+    TTL.max(shortest)
+}
+
 /// How long an entry leaves a free ownership to others. An owner of 350 executors takes some 0.15
 /// cores, more than the smallest machines have: those wait until every larger one has looked.
 pub fn patience(cpu_share: f64) -> Duration {
@@ -115,28 +137,23 @@
 }
 
 /// Tries to become the owner and returns the term if this entry is it now. An ownership that nobody
-/// holds is taken only if it is still free after `patience`.
-pub async fn acquire<P: Platform>(
-    platform: &P,
-    entry: &str,
-    life: &str,
-    patience: Duration,
-) -> CallResult<Option<Term>> {
+/// holds is taken only if it is still free after the candidate's patience.
+pub async fn acquire<P: Platform>(platform: &P, candidate: &Candidate) -> CallResult<Option<Term>> {
     let mut held = platform.get(keys::OWNER).await?;
-    if held.is_none() && !patience.is_zero() {
-        tokio::time::sleep(patience).await;
+    if held.is_none() && !candidate.patience.is_zero() {
+        tokio::time::sleep(candidate.patience).await;
         held = platform.get(keys::OWNER).await?;
     }
     let expected = match &held {
         None => 0,
-        Some(item) if patience.is_zero() && is_former_life(&item.value, entry, life) => {
+        Some(item) if candidate.patience.is_zero() && is_former_life(&item.value, candidate) => {
             item.revision
         }
         Some(_) => return Ok(None),
     };
     let asked_at = clock::now();
-    let lease = platform.grant_lease(TTL).await?;
-    let value = OwnerValue { entry: entry.to_owned(), life: life.to_owned() };
+    let lease = platform.grant_lease(candidate.ttl).await?;
+    let value = OwnerValue { entry: candidate.entry.clone(), life: candidate.life.clone() };
     let value = serde_json::to_vec(&value).expect("plain strings can be written as JSON");
     let transaction = Transaction {
         expect: vec![(keys::OWNER.to_owned(), expected)],
@@ -159,15 +176,15 @@
             }
         },
     };
-    let valid_until = asked_at + VALID_FOR;
+    let valid_until = asked_at + candidate.ttl.saturating_sub(MARGIN);
     let state = State { valid_until, confirmed_at: asked_at, is_lost: false };
-    Ok(Some(Term { fence, lease, state: Rc::new(RefCell::new(state)) }))
+    Ok(Some(Term { fence, lease, ttl: candidate.ttl, state: Rc::new(RefCell::new(state)) }))
 }
 
 /// The key was written by an earlier life of this very entry, which is certainly gone.
-fn is_former_life(value: &[u8], entry: &str, life: &str) -> bool {
+fn is_former_life(value: &[u8], candidate: &Candidate) -> bool {
     serde_json::from_slice::<OwnerValue>(value)
-        .is_ok_and(|value| value.entry == entry && value.life != life)
+        .is_ok_and(|value| value.entry == candidate.entry && value.life != candidate.life)
 }
 
 /// Share of a core from which an entry takes a free ownership at once.
--- a/crates/jackdawpier_entry/src/settings.rs
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -23,8 +23,6 @@
     pub stop_timeout: Duration,
     /// How long a machine is away for maintenance.
     pub maintenance: Duration,
-    /// How long a machine is away for a change of pool.
-    pub migration: Duration,
     /// A task away from its data takes this many times as long.
     pub remote_factor: f64,
     /// Holders of machine orders must not take turns within this time.
--- a/crates/jackdawpier_entry/tests/ownership.rs
+++ b/crates/jackdawpier_entry/tests/ownership.rs
@@ -6,17 +6,33 @@
 
 use jackdawpier_entry::{
     keys,
-    ownership::{TTL, acquire, patience},
+    ownership::{Candidate, acquire, patience, ttl},
 };
 use support::{Fake, Fate, run};
 
+fn candidate(entry: &str, life: &str, cpu_share: f64) -> Candidate {
+    Candidate {
+        entry: entry.to_owned(),
+        life: life.to_owned(),
+        patience: patience(cpu_share),
+        ttl: ttl(Duration::ZERO),
+    }
+}
+
+/// A store that grants no short leases gets asked for its shortest.
+#[test]
+fn shortest_lease() {
+    assert_eq!(ttl(Duration::from_secs(5)), Duration::from_secs(5));
+    assert!(ttl(Duration::from_secs(1)) >= Duration::from_secs(1));
+}
+
 #[test]
 fn one_owner() {
     run(async {
         let fake = Fake::default();
-        let first = acquire(&fake, "a", "1", Duration::ZERO).await.expect("the store answers");
+        let first = acquire(&fake, &candidate("a", "1", 1.0)).await.expect("the store answers");
         assert!(first.is_some_and(|term| term.is_valid()));
-        let second = acquire(&fake, "b", "1", Duration::ZERO).await.expect("the store answers");
+        let second = acquire(&fake, &candidate("b", "1", 1.0)).await.expect("the store answers");
         assert!(second.is_none());
     });
 }
@@ -26,11 +42,11 @@
 fn former_life() {
     run(async {
         let fake = Fake::default();
-        let first = acquire(&fake, "a", "1", Duration::ZERO)
+        let first = acquire(&fake, &candidate("a", "1", 1.0))
             .await
             .expect("it answers")
             .expect("nobody owns");
-        let second = acquire(&fake, "a", "2", Duration::ZERO)
+        let second = acquire(&fake, &candidate("a", "2", 1.0))
             .await
             .expect("it answers")
             .expect("it is gone");
@@ -45,7 +61,7 @@
 fn key_taken_away() {
     run(async {
         let fake = Fake::default();
-        let term = acquire(&fake, "a", "1", Duration::ZERO)
+        let term = acquire(&fake, &candidate("a", "1", 1.0))
             .await
             .expect("it answers")
             .expect("nobody owns");
@@ -61,7 +77,7 @@
 fn unreachable_store() {
     run(async {
         let fake = Fake::default();
-        let term = acquire(&fake, "a", "1", Duration::ZERO)
+        let term = acquire(&fake, &candidate("a", "1", 1.0))
             .await
             .expect("it answers")
             .expect("nobody owns");
@@ -76,7 +92,7 @@
     run(async {
         let fake = Fake::default();
         fake.next_writes(&[Fate::AnswerLost]);
-        let term = acquire(&fake, "a", "1", Duration::ZERO).await.expect("it answers");
+        let term = acquire(&fake, &candidate("a", "1", 1.0)).await.expect("it answers");
         assert!(term.is_some());
     });
 }
@@ -87,8 +103,8 @@
     run(async {
         let fake = Fake::default();
         fake.next_writes(&[Fate::Late]);
-        assert!(acquire(&fake, "a", "1", Duration::ZERO).await.expect("it answers").is_none());
-        let other = acquire(&fake, "b", "1", Duration::ZERO).await.expect("it answers");
+        assert!(acquire(&fake, &candidate("a", "1", 1.0)).await.expect("it answers").is_none());
+        let other = acquire(&fake, &candidate("b", "1", 1.0)).await.expect("it answers");
         fake.carry_out_late();
         assert!(other.expect("nobody owns").confirm(&fake).await);
     });
@@ -102,11 +118,11 @@
         let small = {
             let fake = fake.clone();
             tokio::task::spawn_local(async move {
-                acquire(&fake, "small", "1", patience(0.12)).await.expect("it answers").is_some()
+                acquire(&fake, &candidate("small", "1", 0.12)).await.expect("it answers").is_some()
             })
         };
         tokio::task::yield_now().await;
-        let large = acquire(&fake, "large", "1", patience(0.5)).await.expect("it answers");
+        let large = acquire(&fake, &candidate("large", "1", 0.5)).await.expect("it answers");
         assert!(large.is_some());
         assert!(!small.await.expect("it doesn't panic"));
     });
@@ -118,9 +134,9 @@
 fn late_renewal() {
     run(async {
         let fake = Fake::default();
-        let term = acquire(&fake, "a", "1", Duration::ZERO).await.expect("it answers");
+        let term = acquire(&fake, &candidate("a", "1", 1.0)).await.expect("it answers");
         let term = term.expect("nobody owns");
-        tokio::time::sleep(TTL * 9 / 10).await;
+        tokio::time::sleep(ttl(Duration::ZERO) * 9 / 10).await;
         assert!(!term.is_valid());
         assert!(term.renew(&fake).await.is_err());
         assert!(!term.is_valid());
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -408,7 +408,6 @@
         longest_lease: Duration::from_secs(5),
         stop_timeout: Duration::from_millis(200),
         maintenance: Duration::from_secs(2),
-        migration: Duration::from_millis(1500),
         remote_factor: 1.0,
         order_lease: Duration::from_secs(3),
         shortest_ttl: Duration::from_secs(1),
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -48,8 +48,6 @@
     pub stop_timeout: Duration,
     /// How long a machine is away for maintenance.
     pub maintenance: Duration,
-    /// How long a machine is away for a change of pool.
-    pub migration: Duration,
     /// A task away from its data takes this many times as long.
     pub remote_factor: f64,
     /// An earlier holder's machine orders have all arrived this long after a take-over.
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -19,7 +19,7 @@
 const HEARD_WITHIN: Duration = Duration::from_millis(1500);
 /// Advice is asked for again after this long without an answer.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
-/// The advisor takes at most this many executors a call (platform's protocol).
+/// Executors that one question names: the advisor takes time for each, and a step needs few.
 const EXECUTORS_PER_ADVICE: usize = 30;
 
 /// How well an executor suits a task; the lowest is taken.
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -33,7 +33,6 @@
         doubt: Duration::from_millis(7500),
         stop_timeout: Duration::from_millis(200),
         maintenance: MAINTENANCE,
-        migration: MIGRATION,
         remote_factor: 3.0,
         order_lease: Duration::from_millis(3500),
     }
