Wait for executors that are known to live

That the end isn't acknowledged doesn't help if it had been listed to a former owner. Change: an executor that is in the registry and in the list of machines keeps its tasks for 12 s of silence; one that is gone from either, or whose machine has another executor, is given up as before. Test deaf_owner failed before.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -36,6 +36,10 @@
     spec::{Queue, QueueName, RunNumber, Service, Submission, TaskKey},
 };
 
+/// An executor that is in the registry and in the list of machines gets this long to answer, though
+/// its lease has lapsed before: longer than executors hang, and than an owner is short of processor.
+const ALIVE_PATIENCE: Duration = Duration::from_secs(12);
+
 /// What the owner's decisions are bounded by.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -213,13 +217,17 @@
         let lapsed: Vec<ExecutorId> = self
             .executors
             .iter()
-            .filter(|(_, executor)| {
+            .filter(|(id, executor)| {
                 let is_idle = executor.tasks.is_empty();
                 let is_silent = !executor.is_synced
                     || executor
                         .heard_at()
                         .is_none_or(|at| now.saturating_sub(at) > self.settings.lease / 2);
-                (!executor.is_listed || is_silent) && !is_idle && executor.has_lapsed(now)
+                let is_given_up = !executor.is_listed || is_silent;
+                is_given_up
+                    && !is_idle
+                    && !self.may_answer(now, id, executor)
+                    && executor.has_lapsed(now)
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -233,6 +241,15 @@
         });
     }
 
+    /// Whether an executor is alive by all that is known of it, so that its silence may be ours: what
+    /// has ended well there would be run again.
+    fn may_answer(&self, now: Now, id: &ExecutorId, executor: &Executor) -> bool {
+        let silent_since = executor.heard_at().unwrap_or(executor.known_at);
+        executor.is_listed
+            && self.machines.has_executor(id)
+            && now.saturating_sub(silent_since) < ALIVE_PATIENCE
+    }
+
     /// An executor's life is certainly over, so everything that ran there has ended.
     pub fn executor_ended(&mut self, now: Now, id: &ExecutorId) {
         self.release_tasks(now, id);
--- a/crates/jackdawpier_fleet/tests/lost_executors.rs
+++ b/crates/jackdawpier_fleet/tests/lost_executors.rs
@@ -47,6 +47,26 @@
     assert!(world.executors[&cut].has_ends());
 }
 
+/// The owner doesn't hear an executor for longer than its lease, but the registry and the list of
+/// machines show that it lives: a task that has ended there isn't run again.
+#[test]
+fn deaf_owner() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", job(vec![step(1, 6, 1_000)]));
+    world.run_for(Duration::from_millis(500));
+    let executors = ["m-view-0", "m-view-1"].map(|machine| world.executor_of(machine));
+    world.deaf_to = executors.into_iter().find(|id| world.executors[id].running().count() > 0);
+    world.run_for(Duration::from_secs(8));
+    world.deaf_to = None;
+    let outcome = world.run_until_over("j", Duration::from_secs(2));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+    let starts = world
+        .commands
+        .iter()
+        .filter(|(_, command)| matches!(command, jackdawpier_fleet::fleet::Command::Start { .. }));
+    assert_eq!(starts.count(), 1);
+}
+
 /// The list of machines doesn't name an executor that has crashed, so that one's life is over: its
 /// tasks needn't wait for its lease, nor for a new owner's doubt.
 #[test]
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -111,6 +111,8 @@
     pub waves: Vec<Wave>,
     /// Whether the list of machines can't be had.
     pub hides_machines: bool,
+    /// An executor of which the owner gets no answers.
+    pub deaf_to: Option<Arc<str>>,
     /// Whether no pool takes a machine of another.
     pub refuses_moves: bool,
     /// Time that an order about a machine takes to arrive.
@@ -154,6 +156,7 @@
             takes_machine_orders: true,
             waves: Vec::new(),
             hides_machines: false,
+            deaf_to: None,
             refuses_moves: false,
             machine_order_delay: Duration::ZERO,
             machine_orders_under_way: Vec::new(),
@@ -344,7 +347,9 @@
         for id in ids {
             let executor = self.executors.get_mut(&id).expect("it was listed above");
             let has_ends = executor.has_ends();
-            if !executor.is_reachable() || (now < executor.hold_due && !has_ends) {
+            let is_deaf = self.deaf_to.as_ref() == Some(&id);
+            let is_due = now >= executor.hold_due || has_ends;
+            if !executor.is_reachable() || is_deaf || !is_due {
                 continue;
             }
             let Some(order) = self.fleet.hold_order(now, &id) else { continue };
