--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/world/machines.rs
@@ -0,0 +1,89 @@
+//! What becomes of machines: failures, moves and maintenance, and their return with new executors.
+
+use std::sync::Arc;
+
+use jackdawpier_fleet::machines::{MachineOrder, MachineOrderEnd, MachineState, MachineWork};
+
+use super::{MAINTENANCE, MIGRATION, Machine, World};
+
+impl World {
+    pub(super) fn state_of(&self, machine: &Machine) -> MachineState {
+        let is_dead = machine.executor.as_ref().is_some_and(|id| !self.executors[id].is_alive());
+        if is_dead || machine.back_at.is_some() { MachineState::Down } else { MachineState::Up }
+    }
+
+    pub(super) fn return_machines(&mut self) {
+        let due: Vec<(Arc<str>, Arc<str>)> = self
+            .machines
+            .iter()
+            .filter_map(|(id, machine)| {
+                let (at, executor) = machine.back_at.as_ref()?;
+                (*at <= self.now).then(|| (id.clone(), executor.clone()))
+            })
+            .collect();
+        for (id, former) in due {
+            let rack = self.executors[&former].info.rack.clone().unwrap_or_default();
+            let pool = self.machines[&id].pool.clone();
+            self.executors.remove(&former);
+            let executor = (!self.is_standby(&pool)).then(|| self.new_life(&pool, &rack, &id));
+            let machine = self.machines.get_mut(&id).expect("it was listed above");
+            machine.executor = executor;
+            machine.back_at = None;
+        }
+    }
+
+    pub(super) fn order_machines(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.machine_orders_under_way)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.machine_orders_under_way = rest;
+        for (_, order) in due {
+            let end = self.order_machine(&order);
+            self.fleet.machine_order_ended(now, &order, end);
+        }
+    }
+
+    pub(super) fn order_machine(&mut self, order: &MachineOrder) -> MachineOrderEnd {
+        if !self.takes_machine_orders {
+            return MachineOrderEnd::NotTaken;
+        }
+        self.machine_orders.push((self.now, order.clone()));
+        if self.refuses_moves && matches!(order.work, MachineWork::Move(_)) {
+            return MachineOrderEnd::Refused;
+        }
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&order.machine) else {
+            return MachineOrderEnd::Refused;
+        };
+        if let MachineWork::Maintain(wave) = &order.work
+            && machine.maintained_for.contains(wave)
+        {
+            return MachineOrderEnd::Taken;
+        }
+        if machine.back_at.is_some() {
+            return MachineOrderEnd::Busy;
+        }
+        let takes = match &order.work {
+            MachineWork::Move(pool) => {
+                machine.pool = pool.clone();
+                MIGRATION
+            }
+            MachineWork::Maintain(wave) => {
+                machine.maintained_for.push(*wave);
+                MAINTENANCE
+            }
+        };
+        if let Some(executor) = machine.executor.clone() {
+            machine.back_at = Some((now + takes, executor.clone()));
+            self.executors.get_mut(&executor).expect("it lives").crash();
+            return MachineOrderEnd::Taken;
+        }
+        let pool = machine.pool.clone();
+        if !self.is_standby(&pool) {
+            let id = self.new_life(&pool, "rack-x", &order.machine);
+            self.machines.get_mut(&order.machine).expect("read above").executor = Some(id);
+        }
+        MachineOrderEnd::Taken
+    }
+}
