Refuse jobs at once while the store gives no answers

Cause: jobs queued behind up to four writes of 0.8 s each and were held until their own deadline; and each job that came after a failed write began another. Change: a job that no write has carried is refused after 250 ms, or at once while a write has been unanswered for 400 ms; after an unanswered write jobs are refused until the store answers a question asked later. Doubt counts from the write, 900 ms in all. Tests: hanging_store (seen failing: callers held for 5 s), unanswered_write.

--- a/crates/jackdawpier_bench/src/lib.rs
+++ b/crates/jackdawpier_bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fit;
 pub mod jobs;
 pub mod lower_bound;
+pub mod owner;
 pub mod report;
 pub mod routing;
 pub mod scale;
--- a/crates/jackdawpier_bench/src/main.rs
+++ b/crates/jackdawpier_bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{alloc::System, path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use jackdawpier_bench::{coordination, report, scale};
+use jackdawpier_bench::{coordination, owner, report, scale};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 /// Counts what every state holds, for the slopes of memory.
@@ -40,6 +40,9 @@
     /// The store's writes for keyed requests
     #[bpaf(command)]
     Keyed,
+    /// Processor time of the fleet owner's decisions under bursts
+    #[bpaf(command)]
+    Owner,
     /// Slopes over the size of the fleet, and the figures at the size aimed at
     #[bpaf(command)]
     Scale,
@@ -57,6 +60,7 @@
         Command::Routing => report::print_routing(),
         Command::Jobs => report::print_jobs(),
         Command::Keyed => coordination::print(),
+        Command::Owner => owner::print(),
         Command::Scale => scale::print(),
     }
     ExitCode::SUCCESS
--- a/crates/jackdawpier_entry/src/acceptance.rs
+++ b/crates/jackdawpier_entry/src/acceptance.rs
@@ -3,25 +3,40 @@
 //! Jobs that arrive together are written together. A write whose answer is lost may be carried out
 //! later, so its job is never refused as "not run": it is written again under the same condition
 //! until the store says what it holds, or its caller's time is over and the outcome stays unknown.
+//! While the store hangs nobody is held for it: what no write has carried is refused.
 
-use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
 
 use jackdawpier_fleet::spec::Submission;
 use jackdawpier_kernel::{Now, ids::JobId};
-use tokio::sync::{Notify, oneshot};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::timeout,
+};
 
 use crate::{
     clock, keys,
-    ports::{CallError, Platform, Transaction, TransactionEnd},
+    ports::{CallError, CallResult, Platform, Transaction, TransactionEnd},
 };
 
 /// Jobs in one transaction: a condition and a value each, of the 32 entries that it may have.
 const JOBS_PER_WRITE: usize = 15;
 /// Writes under way at once; with four milliseconds each some 15,000 jobs a second.
 const WRITES_AT_ONCE: usize = 4;
-/// A store that gave no answer is asked again for this long; then the caller is told that the outcome
-/// is unknown, so that it can ask another entry.
-const DOUBT_PATIENCE: Duration = Duration::from_millis(500);
+/// From the first write of a job that gets no answer until its caller is told that the outcome is
+/// unknown, so that it can ask another entry: one call of the store that times out, and one more.
+const DOUBT_PATIENCE: Duration = Duration::from_millis(900);
+/// A job that no write has carried is refused after this long, as it surely isn't stored: sixty times
+/// the time of a write, so that only a store that hangs is met.
+const QUEUE_PATIENCE: Duration = Duration::from_millis(250);
+/// A store that has left a write unanswered for this long is taken to hang, and what comes meanwhile
+/// is refused at once: twice the time of a write on slow days.
+const SILENT_AFTER: Duration = Duration::from_millis(400);
 /// Pause before a write is repeated, so that a failing store isn't pressed.
 const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 
@@ -40,25 +55,28 @@
 struct Entry {
     id: JobId,
     value: Vec<u8>,
+    /// When it is given up.
     deadline: Now,
-    /// When a write of it first went unanswered.
-    unanswered_at: Option<Now>,
+    /// A write of it went unanswered.
+    may_be_stored: bool,
     answer: oneshot::Sender<Acceptance>,
 }
 
-impl Entry {
-    fn may_be_stored(&self) -> bool {
-        self.unanswered_at.is_some()
-    }
-
-    fn is_given_up(&self, now: Now) -> bool {
-        now >= self.deadline || self.unanswered_at.is_some_and(|at| now >= at + DOUBT_PATIENCE)
-    }
-}
-
 #[derive(Debug, Default)]
 struct Queue {
     waiting: VecDeque<Entry>,
+    next_write: u64,
+    /// When each write that is under way left, oldest first.
+    under_way: BTreeMap<u64, Now>,
+    /// When the last write left that got no answer, if none got one since.
+    unanswered_since: Option<Now>,
+}
+
+impl Queue {
+    fn store_hangs(&self, now: Now) -> bool {
+        let oldest = self.under_way.first_key_value();
+        oldest.is_some_and(|(_, left_at)| now.saturating_sub(*left_at) >= SILENT_AFTER)
+    }
 }
 
 /// The jobs that wait to be written.
@@ -71,12 +89,51 @@
 impl Intake {
     /// Hands a job in and waits for its fate.
     pub async fn submit(&self, id: JobId, submission: &Submission, deadline: Now) -> Acceptance {
+        if self.queue.borrow().store_hangs(clock::now()) {
+            return Acceptance::Refused;
+        }
         let Ok(value) = serde_json::to_vec(submission) else { return Acceptance::Refused };
-        let (answer, fate) = oneshot::channel();
-        let entry = Entry { id, value, deadline, unanswered_at: None, answer };
+        let (answer, mut fate) = oneshot::channel();
+        let entry = Entry { id: id.clone(), value, deadline, may_be_stored: false, answer };
         self.queue.borrow_mut().waiting.push_back(entry);
         self.arrived.notify_one();
-        fate.await.unwrap_or(Acceptance::Unknown)
+        match timeout(QUEUE_PATIENCE, &mut fate).await {
+            Ok(fate) => fate.unwrap_or(Acceptance::Unknown),
+            Err(_) if self.withdraw(&id) => Acceptance::Refused,
+            Err(_) => fate.await.unwrap_or(Acceptance::Unknown),
+        }
+    }
+
+    /// Takes a job back that no write has carried; returns whether there was one.
+    fn withdraw(&self, id: &JobId) -> bool {
+        let waiting = &mut self.queue.borrow_mut().waiting;
+        let count = waiting.len();
+        waiting.retain(|entry| entry.id != *id);
+        waiting.len() < count
+    }
+
+    fn write_left(&self) -> u64 {
+        let mut queue = self.queue.borrow_mut();
+        queue.next_write += 1;
+        let number = queue.next_write;
+        queue.under_way.insert(number, clock::now());
+        number
+    }
+
+    fn write_ended(&self, number: u64, is_answered: bool) {
+        let mut queue = self.queue.borrow_mut();
+        let left_at = queue.under_way.remove(&number);
+        queue.unanswered_since = if is_answered { None } else { left_at };
+    }
+
+    /// When the last write left that got no answer, if none got one since. Until the store is seen
+    /// to answer, handing in another job would only hold its caller.
+    pub fn unanswered_since(&self) -> Option<Now> {
+        self.queue.borrow().unanswered_since
+    }
+
+    fn is_empty(&self) -> bool {
+        self.queue.borrow().waiting.is_empty()
     }
 
     fn take(&self) -> Vec<Entry> {
@@ -90,25 +147,37 @@
 pub async fn write_jobs<P: Platform>(platform: P, intake: Intake) {
     let slots = Rc::new(tokio::sync::Semaphore::new(WRITES_AT_ONCE));
     loop {
-        let batch = intake.take();
-        if batch.is_empty() {
+        if intake.is_empty() {
             intake.arrived.notified().await;
             continue;
         }
         let permit = slots.acquire().await.expect("it is never closed");
         permit.forget();
-        let (platform, slots) = (platform.clone(), slots.clone());
+        // What was withdrawn while all slots were taken is no longer here.
+        let batch = intake.take();
+        if batch.is_empty() {
+            slots.add_permits(1);
+            continue;
+        }
+        let (platform, slots, intake) = (platform.clone(), slots.clone(), intake.clone());
         tokio::task::spawn_local(async move {
-            settle(&platform, batch).await;
+            settle(&platform, &intake, batch).await;
             slots.add_permits(1);
         });
     }
 }
 
 /// Writes a batch until each of its jobs has its fate.
-async fn settle<P: Platform>(platform: &P, mut batch: Vec<Entry>) {
+async fn settle<P: Platform>(platform: &P, intake: &Intake, mut batch: Vec<Entry>) {
+    let give_up_at = clock::now() + DOUBT_PATIENCE;
+    for entry in &mut batch {
+        entry.deadline = entry.deadline.min(give_up_at);
+    }
     while !batch.is_empty() {
-        let end = platform.commit(&transaction(&batch)).await;
+        let number = intake.write_left();
+        let end = commit(platform, &batch).await;
+        let is_answered = matches!(end, Ok(_) | Err(CallError::NotDone { .. }));
+        intake.write_ended(number, is_answered);
         match end {
             Ok(TransactionEnd::Committed(_)) => {
                 answer_all(batch, Acceptance::Accepted);
@@ -126,30 +195,37 @@
             Err(CallError::NotDone { .. }) => {
                 // What no earlier write can have stored is refused at once.
                 let (doubtful, rest): (Vec<_>, Vec<_>) =
-                    batch.into_iter().partition(Entry::may_be_stored);
+                    batch.into_iter().partition(|entry| entry.may_be_stored);
                 answer_all(rest, Acceptance::Refused);
                 batch = doubtful;
                 tokio::time::sleep(REPEAT_PAUSE).await;
             }
             Err(_) => {
-                let now = clock::now();
-                batch.iter_mut().for_each(|entry| {
-                    entry.unanswered_at.get_or_insert(now);
-                });
+                batch.iter_mut().for_each(|entry| entry.may_be_stored = true);
                 tokio::time::sleep(REPEAT_PAUSE).await;
             }
         }
         let now = clock::now();
         let (late, rest): (Vec<_>, Vec<_>) =
-            batch.into_iter().partition(|entry| entry.is_given_up(now));
+            batch.into_iter().partition(|entry| now >= entry.deadline);
         let (doubtful, untried): (Vec<_>, Vec<_>) =
-            late.into_iter().partition(Entry::may_be_stored);
+            late.into_iter().partition(|entry| entry.may_be_stored);
         answer_all(doubtful, Acceptance::Unknown);
         answer_all(untried, Acceptance::Refused);
         batch = rest;
     }
 }
 
+/// Writes a batch once, for no longer than the most patient of its callers waits.
+async fn commit<P: Platform>(platform: &P, batch: &[Entry]) -> CallResult<TransactionEnd> {
+    let patience = batch.iter().map(|entry| entry.deadline).max().unwrap_or_default();
+    let patience = patience.saturating_sub(clock::now());
+    let unanswered = || CallError::Unanswered { reason: "its callers' time was over".to_owned() };
+    timeout(patience, platform.commit(&transaction(batch)))
+        .await
+        .unwrap_or_else(|_| Err(unanswered()))
+}
+
 fn transaction(batch: &[Entry]) -> Transaction {
     Transaction {
         expect: batch.iter().map(|entry| (keys::submission(&entry.id), 0)).collect(),
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -113,6 +113,9 @@
         let settings = Some(route.queue.clone());
         let submission = Submission { queue, settings, accepted_ms: clock::wall_ms(), spec };
         let arrived_at = clock::now();
+        if self.intake.unanswered_since().is_some_and(|at| !self.active.is_heard_since(at)) {
+            return self.refuse("the store doesn't answer");
+        }
         let fate = self.intake.submit(id.clone(), &submission, deadline).await;
         self.events.metrics().took(Latency::Acceptance, clock::since(arrived_at));
         let queue = &*submission.queue;
--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -45,6 +45,16 @@
         state.current.is_some() && state.heard_at.is_some_and(is_fresh)
     }
 
+    /// Whether the store has answered a question that was asked after `at`.
+    pub fn is_heard_since(&self, at: Now) -> bool {
+        self.0.borrow().heard_at.is_some_and(|heard_at| heard_at > at)
+    }
+
+    /// The store has answered a question that was asked at `asked_at`.
+    pub fn heard(&self, asked_at: Now) {
+        self.0.borrow_mut().heard_at = Some(asked_at);
+    }
+
     /// Takes over a version if it is higher than the one in force.
     pub fn offer(&self, configuration: Configuration, revision: Revision) -> bool {
         let mut state = self.0.borrow_mut();
@@ -79,7 +89,7 @@
         let asked_at = clock::now();
         match platform.get(platform.configuration_key()).await {
             Ok(item) => {
-                active.0.borrow_mut().heard_at = Some(asked_at);
+                active.heard(asked_at);
                 if let Some(item) = item.filter(|item| item.revision != active.revision()) {
                     take(&platform, &active, &events, &item.value, item.revision);
                 }
--- a/crates/jackdawpier_entry/tests/acceptance.rs
+++ b/crates/jackdawpier_entry/tests/acceptance.rs
@@ -6,7 +6,9 @@
 
 use jackdawpier_entry::{
     acceptance::{Acceptance, Intake, write_jobs},
-    clock, keys,
+    clock,
+    configuration::Active,
+    keys,
 };
 use support::{Fake, Fate, run, submission};
 
@@ -108,3 +110,64 @@
         assert!(fake.commits() < 50, "{} tries", fake.commits());
     });
 }
+
+/// Jobs that queue up behind writes to a store that hangs are refused soon, since they surely aren't
+/// stored; those that a write has carried stay unknown.
+#[test]
+fn hanging_store() {
+    run(async {
+        let fake = Fake::default();
+        fake.next_writes(&[Fate::Hangs; 200]);
+        let intake = Intake::default();
+        tokio::task::spawn_local(write_jobs(fake.clone(), intake.clone()));
+        let deadline = clock::now() + Duration::from_secs(60);
+        let began_at = clock::now();
+        let jobs: Vec<_> = (0..120)
+            .map(|number| {
+                let intake = intake.clone();
+                tokio::task::spawn_local(async move {
+                    let id = format!("job-{number}").into();
+                    (intake.submit(id, &submission(), deadline).await, clock::now())
+                })
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let asked_at = clock::now();
+        let late = intake.submit("late".into(), &submission(), deadline).await;
+        let late_took = clock::since(asked_at);
+        let mut refused = 0;
+        for job in jobs {
+            let (fate, at) = job.await.expect("it doesn't panic");
+            assert_ne!(fate, Acceptance::Accepted);
+            refused += usize::from(fate == Acceptance::Refused);
+            assert!(at < began_at + Duration::from_secs(2), "held for {:?}", at - began_at);
+        }
+        assert_eq!(refused, 60, "only what a write has carried stays unknown");
+        assert_eq!(late, Acceptance::Refused);
+        assert!(late_took < Duration::from_millis(100), "held for {late_took:?}");
+        assert!(
+            (0..120)
+                .all(|number| fake.value(&keys::submission(&format!("job-{number}"))).is_none())
+        );
+    });
+}
+
+/// After a write without an answer jobs aren't taken in until the store is seen to answer.
+#[test]
+fn unanswered_write() {
+    run(async {
+        let fake = Fake::default();
+        fake.next_writes(&[Fate::Lost; 200]);
+        let intake = Intake::default();
+        tokio::task::spawn_local(write_jobs(fake.clone(), intake.clone()));
+        let deadline = clock::now() + Duration::from_secs(60);
+        assert_eq!(intake.unanswered_since(), None);
+        intake.submit("job".into(), &submission(), deadline).await;
+        let since = intake.unanswered_since().expect("no write was answered");
+        let active = Active::default();
+        active.heard(since.saturating_sub(Duration::from_millis(1)));
+        assert!(!active.is_heard_since(since));
+        active.heard(clock::now());
+        assert!(active.is_heard_since(since));
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -40,6 +40,8 @@
     Lost,
     /// Turned away.
     Refused,
+    /// Not answered until the caller gives up, and never carried out.
+    Hangs,
 }
 
 #[derive(Debug)]
@@ -67,6 +69,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Fake(Rc<RefCell<State>>);
 
+/// How long a call waits for an answer.
+const CALL_PATIENCE: Duration = Duration::from_millis(800);
+
 pub const EXECUTOR: &str = "executor-1";
 pub const QUEUE: &str = "queue";
 
@@ -214,6 +219,10 @@
                 unanswered
             }
             Some(Fate::Lost) => unanswered,
+            Some(Fate::Hangs) => {
+                tokio::time::sleep(CALL_PATIENCE).await;
+                unanswered
+            }
             Some(Fate::Refused) => Err(CallError::NotDone { reason: "busy".to_owned() }),
         }
     }
