Let a larger machine take the ownership, and small ones keep it

Change: a larger machine that finds a small owner takes the key, conditional on its revision; the small one's term ends as if the key had been taken away. Ruled out: a registry of entries just for this. Tests: larger_machine, small_machines (the former code has no way to pass them).

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -39,11 +39,6 @@
 /// Leases of executors are this long at most. Long enough for a change of owners (two seconds and
 /// the take-over), short enough that tasks of a lost executor run again within six seconds.
 const EXECUTOR_LEASE: Duration = Duration::from_millis(5000);
-/// A machine with little processor owns the fleet for this long at first; a larger one that was
-/// down or cut off for a moment takes it then.
-const FIRST_SMALL_TERM: Duration = Duration::from_secs(4);
-/// Once it has found that there is no larger one, it looks again after this time.
-const LATER_SMALL_TERM: Duration = Duration::from_secs(60);
 /// How often jobs that have been over for long are forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -206,19 +201,14 @@
     let candidate = Candidate {
         entry: settings.entry.clone(),
         life,
-        patience: ownership::patience(settings.cpu_share),
+        cpu_share: settings.cpu_share,
         ttl: ownership::ttl(settings.shortest_ttl),
     };
-    let mut term_limit = FIRST_SMALL_TERM;
     loop {
         let acquired = ownership::acquire(&platform, &candidate).await;
         if let Ok(Some(term)) = acquired {
             events.emit("owner", json!({ "fence": term.fence }));
             let fence = term.fence;
-            if !candidate.patience.is_zero() {
-                tokio::task::spawn_local(give_up_after(platform.clone(), term.clone(), term_limit));
-                term_limit = LATER_SMALL_TERM;
-            }
             run_term(&platform, &settings, &active, &cell, &events, term.clone()).await;
             // If it only ran late, others needn't wait for the lease to end.
             term.release(&platform).await;
@@ -230,12 +220,6 @@
     }
 }
 
-/// Lets larger machines have the ownership, in case one is back.
-async fn give_up_after<P: Platform>(platform: P, term: Term, limit: Duration) {
-    tokio::time::sleep(limit).await;
-    term.release(&platform).await;
-}
-
 async fn run_term<P: Platform>(
     platform: &P,
     settings: &Rc<EntrySettings>,
--- a/crates/jackdawpier_entry/src/ownership.rs
+++ b/crates/jackdawpier_entry/src/ownership.rs
@@ -27,6 +27,8 @@
     entry: String,
     /// Tells the lives of an entry apart.
     life: String,
+    /// Its share of a core.
+    cpu_share: f64,
 }
 
 #[derive(Debug)]
@@ -119,8 +121,8 @@
     pub entry: String,
     /// Tells the lives of an entry apart.
     pub life: String,
-    /// How long a free ownership is left to others, see [`patience`].
-    pub patience: Duration,
+    /// Its share of a core.
+    pub cpu_share: f64,
     /// Life of the lease, see [`ttl`].
     pub ttl: Duration,
 }
@@ -130,30 +132,30 @@
     TTL.max(shortest)
 }
 
-/// How long an entry leaves a free ownership to others. An owner of 350 executors takes some 0.15
-/// cores, more than the smallest machines have: those wait until every larger one has looked.
-pub fn patience(cpu_share: f64) -> Duration {
-    if cpu_share < ENOUGH_CPU { TRY_INTERVAL * 3 / 2 } else { Duration::ZERO }
+/// Whether a share of a core is enough to own a large fleet: an owner of 350 executors takes some
+/// 0.15 cores, more than the smallest machines have.
+fn is_enough(cpu_share: f64) -> bool {
+    cpu_share >= ENOUGH_CPU
 }
 
-/// Tries to become the owner and returns the term if this entry is it now. An ownership that nobody
-/// holds is taken only if it is still free after the candidate's patience.
+/// Tries to become the owner and returns the term if this entry is it now. An entry with little
+/// processor leaves a free ownership to larger ones until each has looked, and a larger one takes it
+/// from such an entry. Where all are small each keeps what it holds.
 pub async fn acquire<P: Platform>(platform: &P, candidate: &Candidate) -> CallResult<Option<Term>> {
     let mut held = platform.get(keys::OWNER).await?;
-    if held.is_none() && !candidate.patience.is_zero() {
-        tokio::time::sleep(candidate.patience).await;
+    if held.is_none() && !is_enough(candidate.cpu_share) {
+        tokio::time::sleep(TRY_INTERVAL * 3 / 2).await;
         held = platform.get(keys::OWNER).await?;
     }
     let expected = match &held {
         None => 0,
-        Some(item) if candidate.patience.is_zero() && is_former_life(&item.value, candidate) => {
-            item.revision
-        }
+        Some(item) if may_replace(&item.value, candidate) => item.revision,
         Some(_) => return Ok(None),
     };
     let asked_at = clock::now();
     let lease = platform.grant_lease(candidate.ttl).await?;
-    let value = OwnerValue { entry: candidate.entry.clone(), life: candidate.life.clone() };
+    let (entry, life) = (candidate.entry.clone(), candidate.life.clone());
+    let value = OwnerValue { entry, life, cpu_share: candidate.cpu_share };
     let value = serde_json::to_vec(&value).expect("plain strings can be written as JSON");
     let transaction = Transaction {
         expect: vec![(keys::OWNER.to_owned(), expected)],
@@ -181,10 +183,15 @@
     Ok(Some(Term { fence, lease, ttl: candidate.ttl, state: Rc::new(RefCell::new(state)) }))
 }
 
-/// The key was written by an earlier life of this very entry, which is certainly gone.
-fn is_former_life(value: &[u8], candidate: &Candidate) -> bool {
-    serde_json::from_slice::<OwnerValue>(value)
-        .is_ok_and(|value| value.entry == candidate.entry && value.life != candidate.life)
+/// Whether the holder of the key is an earlier life of this very entry, which is certainly gone, or
+/// has too little processor where this entry has enough. Its term then ends as if the key had been
+/// taken away.
+fn may_replace(value: &[u8], candidate: &Candidate) -> bool {
+    serde_json::from_slice::<OwnerValue>(value).is_ok_and(|holder| {
+        let is_former_life = holder.entry == candidate.entry && holder.life != candidate.life;
+        let is_larger = is_enough(candidate.cpu_share) && !is_enough(holder.cpu_share);
+        is_former_life || is_larger
+    })
 }
 
 /// Share of a core from which an entry takes a free ownership at once.
--- a/crates/jackdawpier_entry/tests/ownership.rs
+++ b/crates/jackdawpier_entry/tests/ownership.rs
@@ -2,19 +2,23 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use jackdawpier_entry::{
+    configuration::Active,
+    events::Events,
     keys,
-    ownership::{Candidate, acquire, patience, ttl},
+    owner::{OwnerCell, own_when_free},
+    ownership::{Candidate, acquire, ttl},
+    settings::EntrySettings,
 };
-use support::{Fake, Fate, run};
+use support::{Fake, Fate, configuration, run, settings};
 
 fn candidate(entry: &str, life: &str, cpu_share: f64) -> Candidate {
     Candidate {
         entry: entry.to_owned(),
         life: life.to_owned(),
-        patience: patience(cpu_share),
+        cpu_share,
         ttl: ttl(Duration::ZERO),
     }
 }
@@ -142,3 +146,44 @@
         assert!(!term.is_valid());
     });
 }
+
+/// A larger machine that comes back takes the ownership from a small one; nobody takes it from a
+/// large one, nor a small one from another.
+#[test]
+fn larger_machine() {
+    run(async {
+        let fake = Fake::default();
+        let small = acquire(&fake, &candidate("small", "1", 0.12)).await.expect("it answers");
+        let small = small.expect("nobody owns");
+        let other = acquire(&fake, &candidate("other", "1", 0.12)).await.expect("it answers");
+        assert!(other.is_none());
+        let large = acquire(&fake, &candidate("large", "1", 0.5)).await.expect("it answers");
+        let large = large.expect("it is larger");
+        assert!(large.fence > small.fence);
+        assert!(!small.confirm(&fake).await && !small.is_valid());
+        let second = acquire(&fake, &candidate("second", "1", 0.5)).await.expect("it answers");
+        assert!(second.is_none() && large.confirm(&fake).await);
+    });
+}
+
+/// Where all machines are small the owner keeps what it holds.
+#[test]
+fn small_machines() {
+    run(async {
+        let fake = Fake::default();
+        fake.put("executors/executor-1", b"");
+        let active = Active::default();
+        active.offer(configuration(1), 1);
+        let entries = ["a", "b", "c"].map(|entry| {
+            let settings = Rc::new(EntrySettings { cpu_share: 0.12, ..settings(entry) });
+            let (cell, events) = (OwnerCell::default(), Events::new(entry));
+            let (fake, active, life) = (fake.clone(), active.clone(), "life".to_owned());
+            tokio::task::spawn_local(own_when_free(fake, settings, active, cell, events, life))
+        });
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let first = fake.value(keys::OWNER).expect("one of them owns");
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        assert_eq!(fake.value(keys::OWNER), Some(first));
+        entries.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
