Watch the registry, and keep what was handed in only until its job is over

A submission is accepted only if neither it nor a record exists, so a repeat after the end stays the same job; a later owner knows ended jobs from their records and still never acknowledges an end of one that was started more than once.

--- a/crates/jackdawpier_bench/src/owner.rs
+++ b/crates/jackdawpier_bench/src/owner.rs
@@ -297,12 +297,12 @@
         bench.timed("tick", |fleet| fleet.tick(now, wall_ms));
         bench.cost.ticks += 1;
         bench.carry_out();
-        while let Some(batch) = bench.timed("take_batch", |fleet| fleet.take_batch(15)) {
+        while let Some(batch) = bench.timed("take_batch", |fleet| fleet.take_batch(30)) {
             writes.push((now + WRITE_TIME, batch));
             bench.cost.writes += 1;
         }
         for (_, batch) in writes.extract_if(.., |(at, _)| *at <= now) {
-            let revisions = vec![number; batch.records.len()];
+            let revisions = vec![number; batch.jobs.len()];
             bench.timed("batch_durable", |fleet| fleet.batch_durable(now, &batch, &revisions));
         }
         bench.carry_out();
--- a/crates/jackdawpier_entry/src/acceptance.rs
+++ b/crates/jackdawpier_entry/src/acceptance.rs
@@ -24,8 +24,8 @@
     ports::{CallError, CallResult, Platform, Transaction, TransactionEnd},
 };
 
-/// Jobs in one transaction: a condition and a value each, of the 32 entries that it may have.
-const JOBS_PER_WRITE: usize = 15;
+/// Jobs in one transaction: two conditions and a value each, of the 32 rows that it may have.
+const JOBS_PER_WRITE: usize = 10;
 /// Writes under way at once; with four milliseconds each some 15,000 jobs a second.
 const WRITES_AT_ONCE: usize = 4;
 /// From the first write of a job that gets no answer until its caller is told that the outcome is
@@ -185,8 +185,8 @@
             }
             Ok(TransactionEnd::Conflict(items)) => {
                 let is_held = |entry: &Entry| {
-                    let key = keys::submission(&entry.id);
-                    items.iter().any(|item| item.key == key && item.revision > 0)
+                    let keys = [keys::submission(&entry.id), keys::record(&entry.id)];
+                    items.iter().any(|item| keys.contains(&item.key) && item.revision > 0)
                 };
                 let (held, rest): (Vec<_>, Vec<_>) = batch.into_iter().partition(is_held);
                 answer_all(held, Acceptance::Accepted);
@@ -228,7 +228,11 @@
 
 fn transaction(batch: &[Entry]) -> Transaction {
     Transaction {
-        expect: batch.iter().map(|entry| (keys::submission(&entry.id), 0)).collect(),
+        // A job that is over has left nothing but its record.
+        expect: batch
+            .iter()
+            .flat_map(|entry| [(keys::submission(&entry.id), 0), (keys::record(&entry.id), 0)])
+            .collect(),
         puts: batch
             .iter()
             .map(|entry| (keys::submission(&entry.id), entry.value.clone(), None))
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -146,16 +146,24 @@
     }
 
     async fn look_in_store(&self, id: &JobId) -> Result<Option<JobView>, CallError> {
-        if let Some(item) = self.platform.get(&keys::record(id)).await? {
-            let record: JobRecord = serde_json::from_slice(&item.value).unwrap_or_default();
-            return Ok(Some(match record.outcome {
-                Some(outcome) => JobView::Over(outcome),
-                None if record.has_begun => JobView::Running,
-                None => JobView::Queued,
-            }));
+        if let Some(view) = self.look_at_record(id).await? {
+            return Ok(Some(view));
         }
-        let submission = self.platform.get(&keys::submission(id)).await?;
-        Ok(submission.map(|_| JobView::Queued))
+        if self.platform.get(&keys::submission(id)).await?.is_some() {
+            return Ok(Some(JobView::Queued));
+        }
+        // It may have ended between the two questions.
+        self.look_at_record(id).await
+    }
+
+    async fn look_at_record(&self, id: &JobId) -> Result<Option<JobView>, CallError> {
+        let Some(item) = self.platform.get(&keys::record(id)).await? else { return Ok(None) };
+        let record: JobRecord = serde_json::from_slice(&item.value).unwrap_or_default();
+        Ok(Some(match record.outcome {
+            Some(outcome) => JobView::Over(outcome),
+            None if record.has_begun => JobView::Running,
+            None => JobView::Queued,
+        }))
     }
 
     /// A cancellation is acknowledged once it is durable; the owner carries it out.
@@ -180,7 +188,8 @@
 
     async fn cancel_once(&self, id: &JobId) -> Result<bool, CallError> {
         let Some(submission) = self.platform.get(&keys::submission(id)).await? else {
-            return Ok(false);
+            // One that is over is known, and there is nothing left to cancel.
+            return Ok(self.look_at_record(id).await?.is_some());
         };
         let key = keys::cancellation(id);
         let transaction = Transaction {
@@ -190,8 +199,11 @@
         };
         match self.platform.commit(&transaction).await? {
             TransactionEnd::Committed(_) => Ok(true),
-            // Cancelled before, unless the job is being forgotten just now.
-            TransactionEnd::Conflict(items) => Ok(items.iter().any(|item| item.key == key)),
+            // Cancelled before, or over just now.
+            TransactionEnd::Conflict(items) => {
+                let is_cancelled = items.iter().any(|item| item.key == key);
+                Ok(is_cancelled || self.look_at_record(id).await?.is_some())
+            }
         }
     }
 
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -5,6 +5,7 @@
 mod executors;
 mod intake;
 mod machines;
+mod registry;
 mod takeover;
 
 use std::{
--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use jackdawpier_fleet::fleet::Batch;
+use jackdawpier_fleet::fleet::{Batch, ChangedJob};
 use jackdawpier_kernel::ids::Revision;
 use serde_json::json;
 
@@ -13,9 +13,11 @@
     ports::{CallError, Platform, Transaction, TransactionEnd},
 };
 
-/// Records in one transaction: a condition and a value each and the owner's key, of the 32 entries
+/// Rows of records in one transaction: with the condition on the owner's key one less than the 32
 /// that it may have.
-const RECORDS_PER_WRITE: usize = 15;
+const ROWS_PER_WRITE: usize = 30;
+/// A batch with this many rows is full: the next job might not fit.
+const FULL_ROWS: usize = ROWS_PER_WRITE - 3;
 /// Writes under way at once; they concern different jobs.
 const WRITES_AT_ONCE: usize = 4;
 /// Shortest time between two writes that aren't full: bounds them to some forty a second. It adds
@@ -41,12 +43,13 @@
             }
             let permit = slots.acquire().await.expect("it is never closed");
             permit.forget();
-            let batch = self.fleet.borrow_mut().take_batch(RECORDS_PER_WRITE);
+            let batch = self.fleet.borrow_mut().take_batch(ROWS_PER_WRITE);
             let Some(batch) = batch else {
                 slots.add_permits(1);
                 continue;
             };
-            let is_full = batch.records.len() == RECORDS_PER_WRITE;
+            let rows: usize = batch.jobs.iter().map(ChangedJob::rows).sum();
+            let is_full = rows >= FULL_ROWS;
             let (owner, slots) = (self.clone(), slots.clone());
             tokio::task::spawn_local(async move {
                 owner.write(batch).await;
@@ -92,19 +95,31 @@
         }
     }
 
-    async fn write_until_known(&self, batch: &Batch) -> WriteEnd {
-        let mut expect = vec![(keys::OWNER.to_owned(), self.term.fence)];
-        expect
-            .extend(batch.records.iter().map(|(job, _, revision)| (keys::record(job), *revision)));
-        let puts = batch.records.iter().map(|(job, record, _)| {
+    /// Writes the records. What was handed in goes with the end of its job, so that listings of it
+    /// stay as short as the jobs are that aren't over.
+    fn transaction(&self, batch: &Batch) -> Transaction {
+        let mut transaction = Transaction::default();
+        transaction.expect.push((keys::OWNER.to_owned(), self.term.fence));
+        for ChangedJob { job, record, revision, is_ending, is_cancelled, .. } in &batch.jobs {
             let value = serde_json::to_vec(record).expect("a record can be written as JSON");
-            (keys::record(job), value, None)
-        });
-        let transaction = Transaction { expect, puts: puts.collect(), removes: Vec::new() };
+            transaction.expect.push((keys::record(job), *revision));
+            transaction.puts.push((keys::record(job), value, None));
+            if *is_ending {
+                transaction.removes.push(keys::submission(job));
+            }
+            if *is_ending && *is_cancelled {
+                transaction.removes.push(keys::cancellation(job));
+            }
+        }
+        transaction
+    }
+
+    async fn write_until_known(&self, batch: &Batch) -> WriteEnd {
+        let transaction = self.transaction(batch);
         while self.is_valid() {
             match self.platform.commit(&transaction).await {
                 Ok(TransactionEnd::Committed(revision)) => {
-                    return WriteEnd::Durable(vec![revision; batch.records.len()]);
+                    return WriteEnd::Durable(vec![revision; batch.jobs.len()]);
                 }
                 // An earlier try of this write whose answer was lost, or someone else's write.
                 Ok(TransactionEnd::Conflict(items)) => {
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -10,15 +10,15 @@
 use serde_json::json;
 use tokio::sync::Semaphore;
 
-use super::Owner;
+use super::{Owner, registry::Registry};
 use crate::{
     clock,
     metrics::Latency,
     ports::{CallError, HoldQuestion, OrderTarget, Platform, StartOrder},
 };
 
-/// How often the registry is read; an executor's notice of leaving counts two seconds later.
-const REGISTRY_INTERVAL: Duration = Duration::from_millis(400);
+/// Pause after the registry couldn't be read.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(100);
 /// How long an executor may wait for an end: one question a second where nothing happens.
 const HOLD_WAIT: Duration = Duration::from_millis(1000);
 /// Pause after a hold that failed.
@@ -35,22 +35,18 @@
 
 impl<P: Platform> Owner<P> {
     pub(super) async fn follow_executors(self: Rc<Self>) {
+        let mut registry = Registry::default();
         while self.is_valid() {
-            if let Ok(listing) = self.platform.list(self.platform.executor_prefix()).await
-                && self.is_valid()
-            {
-                let mut listed = Vec::new();
-                for item in &listing.items {
-                    match self.platform.read_executor(&item.key, &item.value) {
-                        Ok(info) => listed.push(info),
-                        Err(error) => self.unreadable(&item.key, &error.to_string()),
-                    }
+            match registry.follow(&self).await {
+                Ok(has_news) if has_news && self.is_valid() => {
+                    let listed = registry.executors();
+                    self.fleet.borrow_mut().list_executors(clock::now(), listed);
+                    self.follow_new();
+                    self.changed.notify_one();
                 }
-                self.fleet.borrow_mut().list_executors(clock::now(), listed);
-                self.follow_new();
-                self.changed.notify_one();
+                Ok(_) => {}
+                Err(_) => tokio::time::sleep(REGISTRY_PAUSE).await,
             }
-            tokio::time::sleep(REGISTRY_INTERVAL).await;
         }
     }
 
--- a/crates/jackdawpier_entry/src/owner/machines.rs
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -11,18 +11,31 @@
     ports::{Platform, Transaction},
 };
 
-/// How often machines and waves are listed: how late the end of an executor is seen.
-const LIST_INTERVAL: Duration = Duration::from_millis(300);
+/// Shortest pause between two listings of machines and waves: how late the end of an executor and
+/// the return of a machine are seen.
+const LIST_PAUSE: Duration = Duration::from_millis(300);
+/// Part of the link that listings may take.
+const LINK_PART: f64 = 0.1;
+/// Size of a machine in a listing, in bits.
+const BITS_PER_MACHINE: f64 = 2000.0;
 /// Pause before the state of a wave is written again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause after a listing of this many machines over this link.
+fn list_pause(machines: usize, link_mbps: f64) -> Duration {
+    let seconds = machines as f64 * BITS_PER_MACHINE / (link_mbps.max(0.1) * 1e6 * LINK_PART);
+    LIST_PAUSE.max(Duration::from_secs_f64(seconds))
+}
+
 impl<P: Platform> Owner<P> {
     pub(super) async fn follow_machines(self: Rc<Self>) {
         while self.is_valid() {
             let asked_at = clock::now();
+            let mut pause = LIST_PAUSE;
             if let Ok(machines) = self.platform.machines().await
                 && self.is_valid()
             {
+                pause = list_pause(machines.len(), self.settings.link_mbps);
                 self.fleet.borrow_mut().list_machines(clock::now(), asked_at, machines);
             }
             self.list_waves().await;
@@ -30,7 +43,7 @@
                 self.pump();
                 self.changed.notify_one();
             }
-            tokio::time::sleep(LIST_INTERVAL).await;
+            tokio::time::sleep(pause).await;
         }
     }
 
--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -35,6 +35,13 @@
         }
         let jobs = intake.items.len();
         self.take_in(intake.items, &mut written);
+        for (job, (record, _)) in written {
+            if record.outcome.is_none() {
+                self.unreadable(&keys::submission(&job), "missing, though its job isn't over");
+                continue;
+            }
+            self.fleet.borrow_mut().recover_over(clock::now(), job.into(), &record);
+        }
         self.tick();
         let fields = json!({
             "fence": self.term.fence,
--- a/crates/jackdawpier_entry/src/settings.rs
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -9,6 +9,8 @@
     pub entry: String,
     /// Share of a core that the process may use.
     pub cpu_share: f64,
+    /// Bandwidth of its link, in megabits a second.
+    pub link_mbps: f64,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the entry takes connections.
--- a/crates/jackdawpier_entry/tests/acceptance.rs
+++ b/crates/jackdawpier_entry/tests/acceptance.rs
@@ -143,7 +143,7 @@
             let held = at.saturating_sub(began_at);
             assert!(held < Duration::from_secs(2), "held for {held:?}");
         }
-        assert_eq!(refused, 60, "only what a write has carried stays unknown");
+        assert_eq!(refused, 80, "only what a write has carried stays unknown");
         assert_eq!(late, Acceptance::Refused);
         assert!(late_took < Duration::from_millis(100), "held for {late_took:?}");
         assert!(
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -410,6 +410,7 @@
     EntrySettings {
         entry: entry.to_owned(),
         cpu_share: 1.0,
+        link_mbps: 1000.0,
         callers: ([127, 0, 0, 1], 0).into(),
         ready: ([127, 0, 0, 1], 0).into(),
         metrics: None,
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -24,7 +24,7 @@
     ids::{ExecutorId, JobId, Revision, ServiceName},
 };
 
-pub use commits::{Batch, FinishedJob};
+pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use reports::HoldOrder;
 pub use starts::{StartEnd, StopEnd};
 
@@ -121,6 +121,14 @@
     Over(JobOutcome),
 }
 
+/// What is left of a job that an earlier owner ended.
+#[derive(Debug)]
+struct EndedBefore {
+    outcome: JobOutcome,
+    /// Some task of it was ordered more than once.
+    has_rerun: bool,
+}
+
 /// Permissions of the placement advisor for one step.
 #[derive(Debug)]
 struct Advice {
@@ -144,7 +152,10 @@
     executors: HashMap<ExecutorId, Executor>,
     by_service: HashMap<ServiceName, Vec<ExecutorId>>,
     dirty: VecDeque<JobId>,
-    over: VecDeque<JobId>,
+    /// Jobs that are over, with the time since when.
+    over: VecDeque<(JobId, Now)>,
+    /// Those that an earlier owner ended.
+    ended_before: HashMap<JobId, EndedBefore>,
     advice: HashMap<(JobId, usize), Advice>,
     gang_failures: HashMap<(JobId, usize), RunNumber>,
     commands: Vec<Command>,
@@ -174,6 +185,7 @@
             by_service: HashMap::new(),
             dirty: VecDeque::new(),
             over: VecDeque::new(),
+            ended_before: HashMap::new(),
             advice: HashMap::new(),
             gang_failures: HashMap::new(),
             commands: Vec::new(),
@@ -300,8 +312,7 @@
             job.restore(record, *revision);
         }
         if job.is_over() {
-            job.over_at = Some(now);
-            self.over.push_back(id.clone());
+            self.over.push_back((id.clone(), now));
         } else {
             self.open.entry(job.queue.clone()).or_default().insert(id.clone());
             if job.spec.schedule.is_some() {
@@ -313,6 +324,17 @@
         self.jobs.insert(id, job);
     }
 
+    /// Takes in a job that an earlier owner ended, of which the store only has the record.
+    pub fn recover_over(&mut self, now: Now, id: JobId, record: &JobRecord) {
+        let Some(outcome) = record.outcome else { return };
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let ended = EndedBefore { outcome, has_rerun: record.has_rerun };
+        self.ended_before.insert(id.clone(), ended);
+        self.over.push_back((id, now));
+    }
+
     /// Books the room of the tasks that an earlier owner placed.
     fn place_doubtful(&mut self, job: &Job) {
         let doubt_until = self.started_at + self.settings.doubt;
@@ -338,7 +360,9 @@
 
     /// What a caller is told of a job; none if it isn't known here.
     pub fn view(&self, id: &str) -> Option<JobView> {
-        let job = self.jobs.get(id)?;
+        let Some(job) = self.jobs.get(id) else {
+            return self.ended_before.get(id).map(|ended| JobView::Over(ended.outcome));
+        };
         Some(match job.shown {
             Some(outcome) => JobView::Over(outcome),
             None if job.has_begun => JobView::Running,
@@ -414,12 +438,11 @@
     fn finish(&mut self, now: Now, id: &JobId, outcome: JobOutcome) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.outcome = Some(outcome);
-        job.over_at = Some(now);
         job.startable.clear();
         if let Some(open) = self.open.get_mut(&job.queue) {
             open.remove(id);
         }
-        self.over.push_back(id.clone());
+        self.over.push_back((id.clone(), now));
         for index in 0..job.tasks.len() {
             self.stop_task(now, &(id.clone(), index));
         }
@@ -503,13 +526,13 @@
     /// Forgets jobs that ended over `retention` ago and returns them, for the store to follow.
     pub fn forget_jobs(&mut self, now: Now, retention: Duration) -> Vec<JobId> {
         let mut forgotten = Vec::new();
-        while let Some(id) = self.over.front() {
-            let over_at = self.jobs.get(id).and_then(|job| job.over_at);
-            if over_at.is_some_and(|at| now.saturating_sub(at) < retention) {
+        while let Some((_, over_at)) = self.over.front() {
+            if now.saturating_sub(*over_at) < retention {
                 break;
             }
-            let id = self.over.pop_front().expect("the front was just read");
+            let (id, _) = self.over.pop_front().expect("the front was just read");
             self.jobs.remove(&id);
+            self.ended_before.remove(&id);
             forgotten.push(id);
         }
         forgotten
--- a/crates/jackdawpier_fleet/src/fleet/commits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/commits.rs
@@ -15,6 +15,9 @@
     spec::{QueueName, TaskKey},
 };
 
+/// Rows of a job that is over and was cancelled: a condition, a value, and two keys removed.
+const MOST_ROWS_PER_JOB: usize = 4;
+
 /// The durable end of a job, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FinishedJob {
@@ -32,24 +35,46 @@
     pub most_failures: u32,
 }
 
+/// A job whose record is to be written.
+#[derive(Debug)]
+pub struct ChangedJob {
+    /// The job.
+    pub job: JobId,
+    /// Its record.
+    pub record: JobRecord,
+    /// Revision that the store has of the record; 0 if it has none.
+    pub revision: Revision,
+    /// The job is over with this write: what its caller handed in isn't needed any more.
+    pub is_ending: bool,
+    /// Its cancellation is in the store.
+    pub is_cancelled: bool,
+    changes: u64,
+}
+
+impl ChangedJob {
+    /// Rows that it takes in a transaction: a condition, a value, and what is removed.
+    pub fn rows(&self) -> usize {
+        2 + usize::from(self.is_ending) * (1 + usize::from(self.is_cancelled))
+    }
+}
+
 /// Records to be written in one transaction.
 #[derive(Debug)]
 pub struct Batch {
     /// Number of the batch.
     pub number: u64,
-    /// The jobs with their records and the revisions that the store has of them (0: none yet).
-    pub records: Vec<(JobId, JobRecord, Revision)>,
-    changes: Vec<u64>,
+    /// The jobs.
+    pub jobs: Vec<ChangedJob>,
 }
 
 impl Fleet {
-    /// Takes up to `most` changed jobs to be written. A job is in one batch at a time, so batches
-    /// may be written side by side.
-    pub fn take_batch(&mut self, most: usize) -> Option<Batch> {
-        let mut records = Vec::new();
-        let mut changes = Vec::new();
+    /// Takes changed jobs that fill up to `most_rows` rows of a transaction, see
+    /// [`ChangedJob::rows`]. A job is in one batch at a time, so batches may be written side by side.
+    pub fn take_batch(&mut self, most_rows: usize) -> Option<Batch> {
+        let mut jobs: Vec<ChangedJob> = Vec::new();
+        let mut rows = 0;
         let mut later = Vec::new();
-        while records.len() < most {
+        while rows + MOST_ROWS_PER_JOB <= most_rows {
             let Some(id) = self.dirty.pop_front() else { break };
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             if job.is_writing {
@@ -58,15 +83,23 @@
             }
             job.is_dirty = false;
             job.is_writing = true;
-            changes.push(job.changes);
-            records.push((id, job.record(), job.revision));
+            let changed = ChangedJob {
+                job: id,
+                record: job.record(),
+                revision: job.revision,
+                is_ending: job.is_over() && job.shown.is_none(),
+                is_cancelled: job.is_cancelled,
+                changes: job.changes,
+            };
+            rows += changed.rows();
+            jobs.push(changed);
         }
         self.dirty.extend(later);
-        if records.is_empty() {
+        if jobs.is_empty() {
             return None;
         }
         self.next_batch += 1;
-        Some(Batch { number: self.next_batch, records, changes })
+        Some(Batch { number: self.next_batch, jobs })
     }
 
     /// Whether something waits to be written.
@@ -77,12 +110,12 @@
     /// A batch is durable at these revisions, one a record: its placements may be ordered, its ends
     /// acknowledged and its outcomes shown.
     pub fn batch_durable(&mut self, now: Now, batch: &Batch, revisions: &[Revision]) {
-        let written = batch.records.iter().zip(&batch.changes).zip(revisions);
-        for (((id, record, _), &changes), &revision) in written {
+        for (written, &revision) in batch.jobs.iter().zip(revisions) {
+            let (id, record) = (&written.job, &written.record);
             let Some(job) = self.jobs.get_mut(id) else { continue };
             job.is_writing = false;
             job.revision = revision;
-            job.durable_changes = changes;
+            job.durable_changes = written.changes;
             if let Some(outcome) = record.outcome {
                 let is_news = job.shown.replace(outcome).is_none();
                 if is_news {
@@ -144,12 +177,12 @@
 
     /// Takes a batch back whose writing is certain to have had no effect.
     pub fn batch_refused(&mut self, batch: &Batch) {
-        for (id, _, _) in &batch.records {
-            let Some(job) = self.jobs.get_mut(id) else { continue };
+        for written in &batch.jobs {
+            let Some(job) = self.jobs.get_mut(&written.job) else { continue };
             job.is_writing = false;
             if !job.is_dirty {
                 job.is_dirty = true;
-                self.dirty.push_back(id.clone());
+                self.dirty.push_back(written.job.clone());
             }
         }
     }
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -91,7 +91,14 @@
     }
 
     fn apply_end(&mut self, now: Now, id: &ExecutorId, end: &EndedTask) {
-        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            // Which of its runs counted isn't known any more.
+            let ended = self.ended_before.get(&end.task.job);
+            if end.how == EndKind::Done && ended.is_some_and(|one| one.has_rerun) {
+                self.freeze(id);
+            }
+            return;
+        };
         let Some(index) = job.index(&end.task) else { return };
         let task = &mut job.tasks[index];
         let is_here = task.phase.executor() == Some(id) && task.run == end.run;
@@ -139,11 +146,7 @@
             return;
         }
         match end.how {
-            EndKind::Done => {
-                if let Some(executor) = self.executors.get_mut(id) {
-                    executor.is_frozen = true;
-                }
-            }
+            EndKind::Done => self.freeze(id),
             EndKind::Failed => {
                 job.tasks[index].failures += 1;
                 self.touch(&end.task.job);
@@ -152,6 +155,13 @@
         }
     }
 
+    /// Keeps this end, and all after it, from being acknowledged.
+    fn freeze(&mut self, id: &ExecutorId) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.is_frozen = true;
+        }
+    }
+
     fn note_health(&mut self, now: Now, id: &ExecutorId, how: EndKind) {
         let Some(executor) = self.executors.get_mut(id) else { return };
         match how {
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -130,7 +130,6 @@
     pub(crate) revision: Revision,
     /// The outcome as far as it is durable: what callers may be told.
     pub(crate) shown: Option<JobOutcome>,
-    pub(crate) over_at: Option<Now>,
 }
 
 impl Job {
@@ -172,7 +171,6 @@
             is_dirty: false,
             revision: 0,
             shown: None,
-            over_at: None,
             spec,
         }
     }
--- a/crates/jackdawpier_fleet/tests/lost_executors.rs
+++ b/crates/jackdawpier_fleet/tests/lost_executors.rs
@@ -47,6 +47,23 @@
     assert!(world.executors[&cut].has_ends());
 }
 
+/// The same, but an owner finds it that knows of the job only that it is over.
+#[test]
+fn end_found_by_next_owner() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", job(vec![step(2, 6, 1_000)]));
+    world.run_for(Duration::from_millis(500));
+    let cut = world.executor_of("m-view-0");
+    world.executors.get_mut(&cut).expect("it lives").cut(true);
+    let outcome = world.run_until_over("j", Duration::from_secs(12));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+    world.run_for(Duration::from_millis(500));
+    world.take_over();
+    world.executors.get_mut(&cut).expect("it lives").cut(false);
+    world.run_for(Duration::from_secs(3));
+    assert!(world.executors[&cut].has_ends());
+}
+
 /// The owner doesn't hear an executor for longer than its lease, but the registry and the list of
 /// machines show that it lives: a task that has ended there isn't run again.
 #[test]
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -250,6 +250,13 @@
         let wall_ms = self.wall_ms();
         for (id, submission) in &self.submissions {
             let written = self.store.get(id).cloned();
+            // What was handed in is removed when the job is over.
+            if let Some((record, _)) = &written
+                && record.outcome.is_some()
+            {
+                self.fleet.recover_over(self.now, id.clone(), record);
+                continue;
+            }
             self.fleet.recover_job(self.now, wall_ms, id.clone(), submission.clone(), written);
         }
         for id in &self.cancelled {
@@ -292,7 +299,7 @@
         self.finish_writes();
         self.fleet.tick(now, self.wall_ms());
         self.carry_out();
-        while let Some(batch) = self.fleet.take_batch(15) {
+        while let Some(batch) = self.fleet.take_batch(30) {
             self.writes.push((now + self.write_delay, batch));
         }
         self.check();
@@ -346,10 +353,10 @@
         self.writes = rest;
         for (_, batch) in due {
             self.revision += 1;
-            for (id, record, _) in &batch.records {
-                self.store.insert(id.clone(), (record.clone(), self.revision));
+            for written in &batch.jobs {
+                self.store.insert(written.job.clone(), (written.record.clone(), self.revision));
             }
-            let revisions = vec![self.revision; batch.records.len()];
+            let revisions = vec![self.revision; batch.jobs.len()];
             self.fleet.batch_durable(now, &batch, &revisions);
         }
     }
