--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -26,7 +26,7 @@
     keys,
     metrics::Latency,
     owner::OwnerCell,
-    pending,
+    pending::Pending,
     ports::{CallError, CallerLimits, Platform, Route, Transaction, TransactionEnd},
 };
 
@@ -52,6 +52,8 @@
     pub intake: Intake,
     /// The fleet, while this entry owns it.
     pub owner: OwnerCell,
+    /// Counts of jobs that haven't begun.
+    pub pending: Pending,
     /// Log lines.
     pub events: Events,
 }
@@ -211,7 +213,7 @@
         if let Some(count) = self.owner.pending(queue) {
             return reply(StatusCode::OK, self.platform.pending(count));
         }
-        match pending::count(&self.platform, queue).await {
+        match self.pending.count(&self.platform, queue).await {
             Ok(count) => reply(StatusCode::OK, self.platform.pending(count)),
             Err(_) => self.refuse("the store can't be reached"),
         }
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -19,6 +19,7 @@
     events::Events,
     http_server::{self, InFlight},
     owner::{self, OwnerCell},
+    pending::Pending,
     ports::Platform,
     settings::EntrySettings,
 };
@@ -68,6 +69,7 @@
         active: active.clone(),
         intake,
         owner: cell.clone(),
+        pending: Pending::default(),
         events: events.clone(),
     });
     let answer = move |request| callers.clone().answer(request);
--- a/crates/jackdawpier_entry/tests/owner.rs
+++ b/crates/jackdawpier_entry/tests/owner.rs
@@ -9,7 +9,7 @@
     events::Events,
     keys,
     owner::{OwnerCell, own_when_free},
-    pending,
+    pending::Pending,
 };
 use jackdawpier_fleet::{
     fleet::JobView,
@@ -119,6 +119,27 @@
         put_job(&fake, "j");
         put_job(&fake, "k");
         fake.put(&keys::cancellation("k"), b"{}");
-        assert_eq!(pending::count(&fake, &QUEUE.into()).await, Ok(1));
+        assert_eq!(Pending::default().count(&fake, &QUEUE.into()).await, Ok(1));
+    });
+}
+
+/// All who ask while there is no owner share one count: a day's records fill a thin link.
+#[test]
+fn shared_count() {
+    run(async {
+        let fake = Fake::default();
+        put_job(&fake, "j");
+        let pending = Rc::new(Pending::default());
+        let asking: Vec<_> = (0..20)
+            .map(|_| {
+                let (fake, pending) = (fake.clone(), pending.clone());
+                let count = async move { pending.count(&fake, &QUEUE.into()).await };
+                tokio::task::spawn_local(count)
+            })
+            .collect();
+        for one in asking {
+            assert_eq!(one.await.expect("it doesn't panic"), Ok(1));
+        }
+        assert_eq!(fake.listings(), 2, "one of what was handed in, one of records");
     });
 }
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -60,6 +60,7 @@
     fates: VecDeque<Fate>,
     late: Vec<Transaction>,
     commits: usize,
+    listings: usize,
     ended: Vec<EndedTask>,
     starts: Vec<(TaskKey, RunNumber)>,
     is_down: bool,
@@ -109,6 +110,10 @@
         self.0.borrow().commits
     }
 
+    pub fn listings(&self) -> usize {
+        self.0.borrow().listings
+    }
+
     pub fn starts(&self) -> Vec<(TaskKey, RunNumber)> {
         self.0.borrow().starts.clone()
     }
@@ -176,6 +181,7 @@
 
     async fn list(&self, prefix: &str) -> CallResult<Listing> {
         self.check_up()?;
+        self.0.borrow_mut().listings += 1;
         let state = self.0.borrow();
         let items = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
         let items = items.map(|(key, held)| Item {
