Count each failed run once, whoever hears of it

The first owner had made the failure of run 1 durable and placed run 2; the next one heard of run 1's end again, as it wasn't acknowledged yet, and counted it a second time. Change: records hold the numbers of the failed runs instead of their count. Ruled out: load (the executor's list and both owners' lines show the double count). Test: attempts (failure_heard_twice seen failing: 2 starts instead of 3).

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -157,7 +157,6 @@
     /// Those that an earlier owner ended.
     ended_before: HashMap<JobId, EndedBefore>,
     advice: HashMap<(JobId, usize), Advice>,
-    gang_failures: HashMap<(JobId, usize), RunNumber>,
     commands: Vec<Command>,
     finished: Vec<FinishedJob>,
     machines: Machines,
@@ -187,7 +186,6 @@
             over: VecDeque::new(),
             ended_before: HashMap::new(),
             advice: HashMap::new(),
-            gang_failures: HashMap::new(),
             commands: Vec::new(),
             finished: Vec::new(),
             machines_planned_at: Now::ZERO,
@@ -505,7 +503,7 @@
                 job.open_steps(now, self.wall_ms);
             }
         } else if ended_as == Some(TaskEnd::Failed) {
-            task.failures += 1;
+            task.note_failure(task.run);
         }
         if job.is_over() {
             return;
--- a/crates/jackdawpier_fleet/src/fleet/commits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/commits.rs
@@ -9,7 +9,7 @@
 
 use super::{Command, Fleet};
 use crate::{
-    job::Phase,
+    job::{Phase, Task},
     order::objective,
     record::{JobOutcome, JobRecord},
     spec::{QueueName, TaskKey},
@@ -130,14 +130,14 @@
     fn note_finished(&mut self, now: Now, id: &JobId, outcome: JobOutcome) {
         let Some(job) = self.jobs.get(id) else { return };
         let queue = self.queues.get(&job.queue);
-        let worst = job.tasks.iter().max_by_key(|task| task.failures);
+        let worst = job.tasks.iter().max_by_key(|task| task.failures());
         self.finished.push(FinishedJob {
             job: id.clone(),
             queue: job.queue.clone(),
             outcome,
             took: now.saturating_sub(job.next_began_at()),
             objective: queue.map(|queue| objective(job, queue)).unwrap_or_default(),
-            most_failures: worst.map_or(0, |task| task.failures),
+            most_failures: worst.map_or(0, Task::failures),
         });
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -6,6 +6,7 @@
 use crate::{
     executor::TaskRef,
     job::{Phase, TaskIndex},
+    spec::RunNumber,
 };
 
 impl Fleet {
@@ -28,15 +29,10 @@
     }
 
     /// Counts one failure a run for the whole gang.
-    pub(super) fn note_gang_failure(&mut self, id: &JobId, slot: usize, run: u32) {
-        let counted = self.gang_failures.entry((id.clone(), slot)).or_default();
-        if *counted >= run {
-            return;
-        }
-        *counted = run;
+    pub(super) fn note_gang_failure(&mut self, id: &JobId, slot: usize, run: RunNumber) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         for index in job.tasks_of(slot) {
-            job.tasks[index].failures += 1;
+            job.tasks[index].note_failure(run);
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -148,7 +148,7 @@
         match end.how {
             EndKind::Done => self.freeze(id),
             EndKind::Failed => {
-                job.tasks[index].failures += 1;
+                job.tasks[index].note_failure(end.run);
                 self.touch(&end.task.job);
             }
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
@@ -182,7 +182,7 @@
     fn check_attempts(&mut self, now: Now, task_ref: &TaskRef) {
         let Some(job) = self.jobs.get(&task_ref.0) else { return };
         let Some(queue) = self.queues.get(&job.queue) else { return };
-        let failures = job.tasks[task_ref.1].failures;
+        let failures = job.tasks[task_ref.1].failures();
         let is_spent = queue.max_attempts > 0 && failures >= queue.max_attempts;
         if is_spent && !job.is_over() && !job.step(task_ref.1).is_long_running {
             self.finish(now, &task_ref.0, JobOutcome::Failed);
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -52,7 +52,8 @@
 pub(crate) struct Task {
     pub(crate) phase: Phase,
     pub(crate) run: RunNumber,
-    pub(crate) failures: u32,
+    /// Runs that ended in failure.
+    failed_runs: Vec<RunNumber>,
     pub(crate) checkpoint: Box<str>,
     /// Last share of its full speed that the executor reported, in percent.
     pub(crate) percent: u32,
@@ -69,7 +70,7 @@
         Self {
             phase: Phase::Waiting,
             run: 0,
-            failures: 0,
+            failed_runs: Vec::new(),
             checkpoint: "".into(),
             percent: 100,
             pace_percent: 100,
@@ -78,6 +79,18 @@
         }
     }
 
+    /// Counts a run that ended in failure, once however often it is reported.
+    pub(crate) fn note_failure(&mut self, run: RunNumber) {
+        if !self.failed_runs.contains(&run) {
+            self.failed_runs.push(run);
+        }
+    }
+
+    /// Number of runs that ended in failure.
+    pub(crate) fn failures(&self) -> u32 {
+        self.failed_runs.len() as u32
+    }
+
     fn record(&self) -> TaskRecord {
         let standing = match (&self.phase, self.phase.executor()) {
             (Phase::Done, _) => Standing::Done,
@@ -87,7 +100,7 @@
         TaskRecord {
             standing,
             run: self.run,
-            failures: self.failures,
+            failed_runs: self.failed_runs.clone(),
             checkpoint: self.checkpoint.clone(),
         }
     }
@@ -184,7 +197,7 @@
         self.had_rerun = record.has_rerun;
         for (index, (task, known)) in self.tasks.iter_mut().zip(&record.tasks).enumerate() {
             task.run = known.run;
-            task.failures = known.failures;
+            task.failed_runs.clone_from(&known.failed_runs);
             task.checkpoint.clone_from(&known.checkpoint);
             match &known.standing {
                 Standing::Waiting => {}
--- a/crates/jackdawpier_fleet/src/record.rs
+++ b/crates/jackdawpier_fleet/src/record.rs
@@ -43,19 +43,15 @@
     /// Number of its last start; 0 before the first.
     #[serde(rename = "r", default)]
     pub run: RunNumber,
-    /// Runs that ended in failure.
-    #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
-    pub failures: u32,
+    /// Runs that ended in failure. Their numbers are kept, since an executor reports an end again to
+    /// a later owner until it is acknowledged.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_runs: Vec<RunNumber>,
     /// Checkpoint to go on from; empty if there is none.
     #[serde(rename = "c", default, skip_serializing_if = "str::is_empty")]
     pub checkpoint: Box<str>,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde hands over a reference")]
-fn is_zero(count: &u32) -> bool {
-    *count == 0
-}
-
 /// The durable state of one job, in the order of occurrences, steps and tasks.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/attempts.rs
@@ -0,0 +1,46 @@
+//! Failed runs count against a job once each, whoever hears of them and how often.
+
+mod world;
+
+use std::time::Duration;
+
+use jackdawpier_fleet::{fleet::Command, record::JobOutcome};
+use world::{STEP, World, job, step};
+
+fn starts(world: &World) -> usize {
+    let is_start = |command: &Command| matches!(command, Command::Start { .. });
+    world.commands.iter().filter(|(_, command)| is_start(command)).count()
+}
+
+fn failing_world() -> World {
+    let mut world = World::new(&["view"], 2);
+    world.executors.values_mut().for_each(|executor| executor.fails_all = true);
+    world.submit("j", "q-view", job(vec![step(1, 6, 300)]));
+    world
+}
+
+#[test]
+fn three_attempts() {
+    let mut world = failing_world();
+    let outcome = world.run_until_over("j", Duration::from_secs(10));
+    assert_eq!(outcome, Some(JobOutcome::Failed));
+    assert_eq!(starts(&world), 3);
+}
+
+/// The first owner made a failure durable and placed the next run, but its acknowledgement got lost:
+/// the second one hears of the same failure again.
+#[test]
+fn failure_heard_twice() {
+    let mut world = failing_world();
+    while !world.executors.values().any(world::executor::FakeExecutor::has_ends) {
+        world.run_for(STEP);
+    }
+    let reported = world.executors.iter().find(|(_, one)| one.has_ends());
+    world.deaf_to = reported.map(|(id, _)| id.clone());
+    world.run_for(Duration::from_millis(150));
+    world.take_over();
+    world.deaf_to = None;
+    let outcome = world.run_until_over("j", Duration::from_secs(10));
+    assert_eq!(outcome, Some(JobOutcome::Failed));
+    assert_eq!(starts(&world), 3);
+}
