Note machines before they are ordered, so that the next owner needn't wait

Change: each order is noted in the store before it leaves, in the write that confirms the ownership (it replaces a read). The next owner leaves the noted machines alone for 3.5 s, counts them and what is in maintenance against the wave's bound, and what runs on them as away; all others it orders at once. Without the note it waits as before. Tests: machine_holders; the model now checks the holders of each machine (seen failing without the hold: 'm-spare-0 ordered by two owners').

--- a/crates/jackdawpier_entry/src/keys.rs
+++ b/crates/jackdawpier_entry/src/keys.rs
@@ -15,6 +15,9 @@
 /// Prefix of machines that were maintained for a wave, written by the owner alone.
 pub const WAVES: &str = "waves/";
 
+/// Machines that the owner ordered lately, written by the owner alone.
+pub const MACHINE_ORDERS: &str = "machine-orders";
+
 /// Key of an accepted job.
 pub fn submission(job: &str) -> String {
     format!("{SUBMISSIONS}{job}")
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -5,6 +5,7 @@
 mod executors;
 mod intake;
 mod machines;
+mod order_note;
 mod registry;
 mod takeover;
 
@@ -94,6 +95,8 @@
     pub(crate) followed: RefCell<HashSet<ExecutorId>>,
     /// Orders that may be under way at each executor.
     pub(crate) order_slots: RefCell<HashMap<ExecutorId, Rc<Semaphore>>>,
+    /// Machines that were ordered lately.
+    pub(crate) order_note: order_note::OrderNote,
     configured_version: Cell<u64>,
 }
 
@@ -242,10 +245,12 @@
         written: Notify::new(),
         followed: RefCell::new(HashSet::new()),
         order_slots: RefCell::new(HashMap::new()),
+        order_note: order_note::OrderNote::default(),
         configured_version: Cell::new(0),
     });
     tokio::task::spawn_local(owner.clone().renew_loop());
     let Some(watch_from) = owner.take_over().await else { return };
+    owner.recover_orders().await;
     *cell.0.borrow_mut() = Some((term, fleet));
     events.metrics().set_owner(true);
     let started_at: Now = clock::now();
--- a/crates/jackdawpier_entry/src/owner/machines.rs
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -76,10 +76,10 @@
         }
     }
 
-    /// Sends an order about a machine, once the store has confirmed the ownership: nothing else
-    /// keeps a former owner's order from mixing with a later one's.
+    /// Sends an order about a machine, once it is noted and the store has confirmed the ownership:
+    /// nothing else keeps a former owner's order from mixing with a later one's.
     pub(super) async fn order_machine(self: Rc<Self>, order: MachineOrder) {
-        let end = if self.term.confirm(&self.platform).await && self.is_valid() {
+        let end = if self.note_order(&order.machine).await {
             self.platform.order(&order, &self.settings.entry, self.term.fence).await
         } else {
             MachineOrderEnd::NotTaken
--- /dev/null
+++ b/crates/jackdawpier_entry/src/owner/order_note.rs
@@ -0,0 +1,129 @@
+//! Which machines were ordered lately, as the next owner finds it.
+//!
+//! Orders about machines aren't fenced: two owners must not order one machine within some seconds.
+//! Each order is noted before it leaves, in a write that also confirms the ownership. So the next
+//! owner leaves alone what its predecessor ordered, and may order all else at once.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    time::Duration,
+};
+
+use jackdawpier_fleet::machines::MachineId;
+use jackdawpier_kernel::{Now, ids::Revision};
+use serde_json::json;
+use tokio::sync::Mutex;
+
+use super::Owner;
+use crate::{
+    clock, keys,
+    ports::{Platform, Transaction, TransactionEnd},
+};
+
+/// A machine stays in the note for this long after its last order: longer than any owner waits.
+const NOTED_FOR: Duration = Duration::from_secs(6);
+/// Pause before a note that couldn't be read is asked for again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The note of one term.
+#[derive(Debug, Default)]
+pub(crate) struct OrderNote {
+    ordered_at: RefCell<BTreeMap<MachineId, Now>>,
+    /// Orders that were added, and how many of them the store holds.
+    added: Cell<u64>,
+    written: Cell<u64>,
+    /// Of the note in the store; none while a write of it has an unknown outcome.
+    revision: Mutex<Option<Revision>>,
+}
+
+impl OrderNote {
+    fn add(&self, now: Now, machine: &MachineId) -> u64 {
+        let mut ordered_at = self.ordered_at.borrow_mut();
+        ordered_at.retain(|_, at| now.saturating_sub(*at) < NOTED_FOR);
+        ordered_at.insert(machine.clone(), now);
+        self.added.set(self.added.get() + 1);
+        self.added.get()
+    }
+
+    fn value(&self) -> Vec<u8> {
+        let ordered_at = self.ordered_at.borrow();
+        serde_json::to_vec(&ordered_at.keys().collect::<Vec<_>>())
+            .expect("names can be written as JSON")
+    }
+}
+
+impl<P: Platform> Owner<P> {
+    /// Reads which machines the former owner ordered, and leaves those alone for a while.
+    pub(super) async fn recover_orders(&self) {
+        while self.is_valid() {
+            let Ok(item) = self.platform.get(keys::MACHINE_ORDERS).await else {
+                tokio::time::sleep(REPEAT_PAUSE).await;
+                continue;
+            };
+            let now = clock::now();
+            let revision = item.as_ref().map_or(0, |item| item.revision);
+            let machines: Vec<MachineId> =
+                match item.map(|item| serde_json::from_slice(&item.value)) {
+                    None => Vec::new(),
+                    Some(Ok(machines)) => machines,
+                    Some(Err(error)) => {
+                        // Without it all machines are left alone for a while.
+                        self.unreadable(keys::MACHINE_ORDERS, &error.to_string());
+                        return;
+                    }
+                };
+            *self.order_note.revision.lock().await = Some(revision);
+            for machine in &machines {
+                self.order_note.add(now, machine);
+            }
+            self.events.emit("machine_orders_recovered", json!({ "machines": machines.len() }));
+            self.fleet.borrow_mut().recover_orders(now, machines);
+            return;
+        }
+    }
+
+    /// Notes that a machine is about to be ordered. Returns whether the order may leave: the store
+    /// holds the note and has just confirmed the ownership.
+    pub(super) async fn note_order(&self, machine: &MachineId) -> bool {
+        let note = &self.order_note;
+        let place = note.add(clock::now(), machine);
+        let mut revision = note.revision.lock().await;
+        // A write that began after the order was added carries it.
+        if note.written.get() >= place {
+            return self.is_valid();
+        }
+        let expected = match *revision {
+            Some(expected) => expected,
+            None => match self.platform.get(keys::MACHINE_ORDERS).await {
+                Ok(item) => item.map_or(0, |item| item.revision),
+                Err(_) => return false,
+            },
+        };
+        *revision = None;
+        let covered = note.added.get();
+        let key = keys::MACHINE_ORDERS.to_owned();
+        let transaction = Transaction {
+            expect: vec![(keys::OWNER.to_owned(), self.term.fence), (key.clone(), expected)],
+            puts: vec![(key, note.value(), None)],
+            removes: Vec::new(),
+        };
+        match self.platform.commit(&transaction).await {
+            Ok(TransactionEnd::Committed(committed)) => {
+                *revision = Some(committed);
+                note.written.set(covered);
+                self.is_valid()
+            }
+            Ok(TransactionEnd::Conflict(items)) => {
+                let is_owner = |item: &crate::ports::Item| {
+                    item.key == keys::OWNER && item.revision == self.term.fence
+                };
+                if !items.iter().any(is_owner) {
+                    self.term.lose();
+                }
+                false
+            }
+            Err(_) => false,
+        }
+    }
+}
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -333,6 +333,12 @@
         self.over.push_back((id, now));
     }
 
+    /// An earlier owner has noted which machines it ordered lately, before each order left. Those
+    /// are left alone until its orders must have arrived; all others may be ordered at once.
+    pub fn recover_orders(&mut self, now: Now, machines: Vec<crate::machines::MachineId>) {
+        self.machines.hold(now, machines);
+    }
+
     /// Books the room of the tasks that an earlier owner placed.
     fn place_doubtful(&mut self, job: &Job) {
         let doubt_until = self.started_at + self.settings.doubt;
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -137,6 +137,7 @@
             .machines
             .iter()
             .filter(|machine| progress.is_open(machine) && !is_busy(machine))
+            .filter(|machine| !self.machines.is_held(now, machine))
             .filter(|machine| {
                 self.machines
                     .listed
@@ -181,7 +182,8 @@
     pub(super) fn begin_errand(&mut self, now: Now, machine: MachineId, work: MachineWork) {
         let executor = self.machines.listed.get(&machine).and_then(|info| info.executor.clone());
         let stage = Stage::Vacating { since: now };
-        let errand = Errand { work, stage, executor, not_before: self.machines.orders_from };
+        let not_before = self.machines.free_from(&machine);
+        let errand = Errand { work, stage, executor, not_before };
         self.machines.errands.insert(machine, errand);
     }
 
@@ -233,6 +235,7 @@
         let since = task.at_work_since;
         is_heard
             && !self.machines.is_leaving(id)
+            && !self.machines.holds_executor(now, id)
             && since.is_some_and(|since| now.saturating_sub(since) >= SETTLED_AFTER)
     }
 
@@ -248,7 +251,7 @@
                 Stage::Ordered { at } => now >= at + REPEAT_ORDER && self.may_lose(now, &machine),
                 Stage::Away { .. } => false,
             };
-            if !is_due || !self.has_wave_slot(&machine) {
+            if !is_due || !self.has_wave_slot(now, &machine) {
                 self.thin_out(now, &machine);
                 continue;
             }
@@ -298,7 +301,7 @@
     }
 
     /// Whether the order may leave without more machines of its wave away than allowed.
-    fn has_wave_slot(&self, machine: &MachineId) -> bool {
+    fn has_wave_slot(&self, now: Now, machine: &MachineId) -> bool {
         let errand = &self.machines.errands[machine];
         let MachineWork::Maintain(number) = errand.work else { return true };
         if errand.is_away() {
@@ -311,7 +314,18 @@
             .values()
             .filter(|one| one.work == errand.work && one.is_away())
             .count();
-        away < progress.wave.most_away.max(1)
+        away + self.away_before(now, progress) < progress.wave.most_away.max(1)
+    }
+
+    /// Machines of a wave that are away, or may yet be, by an earlier owner's orders.
+    fn away_before(&self, now: Now, progress: &WaveProgress) -> usize {
+        let machines = &self.machines;
+        let is_away = |machine: &&MachineId| {
+            let state = machines.listed.get(*machine).map(|info| info.state);
+            machines.is_held(now, machine) || state == Some(MachineState::Maintenance)
+        };
+        let is_ours = |machine: &MachineId| machines.errands.contains_key(machine);
+        progress.wave.machines.iter().filter(is_away).filter(|one| !is_ours(one)).count()
     }
 
     /// Long-running tasks on a machine count as away from the moment that its order leaves.
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -95,7 +95,7 @@
             return;
         }
         let mut pools = self.view_pools(now);
-        let standby = self.idle_standby();
+        let standby = self.idle_standby(now);
         let total: usize = pools.values().map(Pool::holds).sum();
         let share = (total * KEEP_PERCENT / 100).div_ceil(pools.len().max(1));
         let mut lacking: Vec<(usize, PoolName, Option<Label>)> = Vec::new();
@@ -172,11 +172,12 @@
         self.services.get(pool).is_some_and(|service| service.is_standby)
     }
 
-    fn idle_standby(&self) -> Vec<MachineId> {
+    fn idle_standby(&self, now: Now) -> Vec<MachineId> {
         let listed = self.machines.listed.values();
         listed
             .filter(|info| info.state == MachineState::Up && self.is_standby(&info.pool))
             .filter(|info| !self.machines.errands.contains_key(&info.id))
+            .filter(|info| !self.machines.is_held(now, &info.id))
             .map(|info| info.id.clone())
             .collect()
     }
@@ -209,7 +210,8 @@
             }
             pool.up += 1;
             pool.count_labels(&info.labels);
-            if executor.tasks.is_empty() && executor.is_synced {
+            let is_held = self.machines.is_held(now, &info.id);
+            if executor.tasks.is_empty() && executor.is_synced && !is_held {
                 pool.idle.push(info.id.clone());
             }
         }
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -153,8 +153,11 @@
 /// Machines and what is being done with them.
 #[derive(Debug)]
 pub(crate) struct Machines {
-    /// Orders of an earlier holder may still arrive before this time.
+    /// Orders of an earlier holder may still arrive before this time, about any machine until it is
+    /// known which ones it ordered lately.
     pub(crate) orders_from: Now,
+    /// The machines that it ordered lately, with that time.
+    held: BTreeMap<MachineId, Now>,
     pub(crate) listed: BTreeMap<MachineId, MachineInfo>,
     pub(crate) has_listing: bool,
     pub(crate) errands: BTreeMap<MachineId, Errand>,
@@ -168,6 +171,7 @@
     pub(crate) fn new(orders_from: Now) -> Self {
         Self {
             orders_from,
+            held: BTreeMap::new(),
             listed: BTreeMap::new(),
             has_listing: false,
             errands: BTreeMap::new(),
@@ -177,6 +181,27 @@
         }
     }
 
+    /// Only these machines were ordered lately by an earlier holder.
+    pub(crate) fn hold(&mut self, now: Now, machines: Vec<MachineId>) {
+        let until = std::mem::replace(&mut self.orders_from, now);
+        self.held = machines.into_iter().map(|machine| (machine, until)).collect();
+    }
+
+    /// When a machine may be ordered first.
+    pub(crate) fn free_from(&self, machine: &MachineId) -> Now {
+        self.held.get(machine).map_or(self.orders_from, |until| self.orders_from.max(*until))
+    }
+
+    /// Whether an earlier holder's order about a machine may still arrive.
+    pub(crate) fn is_held(&self, now: Now, machine: &MachineId) -> bool {
+        now < self.free_from(machine)
+    }
+
+    /// The same of the machine on which an executor lives.
+    pub(crate) fn holds_executor(&self, now: Now, executor: &ExecutorId) -> bool {
+        self.machine_of.get(executor).is_some_and(|machine| self.is_held(now, machine))
+    }
+
     /// Takes in a listing.
     pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) {
         self.machine_of = machines
--- a/crates/jackdawpier_fleet/tests/world/machines.rs
+++ b/crates/jackdawpier_fleet/tests/world/machines.rs
@@ -4,7 +4,7 @@
 
 use jackdawpier_fleet::machines::{MachineOrder, MachineOrderEnd, MachineState, MachineWork};
 
-use super::{MAINTENANCE, MIGRATION, Machine, World};
+use super::{MAINTENANCE, MIGRATION, Machine, ORDER_LEASE, World};
 
 impl World {
     pub(super) fn state_of(&self, machine: &Machine) -> MachineState {
@@ -36,14 +36,26 @@
         let now = self.now;
         let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.machine_orders_under_way)
             .into_iter()
-            .partition(|(at, _)| *at <= now);
+            .partition(|(at, ..)| *at <= now);
         self.machine_orders_under_way = rest;
-        for (_, order) in due {
+        for (_, fence, order) in due {
+            self.check_holder(&order.machine, fence);
             let end = self.order_machine(&order);
-            self.fleet.machine_order_ended(now, &order, end);
+            if fence == self.fence {
+                self.fleet.machine_order_ended(now, &order, end);
+            }
         }
     }
 
+    /// Holders don't take turns about a machine, and an earlier one's order never comes after a
+    /// later one's.
+    fn check_holder(&mut self, machine: &Arc<str>, fence: u64) {
+        let now = self.now;
+        let Some((at, last)) = self.ordered.insert(machine.clone(), (now, fence)) else { return };
+        assert!(fence >= last, "{machine} ordered under {fence} after {last}");
+        assert!(fence == last || now >= at + ORDER_LEASE, "{machine} ordered by two owners");
+    }
+
     pub(super) fn order_machine(&mut self, order: &MachineOrder) -> MachineOrderEnd {
         if !self.takes_machine_orders {
             return MachineOrderEnd::NotTaken;
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -25,6 +25,10 @@
 pub const STEP: Duration = Duration::from_millis(10);
 pub const MIGRATION: Duration = Duration::from_millis(1500);
 pub const MAINTENANCE: Duration = Duration::from_millis(2000);
+/// Holders of orders about a machine must not take turns within this time.
+pub const ORDER_LEASE: Duration = Duration::from_millis(3000);
+/// An owner's note names machines for this long after the last order.
+const NOTED_FOR: Duration = Duration::from_secs(5);
 /// An executor waits this long for an end before it answers a hold.
 const HOLD_WAIT: Duration = Duration::from_millis(200);
 
@@ -103,6 +107,10 @@
     pub queues: Vec<Queue>,
     pub services: Vec<Service>,
     pub machine_orders: Vec<(Duration, MachineOrder)>,
+    /// Machines with the time and the owner of the last order that left, which an owner notes.
+    noted: BTreeMap<Arc<str>, (Duration, u64)>,
+    /// The note can't be read by the next owner.
+    pub loses_note: bool,
     pub commands: Vec<(Duration, Command)>,
     lives: u64,
     started: HashMap<TaskKey, Vec<Duration>>,
@@ -118,7 +126,9 @@
     pub refuses_moves: bool,
     /// Time that an order about a machine takes to arrive.
     pub machine_order_delay: Duration,
-    machine_orders_under_way: Vec<(Duration, MachineOrder)>,
+    machine_orders_under_way: Vec<(Duration, u64, MachineOrder)>,
+    /// When each machine was last ordered, and under which fence.
+    ordered: BTreeMap<Arc<str>, (Duration, u64)>,
     /// Executors that the advisor approves of, and how often it was asked.
     pub approved: Vec<Arc<str>>,
     pub advised: usize,
@@ -150,6 +160,8 @@
                 .map(|pool| Service { name: (*pool).into(), is_standby: pool.starts_with("off") })
                 .collect(),
             machine_orders: Vec::new(),
+            noted: BTreeMap::new(),
+            loses_note: false,
             commands: Vec::new(),
             lives: 0,
             started: HashMap::new(),
@@ -161,6 +173,7 @@
             refuses_moves: false,
             machine_order_delay: Duration::ZERO,
             machine_orders_under_way: Vec::new(),
+            ordered: BTreeMap::new(),
             approved: Vec::new(),
             advised: 0,
             labels: BTreeMap::new(),
@@ -262,6 +275,11 @@
         for id in &self.cancelled {
             self.fleet.cancel(self.now, id);
         }
+        if !self.loses_note {
+            let noted = self.noted.iter().filter(|(_, (at, _))| self.now < *at + NOTED_FOR);
+            let noted = noted.map(|(machine, _)| machine.clone()).collect();
+            self.fleet.recover_orders(self.now, noted);
+        }
         self.executors.values_mut().for_each(|executor| executor.hold_due = Duration::ZERO);
     }
 
@@ -375,7 +393,8 @@
         match &command {
             Command::Machine(order) => {
                 let at = self.now + self.machine_order_delay;
-                self.machine_orders_under_way.push((at, order.clone()));
+                self.noted.insert(order.machine.clone(), (self.now, self.fence));
+                self.machine_orders_under_way.push((at, self.fence, order.clone()));
                 if self.machine_order_delay.is_zero() {
                     self.order_machines();
                 }
