Note how old the last order about a machine is

Cause: a new owner left every machine of the note alone for its whole wait, also those that had been ordered seconds before its predecessor's last note. Change: the note carries ages at its write, which need no common clock; an order counts from its end, and one about to leave has no age. The wait covers the patience of a call (900 ms beyond the lease instead of 500).

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -41,6 +41,8 @@
 /// Leases of executors are this long at most. Long enough for a change of owners (two seconds and
 /// the take-over), short enough that tasks of a lost executor run again within six seconds.
 const EXECUTOR_LEASE: Duration = Duration::from_millis(5000);
+/// An order about a machine arrives within this time or never: the patience of its call, and more.
+const MACHINE_ORDER_TIME: Duration = Duration::from_millis(900);
 /// How often jobs that have been over for long are forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -189,7 +191,7 @@
         stop_timeout: settings.stop_timeout,
         maintenance: settings.maintenance,
         remote_factor: settings.remote_factor,
-        order_lease: settings.order_lease + Duration::from_millis(500),
+        order_lease: settings.order_lease + MACHINE_ORDER_TIME,
     }
 }
 
--- a/crates/jackdawpier_entry/src/owner/machines.rs
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -84,6 +84,7 @@
         } else {
             MachineOrderEnd::NotTaken
         };
+        self.order_note.over(clock::now(), &order.machine);
         let fields = json!({ "machine": *order.machine, "work": format!("{:?}", order.work), "end": format!("{end:?}") });
         self.events.emit("machine_ordered", fields);
         if self.is_valid() {
--- a/crates/jackdawpier_entry/src/owner/order_note.rs
+++ b/crates/jackdawpier_entry/src/owner/order_note.rs
@@ -12,24 +12,32 @@
 
 use jackdawpier_fleet::machines::MachineId;
 use jackdawpier_kernel::{Now, ids::Revision};
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::sync::Mutex;
 
-use super::Owner;
+use super::{Owner, fleet_settings};
 use crate::{
     clock, keys,
     ports::{Platform, Transaction, TransactionEnd},
 };
 
-/// A machine stays in the note for this long after its last order: longer than any owner waits.
-const NOTED_FOR: Duration = Duration::from_secs(6);
 /// Pause before a note that couldn't be read is asked for again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
+/// A machine in the note.
+#[derive(Debug, Serialize, Deserialize)]
+struct Noted {
+    machine: MachineId,
+    /// Time from its last order to the write of the note. Ages need no common clock.
+    age_ms: u64,
+}
+
 /// The note of one term.
 #[derive(Debug, Default)]
 pub(crate) struct OrderNote {
-    ordered_at: RefCell<BTreeMap<MachineId, Now>>,
+    /// When the last order about each machine was over; none while it is about to leave or under way.
+    ordered_at: RefCell<BTreeMap<MachineId, Option<Now>>>,
     /// Orders that were added, and how many of them the store holds.
     added: Cell<u64>,
     written: Cell<u64>,
@@ -38,18 +46,28 @@
 }
 
 impl OrderNote {
-    fn add(&self, now: Now, machine: &MachineId) -> u64 {
-        let mut ordered_at = self.ordered_at.borrow_mut();
-        ordered_at.retain(|_, at| now.saturating_sub(*at) < NOTED_FOR);
-        ordered_at.insert(machine.clone(), now);
+    fn add(&self, machine: &MachineId) -> u64 {
+        self.ordered_at.borrow_mut().insert(machine.clone(), None);
         self.added.set(self.added.get() + 1);
         self.added.get()
     }
 
-    fn value(&self) -> Vec<u8> {
-        let ordered_at = self.ordered_at.borrow();
-        serde_json::to_vec(&ordered_at.keys().collect::<Vec<_>>())
-            .expect("names can be written as JSON")
+    /// An order about a machine is over, whether it left or not.
+    pub(super) fn over(&self, at: Now, machine: &MachineId) {
+        self.ordered_at.borrow_mut().insert(machine.clone(), Some(at));
+    }
+
+    /// What to write now: the machines whose orders may matter for `relevant_for`, with their ages.
+    fn value(&self, now: Now, relevant_for: Duration) -> Vec<u8> {
+        let mut ordered_at = self.ordered_at.borrow_mut();
+        let age = |at: &Option<Now>| at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let age_ms = |at: &Option<Now>| age(at).as_millis() as u64;
+        ordered_at.retain(|_, at| age(at) < relevant_for);
+        let noted: Vec<Noted> = ordered_at
+            .iter()
+            .map(|(machine, at)| Noted { machine: machine.clone(), age_ms: age_ms(at) })
+            .collect();
+        serde_json::to_vec(&noted).expect("names and numbers can be written as JSON")
     }
 }
 
@@ -63,31 +81,37 @@
             };
             let now = clock::now();
             let revision = item.as_ref().map_or(0, |item| item.revision);
-            let machines: Vec<MachineId> =
-                match item.map(|item| serde_json::from_slice(&item.value)) {
-                    None => Vec::new(),
-                    Some(Ok(machines)) => machines,
-                    Some(Err(error)) => {
-                        // Without it all machines are left alone for a while.
-                        self.unreadable(keys::MACHINE_ORDERS, &error.to_string());
-                        return;
-                    }
-                };
+            let noted: Vec<Noted> = match item.map(|item| serde_json::from_slice(&item.value)) {
+                None => Vec::new(),
+                Some(Ok(noted)) => noted,
+                Some(Err(error)) => {
+                    // Without it all machines are left alone for a while.
+                    self.unreadable(keys::MACHINE_ORDERS, &error.to_string());
+                    return;
+                }
+            };
             *self.order_note.revision.lock().await = Some(revision);
-            for machine in &machines {
-                self.order_note.add(now, machine);
-            }
-            self.events.emit("machine_orders_recovered", json!({ "machines": machines.len() }));
+            self.events.emit("machine_orders_recovered", json!({ "machines": noted.len() }));
+            let machines = noted.into_iter().map(|noted| {
+                let age = Duration::from_millis(noted.age_ms);
+                self.order_note.over(now.saturating_sub(age), &noted.machine);
+                (noted.machine, age)
+            });
+            let machines = machines.collect();
             self.fleet.borrow_mut().recover_orders(now, machines);
             return;
         }
     }
 
+    fn order_lease(&self) -> Duration {
+        fleet_settings(&self.settings).order_lease
+    }
+
     /// Notes that a machine is about to be ordered. Returns whether the order may leave: the store
     /// holds the note and has just confirmed the ownership.
     pub(super) async fn note_order(&self, machine: &MachineId) -> bool {
         let note = &self.order_note;
-        let place = note.add(clock::now(), machine);
+        let place = note.add(machine);
         let mut revision = note.revision.lock().await;
         // A write that began after the order was added carries it.
         if note.written.get() >= place {
@@ -105,7 +129,7 @@
         let key = keys::MACHINE_ORDERS.to_owned();
         let transaction = Transaction {
             expect: vec![(keys::OWNER.to_owned(), self.term.fence), (key.clone(), expected)],
-            puts: vec![(key, note.value(), None)],
+            puts: vec![(key, note.value(clock::now(), self.order_lease()), None)],
             removes: Vec::new(),
         };
         match self.platform.commit(&transaction).await {
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use jackdawpier_entry::{
-    clock,
+    clock, keys,
     ports::{
         Advisor, Approval, CallError, CallResult, CallerLimits, Change, Changes, Configuration,
         ExecutorControl, Formats, HoldQuestion, Item, LeaseId, Listing, MachineControl, Malformed,
@@ -24,7 +24,9 @@
 use jackdawpier_fleet::{
     executor::{EndKind, EndedTask, ExecutorInfo, HoldReport},
     fleet::{JobView, StartEnd, StopEnd},
-    machines::{MachineInfo, MachineOrder, MachineOrderEnd, Wave, WaveState},
+    machines::{
+        MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, Wave, WaveState,
+    },
     spec::{JobSpec, Queue, Resources, RunNumber, Service, StepSpec, Submission, TaskKey},
 };
 use jackdawpier_kernel::{Now, ids::ExecutorId};
@@ -64,6 +66,10 @@
     ended: Vec<EndedTask>,
     starts: Vec<(TaskKey, RunNumber)>,
     is_down: bool,
+    /// A wave of maintenance asks for the one machine.
+    is_due: bool,
+    /// Machines that were ordered, each with the note that the store held then.
+    machine_orders: Vec<(MachineId, Option<String>)>,
 }
 
 /// The platform.
@@ -75,6 +81,7 @@
 
 pub const EXECUTOR: &str = "executor-1";
 pub const QUEUE: &str = "queue";
+const MACHINE: &str = "machine-1";
 
 impl Fake {
     /// The next writes meet these fates; those after them succeed.
@@ -110,6 +117,15 @@
         self.0.borrow().commits
     }
 
+    pub fn ask_for_maintenance(&self) {
+        self.0.borrow_mut().is_due = true;
+        self.put("wave/1", b"");
+    }
+
+    pub fn machine_orders(&self) -> Vec<(MachineId, Option<String>)> {
+        self.0.borrow().machine_orders.clone()
+    }
+
     pub fn listings(&self) -> usize {
         self.0.borrow().listings
     }
@@ -299,10 +315,22 @@
 
 impl MachineControl for Fake {
     async fn machines(&self) -> CallResult<Vec<MachineInfo>> {
-        Ok(Vec::new())
+        if !self.0.borrow().is_due {
+            return Ok(Vec::new());
+        }
+        Ok(vec![MachineInfo {
+            id: MACHINE.into(),
+            pool: "service".into(),
+            state: MachineState::Up,
+            executor: Some(EXECUTOR.into()),
+            labels: Vec::new(),
+        }])
     }
 
-    async fn order(&self, _: &MachineOrder, _holder: &str, _fence: u64) -> MachineOrderEnd {
+    async fn order(&self, order: &MachineOrder, _holder: &str, _fence: u64) -> MachineOrderEnd {
+        let note = self.value(keys::MACHINE_ORDERS);
+        let note = note.map(|note| String::from_utf8_lossy(&note).into_owned());
+        self.0.borrow_mut().machine_orders.push((order.machine.clone(), note));
         MachineOrderEnd::Taken
     }
 }
@@ -337,7 +365,12 @@
     }
 
     fn read_wave(&self, _value: &[u8]) -> Result<Wave, Malformed> {
-        Err(Malformed { reason: "no waves here".to_owned() })
+        Ok(Wave {
+            number: 1,
+            machines: vec![MACHINE.into()],
+            within: Duration::from_secs(20),
+            most_away: 1,
+        })
     }
 
     fn read_executor(&self, _key: &str, _value: &[u8]) -> Result<ExecutorInfo, Malformed> {
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -32,7 +32,7 @@
     demand::Arrivals,
     executor::{Executor, ExecutorInfo, TaskRef},
     job::{Job, Phase, TaskIndex},
-    machines::Machines,
+    machines::{MachineId, Machines},
     record::{JobOutcome, JobRecord},
     spec::{Queue, QueueName, RunNumber, Service, Submission, TaskKey},
 };
@@ -333,9 +333,10 @@
         self.over.push_back((id, now));
     }
 
-    /// An earlier owner has noted which machines it ordered lately, before each order left. Those
-    /// are left alone until its orders must have arrived; all others may be ordered at once.
-    pub fn recover_orders(&mut self, now: Now, machines: Vec<crate::machines::MachineId>) {
+    /// An earlier owner has noted which machines it ordered lately, before each order left, and how
+    /// long before its last note that was. Those are left alone until its orders must have arrived;
+    /// all others may be ordered at once.
+    pub fn recover_orders(&mut self, now: Now, machines: Vec<(MachineId, Duration)>) {
         self.machines.hold(now, machines);
     }
 
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -181,10 +181,11 @@
         }
     }
 
-    /// Only these machines were ordered lately by an earlier holder.
-    pub(crate) fn hold(&mut self, now: Now, machines: Vec<MachineId>) {
+    /// Only these machines were ordered lately by an earlier holder, at least so long ago.
+    pub(crate) fn hold(&mut self, now: Now, machines: Vec<(MachineId, Duration)>) {
         let until = std::mem::replace(&mut self.orders_from, now);
-        self.held = machines.into_iter().map(|machine| (machine, until)).collect();
+        let held = machines.into_iter();
+        self.held = held.map(|(machine, age)| (machine, until.saturating_sub(age))).collect();
     }
 
     /// When a machine may be ordered first.
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -28,7 +28,7 @@
 /// Holders of orders about a machine must not take turns within this time.
 pub const ORDER_LEASE: Duration = Duration::from_millis(3000);
 /// An owner's note names machines for this long after the last order.
-const NOTED_FOR: Duration = Duration::from_secs(5);
+const NOTED_FOR: Duration = Duration::from_millis(3500);
 /// An executor waits this long for an end before it answers a hold.
 const HOLD_WAIT: Duration = Duration::from_millis(200);
 
@@ -276,8 +276,13 @@
             self.fleet.cancel(self.now, id);
         }
         if !self.loses_note {
-            let noted = self.noted.iter().filter(|(_, (at, _))| self.now < *at + NOTED_FOR);
-            let noted = noted.map(|(machine, _)| machine.clone()).collect();
+            // Ages are those of the last note, not of now.
+            let last = self.noted.values().map(|(at, _)| *at).max().unwrap_or_default();
+            let noted = self
+                .noted
+                .iter()
+                .map(|(machine, (at, _))| (machine.clone(), last.saturating_sub(*at)));
+            let noted = noted.filter(|(_, age)| *age < NOTED_FOR).collect();
             self.fleet.recover_orders(self.now, noted);
         }
         self.executors.values_mut().for_each(|executor| executor.hold_due = Duration::ZERO);
