Name the job in each error that a caller gets; measure the owner at four sizes

Cause: a refusal's line told neither the job's id nor for how long the store had been silent, so the way from an id to its cause ended at 'answered'. Change: answered carries the id, job_in the time it took or the silence that decided it. jackdawpier_bench owner prints 50 to 3,200 executors.

--- a/crates/jackdawpier_bench/src/owner.rs
+++ b/crates/jackdawpier_bench/src/owner.rs
@@ -31,7 +31,8 @@
     pub seed: u64,
 }
 
-/// The users' larger deployment: 350 executors in five pools, four queues of some 12 jobs a second.
+/// The users' larger deployment: 350 executors in five pools, of which four have queues; in its turn
+/// a queue is asked for a little more than its pool holds.
 pub const GROWN: OwnerLoad = OwnerLoad { per_pool: 70, pools: 5, jobs_per_s: 24.0, seed: 1 };
 
 /// What a run has cost.
@@ -93,6 +94,24 @@
         result
     }
 
+    fn submit(&mut self, number: u64, queue: &Queue, spec: JobSpec) {
+        let (now, wall_ms) = (self.now, self.now.as_millis() as u64);
+        let id = format!("{number:016x}");
+        for (step, of_step) in spec.steps.iter().enumerate() {
+            self.estimates.insert((id.clone(), step as u32), of_step.estimate);
+        }
+        self.accepted.insert(id.clone(), now);
+        let submission = Submission {
+            queue: queue.name.clone(),
+            settings: Some(queue.clone()),
+            accepted_ms: wall_ms,
+            spec,
+        };
+        self.timed("add_job", |fleet| {
+            fleet.add_job(now, wall_ms, id.as_str().into(), submission);
+        });
+    }
+
     fn hold(&mut self) {
         let now = self.now;
         let mut due = Vec::new();
@@ -260,7 +279,7 @@
         .map(|pool| Service { name: format!("pool-{pool}").into(), is_standby: false });
     bench.fleet.configure(queues.clone(), services.collect());
     let mut writes = Vec::new();
-    let mut number = 0;
+    let mut number = 0u64;
     while bench.now < start + RUN {
         bench.now += STEP;
         let now = bench.now;
@@ -271,26 +290,13 @@
             (now.saturating_sub(start).as_millis() / TURN.as_millis()) as usize % queues.len();
         for (place, queue) in queues.iter().enumerate() {
             let times = if place == turn { BURST } else { 0.2 };
-            if !random.random_bool(load.jobs_per_s * times * STEP.as_secs_f64()) {
-                continue;
-            }
-            number += 1;
-            let id = format!("{number:016x}");
-            let spec = draw_job(&mut random);
-            for (step, of_step) in spec.steps.iter().enumerate() {
-                bench.estimates.insert((id.clone(), step as u32), of_step.estimate);
+            let expected = load.jobs_per_s * times * STEP.as_secs_f64();
+            let arrivals =
+                expected.trunc() as u32 + u32::from(random.random_bool(expected.fract()));
+            for _ in 0..arrivals {
+                number += 1;
+                bench.submit(number, queue, draw_job(&mut random));
             }
-            bench.accepted.insert(id.clone(), now);
-            let submission = Submission {
-                queue: queue.name.clone(),
-                settings: Some(queue.clone()),
-                accepted_ms: now.as_millis() as u64,
-                spec,
-            };
-            let wall_ms = now.as_millis() as u64;
-            bench.timed("add_job", |fleet| {
-                fleet.add_job(now, wall_ms, id.as_str().into(), submission);
-            });
         }
         bench.hold();
         let wall_ms = now.as_millis() as u64;
@@ -313,18 +319,29 @@
     bench.cost
 }
 
-/// Prints the cost of a load.
+/// Executors a pool at which the cost is measured; load and room grow alike.
+const SIZES: [usize; 4] = [10, 70, 200, 640];
+
+/// Prints the cost at several sizes.
 pub fn print() {
-    let cost = run(&GROWN);
+    for per_pool in SIZES {
+        let jobs_per_s = GROWN.jobs_per_s * per_pool as f64 / GROWN.per_pool as f64;
+        print_one(&OwnerLoad { per_pool, jobs_per_s, ..GROWN });
+    }
+}
+
+fn print_one(load: &OwnerLoad) {
+    let cost = run(load);
+    println!("{} executors in {} pools:", load.per_pool * load.pools, load.pools);
     println!(
-        "{} tasks done, {} starts, {} holds, {} ticks, {} writes; median start after {} ms",
+        "  {} tasks done, {} starts, {} holds, {} ticks, {} writes; median start after {} ms",
         cost.done, cost.starts, cost.holds, cost.ticks, cost.writes, cost.median_start_ms
     );
     let all: Duration = cost.by_event.values().sum();
     for (event, time) in &cost.by_event {
         let per_task_us = time.as_secs_f64() * 1e6 / cost.done.max(1) as f64;
-        println!("{event:16} {:8.1} ms  {per_task_us:6.1} µs a task", time.as_secs_f64() * 1e3);
+        println!("  {event:16} {:8.1} ms  {per_task_us:6.1} µs a task", time.as_secs_f64() * 1e3);
     }
     let share = all.as_secs_f64() / RUN.as_secs_f64();
-    println!("all              {:8.1} ms  {share:.3} cores", all.as_secs_f64() * 1e3);
+    println!("  all              {:8.1} ms  {share:.3} cores", all.as_secs_f64() * 1e3);
 }
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -61,13 +61,13 @@
 impl<P: Platform> Callers<P> {
     /// Answers one request.
     pub async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let path = request.uri().path().to_owned();
         let Some(configuration) = self.active.get() else {
-            return self.refuse("no configuration yet");
+            return self.refuse(&path, "no configuration yet");
         };
         let host = request.headers().get(HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
-        let path = request.uri().path().to_owned();
         let Some(route) = self.active.route(host, &path) else {
-            return self.problem(StatusCode::NOT_FOUND, "no such queue");
+            return self.problem(&path, StatusCode::NOT_FOUND, "no such queue");
         };
         let deadline = clock::now() + self.patience(&request);
         let id = path[route.prefix.len()..].to_owned();
@@ -75,14 +75,15 @@
             return self.pending(&route.queue.name).await;
         }
         if !self.platform.is_job_id(&id) {
-            return self.problem(StatusCode::BAD_REQUEST, "the path doesn't end with a job's id");
+            let why = "the path doesn't end with a job's id";
+            return self.problem(&path, StatusCode::BAD_REQUEST, why);
         }
         let id: JobId = id.into();
         match *request.method() {
             Method::POST => self.submit(&route, id, request, configuration.limits, deadline).await,
             Method::GET => self.look(&id, deadline.min(clock::now() + STORE_PATIENCE)).await,
             Method::DELETE => self.cancel(&id, deadline.min(clock::now() + STORE_PATIENCE)).await,
-            _ => self.problem(StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE"),
+            _ => self.problem(&id, StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE"),
         }
     }
 
@@ -105,29 +106,41 @@
     ) -> Reply {
         let body = match Limited::new(request.into_body(), limits.body_bytes).collect().await {
             Ok(body) => body.to_bytes(),
-            Err(_) => return self.problem(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+            Err(_) => {
+                return self.problem(&id, StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+            }
         };
         let spec = match self.platform.read_job(&body) {
             Ok(spec) => spec,
-            Err(error) => return self.problem(StatusCode::BAD_REQUEST, &error.to_string()),
+            Err(error) => return self.problem(&id, StatusCode::BAD_REQUEST, &error.to_string()),
         };
         let queue = route.queue.name.clone();
         let settings = Some(route.queue.clone());
-        let submission = Submission { queue, settings, accepted_ms: clock::wall_ms(), spec };
+        let submission =
+            Submission { queue: queue.clone(), settings, accepted_ms: clock::wall_ms(), spec };
         let arrived_at = clock::now();
-        if self.intake.unanswered_since().is_some_and(|at| !self.active.is_heard_since(at)) {
-            return self.refuse("the store doesn't answer");
+        let unanswered = self.intake.unanswered_since();
+        if let Some(since) = unanswered.filter(|at| !self.active.is_heard_since(*at)) {
+            let silent_ms = clock::since(since).as_millis() as u64;
+            let fields =
+                json!({ "job": *id, "queue": *queue, "fate": "Refused", "silent_ms": silent_ms });
+            self.events.emit("job_in", fields);
+            return self.refuse(&id, "the store doesn't answer");
         }
         let fate = self.intake.submit(id.clone(), &submission, deadline).await;
         self.events.metrics().took(Latency::Acceptance, clock::since(arrived_at));
-        let queue = &*submission.queue;
-        self.events
-            .emit("job_in", json!({ "job": *id, "queue": queue, "fate": format!("{fate:?}") }));
+        let took_ms = clock::since(arrived_at).as_millis() as u64;
+        let fate_name = format!("{fate:?}");
+        let fields = json!({ "job": *id, "queue": *queue, "fate": fate_name, "took_ms": took_ms });
+        self.events.emit("job_in", fields);
         match fate {
             Acceptance::Accepted => reply(StatusCode::OK, Vec::new()),
-            Acceptance::Refused => self.refuse("the store can't be reached"),
-            Acceptance::Unknown => self
-                .problem(StatusCode::GATEWAY_TIMEOUT, "it isn't known whether the job is stored"),
+            Acceptance::Refused => self.refuse(&id, "the store can't be reached"),
+            Acceptance::Unknown => self.problem(
+                &id,
+                StatusCode::GATEWAY_TIMEOUT,
+                "it isn't known whether the job is stored",
+            ),
         }
     }
 
@@ -138,11 +151,11 @@
         loop {
             match self.look_in_store(id).await {
                 Ok(Some(view)) => return reply(StatusCode::OK, self.platform.job_view(view)),
-                Ok(None) => return self.problem(StatusCode::GONE, "no such job"),
+                Ok(None) => return self.problem(id, StatusCode::GONE, "no such job"),
                 Err(_) if clock::now() + REPEAT_PAUSE < deadline => {
                     tokio::time::sleep(REPEAT_PAUSE).await;
                 }
-                Err(_) => return self.refuse("the store can't be reached"),
+                Err(_) => return self.refuse(id, "the store can't be reached"),
             }
         }
     }
@@ -177,13 +190,13 @@
                     return if is_known {
                         reply(StatusCode::OK, Vec::new())
                     } else {
-                        self.problem(StatusCode::GONE, "no such job")
+                        self.problem(id, StatusCode::GONE, "no such job")
                     };
                 }
                 Err(_) if clock::now() + REPEAT_PAUSE < deadline => {
                     tokio::time::sleep(REPEAT_PAUSE).await;
                 }
-                Err(_) => return self.refuse("the store can't be reached"),
+                Err(_) => return self.refuse(id, "the store can't be reached"),
             }
         }
     }
@@ -215,20 +228,22 @@
         }
         match self.pending.count(&self.platform, queue).await {
             Ok(count) => reply(StatusCode::OK, self.platform.pending(count)),
-            Err(_) => self.refuse("the store can't be reached"),
+            Err(_) => self.refuse(queue, "the store can't be reached"),
         }
     }
 
     /// Nothing was done, and the caller may come back.
-    fn refuse(&self, why: &str) -> Reply {
-        let mut reply = self.problem(StatusCode::SERVICE_UNAVAILABLE, why);
+    fn refuse(&self, id: &str, why: &str) -> Reply {
+        let mut reply = self.problem(id, StatusCode::SERVICE_UNAVAILABLE, why);
         let retry_after = hyper::header::HeaderValue::from_static(RETRY_AFTER_S);
         reply.headers_mut().insert(RETRY_AFTER, retry_after);
         reply
     }
 
-    fn problem(&self, status: StatusCode, why: &str) -> Reply {
-        self.events.emit("answered", json!({ "status": status.as_u16(), "why": why }));
+    /// An error; `id` is the job's, or the path that names none.
+    fn problem(&self, id: &str, status: StatusCode, why: &str) -> Reply {
+        let fields = json!({ "job": id, "status": status.as_u16(), "why": why });
+        self.events.emit("answered", fields);
         reply(status, self.platform.problem(why))
     }
 }
