--- a/crates/jackdawpier_entry/tests/order_note.rs
+++ b/crates/jackdawpier_entry/tests/order_note.rs
@@ -2,35 +2,10 @@
 
 mod support;
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
-use jackdawpier_entry::{
-    configuration::Active,
-    events::Events,
-    keys,
-    owner::{OwnerCell, own_when_free},
-};
-use support::{Fake, Fate, configuration, run, settings};
-
-fn start_owner(fake: &Fake, entry: &str) -> (OwnerCell, tokio::task::JoinHandle<()>) {
-    fake.put("executors/executor-1", b"");
-    let active = Active::default();
-    active.offer(configuration(1), 1);
-    let (cell, events) = (OwnerCell::default(), Events::new(entry));
-    let (settings, life) = (Rc::new(settings(entry)), "life".to_owned());
-    let owning = own_when_free(fake.clone(), settings, active, cell.clone(), events, life);
-    (cell, tokio::task::spawn_local(owning))
-}
-
-async fn wait_until(mut is_so: impl FnMut() -> bool) -> bool {
-    for _ in 0..600 {
-        if is_so() {
-            return true;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    false
-}
+use jackdawpier_entry::keys;
+use support::{Fake, Fate, run, start_owner, wait_until};
 
 /// A machine that is due for maintenance is in the store's note before the order arrives.
 #[test]
--- a/crates/jackdawpier_entry/tests/owner.rs
+++ b/crates/jackdawpier_entry/tests/owner.rs
@@ -2,57 +2,17 @@
 
 mod support;
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
-use jackdawpier_entry::{
-    configuration::Active,
-    events::Events,
-    keys,
-    owner::{OwnerCell, own_when_free},
-    pending::Pending,
-};
-use jackdawpier_fleet::{
-    fleet::JobView,
-    record::{JobOutcome, JobRecord},
-};
-use support::{Fake, Fate, QUEUE, configuration, run, settings, submission};
-
-fn start_owner(fake: &Fake, entry: &str) -> (OwnerCell, tokio::task::JoinHandle<()>) {
-    fake.put("executors/executor-1", b"");
-    let active = Active::default();
-    active.offer(configuration(1), 1);
-    let cell = OwnerCell::default();
-    let owning = tokio::task::spawn_local(own_when_free(
-        fake.clone(),
-        Rc::new(settings(entry)),
-        active,
-        cell.clone(),
-        Events::new(entry),
-        "life".to_owned(),
-    ));
-    (cell, owning)
-}
+use jackdawpier_entry::{keys, pending::Pending};
+use jackdawpier_fleet::{fleet::JobView, record::JobOutcome};
+use support::{Fake, Fate, QUEUE, outcome, run, start_owner, submission, wait_until};
 
 fn put_job(fake: &Fake, id: &str) {
     let value = serde_json::to_vec(&submission()).expect("it is plain data");
     fake.put(&keys::submission(id), &value);
 }
 
-async fn wait_until(mut is_so: impl FnMut() -> bool) -> bool {
-    for _ in 0..600 {
-        if is_so() {
-            return true;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    false
-}
-
-fn outcome(fake: &Fake, id: &str) -> Option<JobOutcome> {
-    let value = fake.value(&keys::record(id))?;
-    serde_json::from_slice::<JobRecord>(&value).expect("the owner wrote it").outcome
-}
-
 #[test]
 fn whole_path() {
     run(async {
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -13,7 +13,11 @@
 };
 
 use jackdawpier_entry::{
-    clock, keys,
+    clock,
+    configuration::Active,
+    events::Events,
+    keys,
+    owner::{OwnerCell, own_when_free},
     ports::{
         Advisor, Approval, CallError, CallResult, CallerLimits, Change, Changes, Configuration,
         ExecutorControl, Formats, HoldQuestion, Item, LeaseId, Listing, MachineControl, Malformed,
@@ -27,6 +31,7 @@
     machines::{
         MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, Wave, WaveState,
     },
+    record::{JobOutcome, JobRecord},
     spec::{JobSpec, Queue, Resources, RunNumber, Service, StepSpec, Submission, TaskKey},
 };
 use jackdawpier_kernel::{Now, ids::ExecutorId};
@@ -472,3 +477,31 @@
         .expect("a runtime needs nothing but the system");
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
+
+/// An entry that owns the fleet of one executor as soon as nobody else does.
+pub fn start_owner(fake: &Fake, entry: &str) -> (OwnerCell, tokio::task::JoinHandle<()>) {
+    fake.put("executors/executor-1", b"");
+    let active = Active::default();
+    active.offer(configuration(1), 1);
+    let (cell, events) = (OwnerCell::default(), Events::new(entry));
+    let (settings, life) = (Rc::new(settings(entry)), "life".to_owned());
+    let owning = own_when_free(fake.clone(), settings, active, cell.clone(), events, life);
+    (cell, tokio::task::spawn_local(owning))
+}
+
+/// Waits for something for six seconds at most and returns whether it came.
+pub async fn wait_until(mut is_so: impl FnMut() -> bool) -> bool {
+    for _ in 0..600 {
+        if is_so() {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+/// The durable outcome of a job.
+pub fn outcome(fake: &Fake, id: &str) -> Option<JobOutcome> {
+    let value = fake.value(&keys::record(id))?;
+    serde_json::from_slice::<JobRecord>(&value).expect("the owner wrote it").outcome
+}
