--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -173,7 +173,11 @@
 
     async fn look_at_record(&self, id: &JobId) -> Result<Option<JobView>, CallError> {
         let Some(item) = self.platform.get(&keys::record(id)).await? else { return Ok(None) };
-        let record: JobRecord = serde_json::from_slice(&item.value).unwrap_or_default();
+        let record: JobRecord = serde_json::from_slice(&item.value).map_err(|error| {
+            let why = error.to_string();
+            self.events.emit("unreadable", json!({ "key": item.key, "why": why }));
+            CallError::Unanswered { reason: why }
+        })?;
         Ok(Some(match record.outcome {
             Some(outcome) => JobView::Over(outcome),
             None if record.has_begun => JobView::Running,
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -45,7 +45,11 @@
                     self.changed.notify_one();
                 }
                 Ok(_) => {}
-                Err(_) => tokio::time::sleep(REGISTRY_PAUSE).await,
+                Err(error) => {
+                    let fields = json!({ "for": "registry", "why": error.to_string() });
+                    self.events.emit("store_missed", fields);
+                    tokio::time::sleep(REGISTRY_PAUSE).await;
+                }
             }
         }
     }
--- a/crates/jackdawpier_entry/src/owner/machines.rs
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -32,11 +32,15 @@
         while self.is_valid() {
             let asked_at = clock::now();
             let mut pause = LIST_PAUSE;
-            if let Ok(machines) = self.platform.machines().await
-                && self.is_valid()
-            {
-                pause = list_pause(machines.len(), self.settings.link_mbps);
-                self.fleet.borrow_mut().list_machines(clock::now(), asked_at, machines);
+            match self.platform.machines().await {
+                Ok(machines) if self.is_valid() => {
+                    pause = list_pause(machines.len(), self.settings.link_mbps);
+                    self.fleet.borrow_mut().list_machines(clock::now(), asked_at, machines);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    self.events.emit("machines_missed", json!({ "why": error.to_string() }));
+                }
             }
             self.list_waves().await;
             if self.is_valid() {
