--- a/crates/jackdawpier_entry/src/owner/registry.rs
+++ b/crates/jackdawpier_entry/src/owner/registry.rs
@@ -79,10 +79,15 @@
         }
     }
 
+    /// Takes over an entry. One that can't be read names no executor to use, and neither does what it
+    /// named before; what runs there is followed until it ends.
     fn put<P: Platform>(&mut self, owner: &Owner<P>, item: Item) {
         match owner.platform.read_executor(&item.key, &item.value) {
             Ok(info) => drop(self.executors.insert(item.key, info)),
-            Err(error) => owner.unreadable(&item.key, &error.to_string()),
+            Err(error) => {
+                owner.unreadable(&item.key, &error.to_string());
+                self.executors.remove(&item.key);
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/jackdawpier_entry/tests/registry.rs
@@ -0,0 +1,46 @@
+//! Entries of the registry that another writer has put there.
+
+mod support;
+
+use std::time::Duration;
+
+use jackdawpier_entry::keys;
+use jackdawpier_fleet::record::JobOutcome;
+use support::{Fake, UNREADABLE, outcome, run, start_owner, submission, wait_until};
+
+const ENTRY: &str = "executors/executor-1";
+
+fn put_job(fake: &Fake, id: &str) {
+    let value = serde_json::to_vec(&submission()).expect("it is plain data");
+    fake.put(&keys::submission(id), &value);
+}
+
+/// An entry that turns unreadable names no executor, also when a watch brings it; the next one does.
+#[test]
+fn unreadable_entry() {
+    run(async {
+        let fake = Fake::default();
+        let (_cell, _owning) = start_owner(&fake, "a");
+        put_job(&fake, "before");
+        assert!(wait_until(|| outcome(&fake, "before").is_some()).await);
+        fake.put(ENTRY, UNREADABLE);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        put_job(&fake, "j");
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        assert_eq!(fake.starts().len(), 2, "it isn't used");
+        fake.put(ENTRY, b"");
+        assert!(wait_until(|| outcome(&fake, "j") == Some(JobOutcome::Completed)).await);
+    });
+}
+
+/// The others hold.
+#[test]
+fn foreign_entry() {
+    run(async {
+        let fake = Fake::default();
+        fake.put("executors/foreign", UNREADABLE);
+        let (_cell, _owning) = start_owner(&fake, "a");
+        put_job(&fake, "j");
+        assert!(wait_until(|| outcome(&fake, "j") == Some(JobOutcome::Completed)).await);
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -87,6 +87,8 @@
 
 pub const EXECUTOR: &str = "executor-1";
 pub const QUEUE: &str = "queue";
+/// A value of the registry or of a wave that can't be read.
+pub const UNREADABLE: &[u8] = b"unreadable";
 const MACHINE: &str = "machine-1";
 
 impl Fake {
@@ -370,7 +372,10 @@
         Ok(configuration(version))
     }
 
-    fn read_wave(&self, _value: &[u8]) -> Result<Wave, Malformed> {
+    fn read_wave(&self, value: &[u8]) -> Result<Wave, Malformed> {
+        if value == UNREADABLE {
+            return Err(Malformed { reason: "unreadable".to_owned() });
+        }
         Ok(Wave {
             number: 1,
             machines: vec![MACHINE.into()],
@@ -379,7 +384,10 @@
         })
     }
 
-    fn read_executor(&self, _key: &str, _value: &[u8]) -> Result<ExecutorInfo, Malformed> {
+    fn read_executor(&self, _key: &str, value: &[u8]) -> Result<ExecutorInfo, Malformed> {
+        if value == UNREADABLE {
+            return Err(Malformed { reason: "unreadable".to_owned() });
+        }
         Ok(ExecutorInfo {
             id: EXECUTOR.into(),
             service: "service".into(),
