--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -3,6 +3,7 @@
 
 mod commits;
 mod executors;
+mod explain;
 mod intake;
 mod machines;
 mod order_note;
@@ -263,6 +264,7 @@
     tokio::task::spawn_local(owner.clone().commit_loop());
     tokio::task::spawn_local(owner.clone().publish_pending());
     tokio::task::spawn_local(owner.clone().forget_loop());
+    tokio::task::spawn_local(owner.clone().explain_loop());
     owner.clone().tick_loop().await;
     owner.written.notify_waiters();
     let lasted_ms = clock::since(started_at).as_millis() as u64;
--- /dev/null
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -0,0 +1,56 @@
+//! What the owner says in its log of work that waits and of pools that lack machines.
+//!
+//! A job that doesn't begin leaves no decision to log; these lines tell why, once a second and a bounded
+//! number of them, see `docs/OPERATIONS.md`.
+
+use std::{rc::Rc, time::Duration};
+
+use jackdawpier_fleet::fleet::{Obstacles, Shortage, Wait};
+use serde_json::{Value, json};
+
+use super::Owner;
+use crate::{clock, ports::Platform};
+
+/// A task that waits for longer than most objectives is explained.
+const LONG_WAIT: Duration = Duration::from_millis(2500);
+/// How often that is said again.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Lines of each kind at a time.
+const LINES_AT_ONCE: usize = 5;
+
+impl<P: Platform> Owner<P> {
+    pub(super) async fn explain_loop(self: Rc<Self>) {
+        while self.is_valid() {
+            tokio::time::sleep(INTERVAL).await;
+            let now = clock::now();
+            let fleet = self.fleet.borrow();
+            for wait in fleet.long_waits(now, LONG_WAIT, LINES_AT_ONCE) {
+                self.events.emit("task_waits", explained(&wait));
+            }
+            for shortage in fleet.shortages().iter().take(LINES_AT_ONCE) {
+                self.events.emit("pool_lacks", lacking(shortage));
+            }
+        }
+    }
+}
+
+/// Executors of the task's service by obstacle.
+fn explained(wait: &Wait) -> Value {
+    let Obstacles { open, leaving, silent, left_out, vacating, unsuited, full } = wait.obstacles;
+    json!({
+        "task": wait.task.to_string(),
+        "waited_ms": wait.waited.as_millis() as u64,
+        "open": open,
+        "leaving": leaving,
+        "silent": silent,
+        "left_out": left_out,
+        "vacating": vacating,
+        "unsuited": unsuited,
+        "full": full,
+    })
+}
+
+fn lacking(shortage: &Shortage) -> Value {
+    let Shortage { pool, label, holds, lacks } = shortage;
+    json!({ "pool": **pool, "label": label.as_deref(), "holds": holds, "lacks": lacks })
+}
--- a/crates/jackdawpier_entry/src/owner/machines.rs
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -54,10 +54,14 @@
     async fn list_waves(&self) {
         let Ok(listing) = self.platform.list(self.platform.wave_prefix()).await else { return };
         let mut waves = Vec::new();
+        let mut is_whole = true;
         for item in &listing.items {
             match self.platform.read_wave(&item.value) {
                 Ok(wave) => waves.push((wave, Duration::ZERO)),
-                Err(error) => self.unreadable(&item.key, &error.to_string()),
+                Err(error) => {
+                    is_whole = false;
+                    self.unreadable(&item.key, &error.to_string());
+                }
             }
         }
         let numbers: Vec<u64> = waves.iter().map(|(wave, _)| wave.number).collect();
@@ -74,7 +78,7 @@
             return;
         }
         let mut fleet = self.fleet.borrow_mut();
-        fleet.set_waves(clock::now(), waves);
+        fleet.set_waves(clock::now(), waves, is_whole);
         for (number, machines) in maintained {
             fleet.recover_wave(number, machines);
         }
--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     job::TaskIndex,
-    spec::{Resources, RunNumber, TaskKey},
+    spec::{Label, Resources, RunNumber, TaskKey},
 };
 
 /// An executor as the registry lists it.
@@ -30,7 +30,7 @@
     /// Its rack, if it names one.
     pub rack: Option<RackName>,
     /// What it can do, for tasks that need a label.
-    pub labels: Vec<Arc<str>>,
+    pub labels: Vec<Label>,
     /// Its room.
     pub capacity: Resources,
     /// It takes no new work and leaves soon.
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -6,13 +6,17 @@
 mod commits;
 mod executors;
 mod gangs;
+mod held_room;
 mod maintenance;
 mod openings;
 mod pacing;
 mod placement;
+mod pool_view;
 mod pools;
 mod reports;
 mod starts;
+mod vacating;
+mod waits;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
@@ -22,12 +26,14 @@
 
 use jackdawpier_kernel::{
     Now,
-    ids::{ExecutorId, JobId, Revision, ServiceName},
+    ids::{ExecutorId, JobId, PoolName, Revision, ServiceName},
 };
 
 pub use commits::{Batch, ChangedJob, FinishedJob};
+pub use pools::Shortage;
 pub use reports::HoldOrder;
 pub use starts::{StartEnd, StopEnd};
+pub use waits::{Obstacles, Wait};
 
 use crate::{
     demand::Arrivals,
@@ -35,9 +41,12 @@
     job::{Job, Phase, TaskIndex},
     machines::{MachineId, Machines},
     record::{JobOutcome, JobRecord},
-    spec::{Queue, QueueName, RunNumber, Service, Submission, TaskKey},
+    spec::{JobSpec, Label, Queue, QueueName, RunNumber, Service, Submission, TaskKey},
 };
 
+/// Labels that are remembered: callers may make up any number.
+const MAX_ASKED_LABELS: usize = 64;
+
 /// What the owner's decisions are bounded by.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -158,7 +167,12 @@
     finished: Vec<FinishedJob>,
     machines: Machines,
     machines_planned_at: Now,
+    shortages: Vec<Shortage>,
+    /// Since when pools lack machines with a label.
+    label_lacks_since: BTreeMap<(PoolName, Label), Now>,
     arrivals: HashMap<ServiceName, Arrivals>,
+    /// Labels that jobs have asked for in this term.
+    asked_labels: BTreeSet<Label>,
     next_batch: u64,
     executors_tried: u64,
     /// Time of day at the last tick, in milliseconds since 1970.
@@ -186,7 +200,10 @@
             commands: Vec::new(),
             finished: Vec::new(),
             machines_planned_at: Now::ZERO,
+            shortages: Vec::new(),
+            label_lacks_since: BTreeMap::new(),
             arrivals: HashMap::new(),
+            asked_labels: BTreeSet::new(),
             next_batch: 0,
             executors_tried: 0,
             wall_ms: 0,
@@ -229,6 +246,7 @@
             let known = self.queues.entry(submission.queue.clone());
             known.or_insert_with(|| settings.clone());
         }
+        self.note_labels(&submission.spec);
         let age = Duration::from_millis(wall_ms.saturating_sub(submission.accepted_ms));
         let mut job = Job::new(id.clone(), submission, now.saturating_sub(age));
         if let Some((record, revision)) = &written {
@@ -247,6 +265,15 @@
         self.jobs.insert(id, job);
     }
 
+    /// Remembers the labels that a job asks for: others like it will come.
+    fn note_labels(&mut self, spec: &JobSpec) {
+        for label in spec.steps.iter().filter_map(|step| step.required_label.as_ref()) {
+            if self.asked_labels.len() < MAX_ASKED_LABELS {
+                self.asked_labels.insert(label.clone());
+            }
+        }
+    }
+
     /// Takes in a job that an earlier owner ended, of which the store only has the record.
     pub fn recover_over(&mut self, now: Now, id: JobId, record: &JobRecord) {
         let Some(outcome) = record.outcome else { return };
@@ -337,6 +364,7 @@
         self.open_due(now, wall_ms);
         self.expire_executors(now);
         self.plan_machines(now);
+        self.reopen_machine(now);
         self.place(now);
     }
 
@@ -426,7 +454,7 @@
             return;
         }
         if job.tasks[index].phase == Phase::Waiting && job.progress[slot].is_open {
-            job.startable.push_back(index);
+            job.wait(now, index);
         }
         let is_done = job.progress.iter().all(|slot| slot.remaining == 0);
         let is_broken = is_gang && job.tasks[index].phase == Phase::Waiting;
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -1,26 +1,18 @@
 //! Waves of maintenance: machines are emptied and taken in time, idle ones first, within the
 //! wave's bound and what long-running work may miss.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
-use jackdawpier_kernel::{
-    Now,
-    ids::{ExecutorId, ServiceName},
-};
+use jackdawpier_kernel::{Now, ids::ExecutorId};
 
-use super::{Command, Fleet, openings::Openings, placement::suits};
-use crate::executor::{Executor, TaskRef};
-use crate::job::{Phase, Task};
+use super::{Command, Fleet};
 use crate::machines::{
-    Errand, MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork,
-    Stage, Wave, WaveNumber, WaveProgress, WaveState,
+    MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork, Stage, Wave,
+    WaveNumber, WaveProgress, WaveState,
 };
-use crate::spec::StepSpec;
 
 /// How often machines are planned: a small part of the time that anything with them takes.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
-/// An unanswered order about a machine is repeated after this time.
-const REPEAT_ORDER: Duration = Duration::from_millis(600);
 /// A machine that was busy is asked again after this time.
 const BUSY_PAUSE: Duration = Duration::from_millis(700);
 /// Time from the choice of a busy machine until it is back, beyond the maintenance itself: tasks of
@@ -29,18 +21,10 @@
 /// A wave is planned to be over this long before it is due: a change of owner on the way costs half of
 /// it.
 const WAVE_RESERVE: Duration = Duration::from_secs(7);
-/// What runs on a machine that is to be taken gets this long to end before it is cut short.
-const LONGEST_VACATING: Duration = Duration::from_secs(4);
 /// A new executor may be in the registry this long before it is in the list of machines.
 const LISTING_LAG: Duration = Duration::from_secs(1);
 /// An order shows in the list of machines at once; this is for the list's way.
 const ORDER_LAG: Duration = Duration::from_millis(400);
-/// What runs on an executor counts as away once it hasn't answered for this long.
-const SILENT_AFTER: Duration = Duration::from_millis(1800);
-/// A long-running task counts as back once it has been reported at work for this long. What fails
-/// without an order counts only after the notice that operators grant, far longer than a silent
-/// executor takes to show.
-const SETTLED_AFTER: Duration = Duration::from_millis(400);
 
 impl Fleet {
     /// Takes in the whole list of machines, which the platform was asked for at `asked_at`. It
@@ -62,10 +46,11 @@
         self.end_errands(asked_at);
     }
 
-    /// Takes in the waves that operators ask for; those that are gone are dropped.
-    pub fn set_waves(&mut self, now: Now, waves: Vec<(Wave, Duration)>) {
+    /// Takes in the waves that operators ask for. If these are all, the others are dropped; if some
+    /// couldn't be read, one of those that are known may be among them.
+    pub fn set_waves(&mut self, now: Now, waves: Vec<(Wave, Duration)>, are_all: bool) {
         let numbers: Vec<WaveNumber> = waves.iter().map(|(wave, _)| wave.number).collect();
-        self.machines.waves.retain(|number, _| numbers.contains(number));
+        self.machines.waves.retain(|number, _| !are_all || numbers.contains(number));
         for (wave, age) in waves {
             let number = wave.number;
             if self.machines.waves.contains_key(&number) {
@@ -165,6 +150,7 @@
             })
             .collect();
         ranked.sort_unstable();
+        let openings = self.openings(now);
         let mut slots = most.saturating_sub(under_way);
         let mut wanted = needed.min(most).saturating_sub(under_way);
         for (_, load, machine) in ranked {
@@ -172,9 +158,8 @@
                 break;
             }
             let is_idle = load == 0;
-            let is_ready =
-                self.may_lose(now, &machine) || self.crowded_task(now, &machine).is_some();
-            if !is_idle && (wanted == 0 || !is_ready) {
+            let is_ready = || self.can_be_emptied(now, &machine, &openings);
+            if !is_idle && (wanted == 0 || !is_ready()) {
                 continue;
             }
             self.begin_errand(now, machine, MachineWork::Maintain(number));
@@ -183,177 +168,8 @@
         }
     }
 
-    pub(super) fn begin_errand(&mut self, now: Now, machine: MachineId, work: MachineWork) {
-        let executor = self.machines.listed.get(&machine).and_then(|info| info.executor.clone());
-        let stage = Stage::Vacating { since: now };
-        let not_before = self.machines.free_from(&machine);
-        let errand = Errand { work, stage, executor, not_before };
-        self.machines.errands.insert(machine, errand);
-    }
-
-    /// Numbers of long-running and other tasks on a machine.
-    pub(super) fn load_of(&self, machine: &MachineId) -> (usize, usize) {
-        let executor = self
-            .machines
-            .listed
-            .get(machine)
-            .and_then(|info| info.executor.as_ref())
-            .and_then(|id| self.executors.get(id));
-        let Some(executor) = executor else { return (0, 0) };
-        let is_lasting = |task: &&crate::executor::TaskRef| {
-            self.jobs.get(&task.0).is_some_and(|job| job.step(task.1).is_long_running)
-        };
-        let lasting = executor.tasks.iter().filter(is_lasting).count();
-        (lasting, executor.tasks.len() - lasting)
-    }
-
-    /// Whether all long-running steps with tasks on a machine can spare those now.
-    pub(super) fn may_lose(&self, now: Now, machine: &MachineId) -> bool {
-        let executor = self.machines.listed.get(machine).and_then(|info| info.executor.as_ref());
-        executor.is_none_or(|id| self.may_lose_executor(now, id))
-    }
-
-    fn may_lose_executor(&self, now: Now, id: &ExecutorId) -> bool {
-        let Some(executor) = self.executors.get(id) else { return true };
-        executor.per_slot.iter().all(|((job_id, slot), &here)| {
-            let Some(job) = self.jobs.get(job_id) else { return true };
-            let first = job.tasks_of(*slot).start;
-            let step = job.step(first);
-            if !step.is_long_running || job.is_over() || step.may_miss == 0 {
-                return true;
-            }
-            let away = job
-                .tasks_of(*slot)
-                .filter(|&index| job.tasks[index].phase.executor() != Some(id))
-                .filter(|&index| !self.is_at_work(now, &job.tasks[index]))
-                .count() as u32;
-            away + here <= step.may_miss
-        })
-    }
-
-    /// Whether a task is settled at work, as far as its executor still answers.
-    fn is_at_work(&self, now: Now, task: &Task) -> bool {
-        let Some(id) = task.phase.executor() else { return false };
-        let heard_at = self.executors.get(id).and_then(Executor::heard_at);
-        let is_heard = heard_at.is_some_and(|at| now.saturating_sub(at) < SILENT_AFTER);
-        let since = task.at_work_since;
-        is_heard
-            && !self.machines.is_leaving(id)
-            && !self.machines.holds_executor(now, id)
-            && since.is_some_and(|since| now.saturating_sub(since) >= SETTLED_AFTER)
-    }
-
-    fn order_vacated(&mut self, now: Now) {
-        let machines: Vec<MachineId> = self.machines.errands.keys().cloned().collect();
-        if machines.is_empty() {
-            return;
-        }
-        let openings = self.openings(now);
-        for machine in machines {
-            let errand = &self.machines.errands[&machine];
-            if now < errand.not_before {
-                continue;
-            }
-            let is_due = match errand.stage {
-                Stage::Vacating { since } => self.is_vacated(now, &machine, since),
-                Stage::Ordered { at } => now >= at + REPEAT_ORDER && self.may_lose(now, &machine),
-                Stage::Away { .. } => false,
-            };
-            if !is_due || !self.has_wave_slot(now, &machine) {
-                self.thin_out(now, &machine, &openings);
-                continue;
-            }
-            self.lose_long_running(&machine);
-            let errand = self.machines.errands.get_mut(&machine).expect("it was read above");
-            errand.stage = Stage::Ordered { at: now };
-            let work = errand.work.clone();
-            self.commands.push(Command::Machine(MachineOrder { machine, work }));
-        }
-    }
-
-    /// Stops one long-running task on a machine that can't be taken yet, so that it can be later: one
-    /// of a step of which more run there than it may miss, or, once nothing else runs there, any that
-    /// its step can spare and that has room elsewhere. A machine holds tasks of many steps, which
-    /// seldom can all spare one at the same moment; in a wave of 144 of 350 machines the last tenth
-    /// waited for that.
-    fn thin_out(
-        &mut self,
-        now: Now,
-        machine: &MachineId,
-        openings: &HashMap<ServiceName, Openings>,
-    ) {
-        if !matches!(self.machines.errands[machine].stage, Stage::Vacating { .. }) {
-            return;
-        }
-        let (_, others) = self.load_of(machine);
-        let mut task = self.crowded_task(now, machine);
-        if task.is_none() && others == 0 && !self.may_lose(now, machine) {
-            let movable = self.task_to_spare(now, machine, |_, _| true);
-            task = movable.filter(|task| self.has_room_elsewhere(task, openings));
-        }
-        if let Some(task) = task {
-            self.stop_task(now, &task);
-        }
-    }
-
-    /// Whether another executor that takes work has room for a task.
-    fn has_room_elsewhere(
-        &self,
-        (id, index): &TaskRef,
-        openings: &HashMap<ServiceName, Openings>,
-    ) -> bool {
-        let job = &self.jobs[id];
-        let openings = self.service_of(id).and_then(|service| openings.get(service));
-        openings.is_some_and(|openings| {
-            let mut others = openings.executors.iter().filter_map(|id| self.executors.get(id));
-            others.any(|executor| suits(executor, job, *index, None))
-        })
-    }
-
-    /// A task of a step of which more run on a machine than it may miss.
-    fn crowded_task(&self, now: Now, machine: &MachineId) -> Option<TaskRef> {
-        self.task_to_spare(now, machine, |step, here| here > step.may_miss)
-    }
-
-    /// A long-running task on a machine that its step can spare now, of a step that `suits` by
-    /// itself and by the number of its tasks there.
-    fn task_to_spare(
-        &self,
-        now: Now,
-        machine: &MachineId,
-        suits: impl Fn(&StepSpec, u32) -> bool,
-    ) -> Option<TaskRef> {
-        let id = self.machines.listed.get(machine)?.executor.as_ref()?;
-        let executor = self.executors.get(id)?;
-        executor.per_slot.iter().find_map(|((job_id, slot), &here)| {
-            let job = self.jobs.get(job_id)?;
-            let indices = job.tasks_of(*slot);
-            let step = job.step(indices.start);
-            let is_bounded = step.is_long_running && step.may_miss > 0;
-            if !is_bounded || !suits(step, here) || job.is_over() {
-                return None;
-            }
-            let is_away = |index: &usize| !self.is_at_work(now, &job.tasks[*index]);
-            let away = indices.clone().filter(is_away).count() as u32;
-            let runs_here = |index: &usize| {
-                let phase = &job.tasks[*index].phase;
-                phase.executor() == Some(id) && !matches!(phase, Phase::Stopping { .. })
-            };
-            (away < step.may_miss)
-                .then(|| indices.clone().find(runs_here))
-                .flatten()
-                .map(|index| (job_id.clone(), index))
-        })
-    }
-
-    fn is_vacated(&self, now: Now, machine: &MachineId, since: Now) -> bool {
-        let (_, others) = self.load_of(machine);
-        let is_empty = others == 0 || now >= since + LONGEST_VACATING;
-        is_empty && self.may_lose(now, machine)
-    }
-
     /// Whether the order may leave without more machines of its wave away than allowed.
-    fn has_wave_slot(&self, now: Now, machine: &MachineId) -> bool {
+    pub(super) fn has_wave_slot(&self, now: Now, machine: &MachineId) -> bool {
         let errand = &self.machines.errands[machine];
         let MachineWork::Maintain(number) = errand.work else { return true };
         if errand.is_away() {
@@ -380,20 +196,6 @@
         progress.wave.machines.iter().filter(is_away).filter(|one| !is_ours(one)).count()
     }
 
-    /// Long-running tasks on a machine count as away from the moment that its order leaves.
-    fn lose_long_running(&mut self, machine: &MachineId) {
-        let Some(id) = self.machines.listed.get(machine).and_then(|info| info.executor.clone())
-        else {
-            return;
-        };
-        let Some(executor) = self.executors.get(&id) else { return };
-        for (job_id, index) in &executor.tasks {
-            if let Some(job) = self.jobs.get_mut(job_id) {
-                job.tasks[*index].at_work_since = None;
-            }
-        }
-    }
-
     /// An order about a machine has ended.
     pub fn machine_order_ended(&mut self, now: Now, order: &MachineOrder, end: MachineOrderEnd) {
         let Some(errand) = self.machines.errands.get_mut(&order.machine) else { return };
--- a/crates/jackdawpier_fleet/src/fleet/openings.rs
+++ b/crates/jackdawpier_fleet/src/fleet/openings.rs
@@ -4,15 +4,24 @@
 //! Room only shrinks within a round, so a need that fitted nowhere needn't be tried again, nor a
 //! larger one: `jackdawpier_bench owner` takes 0.21 ms a round on the mean at 350 executors, 0.60 without.
 
-use std::collections::{HashMap, HashSet};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use jackdawpier_kernel::{
     Now,
     ids::{ExecutorId, ServiceName},
 };
 
-use super::{Fleet, placement::HEARD_WITHIN};
-use crate::{executor::Executor, spec::Resources};
+use super::Fleet;
+use crate::{
+    executor::Executor,
+    spec::{Label, Resources, StepSpec},
+};
+
+/// An executor that hasn't answered for this long gets no new work: one long poll and its timeout.
+const HEARD_WITHIN: Duration = Duration::from_millis(1500);
 
 /// The executors of one service in one round.
 #[derive(Debug, Default)]
@@ -21,6 +30,10 @@
     pub(super) executors: Vec<ExecutorId>,
     /// The smallest needs that fitted none of them.
     refused: Vec<Resources>,
+    /// Executors with labels that few have and some jobs ask for, with those labels.
+    scarce: HashMap<ExecutorId, Vec<Label>>,
+    /// Room is held for a job already, see [`super::held_room`].
+    pub(super) has_held: bool,
 }
 
 impl Openings {
@@ -29,6 +42,14 @@
         self.refused.iter().any(|refused| refused.fits(need))
     }
 
+    /// Whether an executor has a label that few have and that a step doesn't ask for.
+    pub(super) fn is_scarce(&self, executor: &ExecutorId, step: &StepSpec) -> bool {
+        let labels = self.scarce.get(executor);
+        labels.is_some_and(|labels| {
+            labels.iter().any(|label| step.required_label.as_ref() != Some(label))
+        })
+    }
+
     /// A need has fitted nowhere, though nothing but room was asked for.
     pub(super) fn note_refused(&mut self, need: Resources) {
         self.refused.retain(|larger| !need.fits(larger));
@@ -43,14 +64,36 @@
             let executor = self.executors.get(*id);
             executor.is_some_and(|one| one.takes_work(now)) && !vacating.contains(id)
         };
+        let scarce = self.scarce_labels();
         self.by_service
             .iter()
             .map(|(service, ids)| {
-                let executors = ids.iter().filter(takes_work).cloned().collect();
-                (service.clone(), Openings { executors, refused: Vec::new() })
+                let executors: Vec<ExecutorId> = ids.iter().filter(takes_work).cloned().collect();
+                let scarce = executors
+                    .iter()
+                    .filter_map(|id| Some((id.clone(), self.labels_among(id, &scarce)?)))
+                    .collect();
+                (service.clone(), Openings { executors, scarce, ..Openings::default() })
             })
             .collect()
     }
+
+    /// The labels that jobs ask for and fewer than half of all executors have.
+    fn scarce_labels(&self) -> Vec<&Label> {
+        let infos = || self.executors.values().filter_map(|executor| executor.info.as_ref());
+        let is_scarce = |label: &&Label| {
+            infos().filter(|info| info.labels.contains(label)).count() * 2 < infos().count()
+        };
+        self.asked_labels.iter().filter(is_scarce).collect()
+    }
+
+    /// Those of some labels that an executor has; none if it has none.
+    fn labels_among(&self, id: &ExecutorId, labels: &[&Label]) -> Option<Vec<Label>> {
+        let info = self.executors.get(id)?.info.as_ref()?;
+        let has = labels.iter().filter(|label| info.labels.contains(label));
+        let found: Vec<Label> = has.map(|label| (*label).clone()).collect();
+        (!found.is_empty()).then_some(found)
+    }
 }
 
 impl Executor {
@@ -58,9 +101,14 @@
         let is_open = self.info.as_ref().is_some_and(|info| !info.is_draining);
         is_open
             && self.is_listed
-            && self.is_synced
             && !self.is_frozen
             && now >= self.avoid_until
-            && self.heard_at().is_some_and(|at| now.saturating_sub(at) < HEARD_WITHIN)
+            && self.is_heard(now)
+    }
+
+    /// Whether it has answered under this ownership, and lately.
+    pub(super) fn is_heard(&self, now: Now) -> bool {
+        let is_recent = |at| now.saturating_sub(at) < HEARD_WITHIN;
+        self.is_synced && self.heard_at().is_some_and(is_recent)
     }
 }
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -15,25 +15,30 @@
     spec::StepSpec,
 };
 
-/// An executor that hasn't answered for this long gets no new work: one long poll and its timeout.
-pub(super) const HEARD_WITHIN: Duration = Duration::from_millis(1500);
 /// Advice is asked for again after this long without an answer.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
 /// Executors that one question names: the advisor takes time for each, and a step needs few.
 const EXECUTORS_PER_ADVICE: usize = 30;
 
+/// A task that has waited this long for room near its data goes wherever there is any.
+const NEAR_FOR: Duration = Duration::from_secs(5);
+
 /// How well an executor suits a task; the lowest is taken.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
     /// More of a long-running step than it may miss would be here, so that the machine could never
     /// be taken.
     crowds: bool,
+    /// It would take for long a machine with a label that few have and others ask for.
+    blocks_label: bool,
     /// Work that fills beside work that serves disturbs it.
     disturbs: bool,
     /// Its machine is due for maintenance, which would end a long-running task.
     is_due: bool,
     /// The data lies elsewhere.
     is_far: bool,
+    /// It would take room from tasks that need a label which few have.
+    uses_label: bool,
     /// Tightest first, which leaves the largest gaps elsewhere.
     left_millicores: u64,
     left_mb: u64,
@@ -64,10 +69,12 @@
         }
         waiting.sort_unstable();
         let mut openings = self.openings(now);
+        self.place_starved(now, &waiting, &mut openings);
         for (_, id) in waiting {
             let openings = self.service_of(&id).and_then(|service| openings.get_mut(service));
             if let Some(openings) = openings.filter(|one| !one.executors.is_empty()) {
                 self.place_job(now, &id, openings);
+                self.hold_room(now, &id, openings);
             }
         }
     }
@@ -78,7 +85,7 @@
     }
 
     /// Places what fits of one job.
-    fn place_job(&mut self, now: Now, id: &JobId, openings: &mut Openings) {
+    pub(super) fn place_job(&mut self, now: Now, id: &JobId, openings: &mut Openings) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         let candidates: Vec<TaskIndex> = job.startable.drain(..).collect();
         let mut kept = Vec::new();
@@ -177,7 +184,8 @@
                 if !may_go {
                     return None;
                 }
-                Some((self.fit(executor_id, executor, job, index), executor_id))
+                let uses_label = openings.is_scarce(executor_id, job.step(index));
+                Some((self.fit(executor_id, executor, job, index, uses_label), executor_id))
             })
             .min()
             .map(|(_, executor_id)| executor_id.clone())
@@ -194,12 +202,14 @@
         let rest = job.remaining_estimate().saturating_sub(step.estimate);
         let due = job.next_began_at() + objective(job, queue);
         let exists_near = openings.executors.iter().any(|id| {
-            let info = self.executors.get(id).and_then(|executor| executor.info.as_ref());
-            info.is_some_and(|info| {
+            let Some(executor) = self.executors.get(id) else { return false };
+            let is_near = executor.info.as_ref().is_some_and(|info| {
                 info.rack.as_ref() == Some(data_rack) && step.booked().fits(&info.capacity)
-            })
+            });
+            is_near && may_run(executor, job, index)
         });
-        if now + far + rest <= due || !exists_near {
+        let has_waited = now.saturating_sub(job.tasks[index].waits_since) >= NEAR_FOR;
+        if now + far + rest <= due || !exists_near || has_waited {
             return Far::Allowed;
         }
         match (now > due, step.is_gang) {
@@ -210,7 +220,14 @@
         }
     }
 
-    fn fit(&self, id: &ExecutorId, executor: &Executor, job: &Job, index: TaskIndex) -> Fit {
+    fn fit(
+        &self,
+        id: &ExecutorId,
+        executor: &Executor,
+        job: &Job,
+        index: TaskIndex,
+        uses_label: bool,
+    ) -> Fit {
         let step = job.step(index);
         let left = executor.free().minus(&step.booked());
         let disturbs = (step.is_filler && executor.serving > 0)
@@ -218,9 +235,11 @@
         let is_bounded = step.is_long_running && step.may_miss > 0;
         Fit {
             crowds: is_bounded && tasks_here(executor, job, index) >= step.may_miss,
+            blocks_label: uses_label && step.is_long_running,
             disturbs,
             is_due: step.is_long_running && self.machines.is_due(id),
             is_far: is_far(executor, job, index),
+            uses_label,
             left_millicores: left.cpu_millicores,
             left_mb: left.memory_mb,
         }
@@ -283,13 +302,19 @@
 
 /// Whether an executor can run a task: its room, labels and rack, and the bound on tasks of a step.
 pub(super) fn suits(executor: &Executor, job: &Job, index: TaskIndex, rack: Option<&str>) -> bool {
+    let Some(info) = &executor.info else { return false };
+    let is_in_rack = rack.is_none_or(|rack| info.rack.as_deref() == Some(rack));
+    job.step(index).booked().fits(&executor.free()) && is_in_rack && may_run(executor, job, index)
+}
+
+/// Whether an executor may run a task if it has room: its label, and the bound on tasks of a step.
+pub(super) fn may_run(executor: &Executor, job: &Job, index: TaskIndex) -> bool {
     let step = job.step(index);
     let Some(info) = &executor.info else { return false };
     let has_label = step.required_label.as_ref().is_none_or(|label| info.labels.contains(label));
-    let is_in_rack = rack.is_none_or(|rack| info.rack.as_deref() == Some(rack));
     let is_apart =
         step.max_per_executor == 0 || tasks_here(executor, job, index) < step.max_per_executor;
-    step.booked().fits(&executor.free()) && has_label && is_in_rack && is_apart
+    has_label && is_apart
 }
 
 /// Tasks of the same step and occurrence on an executor.
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -0,0 +1,239 @@
+//! What each pool holds and needs, as the planning of moves sees it.
+//!
+//! A pool's need is what runs, what waits and may still be of use, and what arrives at the present
+//! rate. Tasks that need a label are counted for themselves as well: machines with the label that are
+//! full of other work are none for them.
+
+use std::collections::BTreeMap;
+
+use jackdawpier_kernel::{Now, ids::PoolName};
+
+use super::Fleet;
+use crate::{
+    executor::Executor,
+    job::{Job, Phase},
+    machines::{MachineId, MachineState, MachineWork},
+    order::rank,
+    spec::{Label, Resources},
+};
+
+/// A pool as planning sees it.
+#[derive(Debug, Default, Clone)]
+pub(super) struct Pool {
+    /// Machines in it that are up and stay.
+    pub(super) up: usize,
+    /// Machines on their way to it.
+    arriving: usize,
+    /// Those of its machines that run nothing.
+    pub(super) idle: Vec<MachineId>,
+    /// Room of one machine.
+    machine: Resources,
+    /// What runs, waits and arrives, in thousandths of a core.
+    need_millicores: u64,
+    /// Machines and need by label, for the labels that open jobs ask for.
+    labels: BTreeMap<Label, LabelNeed>,
+}
+
+/// What a pool holds and needs of one label.
+#[derive(Debug, Default, Clone)]
+struct LabelNeed {
+    /// Machines with the label that are up or on their way.
+    machines: usize,
+    /// Tasks of the largest need below that there is room for beside other work.
+    room_tasks: usize,
+    /// Tasks that run or wait.
+    tasks: usize,
+    /// The largest need of any of them.
+    largest: Resources,
+}
+
+impl Pool {
+    pub(super) fn needed(&self) -> usize {
+        self.need_millicores.div_ceil(self.machine.cpu_millicores.max(1)) as usize
+    }
+
+    pub(super) fn holds(&self) -> usize {
+        self.up + self.arriving
+    }
+
+    /// Machines with a label that are up or on their way; of any kind without one.
+    pub(super) fn holds_of(&self, label: Option<&Label>) -> usize {
+        label.map_or(self.holds(), |label| self.labels.get(label).map_or(0, |need| need.machines))
+    }
+
+    pub(super) fn lacks(&self) -> usize {
+        self.needed().saturating_sub(self.holds())
+    }
+
+    /// Machines with each label that are missing.
+    pub(super) fn lacks_by_label(&self) -> impl Iterator<Item = (&Label, usize)> {
+        self.labels.iter().map(|(label, need)| (label, need.lacks(&self.machine)))
+    }
+
+    /// Whether a machine with these labels can go without one of them missing: each label that is asked
+    /// for keeps a machine, and as many as its tasks need.
+    pub(super) fn can_spare(&self, labels: &[Label]) -> bool {
+        labels.iter().filter_map(|label| self.labels.get(label)).all(|need| {
+            let left_tasks = need.room_tasks.saturating_sub(need.tasks_of(&self.machine));
+            need.machines > 1 && left_tasks >= need.tasks
+        })
+    }
+
+    /// A machine with these labels is about to leave.
+    pub(super) fn take_labels(&mut self, labels: &[Label]) {
+        for label in labels {
+            if let Some(need) = self.labels.get_mut(label) {
+                need.machines -= 1;
+                need.room_tasks = need.room_tasks.saturating_sub(need.tasks_of(&self.machine));
+            }
+        }
+    }
+
+    /// Counts a machine with these labels that leaves `room` for the tasks which need one; none where
+    /// all of it is theirs.
+    fn count_labels(&mut self, labels: &[Label], room: impl Fn(&Label) -> Option<Resources>) {
+        for label in labels {
+            if let Some(need) = self.labels.get_mut(label) {
+                need.machines += 1;
+                let tasks = need.tasks_of(&room(label).unwrap_or(self.machine));
+                need.room_tasks = need.room_tasks.saturating_add(tasks);
+            }
+        }
+    }
+}
+
+impl LabelNeed {
+    /// Tasks of the largest need that fit into some room; none while there are no tasks.
+    fn tasks_of(&self, room: &Resources) -> usize {
+        if self.tasks == 0 { 0 } else { room.count(&self.largest) }
+    }
+
+    fn lacks(&self, machine: &Resources) -> usize {
+        let missing = self.tasks.saturating_sub(self.room_tasks);
+        let per_machine = self.tasks_of(machine);
+        // Larger than any machine: fetching more of them is of no use.
+        if per_machine == 0 { 0 } else { missing.div_ceil(per_machine) }
+    }
+
+    fn add(&mut self, need: Resources) {
+        self.tasks += 1;
+        self.largest.raise_to(&need);
+    }
+}
+
+impl Fleet {
+    pub(super) fn view_pools(&mut self, now: Now) -> BTreeMap<PoolName, Pool> {
+        let mut pools: BTreeMap<PoolName, Pool> =
+            self.queues.values().map(|queue| (queue.service.clone(), Pool::default())).collect();
+        self.size_machines(&mut pools);
+        self.add_label_needs(&mut pools);
+        for info in self.machines.listed.values() {
+            let errand = self.machines.errands.get(&info.id);
+            if let Some(MachineWork::Move(to)) = errand.map(|errand| &errand.work) {
+                if let Some(pool) = pools.get_mut(to) {
+                    pool.arriving += 1;
+                    pool.count_labels(&info.labels, |_| None);
+                }
+                continue;
+            }
+            let Some(pool) = pools.get_mut(&info.pool) else { continue };
+            let executor = info.executor.as_ref().and_then(|id| self.executors.get(id));
+            let Some(executor) = executor.filter(|_| info.state == MachineState::Up) else {
+                continue;
+            };
+            let Some(known) = &executor.info else { continue };
+            pool.need_millicores += executor.booked.cpu_millicores;
+            if known.is_draining || errand.is_some() {
+                continue;
+            }
+            pool.up += 1;
+            pool.count_labels(&info.labels, |label| Some(self.room_for_label(executor, label)));
+            let is_held = self.machines.is_held(now, &info.id);
+            if executor.tasks.is_empty() && executor.is_synced && !is_held {
+                pool.idle.push(info.id.clone());
+            }
+        }
+        self.add_waiting(now, &mut pools);
+        for (name, pool) in &mut pools {
+            let arriving = self.arrivals.get_mut(name).map_or(0, |one| one.millicores(now));
+            pool.need_millicores = pool.need_millicores.max(arriving);
+        }
+        pools
+    }
+
+    /// Notes the room of each pool's largest machine; a pool without one is taken for one of the
+    /// fleet's largest.
+    fn size_machines(&self, pools: &mut BTreeMap<PoolName, Pool>) {
+        let mut largest = Resources { cpu_millicores: 1, ..Resources::default() };
+        for info in self.executors.values().filter_map(|executor| executor.info.as_ref()) {
+            largest.raise_to(&info.capacity);
+            if let Some(pool) = pools.get_mut(&info.service) {
+                pool.machine.raise_to(&info.capacity);
+            }
+        }
+        let unknown = pools.values_mut().filter(|pool| pool.machine == Resources::default());
+        unknown.for_each(|pool| pool.machine = largest);
+    }
+
+    /// What an executor has left for tasks that need a label, those that run there included.
+    fn room_for_label(&self, executor: &Executor, label: &Label) -> Resources {
+        let mut room = executor.free();
+        for (id, index) in &executor.tasks {
+            let Some(step) = self.jobs.get(id).map(|job| job.step(*index)) else { continue };
+            if step.required_label.as_ref() == Some(label) {
+                room.add(&step.booked());
+            }
+        }
+        room
+    }
+
+    /// Counts what runs and waits and can only run on machines with a certain label.
+    fn add_label_needs(&self, pools: &mut BTreeMap<PoolName, Pool>) {
+        for (queue, ids) in &self.open {
+            let Some(queue) = self.queues.get(queue) else { continue };
+            let Some(pool) = pools.get_mut(&queue.service) else { continue };
+            for job in ids.iter().filter_map(|id| self.jobs.get(id)) {
+                if job.spec.steps.iter().all(|step| step.required_label.is_none()) {
+                    continue;
+                }
+                for (index, task) in job.tasks.iter().enumerate() {
+                    let step = job.step(index);
+                    let Some(label) = &step.required_label else { continue };
+                    let need = pool.labels.entry(label.clone()).or_default();
+                    let is_open = job.progress[job.slot(index)].is_open;
+                    if is_open && task.phase != Phase::Done {
+                        need.add(step.booked());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Adds what waits and may still be of use.
+    fn add_waiting(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
+        for (queue, ids) in &self.open {
+            let Some(queue) = self.queues.get(queue) else { continue };
+            let Some(pool) = pools.get_mut(&queue.service) else { continue };
+            let mut least_millicores = 0;
+            for job in ids.iter().filter_map(|id| self.jobs.get(id)) {
+                if rank(now, job, queue).is_hopeless() {
+                    least_millicores = least_millicores.max(least_room(job));
+                    continue;
+                }
+                let waiting = job.startable.iter().map(|&index| job.step(index).booked());
+                pool.need_millicores += waiting.map(|need| need.cpu_millicores).sum::<u64>();
+            }
+            // What can't earn any more still has to end: there must be room for the largest of it.
+            pool.need_millicores += least_millicores;
+        }
+    }
+}
+
+/// The room without which the next task of a job, or its gang, can't ever start.
+fn least_room(job: &Job) -> u64 {
+    job.startable.front().map_or(0, |&index| {
+        let step = job.step(index);
+        let together = if step.is_gang { u64::from(step.count) } else { 1 };
+        step.booked().cpu_millicores * together
+    })
+}
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -0,0 +1,289 @@
+//! How a machine is emptied before it moves or is maintained, and when that is given up.
+//!
+//! What ends by itself gets time to; long-running tasks leave within what their steps may miss, one by
+//! one where they are many, and only while they find room elsewhere: stopping the last one that suits
+//! no other machine would take it away for as long as the machine is kept free.
+
+use std::{collections::HashMap, time::Duration};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{ExecutorId, ServiceName},
+};
+
+use super::{Command, Fleet, openings::Openings, placement::suits};
+use crate::{
+    executor::{Executor, TaskRef},
+    job::{Job, Phase, Task, TaskIndex},
+    machines::{Errand, MachineId, MachineOrder, MachineWork, Stage},
+    spec::StepSpec,
+};
+
+/// An unanswered order about a machine is repeated after this time.
+const REPEAT_ORDER: Duration = Duration::from_millis(600);
+/// What runs on a machine that is to be taken gets this long to end before it is cut short.
+const LONGEST_VACATING: Duration = Duration::from_secs(4);
+/// What runs on an executor counts as away once it hasn't answered for this long.
+const SILENT_AFTER: Duration = Duration::from_millis(1800);
+/// A long-running task counts as back once it has been reported at work for this long. What fails
+/// without an order counts only after the notice that operators grant, far longer than a silent
+/// executor takes to show.
+const SETTLED_AFTER: Duration = Duration::from_millis(400);
+/// A machine that is kept free without any task leaving it for this long takes work again: a task takes
+/// some two seconds to be at work elsewhere before the next may leave.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(6);
+/// A long-running task that has waited this long may take a machine that is kept free.
+const REOPENED_AFTER: Duration = Duration::from_secs(2);
+
+impl Fleet {
+    pub(super) fn begin_errand(&mut self, now: Now, machine: MachineId, work: MachineWork) {
+        let executor = self.machines.listed.get(&machine).and_then(|info| info.executor.clone());
+        let stage = Stage::Vacating { since: now };
+        let not_before = self.machines.free_from(&machine);
+        let (lasting, others) = self.load_of(&machine);
+        let tasks = lasting + others;
+        let errand = Errand { work, stage, executor, not_before, tasks, progress_at: now };
+        self.machines.errands.insert(machine, errand);
+    }
+
+    /// Numbers of long-running and other tasks on a machine.
+    pub(super) fn load_of(&self, machine: &MachineId) -> (usize, usize) {
+        let executor = self
+            .machines
+            .listed
+            .get(machine)
+            .and_then(|info| info.executor.as_ref())
+            .and_then(|id| self.executors.get(id));
+        let Some(executor) = executor else { return (0, 0) };
+        let is_lasting = |task: &&crate::executor::TaskRef| {
+            self.jobs.get(&task.0).is_some_and(|job| job.step(task.1).is_long_running)
+        };
+        let lasting = executor.tasks.iter().filter(is_lasting).count();
+        (lasting, executor.tasks.len() - lasting)
+    }
+
+    /// Whether all long-running steps with tasks on a machine can spare those now.
+    pub(super) fn may_lose(&self, now: Now, machine: &MachineId) -> bool {
+        let executor = self.machines.listed.get(machine).and_then(|info| info.executor.as_ref());
+        executor.is_none_or(|id| self.may_lose_executor(now, id))
+    }
+
+    fn may_lose_executor(&self, now: Now, id: &ExecutorId) -> bool {
+        let Some(executor) = self.executors.get(id) else { return true };
+        executor.per_slot.iter().all(|((job_id, slot), &here)| {
+            let Some(job) = self.jobs.get(job_id) else { return true };
+            let first = job.tasks_of(*slot).start;
+            let step = job.step(first);
+            if !step.is_long_running || job.is_over() || step.may_miss == 0 {
+                return true;
+            }
+            let away = job
+                .tasks_of(*slot)
+                .filter(|&index| job.tasks[index].phase.executor() != Some(id))
+                .filter(|&index| !self.is_at_work(now, &job.tasks[index]))
+                .count() as u32;
+            away + here <= step.may_miss
+        })
+    }
+
+    /// Whether a task is settled at work, as far as its executor still answers.
+    fn is_at_work(&self, now: Now, task: &Task) -> bool {
+        let Some(id) = task.phase.executor() else { return false };
+        let heard_at = self.executors.get(id).and_then(Executor::heard_at);
+        let is_heard = heard_at.is_some_and(|at| now.saturating_sub(at) < SILENT_AFTER);
+        let since = task.at_work_since;
+        is_heard
+            && !self.machines.is_leaving(id)
+            && !self.machines.holds_executor(now, id)
+            && since.is_some_and(|since| now.saturating_sub(since) >= SETTLED_AFTER)
+    }
+
+    pub(super) fn order_vacated(&mut self, now: Now) {
+        self.give_up_errands(now);
+        let machines: Vec<MachineId> = self.machines.errands.keys().cloned().collect();
+        if machines.is_empty() {
+            return;
+        }
+        let openings = self.openings(now);
+        for machine in machines {
+            let errand = &self.machines.errands[&machine];
+            if now < errand.not_before {
+                continue;
+            }
+            let is_due = match errand.stage {
+                Stage::Vacating { since } => self.is_vacated(now, &machine, since),
+                Stage::Ordered { at } => now >= at + REPEAT_ORDER && self.may_lose(now, &machine),
+                Stage::Away { .. } => false,
+            };
+            if !is_due || !self.has_wave_slot(now, &machine) {
+                self.thin_out(now, &machine, &openings);
+                continue;
+            }
+            self.lose_long_running(&machine);
+            let errand = self.machines.errands.get_mut(&machine).expect("it was read above");
+            errand.stage = Stage::Ordered { at: now };
+            let work = errand.work.clone();
+            self.commands.push(Command::Machine(MachineOrder { machine, work }));
+        }
+    }
+
+    /// Stops one long-running task on a machine that can't be taken yet, so that it can be later: one
+    /// of a step of which more run there than it may miss, or, once nothing else runs there, any that
+    /// its step can spare. A machine holds tasks of many steps, which seldom can all spare one at the
+    /// same moment; in a wave of 144 of 350 machines the last tenth waited for that.
+    fn thin_out(
+        &mut self,
+        now: Now,
+        machine: &MachineId,
+        openings: &HashMap<ServiceName, Openings>,
+    ) {
+        if !matches!(self.machines.errands[machine].stage, Stage::Vacating { .. }) {
+            return;
+        }
+        let (_, others) = self.load_of(machine);
+        let mut task = self.crowded_task(now, machine, openings);
+        if task.is_none() && others == 0 && !self.may_lose(now, machine) {
+            task = self.task_to_spare(now, machine, openings, |_, _| true);
+        }
+        if let Some(task) = task {
+            self.stop_task(now, &task);
+        }
+    }
+
+    /// Whether a busy machine can be emptied without harm: its long-running tasks can be spared at once,
+    /// or one of those that are too many for that finds room elsewhere.
+    pub(super) fn can_be_emptied(
+        &self,
+        now: Now,
+        machine: &MachineId,
+        openings: &HashMap<ServiceName, Openings>,
+    ) -> bool {
+        self.may_lose(now, machine) || self.crowded_task(now, machine, openings).is_some()
+    }
+
+    /// Whether an executor that takes work, other than the task's own, has room for it.
+    pub(super) fn has_room_elsewhere(
+        &self,
+        (id, index): &TaskRef,
+        openings: &HashMap<ServiceName, Openings>,
+    ) -> bool {
+        let job = &self.jobs[id];
+        let own = job.tasks[*index].phase.executor();
+        let openings = self.service_of(id).and_then(|service| openings.get(service));
+        openings.is_some_and(|openings| {
+            let others = openings.executors.iter().filter(|id| Some(*id) != own);
+            let mut others = others.filter_map(|id| self.executors.get(id));
+            others.any(|executor| suits(executor, job, *index, None))
+        })
+    }
+
+    /// A task of a step of which more run on a machine than it may miss.
+    fn crowded_task(
+        &self,
+        now: Now,
+        machine: &MachineId,
+        openings: &HashMap<ServiceName, Openings>,
+    ) -> Option<TaskRef> {
+        self.task_to_spare(now, machine, openings, |step, here| here > step.may_miss)
+    }
+
+    /// A long-running task on a machine that its step can spare now and that has room elsewhere, of a
+    /// step that `suits` by itself and by the number of its tasks there.
+    fn task_to_spare(
+        &self,
+        now: Now,
+        machine: &MachineId,
+        openings: &HashMap<ServiceName, Openings>,
+        suits: impl Fn(&StepSpec, u32) -> bool,
+    ) -> Option<TaskRef> {
+        let id = self.machines.listed.get(machine)?.executor.as_ref()?;
+        let executor = self.executors.get(id)?;
+        executor.per_slot.iter().find_map(|((job_id, slot), &here)| {
+            let job = self.jobs.get(job_id)?;
+            let indices = job.tasks_of(*slot);
+            let step = job.step(indices.start);
+            let is_bounded = step.is_long_running && step.may_miss > 0;
+            if !is_bounded || !suits(step, here) || job.is_over() {
+                return None;
+            }
+            let is_away = |index: &usize| !self.is_at_work(now, &job.tasks[*index]);
+            if indices.clone().filter(is_away).count() as u32 >= step.may_miss {
+                return None;
+            }
+            let runs_here = |index: &usize| {
+                let phase = &job.tasks[*index].phase;
+                phase.executor() == Some(id) && !matches!(phase, Phase::Stopping { .. })
+            };
+            let task = (job_id.clone(), indices.clone().find(runs_here)?);
+            self.has_room_elsewhere(&task, openings).then_some(task)
+        })
+    }
+
+    /// Lets machines take work again that are kept free to no avail: nothing leaves them any more.
+    fn give_up_errands(&mut self, now: Now) {
+        let machines: Vec<MachineId> = self.machines.errands.keys().cloned().collect();
+        for machine in machines {
+            let (lasting, others) = self.load_of(&machine);
+            let errand = self.machines.errands.get_mut(&machine).expect("just listed");
+            if lasting + others < errand.tasks {
+                errand.progress_at = now;
+            }
+            errand.tasks = lasting + others;
+            let is_stuck = now.saturating_sub(errand.progress_at) >= GIVE_UP_AFTER;
+            if is_stuck && matches!(errand.stage, Stage::Vacating { .. }) {
+                self.machines.errands.remove(&machine);
+            }
+        }
+    }
+
+    /// Lets one machine that is kept free take work again, if a long-running task has waited for long and
+    /// could run there.
+    pub(super) fn reopen_machine(&mut self, now: Now) {
+        let waits = |job: &Job| {
+            let is_long = |index: &&TaskIndex| {
+                job.step(**index).is_long_running
+                    && job.tasks[**index].phase == Phase::Waiting
+                    && now.saturating_sub(job.tasks[**index].waits_since) >= REOPENED_AFTER
+            };
+            job.startable.iter().find(is_long).copied()
+        };
+        let open = self.open.values().flatten().filter_map(|id| self.jobs.get(id));
+        let mut waiting = open.filter_map(|job| Some((job, waits(job)?)));
+        let machine = waiting.find_map(|(job, index)| self.reopenable(job, index));
+        if let Some(machine) = machine {
+            self.machines.errands.remove(&machine);
+        }
+    }
+
+    /// A machine that is kept free, not ordered yet, and whose executor could run a task.
+    fn reopenable(&self, job: &Job, index: TaskIndex) -> Option<MachineId> {
+        let service = &self.queues.get(&job.queue)?.service;
+        let could_run = |(machine, errand): &(&MachineId, &Errand)| {
+            let executor = errand.executor.as_ref().and_then(|id| self.executors.get(id));
+            matches!(errand.stage, Stage::Vacating { .. })
+                && self.machines.listed.get(*machine).is_some_and(|info| info.pool == *service)
+                && executor.is_some_and(|executor| suits(executor, job, index, None))
+        };
+        self.machines.errands.iter().find(could_run).map(|(machine, _)| machine.clone())
+    }
+
+    fn is_vacated(&self, now: Now, machine: &MachineId, since: Now) -> bool {
+        let (_, others) = self.load_of(machine);
+        let is_empty = others == 0 || now >= since + LONGEST_VACATING;
+        is_empty && self.may_lose(now, machine)
+    }
+
+    /// Long-running tasks on a machine count as away from the moment that its order leaves.
+    fn lose_long_running(&mut self, machine: &MachineId) {
+        let Some(id) = self.machines.listed.get(machine).and_then(|info| info.executor.clone())
+        else {
+            return;
+        };
+        let Some(executor) = self.executors.get(&id) else { return };
+        for (job_id, index) in &executor.tasks {
+            if let Some(job) = self.jobs.get_mut(job_id) {
+                job.tasks[*index].at_work_since = None;
+            }
+        }
+    }
+}
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -63,6 +63,8 @@
     pub(crate) at_work_since: Option<Now>,
     /// Not to be placed before this time.
     pub(crate) not_before: Now,
+    /// Since when it has been startable without running.
+    pub(crate) waits_since: Now,
 }
 
 impl Task {
@@ -76,6 +78,7 @@
             pace_percent: 100,
             at_work_since: None,
             not_before: Now::ZERO,
+            waits_since: Now::ZERO,
         }
     }
 
@@ -304,13 +307,19 @@
                 }
                 for index in self.tasks_of(slot) {
                     if self.tasks[index].phase == Phase::Waiting {
-                        self.startable.push_back(index);
+                        self.wait(now, index);
                     }
                 }
             }
         }
     }
 
+    /// Puts a task at the end of those that wait for an executor.
+    pub(crate) fn wait(&mut self, now: Now, index: TaskIndex) {
+        self.tasks[index].waits_since = now;
+        self.startable.push_back(index);
+    }
+
     /// Time of day at which an occurrence is due; none for a job without a schedule.
     pub(crate) fn due_ms(&self, occurrence: usize) -> Option<u64> {
         let schedule = self.spec.schedule?;
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -11,6 +11,8 @@
     ids::{ExecutorId, PoolName},
 };
 
+use crate::spec::Label;
+
 /// Name of a machine, which it keeps over the lives of its executors.
 pub type MachineId = Arc<str>;
 /// Number of a wave of maintenance.
@@ -41,7 +43,7 @@
     /// The executor that lives on it, if one does.
     pub executor: Option<ExecutorId>,
     /// Its capabilities; a pool takes machines of its own kind only.
-    pub labels: Vec<Arc<str>>,
+    pub labels: Vec<Label>,
 }
 
 /// A wave of maintenance as operators ask for it.
@@ -119,6 +121,10 @@
     pub(crate) executor: Option<ExecutorId>,
     /// Not to be ordered before this time, after a refusal.
     pub(crate) not_before: Now,
+    /// Tasks that ran there when it was last looked at.
+    pub(crate) tasks: usize,
+    /// When it began, or a task last left the machine.
+    pub(crate) progress_at: Now,
 }
 
 impl Errand {
--- a/crates/jackdawpier_fleet/src/spec.rs
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -8,6 +8,8 @@
 
 /// Name of a queue, from the configuration.
 pub type QueueName = Arc<str>;
+/// Something that an executor can do or has, which a task may need.
+pub type Label = Arc<str>;
 /// Number of a start of a task; a later start has a higher one.
 pub type RunNumber = u32;
 
@@ -48,6 +50,24 @@
         self.gpus = self.gpus.saturating_sub(other.gpus);
     }
 
+    /// Raises each amount to that of `other` where that is larger.
+    pub fn raise_to(&mut self, other: &Self) {
+        self.cpu_millicores = self.cpu_millicores.max(other.cpu_millicores);
+        self.memory_mb = self.memory_mb.max(other.memory_mb);
+        self.gpus = self.gpus.max(other.gpus);
+    }
+
+    /// How often `need` fits into this room; nothing at all fits no end of times.
+    pub fn count(&self, need: &Self) -> usize {
+        let pairs = [
+            (self.cpu_millicores, need.cpu_millicores),
+            (self.memory_mb, need.memory_mb),
+            (self.gpus, need.gpus),
+        ];
+        let times = pairs.iter().filter_map(|(room, need)| room.checked_div(*need));
+        times.min().map_or(usize::MAX, |times| times as usize)
+    }
+
     /// What is left of this room once `used` is taken.
     #[must_use]
     pub fn minus(&self, used: &Self) -> Self {
@@ -80,7 +100,7 @@
     pub same_rack: bool,
     /// A label that the executor must have.
     #[serde(default)]
-    pub required_label: Option<Arc<str>>,
+    pub required_label: Option<Label>,
     /// The rack where the data lies; elsewhere the task is slower.
     #[serde(default)]
     pub data_rack: Option<Arc<str>>,
--- a/crates/jackdawpier_fleet/tests/lost_executors.rs
+++ b/crates/jackdawpier_fleet/tests/lost_executors.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jackdawpier_fleet::record::JobOutcome;
+use jackdawpier_fleet::{fleet::Command, record::JobOutcome};
 use world::{World, job, step};
 
 #[test]
@@ -113,3 +113,23 @@
     lasting.is_long_running = true;
     job(vec![lasting])
 }
+
+/// The entry of an executor that lives turns unreadable: what runs there ends there, and only there.
+#[test]
+fn unreadable_entry() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", job(vec![step(2, 3, 9_000)]));
+    world.run_for(Duration::from_millis(500));
+    world.unreadable = Some(world.executor_of(&world.machine_of_task("j")));
+    world.run_for(Duration::from_millis(500));
+    world.submit("later", "q-view", job(vec![step(2, 2, 300)]));
+    let outcome = world.run_until_over("later", Duration::from_secs(3));
+    assert_eq!(outcome, Some(JobOutcome::Completed), "the other executor is used");
+    let outcome = world.run_until_over("j", Duration::from_secs(10));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+    let starts = world
+        .commands
+        .iter()
+        .filter(|(_, command)| matches!(command, Command::Start { task, .. } if &*task.job == "j"));
+    assert_eq!(starts.count(), 2, "none is run again");
+}
--- a/crates/jackdawpier_fleet/tests/spared_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/spared_tasks.rs
@@ -159,3 +159,56 @@
     assert!(!runs_on(&world, due, "spared"));
     assert!(machines.into_iter().any(|one| one != other && runs_on(&world, one, "spared")));
 }
+
+/// All tasks of a step run on the only machine that suits them: none is stopped for a wave, since it
+/// couldn't start anywhere else.
+#[test]
+fn only_machine() {
+    let mut world = World::new(&["view"], 3);
+    world.label("m-view-0", "gpu");
+    world.run_for(Duration::from_millis(300));
+    let needs = StepSpec {
+        max_per_executor: 0,
+        need: step(1, 2, 0).need,
+        required_label: Some("gpu".into()),
+        ..lasting(3)
+    };
+    world.submit("j", "q-view", job(vec![needs]));
+    world.run_for(Duration::from_secs(7));
+    world.waves.push(wave(&["m-view-0", "m-view-1", "m-view-2"], 20));
+    for _ in 0..15 {
+        world.run_for(Duration::from_secs(1));
+        assert_eq!(world.runs_of("j"), 3);
+    }
+}
+
+/// A machine that is kept free for its maintenance takes a lasting task that has no other place.
+#[test]
+fn last_place() {
+    let mut world = World::new(&["view"], 3);
+    let alone = |cores| StepSpec { is_long_running: true, ..step(1, cores, 0) };
+    world.submit("first", "q-view", job(vec![alone(4)]));
+    world.submit("second", "q-view", job(vec![alone(5)]));
+    world.run_for(Duration::from_secs(7));
+    let lost = world.machine_of_task("first");
+    let kept = world.machine_of_task("second");
+    let free = world.machines.keys().find(|one| **one != lost && **one != kept).cloned();
+    world.takes_machine_orders = false;
+    world.waves.push(wave(&[&free.expect("three machines")], 30));
+    world.run_for(Duration::from_secs(1));
+    world.crash(&lost, None);
+    world.run_for(Duration::from_secs(5));
+    assert_eq!(world.runs_of("first"), 1);
+}
+
+/// Waves of which one can't be read stay as they are known; one that is gone is dropped.
+#[test]
+fn unreadable_wave() {
+    let mut world = World::new(&["view"], 2);
+    let now = world.now;
+    world.fleet.set_waves(now, vec![(wave(&["m-view-0"], 30), Duration::ZERO)], true);
+    world.fleet.set_waves(now, Vec::new(), false);
+    assert!(world.fleet.knows_wave(1));
+    world.fleet.set_waves(now, Vec::new(), true);
+    assert!(!world.fleet.knows_wave(1));
+}
--- a/crates/jackdawpier_fleet/tests/suited_executors.rs
+++ b/crates/jackdawpier_fleet/tests/suited_executors.rs
@@ -7,12 +7,6 @@
 use jackdawpier_fleet::{machines::MachineWork, record::JobOutcome, spec::StepSpec};
 use world::{World, job, step};
 
-fn label(world: &mut World, machine: &str, label: &str) {
-    let id = world.executor_of(machine);
-    world.executors.get_mut(&id).expect("it lives").info.labels.push(label.into());
-    world.labels.insert(machine.into(), label.into());
-}
-
 fn far_runs(world: &World) -> usize {
     world.executors.values().map(world::executor::FakeExecutor::far_runs).sum()
 }
@@ -20,7 +14,7 @@
 #[test]
 fn needed_label() {
     let mut world = World::new(&["view"], 3);
-    label(&mut world, "m-view-2", "gpu");
+    world.label("m-view-2", "gpu");
     world.run_for(Duration::from_millis(500));
     let needs = StepSpec { required_label: Some("gpu".into()), ..step(6, 3, 500) };
     world.submit("j", "q-view", job(vec![needs]));
@@ -32,7 +26,7 @@
 #[test]
 fn borrowed_label() {
     let mut world = World::new(&["view", "report"], 4);
-    label(&mut world, "m-report-3", "gpu");
+    world.label("m-report-3", "gpu");
     world.run_for(Duration::from_secs(4));
     let needs = StepSpec { required_label: Some("gpu".into()), ..step(2, 3, 500) };
     world.submit("j", "q-view", job(vec![needs]));
@@ -63,3 +57,107 @@
     world.run_for(Duration::from_millis(300));
     assert_eq!(far_runs(&world), 2);
 }
+
+/// The pool's only machine with the label is full of other work: one from elsewhere is fetched.
+#[test]
+fn full_label() {
+    let mut world = World::new(&["view", "report"], 4);
+    world.label("m-view-0", "gpu");
+    world.label("m-report-0", "gpu");
+    world.label("m-report-1", "gpu");
+    world.run_for(Duration::from_secs(4));
+    world.submit("others", "q-view", job(vec![step(4, 7, 8_000)]));
+    world.run_for(Duration::from_secs(1));
+    let needs = StepSpec { required_label: Some("gpu".into()), ..step(2, 3, 500) };
+    world.submit("j", "q-view", job(vec![needs]));
+    let outcome = world.run_until_over("j", Duration::from_secs(4));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
+
+/// Work that runs anywhere and lasts leaves the few machines free that have a label which others need.
+#[test]
+fn spared_label() {
+    let mut world = World::new(&["view"], 4);
+    world.label("m-view-0", "gpu");
+    let needs = StepSpec { required_label: Some("gpu".into()), ..step(2, 3, 500) };
+    world.submit("asks", "q-view", job(vec![needs.clone()]));
+    world.run_for(Duration::from_secs(2));
+    let lasting = StepSpec { is_long_running: true, max_per_executor: 1, ..step(3, 6, 0) };
+    world.submit("lasts", "q-view", job(vec![lasting]));
+    world.run_for(Duration::from_secs(1));
+    world.submit("j", "q-view", job(vec![needs]));
+    let outcome = world.run_until_over("j", Duration::from_secs(2));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
+
+/// The only executor with the label is away from the data and never half free.
+#[test]
+fn label_far() {
+    let mut world = World::new(&["view"], 4);
+    world.label("m-view-2", "gpu");
+    let labelled = |step| StepSpec { required_label: Some("gpu".into()), ..step };
+    let lasting = StepSpec { is_long_running: true, ..step(1, 5, 0) };
+    world.submit("lasts", "q-view", job(vec![labelled(lasting)]));
+    world.run_for(Duration::from_secs(1));
+    let near = StepSpec { data_rack: Some("rack-0".into()), ..step(1, 3, 1_000) };
+    world.submit("j", "q-view", job(vec![labelled(near)]));
+    world.run_for(Duration::from_millis(300));
+    assert_eq!(far_runs(&world), 1, "no executor near the data has the label");
+}
+
+/// The executor near the data never has room; those away from it are never half free.
+#[test]
+fn crowded_data() {
+    let mut world = World::new(&["view"], 2);
+    world.machines.keys().cloned().collect::<Vec<_>>().iter().for_each(|machine| {
+        let rack = if &**machine == "m-view-0" { "rack-0" } else { "rack-1" };
+        let id = world.executor_of(machine);
+        world.executors.get_mut(&id).expect("it lives").info.rack = Some(rack.into());
+    });
+    world.run_for(Duration::from_millis(300));
+    let lasting = StepSpec { is_long_running: true, max_per_executor: 1, ..step(2, 5, 0) };
+    world.submit("lasts", "q-view", job(vec![lasting]));
+    let more =
+        StepSpec { is_long_running: true, data_rack: Some("rack-0".into()), ..step(1, 1, 0) };
+    world.submit("fills", "q-view", job(vec![more]));
+    world.run_for(Duration::from_secs(1));
+    let near = StepSpec { data_rack: Some("rack-0".into()), ..step(1, 3, 1_000) };
+    world.submit("j", "q-view", job(vec![near]));
+    let outcome = world.run_until_over("j", Duration::from_secs(12));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
+
+/// The only machine with the label runs lasting work of another pool, which has room elsewhere.
+#[test]
+fn freed_label() {
+    let mut world = World::new(&["view", "report"], 4);
+    world.run_for(Duration::from_secs(4));
+    let lasting =
+        StepSpec { is_long_running: true, max_per_executor: 1, may_miss: 1, ..step(3, 3, 0) };
+    world.submit("lasts", "q-report", job(vec![lasting]));
+    world.run_for(Duration::from_secs(2));
+    world.label("m-report-0", "gpu");
+    let more = StepSpec { is_long_running: true, may_miss: 1, ..step(2, 1, 0) };
+    world.submit("more", "q-report", job(vec![more]));
+    world.run_for(Duration::from_secs(2));
+    let needs = StepSpec { required_label: Some("gpu".into()), ..step(2, 3, 500) };
+    world.submit("j", "q-view", job(vec![needs]));
+    let outcome = world.run_until_over("j", Duration::from_secs(8));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+    assert!(world.at_work_of("lasts") >= 2, "no more are away than may be");
+}
+
+/// Lasting work of a pool that never needs a label leaves the machines free that others ask for.
+#[test]
+fn label_of_others() {
+    let mut world = World::new(&["view", "report"], 4);
+    world.label("m-report-0", "gpu");
+    let needs = StepSpec { required_label: Some("gpu".into()), ..step(2, 3, 500) };
+    world.submit("asks", "q-view", job(vec![needs]));
+    world.run_for(Duration::from_millis(200));
+    let lasting = StepSpec { is_long_running: true, max_per_executor: 1, ..step(3, 3, 0) };
+    world.submit("lasts", "q-report", job(vec![lasting]));
+    let outcome = world.run_until_over("asks", Duration::from_secs(7));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+    assert_eq!(world.at_work_of("lasts"), 3);
+}
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -120,6 +120,8 @@
     pub waves: Vec<Wave>,
     /// Whether the list of machines can't be had.
     pub hides_machines: bool,
+    /// An executor whose entry in the registry can't be read.
+    pub unreadable: Option<Arc<str>>,
     /// An executor of which the owner gets no answers.
     pub deaf_to: Option<Arc<str>>,
     /// Whether no pool takes a machine of another.
@@ -169,6 +171,7 @@
             takes_machine_orders: true,
             waves: Vec::new(),
             hides_machines: false,
+            unreadable: None,
             deaf_to: None,
             refuses_moves: false,
             machine_order_delay: Duration::ZERO,
@@ -215,7 +218,13 @@
             address: format!("{machine}:1").into(),
             zone: "z".into(),
             rack: Some(rack.into()),
-            labels: vec!["a".into(), rack.into()],
+            labels: self
+                .labels
+                .get(machine)
+                .into_iter()
+                .cloned()
+                .chain(["a".into(), rack.into()])
+                .collect(),
             capacity: Resources { cpu_millicores: 8000, memory_mb: 64_000, gpus: 0 },
             is_draining: false,
         };
@@ -330,7 +339,11 @@
 
     fn list(&mut self) {
         let now = self.now;
-        let listed = self.executors.values().filter(|executor| executor.is_listed(now));
+        let is_readable = |id: &Arc<str>| self.unreadable.as_ref() != Some(id);
+        let listed = self
+            .executors
+            .values()
+            .filter(|executor| executor.is_listed(now) && is_readable(&executor.info.id));
         self.fleet.list_executors(now, listed.map(|executor| executor.info.clone()).collect());
         let machines = self.machines.iter().map(|(id, machine)| MachineInfo {
             id: id.clone(),
@@ -344,7 +357,7 @@
             self.fleet.list_machines(now, now.saturating_sub(STEP), machines);
         }
         let waves = self.waves.iter().map(|wave| (wave.clone(), Duration::ZERO)).collect();
-        self.fleet.set_waves(now, waves);
+        self.fleet.set_waves(now, waves, true);
     }
 
     fn hold_all(&mut self) {
@@ -541,6 +554,23 @@
         self.executors.values().flat_map(FakeExecutor::at_work).filter(of_job).count()
     }
 
+    /// Gives a machine and its executor a label.
+    pub fn label(&mut self, machine: &str, label: &str) {
+        let id = self.executor_of(machine);
+        self.executors.get_mut(&id).expect("it lives").info.labels.push(label.into());
+        self.labels.insert(machine.into(), label.into());
+    }
+
+    /// The machine on which a task of a job runs.
+    pub fn machine_of_task(&self, id: &str) -> Arc<str> {
+        let runs_it = |machine: &Machine| {
+            let executor = machine.executor.as_ref().and_then(|one| self.executors.get(one));
+            executor.is_some_and(|one| one.running().any(|task| &*task.job == id))
+        };
+        let found = self.machines.iter().find(|(_, machine)| runs_it(machine));
+        found.expect("a task of it runs").0.clone()
+    }
+
     /// Tasks of a job that run, at work or starting up.
     pub fn runs_of(&self, id: &str) -> usize {
         let of_job = |task: &&TaskKey| &*task.job == id;
