List what a suspiciously silent watch ought to tell

Cause, from counters printed in a trial on the grown site: a watch that hears nothing (a store that forgets its history does so for a second) just as a turn begins left 120 to 190 jobs a second unseen for 1.3 s, while the owner took its pool for idle and 28 machines instead of 85 were on their way. Change: silence is measured against the gaps between changes; eight of them without news lead to a listing, at most five a second, and fruitless listings space out. The listing every 2.5 s stays. Ruled out: that starts were the limit (4.9 ms an order, 8 ms a write in those seconds), or moves (1.52 s). Measured (trials): deaf_watch failed before (0 of 10 jobs known after 0.9 s).

--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod ports;
 pub mod run;
 pub mod settings;
+pub mod silence;
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -32,6 +32,7 @@
     ownership::{self, Candidate, Term},
     ports::Platform,
     settings::EntrySettings,
+    silence::Silence,
 };
 
 /// Longest time between two looks of the decisions at the clock.
@@ -100,6 +101,8 @@
     pub(crate) order_slots: RefCell<HashMap<ExecutorId, Rc<Semaphore>>>,
     /// Machines that were ordered lately.
     pub(crate) order_note: order_note::OrderNote,
+    /// Whether the watch of the intake is to be doubted.
+    pub(crate) intake_silence: RefCell<Silence>,
     configured_version: Cell<u64>,
 }
 
@@ -256,6 +259,7 @@
         followed: RefCell::new(HashSet::new()),
         order_slots: RefCell::new(HashMap::new()),
         order_note: order_note::OrderNote::default(),
+        intake_silence: RefCell::new(Silence::new(clock::now(), intake::LIST_INTERVAL)),
         configured_version: Cell::new(0),
     });
     tokio::task::spawn_local(owner.clone().renew_loop());
--- a/crates/jackdawpier_entry/src/owner/intake.rs
+++ b/crates/jackdawpier_entry/src/owner/intake.rs
@@ -16,7 +16,9 @@
 /// Pause after a failed watch.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 /// A watch may miss changes without showing it; a full listing finds them this late.
-const LIST_INTERVAL: Duration = Duration::from_millis(2500);
+pub(super) const LIST_INTERVAL: Duration = Duration::from_millis(2500);
+/// How often the silence of the watch is looked at.
+const SILENCE_LOOK: Duration = Duration::from_millis(100);
 /// How often the counts of jobs that haven't begun are written.
 const PENDING_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -26,6 +28,7 @@
             match self.platform.watch(keys::INTAKE, after, WATCH_WAIT).await {
                 Ok(changes) => {
                     after = changes.revision;
+                    self.intake_silence.borrow_mut().heard(clock::now(), changes.changes.len());
                     let items: Vec<_> = changes
                         .changes
                         .into_iter()
@@ -50,19 +53,34 @@
         }
     }
 
+    /// Lists the intake now and then, and soon where the watch is suspiciously silent: a turn of demand
+    /// that began while watches heard nothing was unseen for 1.3 s.
     pub(super) async fn list_intake_again(self: Rc<Self>) {
         while self.is_valid() {
-            tokio::time::sleep(LIST_INTERVAL).await;
-            self.list_intake().await;
+            let wait = self.intake_silence.borrow().wait(clock::now());
+            if wait.is_zero() {
+                self.list_intake().await;
+            } else {
+                tokio::time::sleep(wait.min(SILENCE_LOOK)).await;
+            }
         }
     }
 
     async fn list_intake(&self) -> Option<Revision> {
-        let listing = self.platform.list(keys::INTAKE).await.ok()?;
+        let listing = self.platform.list(keys::INTAKE).await;
+        let Ok(listing) = listing else {
+            // Not again before the next look, so that a failing store isn't pressed.
+            self.intake_silence.borrow_mut().listed(clock::now(), 0);
+            return None;
+        };
         if !self.is_valid() {
             return None;
         }
-        self.take_in(listing.items, &mut HashMap::new());
+        let found = self.take_in(listing.items, &mut HashMap::new());
+        self.intake_silence.borrow_mut().listed(clock::now(), found);
+        if found > 0 {
+            self.events.emit("listing_found", json!({ "jobs": found }));
+        }
         self.changed.notify_one();
         Some(listing.revision)
     }
--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -63,12 +63,14 @@
         None
     }
 
-    /// Takes in accepted jobs first and cancellations after, whatever their order of arrival.
+    /// Takes in accepted jobs first and cancellations after, whatever their order of arrival. Returns the
+    /// number of jobs that weren't known.
     pub(super) fn take_in(
         &self,
         items: Vec<crate::ports::Item>,
         written: &mut HashMap<String, (JobRecord, Revision)>,
-    ) {
+    ) -> usize {
+        let mut found = 0;
         let (now, wall_ms) = (clock::now(), clock::wall_ms());
         let mut fleet = self.fleet.borrow_mut();
         let (submissions, others): (Vec<_>, Vec<_>) =
@@ -78,6 +80,7 @@
             if fleet.view(id).is_some() {
                 continue;
             }
+            found += 1;
             match serde_json::from_slice::<Submission>(&item.value) {
                 Ok(submission) => match written.remove(id) {
                     Some(record) => {
@@ -93,6 +96,7 @@
                 fleet.cancel(now, &id.into());
             }
         }
+        found
     }
 
     pub(super) fn unreadable(&self, key: &str, why: &str) {
--- a/crates/jackdawpier_entry/tests/owner.rs
+++ b/crates/jackdawpier_entry/tests/owner.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use jackdawpier_entry::{keys, pending::Pending};
 use jackdawpier_fleet::{fleet::JobView, record::JobOutcome};
@@ -103,3 +103,24 @@
         assert_eq!(fake.listings(), 2, "one of what was handed in, one of records");
     });
 }
+
+/// Watches that hear nothing just when much comes in: what is handed in then begins all the same.
+#[test]
+fn deaf_watch() {
+    run(async {
+        let fake = Fake::default();
+        let (cell, _owning) = start_owner(&fake, "a");
+        assert!(wait_until(|| fake.value(keys::OWNER).is_some()).await);
+        for number in 0..40 {
+            put_job(&fake, &format!("before-{number}"));
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        fake.set_deaf(true);
+        for number in 0..10 {
+            put_job(&fake, &format!("unheard-{number}"));
+        }
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        let known = (0..10).filter(|number| cell.view(&format!("unheard-{number}")).is_some());
+        assert_eq!(known.count(), 10);
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -72,6 +72,8 @@
     ended: Vec<EndedTask>,
     starts: Vec<(TaskKey, RunNumber)>,
     is_down: bool,
+    /// Watches hear nothing.
+    is_deaf: bool,
     /// Time that a call of the store takes, half of it on the way there.
     delay: Duration,
     /// A wave of maintenance asks for the one machine.
@@ -110,6 +112,11 @@
         self.0.borrow_mut().is_down = is_down;
     }
 
+    /// Makes watches hear nothing, though changes are made.
+    pub fn set_deaf(&self, is_deaf: bool) {
+        self.0.borrow_mut().is_deaf = is_deaf;
+    }
+
     /// Makes each call of the store take this long.
     pub fn set_delay(&self, delay: Duration) {
         self.0.borrow_mut().delay = delay;
@@ -243,7 +250,11 @@
                 .filter(|item| item.revision > after)
                 .map(Change::Put)
                 .collect();
-            if !news.is_empty() || clock::now() > until {
+            let is_deaf = self.0.borrow().is_deaf;
+            if is_deaf && clock::now() > until {
+                return Ok(Changes { changes: Vec::new(), revision: after });
+            }
+            if !is_deaf && (!news.is_empty() || clock::now() > until) {
                 return Ok(Changes { changes: news, revision: listing.revision });
             }
             tokio::time::sleep(Duration::from_millis(2)).await;
