Write the note of machine orders anew once they don't matter any more

The note's ages are as old as the note, which was last written with the last order: a new owner left 25 machines alone that had been ordered long before. Change: once a second the owner writes the note anew if it names orders that don't matter any more. Ruled out: vacating busy machines (the idle ones sufficed), late listings of machines (10 ms after the take-over).

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -277,6 +277,7 @@
     tokio::task::spawn_local(owner.clone().publish_pending());
     tokio::task::spawn_local(owner.clone().forget_loop());
     tokio::task::spawn_local(owner.clone().explain_loop());
+    tokio::task::spawn_local(owner.clone().tidy_order_note());
     owner.clone().tick_loop().await;
     owner.written.notify_waiters();
     let lasted_ms = clock::since(started_at).as_millis() as u64;
--- a/crates/jackdawpier_entry/src/owner/order_note.rs
+++ b/crates/jackdawpier_entry/src/owner/order_note.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    rc::Rc,
     time::Duration,
 };
 
@@ -19,12 +20,15 @@
 use super::{Owner, fleet_settings};
 use crate::{
     clock, keys,
-    ports::{CallError, Platform, Transaction, TransactionEnd},
+    ports::{CallResult, Platform, Transaction, TransactionEnd},
 };
 
 /// Pause before a note that couldn't be read is asked for again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How often the note is looked at for orders that don't matter any more.
+const TIDY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A machine in the note.
 #[derive(Debug, Serialize, Deserialize)]
 struct Noted {
@@ -57,6 +61,12 @@
         self.ordered_at.borrow_mut().insert(machine.clone(), Some(at));
     }
 
+    /// Whether the note in the store names machines whose orders don't matter any more.
+    fn is_outdated(&self, now: Now, relevant_for: Duration) -> bool {
+        let is_old = |at: &Option<Now>| at.is_some_and(|at| now.saturating_sub(at) >= relevant_for);
+        self.ordered_at.borrow().values().any(is_old)
+    }
+
     /// What to write now: the machines whose orders may matter for `relevant_for`, with their ages.
     fn value(&self, now: Now, relevant_for: Duration) -> Vec<u8> {
         let mut ordered_at = self.ordered_at.borrow_mut();
@@ -107,6 +117,20 @@
         fleet_settings(&self.settings).order_lease
     }
 
+    /// Writes the note anew once orders in it don't matter any more: ages in it are as old as the note, so
+    /// the next owner would leave those machines alone for up to 3.9 s, in which it has most to move.
+    pub(super) async fn tidy_order_note(self: Rc<Self>) {
+        while self.is_valid() {
+            tokio::time::sleep(TIDY_INTERVAL).await;
+            if self.order_note.is_outdated(clock::now(), self.order_lease()) {
+                let mut revision = self.order_note.revision.lock().await;
+                if let Err(error) = self.write_order_note(&mut revision).await {
+                    self.events.emit("note_not_tidied", json!({ "why": error.to_string() }));
+                }
+            }
+        }
+    }
+
     /// Notes that a machine is about to be ordered. Returns whether the order may leave: the store
     /// holds the note and has just confirmed the ownership.
     pub(super) async fn note_order(&self, machine: &MachineId) -> bool {
@@ -117,12 +141,23 @@
         if note.written.get() >= place {
             return self.is_valid();
         }
+        match self.write_order_note(&mut revision).await {
+            Ok(is_written) => is_written && self.is_valid(),
+            Err(error) => {
+                let fields = json!({ "machine": **machine, "why": error.to_string() });
+                self.events.emit("machine_not_noted", fields);
+                false
+            }
+        }
+    }
+
+    /// Writes the note under the condition that this is the owner and the note is as it was left. Returns
+    /// whether the store holds it.
+    async fn write_order_note(&self, revision: &mut Option<Revision>) -> CallResult<bool> {
+        let note = &self.order_note;
         let expected = match *revision {
             Some(expected) => expected,
-            None => match self.platform.get(keys::MACHINE_ORDERS).await {
-                Ok(item) => item.map_or(0, |item| item.revision),
-                Err(error) => return self.note_failed(machine, &error),
-            },
+            None => self.platform.get(keys::MACHINE_ORDERS).await?.map_or(0, |item| item.revision),
         };
         *revision = None;
         let covered = note.added.get();
@@ -132,29 +167,21 @@
             puts: vec![(key, note.value(clock::now(), self.order_lease()), None)],
             removes: Vec::new(),
         };
-        match self.platform.commit(&transaction).await {
-            Ok(TransactionEnd::Committed(committed)) => {
+        match self.platform.commit(&transaction).await? {
+            TransactionEnd::Committed(committed) => {
                 *revision = Some(committed);
                 note.written.set(covered);
-                self.is_valid()
+                Ok(true)
             }
-            Ok(TransactionEnd::Conflict(items)) => {
+            TransactionEnd::Conflict(items) => {
                 let is_owner = |item: &crate::ports::Item| {
                     item.key == keys::OWNER && item.revision == self.term.fence
                 };
                 if !items.iter().any(is_owner) {
                     self.term.lose();
                 }
-                false
+                Ok(false)
             }
-            Err(error) => self.note_failed(machine, &error),
         }
     }
-
-    /// Without the note the order doesn't leave.
-    fn note_failed(&self, machine: &MachineId, error: &CallError) -> bool {
-        let fields = json!({ "machine": **machine, "why": error.to_string() });
-        self.events.emit("machine_not_noted", fields);
-        false
-    }
 }
--- a/crates/jackdawpier_entry/tests/order_note.rs
+++ b/crates/jackdawpier_entry/tests/order_note.rs
@@ -48,3 +48,18 @@
         assert!(wait_until(|| !fake.machine_orders().is_empty()).await);
     });
 }
+
+/// Ages in the note are as old as the note: once no order in it matters any more it is written anew, or
+/// each later owner would leave its machines alone for seconds.
+#[test]
+fn old_orders() {
+    run(async {
+        let fake = Fake::default();
+        fake.ask_for_maintenance();
+        let (_cell, _owning) = start_owner(&fake, "a");
+        assert!(wait_until(|| !fake.machine_orders().is_empty()).await);
+        let names_none = || fake.value(keys::MACHINE_ORDERS).is_some_and(|note| note == b"[]");
+        assert!(!names_none());
+        assert!(wait_until(names_none).await);
+    });
+}
