--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -5,6 +5,7 @@
 
 mod commits;
 mod executors;
+mod freed_labels;
 mod gangs;
 mod held_room;
 mod maintenance;
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/freed_labels.rs
@@ -0,0 +1,101 @@
+//! Machines with a label that few have, freed of lasting work that could run elsewhere.
+//!
+//! Lasting work that came before anybody asked for the label may sit on all machines that have it, and
+//! would for as long as it lasts.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use jackdawpier_kernel::{
+    Now,
+    ids::{PoolName, ServiceName},
+};
+
+use super::{Fleet, openings::Openings, pool_view::Pool};
+use crate::{
+    machines::{Errand, MachineId, MachineInfo, MachineState, MachineWork, Stage},
+    spec::Label,
+};
+
+/// A pool has to lack machines with a label for this long before lasting work makes way for it.
+const FREED_AFTER: Duration = Duration::from_secs(1);
+/// Machines that lasting work leaves at the same time for the sake of a label.
+const FREED_AT_ONCE: usize = 2;
+
+impl Fleet {
+    /// Remembers since when each pool lacks machines with a label.
+    pub(super) fn note_label_lacks(&mut self, now: Now) {
+        let lacks: BTreeSet<(PoolName, Label)> = self
+            .shortages
+            .iter()
+            .filter_map(|shortage| Some((shortage.pool.clone(), shortage.label.clone()?)))
+            .collect();
+        self.label_lacks_since.retain(|lack, _| lacks.contains(lack));
+        for lack in lacks {
+            self.label_lacks_since.entry(lack).or_insert(now);
+        }
+    }
+
+    fn has_lacked_for_long(&self, now: Now, pool: &PoolName, label: &Label) -> bool {
+        let lack = (pool.clone(), label.clone());
+        let since = self.label_lacks_since.get(&lack);
+        since.is_some_and(|since| now.saturating_sub(*since) >= FREED_AFTER)
+    }
+
+    /// A machine of another pool with a label that runs nothing but lasting work which doesn't need it
+    /// and has room elsewhere: its tasks are given away one by one, then it moves. Where few machines
+    /// have the label all of them may be taken by such work.
+    pub(super) fn machine_to_free(
+        &self,
+        now: Now,
+        pools: &BTreeMap<PoolName, Pool>,
+        to: &PoolName,
+        label: &Label,
+    ) -> Option<MachineId> {
+        if !self.has_lacked_for_long(now, to, label) {
+            return None;
+        }
+        let is_freed = |errand: &Errand| {
+            matches!((&errand.work, &errand.stage), (MachineWork::Move(_), Stage::Vacating { .. }))
+        };
+        if self.machines.errands.values().filter(|errand| is_freed(errand)).count() >= FREED_AT_ONCE
+        {
+            return None;
+        }
+        let openings = self.openings(now);
+        let can_leave = |info: &&MachineInfo| {
+            let is_able = info.state == MachineState::Up
+                && info.labels.contains(label)
+                && info.pool != *to
+                && self.may_move(&info.id, to)
+                && !self.machines.errands.contains_key(&info.id)
+                && !self.machines.is_held(now, &info.id);
+            let is_spared =
+                || pools.get(&info.pool).is_some_and(|pool| pool.can_spare(&info.labels));
+            is_able && is_spared() && self.can_give_away(info, label, &openings)
+        };
+        self.machines.listed.values().find(can_leave).map(|info| info.id.clone())
+    }
+
+    /// Whether all that runs on a machine is lasting work that needs no label of its own and has room
+    /// elsewhere.
+    fn can_give_away(
+        &self,
+        info: &MachineInfo,
+        label: &Label,
+        openings: &HashMap<ServiceName, Openings>,
+    ) -> bool {
+        let Some(executor) = info.executor.as_ref().and_then(|id| self.executors.get(id)) else {
+            return false;
+        };
+        executor.is_synced
+            && executor.tasks.iter().all(|task| {
+                let step = self.jobs[&task.0].step(task.1);
+                step.is_long_running
+                    && step.required_label.as_ref() != Some(label)
+                    && self.has_room_elsewhere(task, openings)
+            })
+    }
+}
