Don't call a newcomer ready before the members that it read are counted

Cause of the red connection_limit (503 not_ready right after /readyz said ready): a reading of the store was noted at once, the members in it only with the next tick. In between the entry took itself for the only one, so the store's documents alone were enough, and for a store outage, so it needed no lease. The tick then took both back.

Change: heard_store takes the view and counts its members in the same step; an entry that the store has answered since its lease ended doesn't take the store for out.

Ruled out: a lease that is renewed late (the lease is 10 s in that test; the entry never had one).

--- a/crates/jackdawpier_coord/src/configuration.rs
+++ b/crates/jackdawpier_coord/src/configuration.rs
@@ -147,8 +147,11 @@
         serde_json::from_str(&record.value).is_ok_and(|document| self.offer(document))
     }
 
-    /// Notes an answer of the store, after the documents were read at least once.
-    pub fn heard_store(&mut self, now: Now) {
+    /// Notes an answer of the store, after the documents were read at least once, and the members
+    /// that the view has by then. Both belong together: an entry that had the answer but not yet the
+    /// members took itself for the only one, said that it was ready, and refused the next request.
+    pub fn heard_store(&mut self, now: Now, view: &View) {
+        self.note_members(now, view);
         self.first_store_at.get_or_insert(now);
         self.heard_store_at = Some(now);
     }
@@ -210,12 +213,16 @@
         self.is_loaded && (is_member || self.is_store_outage(now, standing))
     }
 
-    /// Whether it is the store that is out, as far as can be told, and not this entry.
+    /// Whether it is the store that is out, as far as can be told, and not this entry. An answer that
+    /// came here without a lease says that the store is up and the lease will follow.
     fn is_store_outage(&self, now: Now, standing: &Standing) -> bool {
         let heard = self.fresh_contacts(now).count();
         let has_majority = self.is_majority(heard + 1, &standing.entry);
         let since = standing.member_until;
-        let store_answers = self.fresh_contacts(now).any(|(_, c)| c.store_at > Some(since));
+        let is_recent = |at: &Now| now < *at + self.isolation_limit;
+        let own_at = self.heard_store_at.filter(is_recent);
+        let others_at = self.fresh_contacts(now).map(|(_, contact)| contact.store_at);
+        let store_answers = others_at.chain([own_at]).any(|at| at > Some(since));
         has_majority && !store_answers
     }
 
--- a/crates/jackdawpier_proofs/tests/world/entry.rs
+++ b/crates/jackdawpier_proofs/tests/world/entry.rs
@@ -390,7 +390,7 @@
             Purpose::Membership => {
                 self.membership.on_result(now, &result);
                 if matches!(result, Ok(Response::Lease { .. })) && self.is_view_loaded {
-                    self.configuration.heard_store(now);
+                    self.configuration.heard_store(now, &self.view);
                 }
             }
             Purpose::Ownership(shard) => {
@@ -426,7 +426,7 @@
             }
         }
         self.is_view_loaded = true;
-        self.configuration.heard_store(now);
+        self.configuration.heard_store(now, &self.view);
     }
 }
 
--- a/crates/jackdawpierd/src/control.rs
+++ b/crates/jackdawpierd/src/control.rs
@@ -114,7 +114,8 @@
         let mut coordination = entry.coordination();
         coordination.membership.on_result(now, &result);
         if matches!(result, Ok(Response::Lease { .. })) && coordination.is_view_loaded {
-            coordination.configuration.heard_store(now);
+            let Coordination { view, configuration, .. } = &mut *coordination;
+            configuration.heard_store(now, view);
         }
     });
 }
--- a/crates/jackdawpierd/src/view_sync.rs
+++ b/crates/jackdawpierd/src/view_sync.rs
@@ -5,7 +5,10 @@
 use jackdawpier_coord::keys;
 use jackdawpier_store::{Change, Record, Request, Response, StoreError};
 
-use crate::{entry::Entry, heartbeats::refresh_services};
+use crate::{
+    entry::{Coordination, Entry},
+    heartbeats::refresh_services,
+};
 
 /// Longest wait of one watch call; the store counts each waiting call as one.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
@@ -80,7 +83,8 @@
             }
         }
         coordination.is_view_loaded = true;
-        coordination.configuration.heard_store(now);
+        let Coordination { view, configuration, .. } = &mut *coordination;
+        configuration.heard_store(now, view);
         records
             .iter()
             .filter(|record| record.key.starts_with(keys::CONFIGURATION))
@@ -108,7 +112,8 @@
                 is_changed |= coordination.configuration.offer_record(record);
             }
         }
-        coordination.configuration.heard_store(now);
+        let Coordination { view, configuration, .. } = &mut *coordination;
+        configuration.heard_store(now, view);
         is_changed
     };
     if is_changed {
