Bring scarce labels to where work waits for them, and serve starved jobs in turn

By counts logged in trials: 2,200 tasks waited for the label in a pool with one such machine while three to five of another pool ran nothing; jobs there ran nothing for up to 24 s behind others with many tasks.

Causes and changes, each with a test that failed before: - A pool kept idle machines with a label for tasks that ran already, counted at the size of the largest: only what waits counts now (suited_executors::idle_label). - Machines that ran ending work of a busy pool were never freed for a label (busy_label). - A starved job got room for all its tasks before the next one: one each, in turn (starved_jobs). - A need that fits nowhere is remembered with its label, so jobs that can't run anywhere no longer use up the tries of a round (starved_jobs::behind_hopeless).

--- a/crates/jackdawpier_fleet/src/fleet/freed_labels.rs
+++ b/crates/jackdawpier_fleet/src/fleet/freed_labels.rs
@@ -1,7 +1,7 @@
-//! Machines with a label that few have, freed of lasting work that could run elsewhere.
+//! Machines with a label that few have, freed of work that could run elsewhere.
 //!
 //! Lasting work that came before anybody asked for the label may sit on all machines that have it, and
-//! would for as long as it lasts.
+//! would for as long as it lasts. Work that ends fills them anew as long as its pool is busy.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -44,9 +44,9 @@
         since.is_some_and(|since| now.saturating_sub(*since) >= FREED_AFTER)
     }
 
-    /// A machine of another pool with a label that runs nothing but lasting work which doesn't need it
-    /// and has room elsewhere: its tasks are given away one by one, then it moves. Where few machines
-    /// have the label all of them may be taken by such work.
+    /// A machine of another pool with a label that runs nothing but work which doesn't need it, and no
+    /// lasting work without room elsewhere: new work goes elsewhere, lasting tasks are given away one by
+    /// one, then it moves. Where few machines have the label all of them may be taken by such work.
     pub(super) fn machine_to_free(
         &self,
         now: Now,
@@ -79,8 +79,7 @@
         self.machines.listed.values().find(can_leave).map(|info| info.id.clone())
     }
 
-    /// Whether all that runs on a machine is lasting work that needs no label of its own and has room
-    /// elsewhere.
+    /// Whether all that runs on a machine can do without the label, and ends by itself or has room elsewhere.
     fn can_give_away(
         &self,
         info: &MachineInfo,
@@ -93,9 +92,9 @@
         executor.is_synced
             && executor.tasks.iter().all(|task| {
                 let step = self.jobs[&task.0].step(task.1);
-                step.is_long_running
-                    && step.required_label.as_ref() != Some(label)
-                    && self.has_room_elsewhere(task, openings)
+                let ends_or_leaves =
+                    || !step.is_long_running || self.has_room_elsewhere(task, openings);
+                step.required_label.as_ref() != Some(label) && ends_or_leaves()
             })
     }
 }
--- a/crates/jackdawpier_fleet/src/fleet/held_room.rs
+++ b/crates/jackdawpier_fleet/src/fleet/held_room.rs
@@ -34,12 +34,17 @@
 /// slower than usual, or stand still.
 const HELD_FOR: Duration = Duration::from_secs(6);
 const HELD_PERIOD: Duration = Duration::from_secs(10);
-/// Starved jobs that are tried in a round: the first may be one that can't run anywhere.
-const TRIED_AT_ONCE: usize = 8;
+/// Starved jobs of a service that are tried in a round and find no room: some can't run anywhere, and
+/// each try compares all executors.
+const MISSES_AT_ONCE: usize = 8;
 
 impl Fleet {
-    /// Places the jobs that have waited longest ahead of all others, and holds room for the first of a
-    /// service that finds none.
+    /// Gives the jobs that have waited longest a task each ahead of all others, and holds room for the
+    /// first of a service that finds none.
+    ///
+    /// One each, since a job of hundreds of tasks would keep the other starved ones from running
+    /// anything until it is through. Where work for 25 s had piled up for the few machines with a label,
+    /// jobs ran nothing for up to 24 s; in turn each gets a task every two or three.
     pub(super) fn place_starved(
         &mut self,
         now: Now,
@@ -51,13 +56,22 @@
             .filter_map(|(_, id)| {
                 let job = &self.jobs[id];
                 let index = starved_task(now, job, FIRST_AFTER)?;
-                Some((job.tasks[index].waits_since, id.clone()))
+                let waits_since = job.tasks[index].waits_since;
+                let in_turn_since = job.served_at.map_or(waits_since, |at| at.max(waits_since));
+                Some((in_turn_since, id.clone()))
             })
             .collect();
-        for (_, id) in starved.into_iter().take(TRIED_AT_ONCE) {
+        for (_, id) in starved {
             let openings = self.service_of(&id).and_then(|service| openings.get_mut(service));
-            if let Some(openings) = openings.filter(|one| !one.has_held) {
-                self.place_job(now, &id, openings);
+            let Some(openings) = openings else { continue };
+            let next = self.jobs[&id].startable.front();
+            let is_refused =
+                next.is_some_and(|&index| openings.has_refused(self.jobs[&id].step(index)));
+            if is_refused || openings.starved_misses >= MISSES_AT_ONCE {
+                continue;
+            }
+            if !self.place_job(now, &id, openings, 1) {
+                openings.starved_misses += 1;
                 self.hold_room(now, &id, openings);
             }
         }
--- a/crates/jackdawpier_fleet/src/fleet/openings.rs
+++ b/crates/jackdawpier_fleet/src/fleet/openings.rs
@@ -28,18 +28,23 @@
 pub(super) struct Openings {
     /// Those that take work.
     pub(super) executors: Vec<ExecutorId>,
-    /// The smallest needs that fitted none of them.
-    refused: Vec<Resources>,
+    /// The smallest needs that fitted none of them, with the label that they asked for.
+    refused: Vec<(Option<Label>, Resources)>,
     /// Executors with labels that few have and some jobs ask for, with those labels.
     scarce: HashMap<ExecutorId, Vec<Label>>,
     /// Room is held for a job already, see [`super::held_room`].
     pub(super) has_held: bool,
+    /// Starved jobs that were tried and found no room.
+    pub(super) starved_misses: usize,
 }
 
 impl Openings {
-    /// Whether a need is known to fit nowhere in this round.
-    pub(super) fn has_refused(&self, need: &Resources) -> bool {
-        self.refused.iter().any(|refused| refused.fits(need))
+    /// Whether a task of a step is known to fit nowhere in this round: one as small didn't, with the same
+    /// label or with none.
+    pub(super) fn has_refused(&self, step: &StepSpec) -> bool {
+        let need = step.booked();
+        let covers = |label: &Option<Label>| label.is_none() || *label == step.required_label;
+        self.refused.iter().any(|(label, refused)| covers(label) && refused.fits(&need))
     }
 
     /// Whether an executor has a label that few have and that a step doesn't ask for.
@@ -50,10 +55,12 @@
         })
     }
 
-    /// A need has fitted nowhere, though nothing but room was asked for.
-    pub(super) fn note_refused(&mut self, need: Resources) {
-        self.refused.retain(|larger| !need.fits(larger));
-        self.refused.push(need);
+    /// A task of a step has fitted nowhere, though nothing but room and a label was asked for.
+    pub(super) fn note_refused(&mut self, step: &StepSpec) {
+        let need = step.booked();
+        let label = &step.required_label;
+        self.refused.retain(|(known, larger)| known != label || !need.fits(larger));
+        self.refused.push((label.clone(), need));
     }
 }
 
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -74,7 +74,7 @@
         for (_, id) in waiting {
             let openings = self.service_of(&id).and_then(|service| openings.get_mut(service));
             if let Some(openings) = openings.filter(|one| !one.executors.is_empty()) {
-                self.place_job(now, &id, openings);
+                self.place_job(now, &id, openings, usize::MAX);
                 self.hold_room(now, &id, openings);
             }
         }
@@ -85,62 +85,68 @@
         self.queues.get(&job.queue).map(|queue| &queue.service)
     }
 
-    /// Places what fits of one job.
-    pub(super) fn place_job(&mut self, now: Now, id: &JobId, openings: &mut Openings) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+    /// Places what fits of one job, at most `most` single tasks or gangs, and returns whether there was
+    /// room for any.
+    pub(super) fn place_job(
+        &mut self,
+        now: Now,
+        id: &JobId,
+        openings: &mut Openings,
+        most: usize,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else { return false };
         let candidates: Vec<TaskIndex> = job.startable.drain(..).collect();
         let mut kept = Vec::new();
         // Tasks of a step are alike: once one fits nowhere, none does.
         let mut full_slots: Vec<usize> = Vec::new();
-        let mut has_placed = false;
+        let mut placed = 0;
         for index in candidates {
             let job = &self.jobs[id];
             if job.tasks[index].phase != Phase::Waiting {
                 continue;
             }
             let (step, slot) = (job.step(index), job.slot(index));
-            let need = step.booked();
-            let is_hopeless = full_slots.contains(&slot)
-                || openings.has_refused(&need)
+            let is_hopeless = placed >= most
+                || full_slots.contains(&slot)
+                || openings.has_refused(step)
                 || job.tasks[index].not_before > now;
             if is_hopeless {
                 kept.push(index);
                 continue;
             }
             if step.is_gang {
-                has_placed |= self.place_gang(now, id, slot, openings);
+                placed += usize::from(self.place_gang(now, id, slot, openings));
                 if self.jobs[id].tasks[index].phase == Phase::Waiting {
                     full_slots.push(slot);
                     kept.push(index);
                 }
                 continue;
             }
-            let asks_for_room_only = self.asks_for_room_only(job, step);
+            let is_plain = self.is_plain(job, step);
             if let Some(executor) = self.choose(now, id, index, None, openings) {
                 self.plan(id, index, executor);
-                has_placed = true;
+                placed += 1;
                 continue;
             }
-            if asks_for_room_only {
-                openings.note_refused(need);
+            if is_plain {
+                openings.note_refused(self.jobs[id].step(index));
             }
             full_slots.push(slot);
             kept.push(index);
         }
         let job = self.jobs.get_mut(id).expect("it was read above");
         job.startable.extend(kept);
-        if has_placed {
+        if placed > 0 {
+            job.served_at = Some(now);
             self.touch(id);
         }
+        placed > 0
     }
 
-    /// Whether nothing but its room keeps an executor from running a step.
-    fn asks_for_room_only(&self, job: &Job, step: &StepSpec) -> bool {
+    /// Whether nothing but its room and its labels keeps an executor from running a step.
+    fn is_plain(&self, job: &Job, step: &StepSpec) -> bool {
         let needs_advice = self.queues.get(&job.queue).is_some_and(|queue| queue.needs_advice);
-        !needs_advice
-            && step.required_label.is_none()
-            && step.data_rack.is_none()
-            && step.max_per_executor == 0
+        !needs_advice && step.data_rack.is_none() && step.max_per_executor == 0
     }
 
     fn plan(&mut self, id: &JobId, index: TaskIndex, executor: ExecutorId) {
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -1,8 +1,8 @@
 //! What each pool holds and needs, as the planning of moves sees it.
 //!
 //! A pool's need is what runs, what waits and may still be of use, and what arrives at the present
-//! rate. Tasks that need a label are counted for themselves as well: machines with the label that are
-//! full of other work are none for them.
+//! rate. Tasks that wait for a label are counted for themselves as well: machines with the label that
+//! are full of other work are none for them.
 
 use std::collections::BTreeMap;
 
@@ -10,7 +10,6 @@
 
 use super::Fleet;
 use crate::{
-    executor::Executor,
     job::{Job, Phase},
     machines::{MachineId, MachineState, MachineWork},
     order::rank,
@@ -39,10 +38,11 @@
 struct LabelNeed {
     /// Machines with the label that are up or on their way.
     machines: usize,
-    /// Tasks of the largest need below that there is room for beside other work.
+    /// Tasks of the largest need below that there is room for beside what runs.
     room_tasks: usize,
-    /// Tasks that run or wait.
-    tasks: usize,
+    /// Tasks that wait. What runs already has its room: counted with those that wait, at the size of
+    /// the largest, it kept machines that ran nothing while 2,000 tasks waited elsewhere.
+    waiting: usize,
     /// The largest need of any of them.
     largest: Resources,
 }
@@ -75,7 +75,7 @@
     pub(super) fn can_spare(&self, labels: &[Label]) -> bool {
         labels.iter().filter_map(|label| self.labels.get(label)).all(|need| {
             let left_tasks = need.room_tasks.saturating_sub(need.tasks_of(&self.machine));
-            need.machines > 1 && left_tasks >= need.tasks
+            need.machines > 1 && left_tasks >= need.waiting
         })
     }
 
@@ -89,34 +89,32 @@
         }
     }
 
-    /// Counts a machine with these labels that leaves `room` for the tasks which need one; none where
-    /// all of it is theirs.
-    fn count_labels(&mut self, labels: &[Label], room: impl Fn(&Label) -> Option<Resources>) {
+    /// Counts a machine with these labels that has this room left.
+    fn count_labels(&mut self, labels: &[Label], room: &Resources) {
         for label in labels {
             if let Some(need) = self.labels.get_mut(label) {
                 need.machines += 1;
-                let tasks = need.tasks_of(&room(label).unwrap_or(self.machine));
-                need.room_tasks = need.room_tasks.saturating_add(tasks);
+                need.room_tasks = need.room_tasks.saturating_add(need.tasks_of(room));
             }
         }
     }
 }
 
 impl LabelNeed {
-    /// Tasks of the largest need that fit into some room; none while there are no tasks.
+    /// Tasks of the largest need that fit into some room; none while none waits.
     fn tasks_of(&self, room: &Resources) -> usize {
-        if self.tasks == 0 { 0 } else { room.count(&self.largest) }
+        if self.waiting == 0 { 0 } else { room.count(&self.largest) }
     }
 
     fn lacks(&self, machine: &Resources) -> usize {
-        let missing = self.tasks.saturating_sub(self.room_tasks);
+        let missing = self.waiting.saturating_sub(self.room_tasks);
         let per_machine = self.tasks_of(machine);
         // Larger than any machine: fetching more of them is of no use.
         if per_machine == 0 { 0 } else { missing.div_ceil(per_machine) }
     }
 
-    fn add(&mut self, need: Resources) {
-        self.tasks += 1;
+    fn add_waiting(&mut self, need: Resources) {
+        self.waiting += 1;
         self.largest.raise_to(&need);
     }
 }
@@ -132,7 +130,8 @@
             if let Some(MachineWork::Move(to)) = errand.map(|errand| &errand.work) {
                 if let Some(pool) = pools.get_mut(to) {
                     pool.arriving += 1;
-                    pool.count_labels(&info.labels, |_| None);
+                    let room = pool.machine;
+                    pool.count_labels(&info.labels, &room);
                 }
                 continue;
             }
@@ -147,7 +146,7 @@
                 continue;
             }
             pool.up += 1;
-            pool.count_labels(&info.labels, |label| Some(self.room_for_label(executor, label)));
+            pool.count_labels(&info.labels, &executor.free());
             let is_held = self.machines.is_held(now, &info.id);
             if executor.tasks.is_empty() && executor.is_synced && !is_held {
                 pool.idle.push(info.id.clone());
@@ -176,19 +175,7 @@
         unknown.for_each(|pool| pool.machine = largest);
     }
 
-    /// What an executor has left for tasks that need a label, those that run there included.
-    fn room_for_label(&self, executor: &Executor, label: &Label) -> Resources {
-        let mut room = executor.free();
-        for (id, index) in &executor.tasks {
-            let Some(step) = self.jobs.get(id).map(|job| job.step(*index)) else { continue };
-            if step.required_label.as_ref() == Some(label) {
-                room.add(&step.booked());
-            }
-        }
-        room
-    }
-
-    /// Counts what runs and waits and can only run on machines with a certain label.
+    /// Counts what waits and can only run on machines with a certain label.
     fn add_label_needs(&self, pools: &mut BTreeMap<PoolName, Pool>) {
         for (queue, ids) in &self.open {
             let Some(queue) = self.queues.get(queue) else { continue };
@@ -202,8 +189,8 @@
                     let Some(label) = &step.required_label else { continue };
                     let need = pool.labels.entry(label.clone()).or_default();
                     let is_open = job.progress[job.slot(index)].is_open;
-                    if is_open && task.phase != Phase::Done {
-                        need.add(step.booked());
+                    if is_open && task.phase == Phase::Waiting {
+                        need.add_waiting(step.booked());
                     }
                 }
             }
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -129,6 +129,8 @@
     began_at: Vec<Now>,
     /// Tasks that wait for an executor, in the order in which they are tried.
     pub(crate) startable: VecDeque<TaskIndex>,
+    /// When some of them last got one.
+    pub(crate) served_at: Option<Now>,
     pub(crate) outcome: Option<JobOutcome>,
     pub(crate) is_cancelled: bool,
     pub(crate) has_begun: bool,
@@ -174,6 +176,7 @@
             progress: one.repeat(occurrences),
             began_at: vec![accepted_at; occurrences],
             startable: VecDeque::new(),
+            served_at: None,
             outcome: None,
             is_cancelled: false,
             has_begun: false,
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/starved_jobs.rs
@@ -0,0 +1,54 @@
+//! Jobs that can't be in time any more share what room there is.
+
+mod world;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jackdawpier_fleet::{fleet::JobView, spec::StepSpec};
+use world::{World, executor::FakeExecutor, job, step};
+
+/// Work for 40 s comes at once. From five seconds on each job is starved; those with many tasks must not
+/// keep all others from running anything until they are through.
+#[test]
+fn served_in_turn() {
+    const JOBS: usize = 20;
+    const STEP: Duration = Duration::from_millis(100);
+    let mut world = World::new(&["view"], 1);
+    let ids: Vec<String> = (0..JOBS).map(|number| format!("job-{number:02}")).collect();
+    for id in &ids {
+        world.submit(id, "q-view", job(vec![step(16, 2, 500)]));
+    }
+    world.run_for(Duration::from_secs(7));
+    let mut idle_since: BTreeMap<&str, Duration> = BTreeMap::new();
+    let mut longest = Duration::ZERO;
+    for _ in 0..60 {
+        world.run_for(STEP);
+        for id in &ids {
+            let mut running = world.executors.values().flat_map(FakeExecutor::running);
+            let is_over = matches!(world.fleet.view(id), Some(JobView::Over(_)));
+            if is_over || running.any(|task| *task.job == **id) {
+                idle_since.remove(id.as_str());
+            } else {
+                let since = *idle_since.entry(id).or_insert(world.now);
+                longest = longest.max(world.now.saturating_sub(since));
+            }
+        }
+    }
+    // Four tasks at a time, half a second each: all jobs get one within 2.5 s.
+    assert!(longest <= Duration::from_secs(5), "a job ran nothing for {longest:?}");
+}
+
+/// The longest waiting jobs ask for what nobody has; the next one is tried all the same.
+#[test]
+fn behind_hopeless() {
+    let mut world = World::new(&["view"], 1);
+    for number in 0..20 {
+        let nowhere = StepSpec { required_label: Some("nobody".into()), ..step(1, 2, 500) };
+        world.submit(&format!("a-{number:02}"), "q-view", job(vec![nowhere]));
+    }
+    world.submit("long", "q-view", job(vec![step(400, 2, 500)]));
+    world.run_for(Duration::from_millis(100));
+    world.submit("z", "q-view", job(vec![step(1, 2, 500)]));
+    let outcome = world.run_until_over("z", Duration::from_secs(10));
+    assert!(outcome.is_some(), "it gets its turn");
+}
--- a/crates/jackdawpier_fleet/tests/suited_executors.rs
+++ b/crates/jackdawpier_fleet/tests/suited_executors.rs
@@ -4,7 +4,11 @@
 
 use std::time::Duration;
 
-use jackdawpier_fleet::{machines::MachineWork, record::JobOutcome, spec::StepSpec};
+use jackdawpier_fleet::{
+    machines::MachineWork,
+    record::JobOutcome,
+    spec::{Resources, StepSpec},
+};
 use world::{World, job, step};
 
 fn far_runs(world: &World) -> usize {
@@ -161,3 +165,42 @@
     assert_eq!(outcome, Some(JobOutcome::Completed));
     assert_eq!(world.at_work_of("lasts"), 3);
 }
+
+/// Two machines of another pool run lasting work that needs the label, one task of it larger than the
+/// others: the third, which runs nothing, is not kept for what runs already.
+#[test]
+fn idle_label() {
+    let mut world = World::new(&["view", "report"], 4);
+    for machine in ["m-report-0", "m-report-1", "m-report-2"] {
+        world.label(machine, "gpu");
+    }
+    world.run_for(Duration::from_secs(4));
+    let lasting = |count, memory_mb| StepSpec {
+        need: Resources { cpu_millicores: 1_000, memory_mb, gpus: 0 },
+        required_label: Some("gpu".into()),
+        is_long_running: true,
+        ..step(count, 1, 0)
+    };
+    world.submit("large", "q-report", job(vec![lasting(1, 60_000)]));
+    world.submit("small", "q-report", job(vec![lasting(3, 1_000)]));
+    world.run_for(Duration::from_secs(2));
+    let needs = StepSpec { required_label: Some("gpu".into()), ..step(4, 3, 500) };
+    world.submit("j", "q-view", job(vec![needs]));
+    let outcome = world.run_until_over("j", Duration::from_secs(5));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
+
+/// The machines with the label run work of another pool that ends and could run anywhere: new work of
+/// that pool goes elsewhere, and they come as soon as they are empty.
+#[test]
+fn busy_label() {
+    let mut world = World::new(&["view", "report"], 4);
+    world.label("m-report-0", "gpu");
+    world.run_for(Duration::from_secs(4));
+    world.submit("others", "q-report", job(vec![step(400, 4, 1_000)]));
+    world.run_for(Duration::from_millis(500));
+    let needs = StepSpec { required_label: Some("gpu".into()), ..step(2, 3, 500) };
+    world.submit("j", "q-view", job(vec![needs]));
+    let outcome = world.run_until_over("j", Duration::from_secs(6));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
