Let an owner on a machine that turned slow give the fleet up; take the registry in as changes

A slow owner renews in time, so nobody took the fleet from it.

Change: each owner times a fixed computation of 12 us every 50 ms; once the middle of nine is under a quarter of the machine's best speed it gives the fleet up. A slow candidate counts as a small one; one that was slow when it took over keeps it, so there is an owner where all are slow. Also: renewals of the registry that change nothing are no news and changes are applied one by one (a sixth of the owner's samples were spent on copying and listing all 540 executors 360 times a second); hold loops wake for their own ends only; answers without an end are bounded by the processor; leases that may have lapsed are looked for every 50 ms, not with each decision.

--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod ownership;
 pub mod pending;
 pub mod ports;
+pub mod registry;
 pub mod run;
 pub mod settings;
 pub mod silence;
+pub mod speed;
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -24,7 +24,7 @@
 };
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 use serde_json::json;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 
 use crate::{
     clock,
@@ -34,6 +34,7 @@
     ports::Platform,
     settings::EntrySettings,
     silence::Silence,
+    speed::Speed,
 };
 
 /// Longest time between two looks of the decisions at the clock.
@@ -46,6 +47,9 @@
 const EXECUTOR_LEASE: Duration = Duration::from_millis(5000);
 /// An order about a machine arrives within this time or never: the patience of its call, and more.
 const MACHINE_ORDER_TIME: Duration = Duration::from_millis(900);
+/// How often an owner looks at the speed of its machine: that it has turned slow is found within a quarter of
+/// a second, for 0.03% of a core.
+const SPEED_LOOK: Duration = Duration::from_millis(50);
 /// How often jobs that have been over for long are forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -95,12 +99,10 @@
     pub(crate) changed: Notify,
     /// Something waits to be written.
     pub(crate) unwritten: Notify,
-    /// Something has become durable.
-    pub(crate) written: Notify,
     /// Executors that have a loop of their own.
     pub(crate) followed: RefCell<HashSet<ExecutorId>>,
-    /// Orders that may be under way at each executor.
-    pub(crate) order_slots: RefCell<HashMap<ExecutorId, Rc<Semaphore>>>,
+    /// What the loops and orders of each executor share.
+    pub(crate) links: RefCell<HashMap<ExecutorId, Rc<executors::Link>>>,
     /// Machines that were ordered lately.
     pub(crate) order_note: order_note::OrderNote,
     /// Whether the watch of the intake is to be doubted.
@@ -183,6 +185,23 @@
         self.term.confirm(&self.platform).await;
     }
 
+    /// Gives the fleet up once this machine has turned slow, so that one that hasn't decides. One that
+    /// was slow when it took over keeps it: nobody faster was there.
+    async fn watch_speed(self: Rc<Self>, speed: Speed) {
+        if speed.is_slow() {
+            return;
+        }
+        while self.is_valid() {
+            tokio::time::sleep(SPEED_LOOK).await;
+            speed.observe();
+            if speed.is_slow() {
+                let fields = json!({ "fence": self.term.fence, "part": speed.part() });
+                self.events.emit("owner_slow", fields);
+                self.term.lose();
+            }
+        }
+    }
+
     async fn forget_loop(self: Rc<Self>) {
         while self.is_valid() {
             tokio::time::sleep(FORGET_INTERVAL).await;
@@ -217,19 +236,24 @@
     cell: OwnerCell,
     events: Events,
     life: String,
+    speed: Speed,
 ) {
-    let candidate = Candidate {
+    let mut candidate = Candidate {
         entry: settings.entry.clone(),
         life,
         cpu_share: settings.cpu_share,
         ttl: ownership::ttl(settings.shortest_ttl),
     };
     loop {
+        // A slow machine is as good as a small one.
+        speed.observe();
+        let part = if speed.is_slow() { speed.part() } else { 1.0 };
+        candidate.cpu_share = settings.cpu_share * part;
         let acquired = ownership::acquire(&platform, &candidate).await;
         if let Ok(Some(term)) = acquired {
             events.emit("owner", json!({ "fence": term.fence }));
             let fence = term.fence;
-            run_term(&platform, &settings, &active, &cell, &events, term.clone()).await;
+            run_term(&platform, &settings, &active, &cell, &events, &speed, term.clone()).await;
             let former = platform.clone();
             tokio::task::spawn_local(async move { term.release_surely(&former).await });
             cell.0.borrow_mut().take();
@@ -246,6 +270,7 @@
     active: &Active,
     cell: &OwnerCell,
     events: &Events,
+    speed: &Speed,
     term: Term,
 ) {
     let fleet = Rc::new(RefCell::new(Fleet::new(fleet_settings(settings), clock::now())));
@@ -258,9 +283,8 @@
         events: events.clone(),
         changed: Notify::new(),
         unwritten: Notify::new(),
-        written: Notify::new(),
         followed: RefCell::new(HashSet::new()),
-        order_slots: RefCell::new(HashMap::new()),
+        links: RefCell::new(HashMap::new()),
         order_note: order_note::OrderNote::default(),
         intake_silence: RefCell::new(Silence::new(clock::now(), intake::LIST_INTERVAL)),
         configured_version: Cell::new(0),
@@ -273,6 +297,7 @@
     let started_at: Now = clock::now();
     tokio::task::spawn_local(owner.clone().follow_intake(watch_from));
     tokio::task::spawn_local(owner.clone().list_intake_again());
+    owner.follow_known();
     tokio::task::spawn_local(owner.clone().follow_executors());
     tokio::task::spawn_local(owner.clone().follow_machines());
     tokio::task::spawn_local(owner.clone().commit_loop());
@@ -280,8 +305,8 @@
     tokio::task::spawn_local(owner.clone().forget_loop());
     tokio::task::spawn_local(owner.clone().explain_loop());
     tokio::task::spawn_local(owner.clone().tidy_order_note());
+    tokio::task::spawn_local(owner.clone().watch_speed(speed.clone()));
     owner.clone().tick_loop().await;
-    owner.written.notify_waiters();
     let lasted_ms = clock::since(started_at).as_millis() as u64;
     events.emit("term_over", json!({ "fence": owner.term.fence, "lasted_ms": lasted_ms }));
 }
--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -71,7 +71,7 @@
                 self.log_finished();
                 if self.is_valid() {
                     self.pump();
-                    self.written.notify_waiters();
+                    self.wake_settled();
                 }
             }
             WriteEnd::Lost => {
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -8,13 +8,14 @@
 };
 use jackdawpier_kernel::ids::ExecutorId;
 use serde_json::json;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 
-use super::{Owner, registry::Registry};
+use super::{Owner, registry::RegistryWatch};
 use crate::{
     clock,
     metrics::Latency,
     ports::{CallError, HoldQuestion, OrderTarget, Platform, StartOrder},
+    registry::RegistryChange,
 };
 
 /// Pause after the registry couldn't be read.
@@ -24,6 +25,16 @@
 /// The same while work runs there that ends by itself. Where one answer in twenty gets lost, the ends
 /// behind it are heard of 0.55 s later instead of 1.4 s; answers that come with an end are no more than before.
 const BUSY_HOLD_WAIT: Duration = Duration::from_millis(250);
+/// Answers without an end that a whole core may have to take in each second; at some 100 us each that is
+/// a tenth of it. With 540 executors and half a core each waits for 1 s instead: four times as many
+/// questions took half of the processor in a rise of demand.
+const EMPTY_ANSWERS_PER_CORE_S: f64 = 1000.0;
+
+/// How long an executor with work that ends may wait, where this many are asked.
+fn busy_hold_wait(executors: usize, cpu_share: f64) -> Duration {
+    let rate_per_s = (cpu_share * EMPTY_ANSWERS_PER_CORE_S).max(1.0);
+    Duration::from_secs_f64(executors as f64 / rate_per_s).clamp(BUSY_HOLD_WAIT, HOLD_WAIT)
+}
 /// Pause after a hold that failed; shorter after the first, whose answer alone may be lost.
 const HOLD_PAUSE: Duration = Duration::from_millis(200);
 const FIRST_HOLD_PAUSE: Duration = Duration::from_millis(20);
@@ -39,13 +50,11 @@
 
 impl<P: Platform> Owner<P> {
     pub(super) async fn follow_executors(self: Rc<Self>) {
-        let mut registry = Registry::default();
+        let mut watch = RegistryWatch::default();
         while self.is_valid() {
-            match registry.follow(&self).await {
-                Ok(has_news) if has_news && self.is_valid() => {
-                    let listed = registry.executors();
-                    self.fleet.borrow_mut().list_executors(clock::now(), listed);
-                    self.follow_new();
+            match watch.follow(&self).await {
+                Ok(changes) if !changes.is_empty() && self.is_valid() => {
+                    changes.into_iter().for_each(|change| self.take_change(change));
                     self.changed.notify_one();
                 }
                 Ok(_) => {}
@@ -58,13 +67,27 @@
         }
     }
 
-    fn follow_new(self: &Rc<Self>) {
+    fn take_change(self: &Rc<Self>, change: RegistryChange) {
+        match change {
+            RegistryChange::Registered(info) => {
+                let id = info.id.clone();
+                self.fleet.borrow_mut().register_executor(clock::now(), info);
+                self.follow_if_new(id);
+            }
+            RegistryChange::Unregistered(id) => self.fleet.borrow_mut().unregister_executor(&id),
+        }
+    }
+
+    /// Starts the loops of executors on which an earlier owner has placed tasks, registered or not.
+    pub(super) fn follow_known(self: &Rc<Self>) {
         let known: Vec<ExecutorId> =
             self.fleet.borrow().executors().map(|(id, _)| id.clone()).collect();
-        for id in known {
-            if self.followed.borrow_mut().insert(id.clone()) {
-                tokio::task::spawn_local(self.clone().follow(id));
-            }
+        known.into_iter().for_each(|id| self.follow_if_new(id));
+    }
+
+    fn follow_if_new(self: &Rc<Self>, id: ExecutorId) {
+        if self.followed.borrow_mut().insert(id.clone()) {
+            tokio::task::spawn_local(self.clone().follow(id));
         }
     }
 
@@ -83,7 +106,8 @@
                 tokio::time::sleep(HOLD_PAUSE).await;
                 continue;
             };
-            let longest = if order.expects_end { BUSY_HOLD_WAIT } else { HOLD_WAIT };
+            let busy_wait = busy_hold_wait(self.followed.borrow().len(), self.settings.cpu_share);
+            let longest = if order.expects_end { busy_wait } else { HOLD_WAIT };
             let wait = if order.may_wait { longest } else { Duration::ZERO };
             let question = HoldQuestion {
                 acknowledged: order.acknowledged,
@@ -134,11 +158,12 @@
             }
         }
         self.followed.borrow_mut().remove(&id);
-        self.order_slots.borrow_mut().remove(&id);
+        self.links.borrow_mut().remove(&id);
     }
 
     async fn wait_until_durable(&self, id: &ExecutorId) {
         let began_at = clock::now();
+        let link = self.link(id);
         loop {
             // Taking the order looks at what is durable by now.
             if self.fleet.borrow_mut().hold_order(clock::now(), id).is_none_or(|it| it.may_wait) {
@@ -151,7 +176,7 @@
             if left.is_zero() || !self.is_valid() {
                 return;
             }
-            if tokio::time::timeout(left, self.written.notified()).await.is_err() {
+            if tokio::time::timeout(left, link.settled.notified()).await.is_err() {
                 return;
             }
         }
@@ -182,15 +207,23 @@
         }
     }
 
-    fn order_slot(&self, executor: &ExecutorId) -> Rc<Semaphore> {
-        let mut slots = self.order_slots.borrow_mut();
-        let slot = slots.entry(executor.clone());
-        slot.or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE))).clone()
+    fn link(&self, executor: &ExecutorId) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        links.entry(executor.clone()).or_default().clone()
+    }
+
+    /// Lets the loops go on whose executors may be told to forget more ends. Only those: woken by each
+    /// write, hundreds of them looked in vain a hundred times a second.
+    pub(super) fn wake_settled(&self) {
+        let settled = self.fleet.borrow_mut().take_settled();
+        let links = self.links.borrow();
+        let waiting = settled.iter().filter_map(|id| links.get(id));
+        waiting.for_each(|link| link.settled.notify_one());
     }
 
     async fn start(self: Rc<Self>, start: Start) {
-        let slot = self.order_slot(&start.executor);
-        let _permit = slot.acquire().await.expect("it is never closed");
+        let link = self.link(&start.executor);
+        let _permit = link.orders.acquire().await.expect("it is never closed");
         let began_at = clock::now();
         let mut is_certain = true;
         let mut end = StartEnd::Unanswered;
@@ -282,6 +315,20 @@
     }
 }
 
+/// What the loop and the orders of one executor share.
+pub(crate) struct Link {
+    /// Orders that may be under way at it.
+    orders: Semaphore,
+    /// More of its ends have become durable.
+    settled: Notify,
+}
+
+impl Default for Link {
+    fn default() -> Self {
+        Self { orders: Semaphore::new(ORDERS_AT_ONCE), settled: Notify::new() }
+    }
+}
+
 struct Start {
     executor: ExecutorId,
     task: TaskKey,
--- a/crates/jackdawpier_entry/src/owner/registry.rs
+++ b/crates/jackdawpier_entry/src/owner/registry.rs
@@ -1,10 +1,10 @@
-//! The executors that are registered in the store, kept up by a watch.
+//! Keeping up with the executors that are registered in the store.
 //!
 //! A listing of 350 executors has 140 KB: read several times a second it fills the link of a small
 //! machine. So changes are watched, and the whole is read only now and then, since a watch may miss
 //! some without showing it.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use jackdawpier_fleet::executor::ExecutorInfo;
 use jackdawpier_kernel::{Now, ids::Revision};
@@ -13,6 +13,7 @@
 use crate::{
     clock,
     ports::{CallError, CallResult, Change, Item, Platform},
+    registry::{Registry, RegistryChange},
 };
 
 /// How long a watch waits for changes; short, since a silent connection looks like a calm one.
@@ -21,39 +22,35 @@
 /// seconds after the store has it.
 const LIST_INTERVAL: Duration = Duration::from_millis(1600);
 
-/// What is known of the registry.
+/// The registry as far as it has been followed.
 #[derive(Debug, Default)]
-pub(super) struct Registry {
-    executors: BTreeMap<String, ExecutorInfo>,
+pub(super) struct RegistryWatch {
+    registry: Registry,
     revision: Revision,
     /// When the whole was last read; none if it has to be read now.
     listed_at: Option<Now>,
 }
 
-impl Registry {
-    /// The executors that are registered.
-    pub(super) fn executors(&self) -> Vec<ExecutorInfo> {
-        self.executors.values().cloned().collect()
-    }
-
-    /// Waits for news for a while and returns whether there are any.
-    pub(super) async fn follow<P: Platform>(&mut self, owner: &Owner<P>) -> CallResult<bool> {
+impl RegistryWatch {
+    /// Waits for news for a while and returns them.
+    pub(super) async fn follow<P: Platform>(
+        &mut self,
+        owner: &Owner<P>,
+    ) -> CallResult<Vec<RegistryChange>> {
         let is_old = |at| clock::since(at) >= LIST_INTERVAL;
         if self.listed_at.is_none_or(is_old) {
-            self.list(owner).await?;
-            return Ok(true);
+            return self.list(owner).await;
         }
         let prefix = owner.platform.executor_prefix();
         match owner.platform.watch(prefix, self.revision, WATCH_WAIT).await {
             Ok(news) => {
                 self.revision = news.revision;
-                let has_news = !news.changes.is_empty();
-                news.changes.into_iter().for_each(|change| self.take(owner, change));
-                Ok(has_news)
+                let changes = news.changes.into_iter();
+                Ok(changes.filter_map(|change| self.take(owner, change)).collect())
             }
             Err(CallError::HistoryGone) => {
                 self.listed_at = None;
-                Ok(false)
+                Ok(Vec::new())
             }
             Err(error) => {
                 self.listed_at = None;
@@ -62,32 +59,28 @@
         }
     }
 
-    async fn list<P: Platform>(&mut self, owner: &Owner<P>) -> CallResult<()> {
+    async fn list<P: Platform>(&mut self, owner: &Owner<P>) -> CallResult<Vec<RegistryChange>> {
         let asked_at = clock::now();
         let listing = owner.platform.list(owner.platform.executor_prefix()).await?;
-        self.executors.clear();
-        listing.items.into_iter().for_each(|item| self.put(owner, item));
+        let entries = listing.items.into_iter().map(|item| {
+            let info = read_entry(owner, &item);
+            (item.key, info)
+        });
+        let changes = self.registry.replace(entries.collect());
         self.revision = listing.revision;
         self.listed_at = Some(asked_at);
-        Ok(())
+        Ok(changes)
     }
 
-    fn take<P: Platform>(&mut self, owner: &Owner<P>, change: Change) {
+    fn take<P: Platform>(&mut self, owner: &Owner<P>, change: Change) -> Option<RegistryChange> {
         match change {
-            Change::Put(item) => self.put(owner, item),
-            Change::Removed(key) => drop(self.executors.remove(&key)),
+            Change::Put(item) => self.registry.put(&item.key, read_entry(owner, &item)),
+            Change::Removed(key) => self.registry.remove(&key),
         }
     }
+}
 
-    /// Takes over an entry. One that can't be read names no executor to use, and neither does what it
-    /// named before; what runs there is followed until it ends.
-    fn put<P: Platform>(&mut self, owner: &Owner<P>, item: Item) {
-        match owner.platform.read_executor(&item.key, &item.value) {
-            Ok(info) => drop(self.executors.insert(item.key, info)),
-            Err(error) => {
-                owner.unreadable(&item.key, &error.to_string());
-                self.executors.remove(&item.key);
-            }
-        }
-    }
+fn read_entry<P: Platform>(owner: &Owner<P>, item: &Item) -> Option<ExecutorInfo> {
+    let read = owner.platform.read_executor(&item.key, &item.value);
+    read.inspect_err(|error| owner.unreadable(&item.key, &error.to_string())).ok()
 }
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -22,6 +22,7 @@
     pending::Pending,
     ports::Platform,
     settings::EntrySettings,
+    speed::{self, Speed},
 };
 
 /// After a request to stop the balancer still sends connections until it has missed two answers of
@@ -62,6 +63,7 @@
         cell.clone(),
         events.clone(),
         life,
+        Speed::new(speed::measure),
     ));
 
     let callers = Rc::new(Callers {
--- /dev/null
+++ b/crates/jackdawpier_entry/src/speed.rs
@@ -0,0 +1,75 @@
+//! How fast this machine runs now, compared with what it has shown before.
+//!
+//! A machine that slows down for some seconds still renews its leases and answers, so nobody else takes
+//! the fleet from it, while everything waits behind its decisions. A short computation whose length is
+//! known shows it; load of our own doesn't change what it takes.
+
+use std::{cell::RefCell, collections::VecDeque, hint::black_box, rc::Rc, time::Duration};
+
+use crate::clock;
+
+/// Measurements of which the middle counts, so that a few that were interrupted don't.
+const MEASUREMENTS: usize = 9;
+/// Rounds of the computation: some 12 us, long beside the clock's steps and short beside a decision.
+const ROUNDS: u64 = 5_000;
+/// A machine at less than this part of its best speed is slow. Frequency steps and neighbours on the same
+/// core have made a third of it for a quarter of a second; a change of owners costs as much.
+const SLOW_BELOW: f64 = 0.25;
+
+/// Takes one measurement: how long the computation takes now.
+pub fn measure() -> Duration {
+    let began_at = clock::now();
+    let sum = (0..ROUNDS).fold(0x9e37_79b9_7f4a_7c15_u64, |sum, round| {
+        (sum ^ round).wrapping_mul(0xff51_afd7_ed55_8ccd).rotate_left(31)
+    });
+    black_box(sum);
+    clock::since(began_at)
+}
+
+/// The speed of this machine.
+#[derive(Debug, Clone)]
+pub struct Speed {
+    measure: fn() -> Duration,
+    state: Rc<RefCell<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    best: Duration,
+    recent: VecDeque<Duration>,
+}
+
+impl Speed {
+    /// Starts with some measurements, against which later ones are compared.
+    pub fn new(measure: fn() -> Duration) -> Self {
+        let state = State { best: Duration::MAX, recent: VecDeque::new() };
+        let speed = Self { measure, state: Rc::new(RefCell::new(state)) };
+        (0..MEASUREMENTS).for_each(|_| speed.observe());
+        speed
+    }
+
+    /// Takes one more measurement.
+    pub fn observe(&self) {
+        let took = (self.measure)().max(Duration::from_nanos(1));
+        let mut state = self.state.borrow_mut();
+        state.best = state.best.min(took);
+        if state.recent.len() == MEASUREMENTS {
+            state.recent.pop_front();
+        }
+        state.recent.push_back(took);
+    }
+
+    /// Part of the best speed that the machine has now.
+    pub fn part(&self) -> f64 {
+        let state = self.state.borrow();
+        let mut sorted: Vec<Duration> = state.recent.iter().copied().collect();
+        sorted.sort_unstable();
+        let middle = sorted.get(sorted.len() / 2).copied().unwrap_or(state.best);
+        state.best.as_secs_f64() / middle.as_secs_f64()
+    }
+
+    /// Whether the machine is so slow that another one should decide.
+    pub fn is_slow(&self) -> bool {
+        self.part() < SLOW_BELOW
+    }
+}
--- a/crates/jackdawpier_entry/tests/ownership.rs
+++ b/crates/jackdawpier_entry/tests/ownership.rs
@@ -13,7 +13,8 @@
     settings::EntrySettings,
 };
 use support::{
-    Fake, Fate, configuration, outcome, run, settings, start_owner, submission, wait_until,
+    Fake, Fate, configuration, outcome, run, settings, start_owner, steady_speed, submission,
+    wait_until,
 };
 
 fn candidate(entry: &str, life: &str, cpu_share: f64) -> Candidate {
@@ -180,7 +181,8 @@
             let settings = Rc::new(EntrySettings { cpu_share: 0.12, ..settings(entry) });
             let (cell, events) = (OwnerCell::default(), Events::new(entry));
             let (fake, active, life) = (fake.clone(), active.clone(), "life".to_owned());
-            tokio::task::spawn_local(own_when_free(fake, settings, active, cell, events, life))
+            let owning = own_when_free(fake, settings, active, cell, events, life, steady_speed());
+            tokio::task::spawn_local(owning)
         });
         tokio::time::sleep(Duration::from_millis(1500)).await;
         let first = fake.value(keys::OWNER).expect("one of them owns");
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -25,6 +25,7 @@
         OrderTarget, Route, StartOrder, Store, Transaction, TransactionEnd,
     },
     settings::EntrySettings,
+    speed::Speed,
 };
 use jackdawpier_fleet::{
     executor::{EndKind, EndedTask, ExecutorInfo, HoldReport},
@@ -547,12 +548,26 @@
 
 /// An entry that owns the fleet of one executor as soon as nobody else does.
 pub fn start_owner(fake: &Fake, entry: &str) -> (OwnerCell, tokio::task::JoinHandle<()>) {
+    start_owner_at(fake, entry, steady_speed())
+}
+
+/// A machine that always runs at its best.
+pub fn steady_speed() -> Speed {
+    Speed::new(|| Duration::from_micros(10))
+}
+
+/// The same on a machine with this speed.
+pub fn start_owner_at(
+    fake: &Fake,
+    entry: &str,
+    speed: Speed,
+) -> (OwnerCell, tokio::task::JoinHandle<()>) {
     fake.put("executors/executor-1", b"");
     let active = Active::default();
     active.offer(configuration(1), 1);
     let (cell, events) = (OwnerCell::default(), Events::new(entry));
     let (settings, life) = (Rc::new(settings(entry)), "life".to_owned());
-    let owning = own_when_free(fake.clone(), settings, active, cell.clone(), events, life);
+    let owning = own_when_free(fake.clone(), settings, active, cell.clone(), events, life, speed);
     (cell, tokio::task::spawn_local(owning))
 }
 
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -169,8 +169,11 @@
     advice: HashMap<(JobId, usize), Advice>,
     commands: Vec<Command>,
     finished: Vec<FinishedJob>,
+    /// Executors of which more ends have become durable.
+    settled: Vec<ExecutorId>,
     machines: Machines,
     machines_planned_at: Now,
+    expired_at: Now,
     shortages: Vec<Shortage>,
     /// Since when pools lack machines with a label.
     label_lacks_since: BTreeMap<(PoolName, Label), Now>,
@@ -203,7 +206,9 @@
             advice: HashMap::new(),
             commands: Vec::new(),
             finished: Vec::new(),
+            settled: Vec::new(),
             machines_planned_at: Now::ZERO,
+            expired_at: Now::ZERO,
             shortages: Vec::new(),
             label_lacks_since: BTreeMap::new(),
             arrivals: HashMap::new(),
@@ -366,7 +371,7 @@
     pub fn tick(&mut self, now: Now, wall_ms: u64) {
         self.wall_ms = wall_ms;
         self.open_due(now, wall_ms);
-        self.expire_executors(now);
+        self.expire_sometimes(now);
         self.plan_machines(now);
         self.reopen_machine(now);
         self.place(now);
--- a/crates/jackdawpier_fleet/src/fleet/commits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/commits.rs
@@ -4,7 +4,7 @@
 
 use jackdawpier_kernel::{
     Now,
-    ids::{JobId, Revision},
+    ids::{ExecutorId, JobId, Revision},
 };
 
 use super::{Command, Fleet};
@@ -116,6 +116,8 @@
             job.is_writing = false;
             job.revision = revision;
             job.durable_changes = written.changes;
+            let settled = job.unsettled.extract_if(.., |(needed, _)| *needed <= written.changes);
+            self.settled.extend(settled.map(|(_, executor)| executor));
             if let Some(outcome) = record.outcome {
                 let is_news = job.shown.replace(outcome).is_none();
                 if is_news {
@@ -146,6 +148,12 @@
         std::mem::take(&mut self.finished)
     }
 
+    /// Executors of which more ends have become durable since the last call, so that more of them may be
+    /// acknowledged. One may be named several times.
+    pub fn take_settled(&mut self) -> Vec<ExecutorId> {
+        std::mem::take(&mut self.settled)
+    }
+
     fn order_starts(&mut self, id: &JobId, record: &JobRecord) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         for (index, written) in record.tasks.iter().enumerate() {
--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -1,8 +1,11 @@
 //! Which executors there are, and when what ran on one has certainly ended.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use jackdawpier_kernel::{Now, ids::ExecutorId};
+use jackdawpier_kernel::{
+    Now,
+    ids::{ExecutorId, ServiceName},
+};
 
 use super::Fleet;
 use crate::executor::{Executor, ExecutorInfo, TaskRef};
@@ -11,27 +14,73 @@
 /// its lease has lapsed before: longer than executors hang, and than an owner is short of processor.
 const ALIVE_PATIENCE: Duration = Duration::from_secs(12);
 
+/// How often leases that may have lapsed are looked for: a small part of the seconds that they last,
+/// where decisions are made up to a hundred times a second.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(50);
+
 impl Fleet {
-    /// Takes in the executors that the registry lists now.
-    pub fn list_executors(&mut self, now: Now, listed: Vec<ExecutorInfo>) {
-        for executor in self.executors.values_mut() {
-            executor.is_listed = false;
-        }
+    /// An executor is registered, for the first time or with another entry than before.
+    pub fn register_executor(&mut self, now: Now, info: ExecutorInfo) {
         let doubt_until = self.started_at + self.settings.doubt;
-        self.by_service.clear();
-        for info in listed {
-            let of_service = self.by_service.entry(info.service.clone()).or_default();
-            of_service.push(info.id.clone());
-            let id = info.id.clone();
-            let executor =
-                self.executors.entry(id).or_insert_with(|| Executor::new(now, doubt_until));
-            executor.is_listed = true;
-            executor.info = Some(info);
+        let id = info.id.clone();
+        let executor =
+            self.executors.entry(id.clone()).or_insert_with(|| Executor::new(now, doubt_until));
+        let former = executor.info.as_ref().filter(|_| executor.is_listed);
+        let moved_from = former.map(|one| one.service.clone()).filter(|name| *name != info.service);
+        let is_new = former.is_none() || moved_from.is_some();
+        executor.is_listed = true;
+        let service = info.service.clone();
+        executor.info = Some(info);
+        if let Some(former) = moved_from {
+            self.leave_service(&former, &id);
+        }
+        if is_new {
+            let of_service = self.by_service.entry(service).or_default();
+            if let Err(place) = of_service.binary_search(&id) {
+                of_service.insert(place, id);
+            }
+        }
+    }
+
+    /// An executor isn't registered any more. What ran there is followed until it has ended.
+    pub fn unregister_executor(&mut self, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else { return };
+        executor.is_listed = false;
+        let service = executor.info.as_ref().map(|info| info.service.clone());
+        if let Some(service) = service {
+            self.leave_service(&service, id);
+        }
+    }
+
+    fn leave_service(&mut self, service: &ServiceName, id: &ExecutorId) {
+        let Some(of_service) = self.by_service.get_mut(service) else { return };
+        if let Ok(place) = of_service.binary_search(id) {
+            of_service.remove(place);
         }
-        self.by_service.values_mut().for_each(|of_service| of_service.sort_unstable());
+    }
+
+    /// Takes in all executors that are registered, in place of those that were.
+    pub fn list_executors(&mut self, now: Now, listed: Vec<ExecutorInfo>) {
+        let ids: HashSet<ExecutorId> = listed.iter().map(|info| info.id.clone()).collect();
+        let gone: Vec<ExecutorId> = self
+            .executors
+            .iter()
+            .filter(|(id, one)| one.is_listed && !ids.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        gone.iter().for_each(|id| self.unregister_executor(id));
+        listed.into_iter().for_each(|info| self.register_executor(now, info));
         self.expire_executors(now);
     }
 
+    /// Ends the executors that can't run anything any more, if that was last looked at a while ago.
+    pub(super) fn expire_sometimes(&mut self, now: Now) {
+        if now >= self.expired_at + EXPIRE_INTERVAL {
+            self.expired_at = now;
+            self.expire_executors(now);
+        }
+    }
+
     /// Ends the executors that can't run anything any more.
     pub fn expire_executors(&mut self, now: Now) {
         let lapsed: Vec<ExecutorId> = self
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -90,7 +90,10 @@
         }
         let job_id = end.task.job.clone();
         self.apply_end(now, id, end);
-        let needed = self.jobs.get(&job_id).map_or(0, |job| job.changes);
+        let needed = self.jobs.get_mut(&job_id).map_or(0, |job| {
+            job.unsettled.push((job.changes, id.clone()));
+            job.changes
+        });
         if let Some(executor) = self.executors.get_mut(id) {
             executor.note_end(end.sequence, job_id, needed);
         }
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -142,6 +142,8 @@
     tasks_per_occurrence: usize,
     /// Counts changes of the durable state.
     pub(crate) changes: u64,
+    /// Executors with ends that are durable once that many changes are.
+    pub(crate) unsettled: Vec<(u64, ExecutorId)>,
     pub(crate) durable_changes: u64,
     pub(crate) is_writing: bool,
     pub(crate) is_dirty: bool,
@@ -185,6 +187,7 @@
             first_task_of_step,
             tasks_per_occurrence,
             changes: 0,
+            unsettled: Vec::new(),
             durable_changes: 0,
             is_writing: false,
             is_dirty: false,
