Halve and halve again what an entry sends and reads

Cause: every entry read the whole configuration twice a second (18 kB a second with 30 routes), small ones looked as often for a free ownership; an owner listed its registry each 1.6 s, the intake each 2.5 s whatever their size, asked executors that had ended five times a second each, and records and stops went out unbounded.

Ruled out: ending an executor as soon as the order about its machine is taken: 200 also answers an order that was carried out before, and the model (histories) ended one that lived. Tests: followed_configuration (watched_change failed before), registry::deaf_watch, lost_executors::ended_executor (failed before).

--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -8,11 +8,16 @@
 use crate::{
     clock,
     events::Events,
-    ports::{Configuration, Platform, Route},
+    ports::{CallError, CallResult, Change, Configuration, Item, Platform, Route},
 };
 
-/// A change has to be in force within two seconds; four looks leave room for one lost answer.
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a watch waits for a change, which has to be in force within two seconds. Reading the whole
+/// twice a second instead took 18 kB a second of each entry's link with 30 routes.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// The configuration is read again after this long, whatever the watch hears.
+const READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Pause after the store didn't answer.
+const REPEAT_PAUSE: Duration = Duration::from_millis(250);
 /// The balancer is told that this entry is out of touch after this long without the store.
 const OUT_OF_TOUCH_AFTER: Duration = Duration::from_millis(1800);
 
@@ -82,25 +87,35 @@
     }
 }
 
-/// Reads the configuration again and again.
+/// Where the configuration has been followed to.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    revision: Revision,
+    read_at: Now,
+}
+
+/// Follows the configuration for as long as the process lives.
 pub async fn follow<P: Platform>(platform: P, active: Active, events: Events) {
     let mut was_in_touch = false;
+    let mut position = None;
     loop {
-        let asked_at = clock::now();
-        match platform.get(platform.configuration_key()).await {
-            Ok(item) => {
-                active.heard(asked_at);
-                if let Some(item) = item.filter(|item| item.revision != active.revision()) {
-                    take(&platform, &active, &events, &item.value, item.revision);
+        let current = position.filter(|at: &Position| clock::since(at.read_at) < READ_INTERVAL);
+        let step = match current {
+            Some(position) => watch(&platform, &active, &events, position).await,
+            None => read(&platform, &active, &events).await,
+        };
+        match step {
+            Ok(reached) => position = Some(reached),
+            Err(error) => {
+                position = None;
+                if was_in_touch && error != CallError::HistoryGone {
+                    let fields = json!({ "for": "configuration", "why": error.to_string() });
+                    events.emit("store_missed", fields);
+                }
+                if error != CallError::HistoryGone {
+                    tokio::time::sleep(REPEAT_PAUSE).await;
                 }
             }
-            Err(error) if was_in_touch => {
-                events.emit(
-                    "store_missed",
-                    json!({ "for": "configuration", "why": error.to_string() }),
-                );
-            }
-            Err(_) => {}
         }
         let is_in_touch = active.is_in_touch(clock::now());
         if is_in_touch != was_in_touch {
@@ -108,7 +123,45 @@
             events.emit(event, json!({ "revision": active.revision() }));
             was_in_touch = is_in_touch;
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        if active.get().is_none() {
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the configuration as it is.
+async fn read<P: Platform>(platform: &P, active: &Active, events: &Events) -> CallResult<Position> {
+    let read_at = clock::now();
+    let listing = platform.list(platform.configuration_key()).await?;
+    active.heard(read_at);
+    listing.items.iter().for_each(|item| take_item(platform, active, events, item));
+    Ok(Position { revision: listing.revision, read_at })
+}
+
+/// Waits a while for a change.
+async fn watch<P: Platform>(
+    platform: &P,
+    active: &Active,
+    events: &Events,
+    from: Position,
+) -> CallResult<Position> {
+    let asked_at = clock::now();
+    let key = platform.configuration_key();
+    let news = platform.watch(key, from.revision, WATCH_WAIT).await?;
+    // An answer without news left the store when the wait was over, and nothing had changed by then.
+    let waited = if news.changes.is_empty() { WATCH_WAIT } else { Duration::ZERO };
+    active.heard(clock::now().min(asked_at + waited));
+    for change in &news.changes {
+        if let Change::Put(item) = change {
+            take_item(platform, active, events, item);
+        }
+    }
+    Ok(Position { revision: news.revision, ..from })
+}
+
+fn take_item<P: Platform>(platform: &P, active: &Active, events: &Events, item: &Item) {
+    if item.key == platform.configuration_key() && item.revision != active.revision() {
+        take(platform, active, events, &item.value, item.revision);
     }
 }
 
--- a/crates/jackdawpier_entry/src/http_client.rs
+++ b/crates/jackdawpier_entry/src/http_client.rs
@@ -15,7 +15,7 @@
 /// Idle connections kept a host: a long poll, and a few orders at a time.
 const IDLE_PER_HOST: usize = 4;
 /// Time for a connection to open; beyond it the host is taken to be out of reach.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What to send.
 #[derive(Debug, Clone)]
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -260,7 +260,7 @@
             events.metrics().set_owner(false);
             events.emit("owner_no_more", json!({ "fence": fence }));
         }
-        tokio::time::sleep(ownership::TRY_INTERVAL).await;
+        tokio::time::sleep(ownership::try_interval(candidate.cpu_share)).await;
     }
 }
 
--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -26,6 +26,20 @@
 /// Pause before a write is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 
+/// Part of the link that records may take: the rest is for orders and answers. What changes meanwhile goes
+/// into the next record of its job, so fewer are written. On 2 Mbit/s records filled the link, and orders
+/// waited behind them for half a second.
+const LINK_PART: f64 = 0.4;
+/// Bytes on the wire for each byte of a value: base64, keys and the rest of the call.
+const WIRE_PART: f64 = 1.5;
+
+/// The time that a transaction takes of the part of the link that records may have.
+fn link_time(transaction: &Transaction, link_mbps: f64) -> Duration {
+    let bytes: usize = transaction.puts.iter().map(|(_, value, _)| value.len()).sum();
+    let mbit = bytes as f64 * WIRE_PART * 8.0 / 1e6;
+    Duration::from_secs_f64(mbit / (link_mbps.max(0.1) * LINK_PART))
+}
+
 enum WriteEnd {
     Durable(Vec<Revision>),
     Lost,
@@ -49,21 +63,23 @@
                 continue;
             };
             let rows: usize = batch.jobs.iter().map(ChangedJob::rows).sum();
-            let is_full = rows >= FULL_ROWS;
+            let gather = if rows >= FULL_ROWS { Duration::ZERO } else { WRITE_INTERVAL };
+            let transaction = self.transaction(&batch);
+            let pause = gather.max(link_time(&transaction, self.settings.link_mbps));
             let (owner, slots) = (self.clone(), slots.clone());
             tokio::task::spawn_local(async move {
-                owner.write(batch).await;
+                owner.write(batch, transaction).await;
                 slots.add_permits(1);
             });
-            if !is_full {
-                tokio::time::sleep(WRITE_INTERVAL).await;
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
             }
         }
     }
 
-    async fn write(self: &Rc<Self>, batch: Batch) {
+    async fn write(self: &Rc<Self>, batch: Batch, transaction: Transaction) {
         let began_at = clock::now();
-        let end = self.write_until_known(&batch).await;
+        let end = self.write_until_known(&batch, &transaction).await;
         self.events.metrics().took(Latency::Write, clock::since(began_at));
         match end {
             WriteEnd::Durable(revisions) => {
@@ -114,10 +130,9 @@
         transaction
     }
 
-    async fn write_until_known(&self, batch: &Batch) -> WriteEnd {
-        let transaction = self.transaction(batch);
+    async fn write_until_known(&self, batch: &Batch, transaction: &Transaction) -> WriteEnd {
         while self.is_valid() {
-            match self.platform.commit(&transaction).await {
+            match self.platform.commit(transaction).await {
                 Ok(TransactionEnd::Committed(revision)) => {
                     return WriteEnd::Durable(vec![revision; batch.jobs.len()]);
                 }
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -42,8 +42,8 @@
 const DURABLE_WAIT: Duration = Duration::from_millis(500);
 /// An order without an answer is sent this many times before its task is given up there.
 const START_TRIES: usize = 2;
-/// Orders under way at once at one executor: they share a few kept-alive connections, where a whole
-/// step that is placed there would open one each.
+/// Orders of a kind under way at once at one executor: they share a few kept-alive connections, where a
+/// whole step that is placed there would open one each, and an executor out of reach gets few in vain.
 const ORDERS_AT_ONCE: usize = 3;
 /// Tries of a stop; after these it is repeated with each hold.
 const STOP_TRIES: usize = 3;
@@ -223,7 +223,7 @@
 
     async fn start(self: Rc<Self>, start: Start) {
         let link = self.link(&start.executor);
-        let _permit = link.orders.acquire().await.expect("it is never closed");
+        let _permit = link.starts.acquire().await.expect("it is never closed");
         let began_at = clock::now();
         let mut is_certain = true;
         let mut end = StartEnd::Unanswered;
@@ -278,6 +278,8 @@
     }
 
     async fn stop(self: Rc<Self>, executor: ExecutorId, task: TaskKey, run: RunNumber) {
+        let link = self.link(&executor);
+        let _permit = link.stops.acquire().await.expect("it is never closed");
         for _ in 0..STOP_TRIES {
             let Some(target) = self.target(&executor) else { return };
             if !self.is_valid() {
@@ -317,15 +319,21 @@
 
 /// What the loop and the orders of one executor share.
 pub(crate) struct Link {
-    /// Orders that may be under way at it.
-    orders: Semaphore,
+    /// Orders to start that may be under way at it.
+    starts: Semaphore,
+    /// Orders to stop that may be under way at it, apart so that they don't wait behind starts.
+    stops: Semaphore,
     /// More of its ends have become durable.
     settled: Notify,
 }
 
 impl Default for Link {
     fn default() -> Self {
-        Self { orders: Semaphore::new(ORDERS_AT_ONCE), settled: Notify::new() }
+        Self {
+            starts: Semaphore::new(ORDERS_AT_ONCE),
+            stops: Semaphore::new(ORDERS_AT_ONCE),
+            settled: Notify::new(),
+        }
     }
 }
 
--- a/crates/jackdawpier_entry/src/owner/intake.rs
+++ b/crates/jackdawpier_entry/src/owner/intake.rs
@@ -17,11 +17,22 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 /// A watch may miss changes without showing it; a full listing finds them this late.
 pub(super) const LIST_INTERVAL: Duration = Duration::from_millis(2500);
+/// Part of the link that listings may take where the watch gives no cause for them.
+const LINK_PART: f64 = 0.1;
+/// Bytes on the wire for each byte of a value: base64, keys and the rest of the call.
+const WIRE_PART: f64 = 1.5;
 /// How often the silence of the watch is looked at.
 const SILENCE_LOOK: Duration = Duration::from_millis(100);
 /// How often the counts of jobs that haven't begun are written.
 const PENDING_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Time between two listings of this many bytes. In a burst what is open has 120 KB, half a second of a link
+/// of 2 Mbit/s, and renewals that waited behind it cost the ownership.
+fn list_interval(bytes: usize, link_mbps: f64) -> Duration {
+    let mbit = bytes as f64 * WIRE_PART * 8.0 / 1e6;
+    LIST_INTERVAL.max(Duration::from_secs_f64(mbit / (link_mbps.max(0.1) * LINK_PART)))
+}
+
 impl<P: Platform> Owner<P> {
     pub(super) async fn follow_intake(self: Rc<Self>, mut after: Revision) {
         while self.is_valid() {
@@ -76,6 +87,9 @@
         if !self.is_valid() {
             return None;
         }
+        let bytes: usize = listing.items.iter().map(|item| item.value.len()).sum();
+        let longest = list_interval(bytes, self.settings.link_mbps);
+        self.intake_silence.borrow_mut().set_longest(longest);
         let found = self.take_in(listing.items, &mut HashMap::new());
         self.intake_silence.borrow_mut().listed(clock::now(), found);
         if found > 0 {
--- a/crates/jackdawpier_entry/src/owner/registry.rs
+++ b/crates/jackdawpier_entry/src/owner/registry.rs
@@ -1,8 +1,7 @@
 //! Keeping up with the executors that are registered in the store.
 //!
-//! A listing of 350 executors has 140 KB: read several times a second it fills the link of a small
-//! machine. So changes are watched, and the whole is read only now and then, since a watch may miss
-//! some without showing it.
+//! A listing of 95 executors takes a quarter of a second on a link of 2 Mbit/s, and all else waits behind
+//! it. So changes are watched, and the whole is read again only where the watch may have missed some.
 
 use std::time::Duration;
 
@@ -17,10 +16,12 @@
 };
 
 /// How long a watch waits for changes; short, since a silent connection looks like a calm one.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// The whole registry is read again after this long: an executor's notice of leaving counts two
-/// seconds after the store has it.
-const LIST_INTERVAL: Duration = Duration::from_millis(1600);
+const WATCH_WAIT: Duration = Duration::from_millis(600);
+/// A watch that hears nothing for this long isn't trusted: each executor renews its entry every second or
+/// two, and its notice of leaving counts two seconds after the store has it.
+const SILENT_AFTER: Duration = Duration::from_millis(1000);
+/// The whole registry is read again after this long, whatever the watch hears.
+const LIST_INTERVAL: Duration = Duration::from_millis(8000);
 
 /// The registry as far as it has been followed.
 #[derive(Debug, Default)]
@@ -29,6 +30,8 @@
     revision: Revision,
     /// When the whole was last read; none if it has to be read now.
     listed_at: Option<Now>,
+    /// When the watch, or a listing, last told of anything.
+    heard_at: Now,
 }
 
 impl RegistryWatch {
@@ -38,13 +41,17 @@
         owner: &Owner<P>,
     ) -> CallResult<Vec<RegistryChange>> {
         let is_old = |at| clock::since(at) >= LIST_INTERVAL;
-        if self.listed_at.is_none_or(is_old) {
+        let is_silent = clock::since(self.heard_at) >= SILENT_AFTER;
+        if is_silent || self.listed_at.is_none_or(is_old) {
             return self.list(owner).await;
         }
         let prefix = owner.platform.executor_prefix();
         match owner.platform.watch(prefix, self.revision, WATCH_WAIT).await {
             Ok(news) => {
                 self.revision = news.revision;
+                if !news.changes.is_empty() {
+                    self.heard_at = clock::now();
+                }
                 let changes = news.changes.into_iter();
                 Ok(changes.filter_map(|change| self.take(owner, change)).collect())
             }
@@ -69,6 +76,7 @@
         let changes = self.registry.replace(entries.collect());
         self.revision = listing.revision;
         self.listed_at = Some(asked_at);
+        self.heard_at = asked_at;
         Ok(changes)
     }
 
--- a/crates/jackdawpier_entry/src/ownership.rs
+++ b/crates/jackdawpier_entry/src/ownership.rs
@@ -204,4 +204,12 @@
 const ENOUGH_CPU: f64 = 0.2;
 /// Pause between two tries to become the owner. A stale reading, though cheaper, may show an owner
 /// that has been gone for seconds.
-pub const TRY_INTERVAL: Duration = Duration::from_millis(500);
+const TRY_INTERVAL: Duration = Duration::from_millis(500);
+/// The same for an entry that leaves a free ownership to larger ones first. Of hundreds of entries most are
+/// small, and their looks were a seventh of all calls of the store.
+const SMALL_TRY_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// Pause between two tries of an entry with this share of a core.
+pub fn try_interval(cpu_share: f64) -> Duration {
+    if is_enough(cpu_share) { TRY_INTERVAL } else { SMALL_TRY_INTERVAL }
+}
--- a/crates/jackdawpier_entry/src/silence.rs
+++ b/crates/jackdawpier_entry/src/silence.rs
@@ -52,6 +52,11 @@
         self.patience = if found > 0 { 1 } else { self.patience.saturating_mul(2) };
     }
 
+    /// Changes the longest time between two listings, for what has become longer to list.
+    pub fn set_longest(&mut self, longest: Duration) {
+        self.longest = longest;
+    }
+
     /// How long to wait until the next listing.
     pub fn wait(&self, now: Now) -> Duration {
         let suspicious = self.mean_gap.map_or(self.longest, |mean| {
--- a/crates/jackdawpier_entry/src/speed.rs
+++ b/crates/jackdawpier_entry/src/speed.rs
@@ -1,4 +1,4 @@
-//! How fast this machine runs now, compared with what it has shown before.
+//! How fast this machine runs now, compared with what is usual for it.
 //!
 //! A machine that slows down for some seconds still renews its leases and answers, so nobody else takes
 //! the fleet from it, while everything waits behind its decisions. A short computation whose length is
@@ -10,9 +10,12 @@
 
 /// Measurements of which the middle counts, so that a few that were interrupted don't.
 const MEASUREMENTS: usize = 9;
+/// Measurements that tell what is usual: a quarter of them were faster than that. With 20 a second a
+/// machine that has been slow for nine seconds counts as usual again; by then nobody waits for it.
+const REMEMBERED: usize = 240;
 /// Rounds of the computation: some 12 us, long beside the clock's steps and short beside a decision.
 const ROUNDS: u64 = 5_000;
-/// A machine at less than this part of its best speed is slow. Frequency steps and neighbours on the same
+/// A machine at less than this part of its usual speed is slow. Frequency steps and neighbours on the same
 /// core have made a third of it for a quarter of a second; a change of owners costs as much.
 const SLOW_BELOW: f64 = 0.25;
 
@@ -35,14 +38,14 @@
 
 #[derive(Debug)]
 struct State {
-    best: Duration,
-    recent: VecDeque<Duration>,
+    /// The last measurements, newest last.
+    measured: VecDeque<Duration>,
 }
 
 impl Speed {
     /// Starts with some measurements, against which later ones are compared.
     pub fn new(measure: fn() -> Duration) -> Self {
-        let state = State { best: Duration::MAX, recent: VecDeque::new() };
+        let state = State { measured: VecDeque::with_capacity(REMEMBERED) };
         let speed = Self { measure, state: Rc::new(RefCell::new(state)) };
         (0..MEASUREMENTS).for_each(|_| speed.observe());
         speed
@@ -52,20 +55,18 @@
     pub fn observe(&self) {
         let took = (self.measure)().max(Duration::from_nanos(1));
         let mut state = self.state.borrow_mut();
-        state.best = state.best.min(took);
-        if state.recent.len() == MEASUREMENTS {
-            state.recent.pop_front();
+        if state.measured.len() == REMEMBERED {
+            state.measured.pop_front();
         }
-        state.recent.push_back(took);
+        state.measured.push_back(took);
     }
 
-    /// Part of the best speed that the machine has now.
+    /// Part of its usual speed that the machine has now.
     pub fn part(&self) -> f64 {
-        let state = self.state.borrow();
-        let mut sorted: Vec<Duration> = state.recent.iter().copied().collect();
-        sorted.sort_unstable();
-        let middle = sorted.get(sorted.len() / 2).copied().unwrap_or(state.best);
-        state.best.as_secs_f64() / middle.as_secs_f64()
+        let measured = &self.state.borrow().measured;
+        let usual = ranked(measured.iter(), 4);
+        let now = ranked(measured.iter().rev().take(MEASUREMENTS), 2);
+        usual.as_secs_f64() / now.as_secs_f64()
     }
 
     /// Whether the machine is so slow that another one should decide.
@@ -73,3 +74,10 @@
         self.part() < SLOW_BELOW
     }
 }
+
+/// The measurement that one part in `part` of some lies below.
+fn ranked<'a>(measured: impl Iterator<Item = &'a Duration>, part: usize) -> Duration {
+    let mut sorted: Vec<Duration> = measured.copied().collect();
+    sorted.sort_unstable();
+    sorted[sorted.len() / part]
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/tests/followed_configuration.rs
@@ -0,0 +1,60 @@
+//! How an entry keeps up with the configuration.
+
+mod support;
+
+use std::time::Duration;
+
+use jackdawpier_entry::{
+    clock,
+    configuration::{Active, follow},
+    events::Events,
+};
+use support::{Fake, run, wait_until};
+
+const KEY: &str = "configuration";
+
+fn start(fake: &Fake) -> Active {
+    let active = Active::default();
+    tokio::task::spawn_local(follow(fake.clone(), active.clone(), Events::new("a")));
+    active
+}
+
+fn version(active: &Active) -> Option<u64> {
+    active.get().map(|current| current.version)
+}
+
+/// A change is in force at once, and the whole is seldom read, large as it may be.
+#[test]
+fn watched_change() {
+    run(async {
+        let fake = Fake::default();
+        fake.put(KEY, b"1");
+        let active = start(&fake);
+        assert!(wait_until(|| version(&active) == Some(1)).await);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert!(fake.reads() <= 1, "{} readings in three seconds", fake.reads());
+        assert!(active.is_in_touch(clock::now()));
+        fake.put(KEY, b"2");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(version(&active), Some(2));
+    });
+}
+
+/// An entry whose store is gone isn't in touch, and is again soon after it is back.
+#[test]
+fn store_away() {
+    run(async {
+        let fake = Fake::default();
+        fake.put(KEY, b"1");
+        let active = start(&fake);
+        assert!(wait_until(|| version(&active) == Some(1)).await);
+        fake.set_down(true);
+        tokio::time::sleep(Duration::from_millis(3200)).await;
+        assert!(!active.is_in_touch(clock::now()));
+        fake.put(KEY, b"2");
+        fake.set_down(false);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(active.is_in_touch(clock::now()));
+        assert_eq!(version(&active), Some(2));
+    });
+}
--- a/crates/jackdawpier_entry/tests/registry.rs
+++ b/crates/jackdawpier_entry/tests/registry.rs
@@ -44,3 +44,22 @@
         assert!(wait_until(|| outcome(&fake, "j") == Some(JobOutcome::Completed)).await);
     });
 }
+
+/// A watch hears nothing while an executor turns unreadable, and nothing else changes: it is found out
+/// within the two seconds for which a notice of leaving may go unheeded.
+#[test]
+fn deaf_watch() {
+    run(async {
+        let fake = Fake::default();
+        let (_cell, _owning) = start_owner(&fake, "a");
+        put_job(&fake, "before");
+        assert!(wait_until(|| outcome(&fake, "before").is_some()).await);
+        fake.set_deaf(true);
+        fake.put(ENTRY, UNREADABLE);
+        tokio::time::sleep(Duration::from_millis(1900)).await;
+        fake.set_deaf(false);
+        put_job(&fake, "j");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(fake.starts().len(), 2, "it isn't used");
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -70,6 +70,8 @@
     late: Vec<Transaction>,
     commits: usize,
     listings: usize,
+    /// Readings of items or of listings, without those that a watch makes here.
+    reads: usize,
     ended: Vec<EndedTask>,
     starts: Vec<(TaskKey, RunNumber)>,
     is_down: bool,
@@ -174,10 +176,27 @@
         self.0.borrow().listings
     }
 
+    pub fn reads(&self) -> usize {
+        self.0.borrow().reads
+    }
+
     pub fn starts(&self) -> Vec<(TaskKey, RunNumber)> {
         self.0.borrow().starts.clone()
     }
 
+    fn items_under(&self, prefix: &str) -> CallResult<Listing> {
+        self.check_up()?;
+        self.0.borrow_mut().listings += 1;
+        let state = self.0.borrow();
+        let items = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items = items.map(|(key, held)| Item {
+            key: key.clone(),
+            value: held.value.clone(),
+            revision: held.revision,
+        });
+        Ok(Listing { items: items.collect(), revision: state.revision })
+    }
+
     fn expire(&self) {
         let mut state = self.0.borrow_mut();
         let now = clock::now();
@@ -229,6 +248,7 @@
 
 impl Store for Fake {
     async fn get(&self, key: &str) -> CallResult<Option<Item>> {
+        self.0.borrow_mut().reads += 1;
         self.travel().await;
         self.check_up()?;
         self.expire();
@@ -242,22 +262,14 @@
     }
 
     async fn list(&self, prefix: &str) -> CallResult<Listing> {
-        self.check_up()?;
-        self.0.borrow_mut().listings += 1;
-        let state = self.0.borrow();
-        let items = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let items = items.map(|(key, held)| Item {
-            key: key.clone(),
-            value: held.value.clone(),
-            revision: held.revision,
-        });
-        Ok(Listing { items: items.collect(), revision: state.revision })
+        self.0.borrow_mut().reads += 1;
+        self.items_under(prefix)
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallResult<Changes> {
         let until = clock::now() + wait;
         loop {
-            let listing = self.list(prefix).await?;
+            let listing = self.items_under(prefix)?;
             let news: Vec<Change> = listing
                 .items
                 .into_iter()
--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -146,6 +146,8 @@
     pub(crate) is_frozen: bool,
     pub(crate) seen: u64,
     pub(crate) is_listed: bool,
+    /// Its life is certainly over, though the registry may name it for seconds more.
+    pub(crate) is_over: bool,
     /// No placements before this time, after a refusal or a missing answer.
     pub(crate) avoid_until: Now,
     /// Tasks here that serve users under a bound on their tail.
@@ -173,6 +175,7 @@
             is_frozen: false,
             seen: 0,
             is_listed: false,
+            is_over: false,
             avoid_until: Now::ZERO,
             serving: 0,
             fillers: 0,
--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -123,7 +123,7 @@
     pub fn executor_ended(&mut self, now: Now, id: &ExecutorId) {
         self.release_tasks(now, id);
         if let Some(executor) = self.executors.get_mut(id) {
-            executor.avoid_until = Now::MAX;
+            executor.is_over = true;
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/openings.rs
+++ b/crates/jackdawpier_fleet/src/fleet/openings.rs
@@ -109,6 +109,7 @@
         let is_open = self.info.as_ref().is_some_and(|info| !info.is_draining);
         is_open
             && self.is_listed
+            && !self.is_over
             && !self.is_frozen
             && now >= self.avoid_until
             && self.is_heard(now)
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -37,11 +37,11 @@
 const STOP_MARGIN: Duration = Duration::from_millis(100);
 
 impl Fleet {
-    /// What the next hold has to say; none if the executor is forgotten.
+    /// What the next hold has to say; none if the executor is forgotten or its life is over.
     pub fn hold_order(&mut self, now: Now, id: &str) -> Option<HoldOrder> {
         let lease = self.settings.lease;
         let jobs = &self.jobs;
-        let executor = self.executors.get_mut(id)?;
+        let executor = self.executors.get_mut(id).filter(|executor| !executor.is_over)?;
         let ends = |(id, index): &TaskRef| {
             jobs.get(id).is_some_and(|job| !job.step(*index).is_long_running)
         };
--- a/crates/jackdawpier_fleet/src/fleet/waits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/waits.rs
@@ -97,7 +97,7 @@
         index: TaskIndex,
     ) -> &mut usize {
         let is_open = executor.info.as_ref().is_some_and(|info| !info.is_draining);
-        if !is_open || !executor.is_listed {
+        if !is_open || !executor.is_listed || executor.is_over {
             &mut self.leaving
         } else if !executor.is_heard(now) {
             &mut self.silent
--- a/crates/jackdawpier_fleet/tests/lost_executors.rs
+++ b/crates/jackdawpier_fleet/tests/lost_executors.rs
@@ -150,3 +150,17 @@
     assert!(world.fleet.hold_order(now, &ends).is_some_and(|order| order.expects_end));
     assert!(world.fleet.hold_order(now, &lasts).is_some_and(|order| !order.expects_end));
 }
+
+/// The list of machines no longer names an executor, which the registry does for seconds more: nobody
+/// needs to ask it, and the loops that ask hundreds of such ones take the owner's time.
+#[test]
+fn ended_executor() {
+    let mut world = World::new(&["view"], 2);
+    world.run_for(Duration::from_secs(2));
+    let gone = world.executor_of("m-view-0");
+    assert!(world.fleet.hold_order(world.now, &gone).is_some());
+    world.fleet.executor_ended(world.now, &gone);
+    assert!(world.fleet.hold_order(world.now, &gone).is_none());
+    let others = world.executor_of("m-view-1");
+    assert!(world.fleet.hold_order(world.now, &others).is_some());
+}
