--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod keys;
+pub mod link;
 pub mod metrics;
 pub mod owner;
 pub mod ownership;
--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -9,7 +9,7 @@
 
 use super::Owner;
 use crate::{
-    clock, keys,
+    clock, keys, link,
     metrics::Latency,
     ports::{CallError, Platform, Transaction, TransactionEnd},
 };
@@ -40,14 +40,11 @@
 /// into the next record of its job, so fewer are written. On 2 Mbit/s records filled the link, and orders
 /// waited behind them for half a second.
 const LINK_PART: f64 = 0.4;
-/// Bytes on the wire for each byte of a value: base64, keys and the rest of the call.
-const WIRE_PART: f64 = 1.5;
 
 /// The time that a transaction takes of the part of the link that records may have.
 fn link_time(transaction: &Transaction, link_mbps: f64) -> Duration {
     let bytes: usize = transaction.puts.iter().map(|(_, value, _)| value.len()).sum();
-    let mbit = bytes as f64 * WIRE_PART * 8.0 / 1e6;
-    Duration::from_secs_f64(mbit / (link_mbps.max(0.1) * LINK_PART))
+    link::time_of_values(bytes, link_mbps, LINK_PART)
 }
 
 /// The writes under way, and how long they have taken.
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -25,9 +25,9 @@
 /// The same while work runs there that ends by itself. Where one answer in twenty gets lost, the ends
 /// behind it are heard of 0.55 s later instead of 1.4 s; answers that come with an end are no more than before.
 const BUSY_HOLD_WAIT: Duration = Duration::from_millis(250);
-/// Answers without an end that a whole core may have to take in each second; at some 100 us each that is
-/// a tenth of it. With 540 executors and half a core each waits for 1 s instead: four times as many
-/// questions took half of the processor in a rise of demand.
+/// Answers without an end that a whole core may have to take in each second: at some 100 us each that is a
+/// tenth of it. With 540 executors and half a core each waits for 1 s; 250 ms would make 2,160 answers a
+/// second, two fifths of that owner's processor.
 const EMPTY_ANSWERS_PER_CORE_S: f64 = 1000.0;
 
 /// How long an executor with work that ends may wait, where this many are asked.
--- a/crates/jackdawpier_entry/src/owner/intake.rs
+++ b/crates/jackdawpier_entry/src/owner/intake.rs
@@ -7,7 +7,7 @@
 
 use super::Owner;
 use crate::{
-    clock, keys, pending,
+    clock, keys, link, pending,
     ports::{CallError, Change, Platform, Transaction},
 };
 
@@ -19,8 +19,6 @@
 pub(super) const LIST_INTERVAL: Duration = Duration::from_millis(2500);
 /// Part of the link that listings may take where the watch gives no cause for them.
 const LINK_PART: f64 = 0.1;
-/// Bytes on the wire for each byte of a value: base64, keys and the rest of the call.
-const WIRE_PART: f64 = 1.5;
 /// How often the silence of the watch is looked at.
 const SILENCE_LOOK: Duration = Duration::from_millis(100);
 /// How often the counts of jobs that haven't begun are written.
@@ -29,8 +27,7 @@
 /// Time between two listings of this many bytes. In a burst what is open has 120 KB, half a second of a link
 /// of 2 Mbit/s, and renewals that waited behind it cost the ownership.
 fn list_interval(bytes: usize, link_mbps: f64) -> Duration {
-    let mbit = bytes as f64 * WIRE_PART * 8.0 / 1e6;
-    LIST_INTERVAL.max(Duration::from_secs_f64(mbit / (link_mbps.max(0.1) * LINK_PART)))
+    LIST_INTERVAL.max(link::time_of_values(bytes, link_mbps, LINK_PART))
 }
 
 impl<P: Platform> Owner<P> {
--- a/crates/jackdawpier_entry/src/owner/machines.rs
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -7,7 +7,7 @@
 
 use super::Owner;
 use crate::{
-    clock, keys,
+    clock, keys, link,
     ports::{Platform, Transaction},
 };
 
@@ -23,8 +23,8 @@
 
 /// The pause after a listing of this many machines over this link.
 fn list_pause(machines: usize, link_mbps: f64) -> Duration {
-    let seconds = machines as f64 * BITS_PER_MACHINE / (link_mbps.max(0.1) * 1e6 * LINK_PART);
-    LIST_PAUSE.max(Duration::from_secs_f64(seconds))
+    let bits = machines as f64 * BITS_PER_MACHINE;
+    LIST_PAUSE.max(link::time_of_bits(bits, link_mbps, LINK_PART))
 }
 
 impl<P: Platform> Owner<P> {
--- a/crates/jackdawpier_entry/src/registry.rs
+++ b/crates/jackdawpier_entry/src/registry.rs
@@ -2,7 +2,7 @@
 //!
 //! Executors renew their entries every second or two, and nearly all renewals change nothing that matters
 //! here. Only what differs is passed on: at 540 executors there are 360 renewals a second, and taking in the
-//! whole list with each of them took a sixth of an owner's processor.
+//! whole list with each of them took a sixth of the processor samples of all 97 entries.
 
 use std::collections::HashMap;
 
