--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -148,9 +148,14 @@
     let asked_at = clock::now();
     let key = platform.configuration_key();
     let news = platform.watch(key, from.revision, WATCH_WAIT).await?;
-    // An answer without news left the store when the wait was over, and nothing had changed by then.
-    let waited = if news.changes.is_empty() { WATCH_WAIT } else { Duration::ZERO };
-    active.heard(clock::now().min(asked_at + waited));
+    let took = clock::since(asked_at);
+    // An answer without news left the store when the wait was over, and nothing had changed by then; one
+    // that came sooner was cut short and says no more than that the store was asked.
+    let is_waited_for = news.changes.is_empty() && took >= WATCH_WAIT;
+    active.heard(if is_waited_for { asked_at + WATCH_WAIT } else { asked_at });
+    if news.changes.is_empty() && !is_waited_for {
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
     for change in &news.changes {
         if let Change::Put(item) = change {
             take_item(platform, active, events, item);
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -48,7 +48,7 @@
 /// An order about a machine arrives within this time or never: the patience of its call, and more.
 const MACHINE_ORDER_TIME: Duration = Duration::from_millis(900);
 /// How often an owner looks at the speed of its machine: that it has turned slow is found within a quarter of
-/// a second, for 0.03% of a core.
+/// a second, for 0.05% of a core.
 const SPEED_LOOK: Duration = Duration::from_millis(50);
 /// How often jobs that have been over for long are forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
@@ -101,8 +101,8 @@
     pub(crate) unwritten: Notify,
     /// Executors that have a loop of their own.
     pub(crate) followed: RefCell<HashSet<ExecutorId>>,
-    /// What the loops and orders of each executor share.
-    pub(crate) links: RefCell<HashMap<ExecutorId, Rc<executors::Link>>>,
+    /// What the loop and the orders of each executor share.
+    pub(crate) sessions: RefCell<HashMap<ExecutorId, Rc<executors::Session>>>,
     /// Machines that were ordered lately.
     pub(crate) order_note: order_note::OrderNote,
     /// Whether the watch of the intake is to be doubted.
@@ -284,7 +284,7 @@
         changed: Notify::new(),
         unwritten: Notify::new(),
         followed: RefCell::new(HashSet::new()),
-        links: RefCell::new(HashMap::new()),
+        sessions: RefCell::new(HashMap::new()),
         order_note: order_note::OrderNote::default(),
         intake_silence: RefCell::new(Silence::new(clock::now(), intake::LIST_INTERVAL)),
         configured_version: Cell::new(0),
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -158,12 +158,12 @@
             }
         }
         self.followed.borrow_mut().remove(&id);
-        self.links.borrow_mut().remove(&id);
+        self.sessions.borrow_mut().remove(&id);
     }
 
     async fn wait_until_durable(&self, id: &ExecutorId) {
         let began_at = clock::now();
-        let link = self.link(id);
+        let session = self.session(id);
         loop {
             // Taking the order looks at what is durable by now.
             if self.fleet.borrow_mut().hold_order(clock::now(), id).is_none_or(|it| it.may_wait) {
@@ -176,7 +176,7 @@
             if left.is_zero() || !self.is_valid() {
                 return;
             }
-            if tokio::time::timeout(left, link.settled.notified()).await.is_err() {
+            if tokio::time::timeout(left, session.settled.notified()).await.is_err() {
                 return;
             }
         }
@@ -207,23 +207,23 @@
         }
     }
 
-    fn link(&self, executor: &ExecutorId) -> Rc<Link> {
-        let mut links = self.links.borrow_mut();
-        links.entry(executor.clone()).or_default().clone()
+    fn session(&self, executor: &ExecutorId) -> Rc<Session> {
+        let mut sessions = self.sessions.borrow_mut();
+        sessions.entry(executor.clone()).or_default().clone()
     }
 
     /// Lets the loops go on whose executors may be told to forget more ends. Only those: woken by each
     /// write, hundreds of them looked in vain a hundred times a second.
     pub(super) fn wake_settled(&self) {
         let settled = self.fleet.borrow_mut().take_settled();
-        let links = self.links.borrow();
-        let waiting = settled.iter().filter_map(|id| links.get(id));
-        waiting.for_each(|link| link.settled.notify_one());
+        let sessions = self.sessions.borrow();
+        let waiting = settled.iter().filter_map(|id| sessions.get(id));
+        waiting.for_each(|session| session.settled.notify_one());
     }
 
     async fn start(self: Rc<Self>, start: Start) {
-        let link = self.link(&start.executor);
-        let _permit = link.starts.acquire().await.expect("it is never closed");
+        let session = self.session(&start.executor);
+        let _permit = session.starts.acquire().await.expect("it is never closed");
         let began_at = clock::now();
         let mut is_certain = true;
         let mut end = StartEnd::Unanswered;
@@ -278,8 +278,8 @@
     }
 
     async fn stop(self: Rc<Self>, executor: ExecutorId, task: TaskKey, run: RunNumber) {
-        let link = self.link(&executor);
-        let _permit = link.stops.acquire().await.expect("it is never closed");
+        let session = self.session(&executor);
+        let _permit = session.stops.acquire().await.expect("it is never closed");
         for _ in 0..STOP_TRIES {
             let Some(target) = self.target(&executor) else { return };
             if !self.is_valid() {
@@ -318,7 +318,7 @@
 }
 
 /// What the loop and the orders of one executor share.
-pub(crate) struct Link {
+pub(crate) struct Session {
     /// Orders to start that may be under way at it.
     starts: Semaphore,
     /// Orders to stop that may be under way at it, apart so that they don't wait behind starts.
@@ -327,7 +327,7 @@
     settled: Notify,
 }
 
-impl Default for Link {
+impl Default for Session {
     fn default() -> Self {
         Self {
             starts: Semaphore::new(ORDERS_AT_ONCE),
--- a/crates/jackdawpier_entry/src/speed.rs
+++ b/crates/jackdawpier_entry/src/speed.rs
@@ -10,8 +10,8 @@
 
 /// Measurements of which the middle counts, so that a few that were interrupted don't.
 const MEASUREMENTS: usize = 9;
-/// Measurements that tell what is usual: a quarter of them were faster than that. With 20 a second a
-/// machine that has been slow for nine seconds counts as usual again; by then nobody waits for it.
+/// Measurements that tell what is usual: a quarter of them were faster than that. With 20 a second it takes
+/// nine seconds of a slow machine until its slowness passes for usual; by then another entry has the fleet.
 const REMEMBERED: usize = 240;
 /// Rounds of the computation: some 12 us, long beside the clock's steps and short beside a decision.
 const ROUNDS: u64 = 5_000;
--- a/crates/jackdawpier_entry/tests/followed_configuration.rs
+++ b/crates/jackdawpier_entry/tests/followed_configuration.rs
@@ -58,3 +58,20 @@
         assert_eq!(version(&active), Some(2));
     });
 }
+
+/// Watches that are cut as soon as they wait don't make a process ask without a pause.
+#[test]
+fn cut_watch() {
+    run(async {
+        let fake = Fake::default();
+        fake.put(KEY, b"1");
+        let active = start(&fake);
+        assert!(wait_until(|| version(&active) == Some(1)).await);
+        fake.set_cutting(true);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let before = fake.watches();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(fake.watches() - before <= 5, "{} in a second", fake.watches() - before);
+        assert!(active.is_in_touch(clock::now()));
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -77,6 +77,9 @@
     is_down: bool,
     /// Watches hear nothing.
     is_deaf: bool,
+    /// Watches are cut as soon as they wait.
+    is_cutting: bool,
+    watches: usize,
     /// Time that a call of the store takes, half of it on the way there.
     delay: Duration,
     /// A wave of maintenance asks for the one machine.
@@ -129,6 +132,15 @@
         self.0.borrow_mut().is_deaf = is_deaf;
     }
 
+    /// Cuts watches as soon as they wait: they answer at once that nothing has changed.
+    pub fn set_cutting(&self, is_cutting: bool) {
+        self.0.borrow_mut().is_cutting = is_cutting;
+    }
+
+    pub fn watches(&self) -> usize {
+        self.0.borrow().watches
+    }
+
     /// Makes each call of the store take this long.
     pub fn set_delay(&self, delay: Duration) {
         self.0.borrow_mut().delay = delay;
@@ -268,6 +280,10 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallResult<Changes> {
         let until = clock::now() + wait;
+        self.0.borrow_mut().watches += 1;
+        if self.0.borrow().is_cutting {
+            return Ok(Changes { changes: Vec::new(), revision: after });
+        }
         loop {
             let listing = self.items_under(prefix)?;
             let news: Vec<Change> = listing
--- a/crates/jackdawpier_fleet/src/fleet/held_room.rs
+++ b/crates/jackdawpier_fleet/src/fleet/held_room.rs
@@ -44,7 +44,7 @@
     ///
     /// One each, since a job of hundreds of tasks would keep the other starved ones from running
     /// anything until it is through. Where work for 25 s had piled up for the few machines with a label,
-    /// jobs ran nothing for up to 24 s; in turn each gets a task every three.
+    /// jobs ran nothing for up to 24 s; in turn each gets a task every three seconds.
     pub(super) fn place_starved(
         &mut self,
         now: Now,
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -106,11 +106,11 @@
                 continue;
             }
             let (step, slot) = (job.step(index), job.slot(index));
-            let is_hopeless = placed >= most
+            let is_skipped = placed >= most
                 || full_slots.contains(&slot)
                 || openings.has_refused(step)
                 || job.tasks[index].not_before > now;
-            if is_hopeless {
+            if is_skipped {
                 kept.push(index);
                 continue;
             }
