--- a/crates/jackdawpier_entry/tests/owner.rs
+++ b/crates/jackdawpier_entry/tests/owner.rs
@@ -6,12 +6,7 @@
 
 use jackdawpier_entry::{keys, pending::Pending};
 use jackdawpier_fleet::{fleet::JobView, record::JobOutcome, spec::Resources};
-use support::{Fake, Fate, QUEUE, outcome, run, start_owner, submission, wait_until};
-
-fn put_job(fake: &Fake, id: &str) {
-    let value = serde_json::to_vec(&submission()).expect("it is plain data");
-    fake.put(&keys::submission(id), &value);
-}
+use support::{Fake, Fate, QUEUE, outcome, put_job, run, start_owner, submission, wait_until};
 
 #[test]
 fn whole_path() {
--- a/crates/jackdawpier_entry/tests/registry.rs
+++ b/crates/jackdawpier_entry/tests/registry.rs
@@ -4,17 +4,11 @@
 
 use std::time::Duration;
 
-use jackdawpier_entry::keys;
 use jackdawpier_fleet::record::JobOutcome;
-use support::{Fake, UNREADABLE, outcome, run, start_owner, submission, wait_until};
+use support::{Fake, UNREADABLE, outcome, put_job, run, start_owner, wait_until};
 
 const ENTRY: &str = "executors/executor-1";
 
-fn put_job(fake: &Fake, id: &str) {
-    let value = serde_json::to_vec(&submission()).expect("it is plain data");
-    fake.put(&keys::submission(id), &value);
-}
-
 /// An entry that turns unreadable names no executor, also when a watch brings it; the next one does.
 #[test]
 fn unreadable_entry() {
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -610,6 +610,12 @@
     false
 }
 
+/// Hands a job in, as an entry would.
+pub fn put_job(fake: &Fake, id: &str) {
+    let value = serde_json::to_vec(&submission()).expect("it is plain data");
+    fake.put(&keys::submission(id), &value);
+}
+
 /// The durable outcome of a job.
 pub fn outcome(fake: &Fake, id: &str) -> Option<JobOutcome> {
     let value = fake.value(&keys::record(id))?;
