--- a/crates/jackdawpier_entry/tests/followed_configuration.rs
+++ b/crates/jackdawpier_entry/tests/followed_configuration.rs
@@ -13,9 +13,12 @@
 
 const KEY: &str = "configuration";
 
-fn start(fake: &Fake) -> Active {
+/// An entry that has the first version in force.
+async fn start(fake: &Fake) -> Active {
+    fake.put(KEY, b"1");
     let active = Active::default();
     tokio::task::spawn_local(follow(fake.clone(), active.clone(), Events::new("a")));
+    assert!(wait_until(|| version(&active) == Some(1)).await);
     active
 }
 
@@ -28,9 +31,7 @@
 fn watched_change() {
     run(async {
         let fake = Fake::default();
-        fake.put(KEY, b"1");
-        let active = start(&fake);
-        assert!(wait_until(|| version(&active) == Some(1)).await);
+        let active = start(&fake).await;
         tokio::time::sleep(Duration::from_secs(3)).await;
         assert!(fake.reads() <= 1, "{} readings in three seconds", fake.reads());
         assert!(active.is_in_touch(clock::now()));
@@ -45,9 +46,7 @@
 fn store_away() {
     run(async {
         let fake = Fake::default();
-        fake.put(KEY, b"1");
-        let active = start(&fake);
-        assert!(wait_until(|| version(&active) == Some(1)).await);
+        let active = start(&fake).await;
         fake.set_down(true);
         tokio::time::sleep(Duration::from_millis(3200)).await;
         assert!(!active.is_in_touch(clock::now()));
@@ -64,9 +63,7 @@
 fn cut_watch() {
     run(async {
         let fake = Fake::default();
-        fake.put(KEY, b"1");
-        let active = start(&fake);
-        assert!(wait_until(|| version(&active) == Some(1)).await);
+        let active = start(&fake).await;
         fake.set_cutting(true);
         tokio::time::sleep(Duration::from_secs(2)).await;
         let before = fake.watches();
