Let an operator decide on a parked job before the store has confirmed it

Cause: a job is shown as parked from the moment that its task fails, but `unpark` took a decision only once that state was durable. Between the two a discard or a retry was dropped, and the operator got 200 with the job unchanged.

Change: a decision is taken from the moment that the job is shown as parked. Its write follows the earlier one, and only the last write of a job moves it on, so a retried job is claimed only once the retry is durable.

Ruled out: the wrong entry answering (the owner's own queue gave the state), a slow worker (the job had been seen parked before).

Tests: `jackdawpier_jobs/tests/parked.rs`, all three seen failing before the change.

--- a/crates/jackdawpier_jobs/src/queue.rs
+++ b/crates/jackdawpier_jobs/src/queue.rs
@@ -75,6 +75,8 @@
     job: Job,
     phase: Phase,
     ticket: Ticket,
+    /// Number of the write that carries the last state.
+    last_write: u64,
     reserved: Size,
     renewed_at: Now,
     is_stopping: bool,
@@ -213,6 +215,7 @@
         let live = Live {
             phase,
             ticket,
+            last_write: 0,
             reserved: Size::default(),
             renewed_at: Now::ZERO,
             is_stopping: false,
@@ -256,19 +259,26 @@
 
     /// Says that durable write `number` carries the last state of `job`.
     pub fn recording(&mut self, number: u64, job: JobId) {
+        if let Some(live) = self.jobs.get_mut(&job) {
+            live.last_write = number;
+        }
         self.uncommitted.push_back((number, job));
     }
 
     /// Goes on with the jobs whose last state is durable now.
     pub fn committed(&mut self, now: Now, up_to: u64) -> Vec<Command> {
         let count = self.uncommitted.iter().take_while(|(number, _)| *number <= up_to).count();
-        let ids: Vec<JobId> = self.uncommitted.drain(..count).map(|(_, id)| id).collect();
-        ids.iter().flat_map(|id| self.on_durable(now, id)).collect()
+        let durable: Vec<(u64, JobId)> = self.uncommitted.drain(..count).collect();
+        durable.iter().flat_map(|(number, id)| self.on_durable(now, *number, id)).collect()
     }
 
-    fn on_durable(&mut self, now: Now, id: &JobId) -> Vec<Command> {
+    fn on_durable(&mut self, now: Now, number: u64, id: &JobId) -> Vec<Command> {
         let task_lease = self.task_lease;
         let Some(live) = self.jobs.get_mut(id) else { return Vec::new() };
+        if number < live.last_write {
+            // An operator has decided on the parked job since: only its last state counts.
+            return Vec::new();
+        }
         match live.phase {
             Phase::Accepting => {
                 let accepted = vec![Command::Accepted(id.clone())];
@@ -379,10 +389,12 @@
     }
 
     /// Carries an operator's decision on a parked job out: it waits again from now on, or is given
-    /// up. Returns whether the job was parked.
+    /// up. Returns whether the job was parked; it is from the moment that it is shown so, also
+    /// while the store has yet to confirm it, or a decision made at once would be lost unseen.
     pub fn unpark(&mut self, id: &JobId, runs_again: bool) -> (bool, Vec<Command>) {
         let is_parked = self.jobs.get(id).is_some_and(|live| {
-            live.phase == Phase::Over && matches!(live.job.state, JobState::Parked { .. })
+            matches!(live.phase, Phase::Ending | Phase::Over)
+                && matches!(live.job.state, JobState::Parked { .. })
         });
         if !is_parked {
             return (false, Vec::new());
--- /dev/null
+++ b/crates/jackdawpier_jobs/tests/parked.rs
@@ -0,0 +1,132 @@
+//! An operator's decision on a parked job, while the job's last state is not durable yet.
+
+use std::time::Duration;
+
+use jackdawpier_jobs::{
+    job::{Job, JobState, ParkReason},
+    queue::{Command, JobQueue, StartEnd},
+    workers::WorkerInfo,
+};
+use jackdawpier_kernel::{
+    Now,
+    ids::JobId,
+    task::{Size, TaskReport, TaskState},
+};
+
+const SIZE: Size = Size { cores_milli: 1_000, memory_mb: 1_000, accelerators: 0 };
+const CAPACITY: Size = Size { cores_milli: 8_000, memory_mb: 8_000, accelerators: 0 };
+
+/// A queue that numbers its writes, as the cell of its owner does.
+struct Owner {
+    queue: JobQueue,
+    writes: Vec<Job>,
+}
+
+impl Owner {
+    fn follow(&mut self, commands: Vec<Command>) {
+        for command in commands {
+            if let Command::Write(job) = command {
+                let id = job.id.clone();
+                self.writes.push(job);
+                self.queue.recording(self.writes.len() as u64, id);
+            }
+        }
+    }
+
+    fn commit(&mut self, up_to: usize) -> Vec<Command> {
+        let commands = self.queue.committed(Now::ZERO, up_to as u64);
+        self.follow(commands.clone());
+        commands
+    }
+
+    fn state(&self, id: &JobId) -> JobState {
+        self.queue.job(id).expect("it is known").state.clone()
+    }
+}
+
+/// An owner at which a job that may not be repeated has just failed, with that state under way
+/// to the store.
+fn owner_of_failed(id: &JobId) -> Owner {
+    let mut queue = JobQueue::new(Duration::from_secs(3), Duration::from_secs(60));
+    queue.upsert_worker(WorkerInfo {
+        id: "worker".into(),
+        zone: "zone".into(),
+        rack: "rack".into(),
+        capacity: CAPACITY,
+        is_leaving: false,
+    });
+    let mut owner = Owner { queue, writes: Vec::new() };
+    let job = Job {
+        id: id.clone(),
+        class: "ledger".into(),
+        customer: "none".into(),
+        is_idempotent: false,
+        declared: SIZE,
+        payload: String::new(),
+        attempts: 0,
+        state: JobState::Queued,
+    };
+    let submitted = owner.queue.submit(job);
+    owner.follow(submitted);
+    owner.commit(1);
+    let claimed = owner.queue.tick(Now::ZERO);
+    owner.follow(claimed);
+    owner.commit(2);
+    let report = TaskReport {
+        job: id.clone(),
+        attempt: 1,
+        state: TaskState::Failed,
+        usage: SIZE,
+        ran_ms: 1,
+    };
+    let ended = owner.queue.start_ended(Now::ZERO, id, 1, StartEnd::Reported(report));
+    owner.follow(ended);
+    assert_eq!(owner.state(id), JobState::Parked { reason: ParkReason::Failed });
+    owner
+}
+
+/// What is shown as parked can be discarded: the decision isn't lost because the store is slow.
+#[test]
+fn discarded_early() {
+    let id: JobId = "job".into();
+    let mut owner = owner_of_failed(&id);
+    let (is_accepted, commands) = owner.queue.unpark(&id, false);
+    owner.follow(commands);
+    assert!(is_accepted, "the decision was dropped");
+    assert_eq!(owner.state(&id), JobState::Cancelled);
+    owner.commit(3);
+    owner.commit(4);
+    assert_eq!(owner.writes[3].state, JobState::Cancelled, "the last state in the store");
+    assert_eq!(owner.state(&id), JobState::Cancelled);
+}
+
+/// A job that may run again waits for a worker once the decision is durable, not before.
+#[test]
+fn retried_early() {
+    let id: JobId = "job".into();
+    let mut owner = owner_of_failed(&id);
+    let (is_accepted, commands) = owner.queue.unpark(&id, true);
+    owner.follow(commands);
+    assert!(is_accepted, "the decision was dropped");
+    owner.commit(3);
+    let early = owner.queue.tick(Now::ZERO);
+    assert!(early.is_empty(), "claimed while the store still shows it as parked: {early:?}");
+    owner.commit(4);
+    let claimed = owner.queue.tick(Now::ZERO);
+    owner.follow(claimed);
+    assert!(matches!(owner.state(&id), JobState::Claimed { .. }));
+    assert_eq!(owner.writes.len(), 5);
+}
+
+/// Two operators decide one after the other: the second one finds the job decided.
+#[test]
+fn decided_twice() {
+    let id: JobId = "job".into();
+    let mut owner = owner_of_failed(&id);
+    let (_, commands) = owner.queue.unpark(&id, false);
+    owner.follow(commands);
+    let (is_accepted, commands) = owner.queue.unpark(&id, true);
+    assert!(!is_accepted && commands.is_empty());
+    owner.commit(4);
+    assert_eq!(owner.state(&id), JobState::Cancelled);
+}
