Share the machines with a scarce label between the pools that ask for it

A machine was taken only from a pool that had nothing at all to do with the label.

Change: each pool is entitled to a max-min fair part of the machines with a label (what it needs, at most an equal part, at least what lasting work binds). One that holds more gives machines up to one that holds less, though they are busy: new work goes elsewhere, what runs ends. The one with least on it goes first.

Ruled out: turnover (room of label machines is 85 to 95% booked), the rotation of starved jobs alone (36 jobs a second of 110), lasting work that could be packed closer (bounded per executor).

--- a/crates/jackdawpier_fleet/src/fleet/freed_labels.rs
+++ b/crates/jackdawpier_fleet/src/fleet/freed_labels.rs
@@ -1,7 +1,9 @@
 //! Machines with a label that few have, freed of work that could run elsewhere.
 //!
 //! Lasting work that came before anybody asked for the label may sit on all machines that have it, and
-//! would for as long as it lasts. Work that ends fills them anew as long as its pool is busy.
+//! would for as long as it lasts. Work that ends fills them anew as long as its pool is busy. Where pools
+//! compete for a label, one that holds more machines than its part gives them up though they are busy:
+//! without it a pool of the users' kind had none for 13 s while 189 of its jobs waited.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -13,7 +15,7 @@
     ids::{PoolName, ServiceName},
 };
 
-use super::{Fleet, openings::Openings, pool_view::Pool};
+use super::{Fleet, label_shares::label_shares, openings::Openings, pool_view::Pool};
 use crate::{
     machines::{Errand, MachineId, MachineInfo, MachineState, MachineWork, Stage},
     spec::Label,
@@ -44,9 +46,10 @@
         since.is_some_and(|since| now.saturating_sub(*since) >= FREED_AFTER)
     }
 
-    /// A machine of another pool with a label that runs nothing but work which doesn't need it, and no
-    /// lasting work without room elsewhere: new work goes elsewhere, lasting tasks are given away one by
-    /// one, then it moves. Where few machines have the label all of them may be taken by such work.
+    /// A machine of another pool with a label that runs nothing but work which doesn't need it, or of one
+    /// with more than its part, and no lasting work without room elsewhere: new work goes elsewhere,
+    /// lasting tasks are given away one by one, then it moves. Where few machines have the label all of
+    /// them may be taken by such work. The one with least on it is empty soonest.
     pub(super) fn machine_to_free(
         &self,
         now: Now,
@@ -65,6 +68,8 @@
             return None;
         }
         let openings = self.openings(now);
+        let shares = label_shares(pools, label);
+        let is_short = pools[to].holds_of(Some(label)) < shares[to];
         let can_leave = |info: &&MachineInfo| {
             let is_able = info.state == MachineState::Up
                 && info.labels.contains(label)
@@ -72,18 +77,21 @@
                 && self.may_move(&info.id, to)
                 && !self.machines.errands.contains_key(&info.id)
                 && !self.machines.is_held(now, &info.id);
-            let is_spared =
-                || pools.get(&info.pool).is_some_and(|pool| pool.can_spare(&info.labels));
-            is_able && is_spared() && self.can_give_away(info, label, &openings)
+            let Some(pool) = pools.get(&info.pool).filter(|_| is_able) else { return false };
+            let has_too_many = || is_short && pool.holds_of(Some(label)) > shares[&info.pool];
+            let is_spared = || pool.can_spare(&info.labels);
+            is_spared() && self.can_give_away(info, Some(label), &openings)
+                || has_too_many() && self.can_give_away(info, None, &openings)
         };
-        self.machines.listed.values().find(can_leave).map(|info| info.id.clone())
+        let free = self.machines.listed.values().filter(can_leave);
+        free.min_by_key(|info| self.load_of(&info.id)).map(|info| info.id.clone())
     }
 
-    /// Whether all that runs on a machine can do without the label, and ends by itself or has room elsewhere.
+    /// Whether all that runs on a machine ends by itself or has room elsewhere, and can do without `spared`.
     fn can_give_away(
         &self,
         info: &MachineInfo,
-        label: &Label,
+        spared: Option<&Label>,
         openings: &HashMap<ServiceName, Openings>,
     ) -> bool {
         let Some(executor) = info.executor.as_ref().and_then(|id| self.executors.get(id)) else {
@@ -94,7 +102,8 @@
                 let step = self.jobs[&task.0].step(task.1);
                 let ends_or_leaves =
                     || !step.is_long_running || self.has_room_elsewhere(task, openings);
-                step.required_label.as_ref() != Some(label) && ends_or_leaves()
+                let is_spared = spared.is_none() || step.required_label.as_ref() != spared;
+                is_spared && ends_or_leaves()
             })
     }
 }
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -8,8 +8,9 @@
 
 use jackdawpier_kernel::{Now, ids::PoolName};
 
-use super::Fleet;
+use super::{Fleet, label_shares::ShareBounds};
 use crate::{
+    executor::Executor,
     job::{Job, Phase},
     machines::{MachineId, MachineState, MachineWork},
     order::rank,
@@ -45,6 +46,10 @@
     waiting: usize,
     /// The largest need of any of them.
     largest: Resources,
+    /// What runs and waits and needs the label, in thousandths of a core.
+    need_millicores: u64,
+    /// Machines with lasting work that needs the label.
+    pinned: usize,
 }
 
 impl Pool {
@@ -79,6 +84,15 @@
         })
     }
 
+    /// What bounds its part of the machines with a label.
+    pub(super) fn share_bounds(&self, label: &Label) -> ShareBounds {
+        let Some(need) = self.labels.get(label) else {
+            return ShareBounds { pinned: 0, needed: 0 };
+        };
+        let needed = need.need_millicores.div_ceil(self.machine.cpu_millicores.max(1)) as usize;
+        ShareBounds { pinned: need.pinned, needed }
+    }
+
     /// A machine with these labels is about to leave.
     pub(super) fn take_labels(&mut self, labels: &[Label]) {
         for label in labels {
@@ -115,6 +129,7 @@
 
     fn add_waiting(&mut self, need: Resources) {
         self.waiting += 1;
+        self.need_millicores += need.cpu_millicores;
         self.largest.raise_to(&need);
     }
 }
@@ -147,6 +162,7 @@
             }
             pool.up += 1;
             pool.count_labels(&info.labels, &executor.free());
+            self.add_labelled_load(pool, &info.labels, executor);
             let is_held = self.machines.is_held(now, &info.id);
             if executor.tasks.is_empty() && executor.is_synced && !is_held {
                 pool.idle.push(info.id.clone());
@@ -197,6 +213,23 @@
         }
     }
 
+    /// Adds what runs on a machine and needs one of its labels.
+    fn add_labelled_load(&self, pool: &mut Pool, labels: &[Label], executor: &Executor) {
+        for label in labels {
+            let Some(need) = pool.labels.get_mut(label) else { continue };
+            let steps = executor.tasks.iter().filter_map(|(id, index)| {
+                let step = self.jobs.get(id)?.step(*index);
+                (step.required_label.as_ref() == Some(label)).then_some(step)
+            });
+            let mut is_pinned = false;
+            for step in steps {
+                need.need_millicores += step.booked().cpu_millicores;
+                is_pinned |= step.is_long_running;
+            }
+            need.pinned += usize::from(is_pinned);
+        }
+    }
+
     /// Adds what waits and may still be of use.
     fn add_waiting(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
         for (queue, ids) in &self.open {
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/label_shares.rs
@@ -0,0 +1,80 @@
+//! Machines with a label that several pools ask for, and that are too few for all.
+
+mod world;
+
+use std::time::Duration;
+
+use jackdawpier_fleet::{
+    machines::MachineWork,
+    record::JobOutcome,
+    spec::{JobSpec, StepSpec},
+};
+use world::{World, job, step};
+
+const LABEL: &str = "gpu";
+const LABELLED: [&str; 4] = ["m-report-0", "m-report-1", "m-report-2", "m-report-3"];
+
+/// Two pools of four machines; all those of `report` have the label.
+fn labelled_report() -> World {
+    let mut world = World::new(&["view", "report"], 4);
+    for machine in LABELLED {
+        world.label(machine, LABEL);
+    }
+    world.run_for(Duration::from_secs(4));
+    world
+}
+
+fn labelled(tasks: u32) -> JobSpec {
+    job(vec![StepSpec { required_label: Some(LABEL.into()), ..step(tasks, 4, 500) }])
+}
+
+/// Machines with the label that were told to move to a pool.
+fn moves_to(world: &World, pool: &str) -> usize {
+    let to = MachineWork::Move(pool.into());
+    let orders = world.machine_orders.iter().map(|(_, order)| order);
+    orders.filter(|order| order.work == to && LABELLED.contains(&&*order.machine)).count()
+}
+
+/// One pool's backlog for the label fills all machines that have it. They change pools one after the
+/// other until both hold as many, though they are never idle, and stay there.
+#[test]
+fn shared_backlog() {
+    let mut world = labelled_report();
+    world.submit("first", "q-report", labelled(1_000));
+    world.run_for(Duration::from_millis(500));
+    world.submit("second", "q-view", labelled(1_000));
+    world.run_for(Duration::from_secs(6));
+    assert!(world.runs_of("second") > 0, "nothing of it has run");
+    assert_eq!(moves_to(&world, "view"), 2);
+    world.run_for(Duration::from_secs(15));
+    assert_eq!((moves_to(&world, "view"), moves_to(&world, "report")), (2, 0));
+}
+
+/// A pool that can do with fewer machines than an equal share keeps what it needs.
+#[test]
+fn small_need() {
+    let mut world = labelled_report();
+    world.submit("first", "q-report", labelled(1_000));
+    world.run_for(Duration::from_millis(500));
+    world.submit("second", "q-view", labelled(1));
+    let outcome = world.run_until_over("second", Duration::from_secs(8));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+    assert_eq!(moves_to(&world, "view"), 1);
+}
+
+/// Machines that hold lasting work with the label can't be shared, and count as their pool's part.
+#[test]
+fn lasting_stays() {
+    let mut world = labelled_report();
+    let lasting = StepSpec { is_long_running: true, max_per_executor: 1, ..step(3, 1, 0) };
+    let lasting = StepSpec { required_label: Some(LABEL.into()), may_miss: 1, ..lasting };
+    world.submit("lasting", "q-report", job(vec![lasting]));
+    world.run_for(Duration::from_secs(1));
+    world.submit("first", "q-report", labelled(1_000));
+    world.run_for(Duration::from_millis(500));
+    world.submit("second", "q-view", labelled(1_000));
+    world.run_for(Duration::from_secs(8));
+    assert!(world.runs_of("second") > 0, "nothing of it has run");
+    assert_eq!(moves_to(&world, "view"), 1);
+    assert_eq!(world.at_work_of("lasting"), 3);
+}
