Count a machine that leaves once at most

A machine whose executor drains isn't counted for its pool, but may be chosen for a label's sake: taken off the count, it would have wrapped around within that planning. Found by reading; no test shows it.

--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -76,7 +76,7 @@
     pub(super) fn take_labels(&mut self, labels: &[Label]) {
         for label in labels {
             if let Some(need) = self.labels.get_mut(label) {
-                need.machines -= 1;
+                need.machines = need.machines.saturating_sub(1);
                 need.room_tasks = need.room_tasks.saturating_sub(need.tasks_of(&self.machine));
             }
         }
