--- a/crates/jackdawpier_fleet/tests/label_shares.rs
+++ b/crates/jackdawpier_fleet/tests/label_shares.rs
@@ -28,6 +28,19 @@
     job(vec![StepSpec { required_label: Some(LABEL.into()), ..step(tasks, 4, 500) }])
 }
 
+/// A world in which the label's machines are busy with a backlog of `report` when `view` asks for them too.
+fn competing(machines: &[&str], tasks: u32) -> World {
+    let mut world = labelled_report(machines);
+    compete(&mut world, tasks);
+    world
+}
+
+fn compete(world: &mut World, tasks: u32) {
+    world.submit("first", "q-report", labelled(1_000));
+    world.run_for(Duration::from_millis(500));
+    world.submit("second", "q-view", labelled(tasks));
+}
+
 /// Machines with the label that were told to move to a pool.
 fn moves_to(world: &World, pool: &str) -> usize {
     let to = MachineWork::Move(pool.into());
@@ -40,10 +53,7 @@
 /// other until both hold as many, though they are never idle, and stay there.
 #[test]
 fn shared_backlog() {
-    let mut world = labelled_report(&LABELLED);
-    world.submit("first", "q-report", labelled(1_000));
-    world.run_for(Duration::from_millis(500));
-    world.submit("second", "q-view", labelled(1_000));
+    let mut world = competing(&LABELLED, 1_000);
     world.run_for(Duration::from_secs(6));
     assert!(world.runs_of("second") > 0, "nothing of it has run");
     assert_eq!(moves_to(&world, "view"), 2);
@@ -54,10 +64,7 @@
 /// A pool that can do with fewer machines than an equal share keeps what it needs.
 #[test]
 fn small_need() {
-    let mut world = labelled_report(&LABELLED);
-    world.submit("first", "q-report", labelled(1_000));
-    world.run_for(Duration::from_millis(500));
-    world.submit("second", "q-view", labelled(1));
+    let mut world = competing(&LABELLED, 1);
     let outcome = world.run_until_over("second", Duration::from_secs(8));
     assert_eq!(outcome, Some(JobOutcome::Completed));
     assert_eq!(moves_to(&world, "view"), 1);
@@ -71,9 +78,7 @@
     let lasting = StepSpec { required_label: Some(LABEL.into()), may_miss: 1, ..lasting };
     world.submit("lasting", "q-report", job(vec![lasting]));
     world.run_for(Duration::from_secs(1));
-    world.submit("first", "q-report", labelled(1_000));
-    world.run_for(Duration::from_millis(500));
-    world.submit("second", "q-view", labelled(1_000));
+    compete(&mut world, 1_000);
     world.run_for(Duration::from_secs(8));
     assert!(world.runs_of("second") > 0, "nothing of it has run");
     assert_eq!(moves_to(&world, "view"), 1);
@@ -83,10 +88,7 @@
 /// Of two machines one goes: they aren't both taken because both are more than the part of their pool.
 #[test]
 fn one_each() {
-    let mut world = labelled_report(&LABELLED[..2]);
-    world.submit("first", "q-report", labelled(1_000));
-    world.run_for(Duration::from_millis(500));
-    world.submit("second", "q-view", labelled(1_000));
+    let mut world = competing(&LABELLED[..2], 1_000);
     world.run_for(Duration::from_secs(10));
     assert_eq!((moves_to(&world, "view"), moves_to(&world, "report")), (1, 0));
     assert_eq!(
@@ -104,9 +106,7 @@
     }
     world.label("m-view-0", LABEL);
     world.run_for(Duration::from_secs(4));
-    world.submit("first", "q-report", labelled(1_000));
-    world.run_for(Duration::from_millis(500));
-    world.submit("second", "q-view", labelled(1_000));
+    compete(&mut world, 1_000);
     world.run_for(Duration::from_secs(6));
     assert_eq!(moves_to(&world, "view"), 0);
     assert!(world.fleet.shortages().iter().all(|one| one.entitled.is_none()));
--- a/crates/jackdawpier_jobs/tests/parked.rs
+++ b/crates/jackdawpier_jobs/tests/parked.rs
@@ -39,6 +39,13 @@
         commands
     }
 
+    /// Carries an operator's decision out and says whether it was taken.
+    fn decide(&mut self, id: &JobId, runs_again: bool) -> bool {
+        let (is_accepted, commands) = self.queue.unpark(id, runs_again);
+        self.follow(commands);
+        is_accepted
+    }
+
     fn state(&self, id: &JobId) -> JobState {
         self.queue.job(id).expect("it is known").state.clone()
     }
@@ -90,9 +97,7 @@
 fn discarded_early() {
     let id: JobId = "job".into();
     let mut owner = owner_of_failed(&id);
-    let (is_accepted, commands) = owner.queue.unpark(&id, false);
-    owner.follow(commands);
-    assert!(is_accepted, "the decision was dropped");
+    assert!(owner.decide(&id, false), "the decision was dropped");
     assert_eq!(owner.state(&id), JobState::Cancelled);
     owner.commit(3);
     owner.commit(4);
@@ -105,9 +110,7 @@
 fn retried_early() {
     let id: JobId = "job".into();
     let mut owner = owner_of_failed(&id);
-    let (is_accepted, commands) = owner.queue.unpark(&id, true);
-    owner.follow(commands);
-    assert!(is_accepted, "the decision was dropped");
+    assert!(owner.decide(&id, true), "the decision was dropped");
     owner.commit(3);
     let early = owner.queue.tick(Now::ZERO);
     assert!(early.is_empty(), "claimed while the store still shows it as parked: {early:?}");
@@ -123,8 +126,7 @@
 fn decided_twice() {
     let id: JobId = "job".into();
     let mut owner = owner_of_failed(&id);
-    let (_, commands) = owner.queue.unpark(&id, false);
-    owner.follow(commands);
+    assert!(owner.decide(&id, false), "the decision was dropped");
     let (is_accepted, commands) = owner.queue.unpark(&id, true);
     assert!(!is_accepted && commands.is_empty());
     owner.commit(4);
