Say which tasks ran on an executor that is lost

The log named executors that fell silent, not when one was given up, by what evidence, nor what it took along: it couldn't tell a task that ends its executors from tasks that only were there. executor_lost names the runs with the time since each start was confirmed. No decision is changed.

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -124,6 +124,7 @@
 
     /// Carries out what has been decided.
     pub(crate) fn pump(self: &Rc<Self>) {
+        self.log_losses();
         let commands = self.fleet.borrow_mut().take_commands();
         for command in commands {
             let owner = self.clone();
--- a/crates/jackdawpier_entry/src/owner/explain.rs
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -5,7 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use jackdawpier_fleet::fleet::{Obstacles, Shortage, Wait};
+use jackdawpier_fleet::fleet::{Loss, LostRun, Obstacles, Shortage, Wait};
 use serde_json::{Value, json};
 
 use super::Owner;
@@ -17,6 +17,8 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 /// Lines of each kind at a time.
 const LINES_AT_ONCE: usize = 5;
+/// Runs that the line of a lost executor names; most executors have room for fewer.
+const RUNS_NAMED: usize = 16;
 
 impl<P: Platform> Owner<P> {
     pub(super) async fn explain_loop(self: Rc<Self>) {
@@ -32,6 +34,13 @@
             }
         }
     }
+
+    /// Says of each executor that was lost which tasks it took along.
+    pub(super) fn log_losses(&self) {
+        for loss in self.fleet.borrow_mut().take_losses() {
+            self.events.emit("executor_lost", lost(&loss));
+        }
+    }
 }
 
 /// Executors of the task's service by obstacle.
@@ -50,6 +59,21 @@
     })
 }
 
+/// The runs with the age of each, which tells whether one of them had just begun.
+fn lost(loss: &Loss) -> Value {
+    let named = |run: &LostRun| {
+        let age_ms = run.age.map(|age| age.as_millis() as u64);
+        json!({ "task": run.task.to_string(), "run": run.run, "age_ms": age_ms })
+    };
+    json!({
+        "executor": *loss.executor,
+        "evidence": format!("{:?}", loss.evidence),
+        "silent_ms": loss.silent_for.map(|time| time.as_millis() as u64),
+        "tasks": loss.runs.len(),
+        "runs": loss.runs.iter().take(RUNS_NAMED).map(named).collect::<Vec<_>>(),
+    })
+}
+
 fn lacking(shortage: &Shortage) -> Value {
     let Shortage { pool, label, holds, lacks, entitled } = shortage;
     let label = label.as_deref();
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -10,6 +10,7 @@
 mod held_room;
 mod label_need;
 mod label_shares;
+mod losses;
 mod maintenance;
 mod openings;
 mod pacing;
@@ -33,6 +34,7 @@
 };
 
 pub use commits::{Batch, ChangedJob, FinishedJob};
+pub use losses::{Loss, LossEvidence, LostRun};
 pub use pools::Shortage;
 pub use reports::HoldOrder;
 pub use starts::{StartEnd, StopEnd};
@@ -171,6 +173,7 @@
     advice: HashMap<(JobId, usize), Advice>,
     commands: Vec<Command>,
     finished: Vec<FinishedJob>,
+    losses: Vec<Loss>,
     /// Executors of which more ends have become durable.
     settled: Vec<ExecutorId>,
     machines: Machines,
@@ -208,6 +211,7 @@
             advice: HashMap::new(),
             commands: Vec::new(),
             finished: Vec::new(),
+            losses: Vec::new(),
             settled: Vec::new(),
             machines_planned_at: Now::ZERO,
             expired_at: Now::ZERO,
--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -7,7 +7,7 @@
     ids::{ExecutorId, ServiceName},
 };
 
-use super::Fleet;
+use super::{Fleet, losses::LossEvidence};
 use crate::executor::{Executor, ExecutorInfo, TaskRef};
 
 /// An executor that is in the registry and in the list of machines gets this long to answer, though
@@ -100,7 +100,10 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        lapsed.iter().for_each(|id| self.release_tasks(now, id));
+        for id in &lapsed {
+            self.note_loss(now, id, LossEvidence::Lapsed);
+            self.release_tasks(now, id);
+        }
         let lease = self.settings.lease;
         self.executors.retain(|_, executor| {
             let is_heard = executor.heard_at().is_some_and(|at| now.saturating_sub(at) < lease);
@@ -121,6 +124,7 @@
 
     /// An executor's life is certainly over, so everything that ran there has ended.
     pub fn executor_ended(&mut self, now: Now, id: &ExecutorId) {
+        self.note_loss(now, id, LossEvidence::Unlisted);
         self.release_tasks(now, id);
         if let Some(executor) = self.executors.get_mut(id) {
             executor.is_over = true;
--- a/crates/jackdawpier_fleet/tests/lost_executors.rs
+++ b/crates/jackdawpier_fleet/tests/lost_executors.rs
@@ -5,7 +5,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jackdawpier_fleet::{fleet::Command, record::JobOutcome, spec::StepSpec};
+use jackdawpier_fleet::{
+    fleet::{Command, LossEvidence},
+    record::JobOutcome,
+    spec::StepSpec,
+};
 use world::{World, job, step};
 
 #[test]
@@ -164,3 +168,20 @@
     let others = world.executor_of("m-view-1");
     assert!(world.fleet.hold_order(world.now, &others).is_some());
 }
+
+/// Whoever looks for the task that took an executor along needs what ran there, and since when.
+#[test]
+fn runs_named() {
+    let mut world = World::new(&["view"], 2);
+    world.submit("j", "q-view", job(vec![step(2, 6, 9_000)]));
+    world.run_for(Duration::from_millis(1500));
+    let gone = world.executor_of("m-view-0");
+    world.crash("m-view-0", Some(Duration::from_secs(2)));
+    world.run_for(Duration::from_millis(500));
+    let losses = world.fleet.take_losses();
+    assert_eq!(losses.len(), 1);
+    assert_eq!((&losses[0].executor, losses[0].evidence), (&gone, LossEvidence::Unlisted));
+    let run = &losses[0].runs[0];
+    assert_eq!((&*run.task.job, run.run), ("j", 1));
+    assert!(run.age.is_some_and(|age| age >= Duration::from_secs(1)), "{:?}", run.age);
+}
