Show that a task that crashes its executors is started without end

The model gets tasks that crash each executor that starts them, and checks after every step that none is started three times more once three executors have crashed under it.

--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/crashing_tasks.rs
@@ -0,0 +1,64 @@
+//! Some tasks crash each executor that starts them. The owner counted the failures that executors
+//! reported, and an executor that crashes reports nothing: such a task was started again whenever its
+//! executor was given up. One was at its 89th run two minutes after its job came, and the pool lost ten
+//! executors a second with all that ran there; three in four of its quick jobs failed. That the task was
+//! the cause shows in how soon each executor was silent after it had confirmed the start:
+//!
+//! ```text
+//! 17.646  task_started     run 10, executor i-3189bf564f, up_ms 14129826
+//! 17.646  executor_silent  executor i-3189bf564f, up_ms 14129848
+//! 17.947  task_started     run 11, executor i-ee989b45ea, up_ms 14130129
+//! 17.947  executor_silent  executor i-ee989b45ea, up_ms 14130152
+//! ```
+//!
+//! The world checks after every step that such a task isn't started three times more once three
+//! executors have crashed under it.
+
+mod world;
+
+use std::time::Duration;
+
+use jackdawpier_fleet::record::JobOutcome;
+use world::{World, job, step};
+
+/// Long enough for ten runs that crash, each followed by the next listing of machines.
+const LONG: Duration = Duration::from_secs(30);
+
+fn world_with_crasher() -> World {
+    let mut world = World::new(&["view"], 6);
+    world.crashes.jobs.push("bad".into());
+    world.submit("bad", "q-view", job(vec![step(4, 2, 800)]));
+    world
+}
+
+#[test]
+fn sudden_crash() {
+    let mut world = world_with_crasher();
+    let outcome = world.run_until_over("bad", LONG);
+    assert_eq!(outcome, Some(JobOutcome::Failed));
+    assert!(world.crashes.excuse("bad"));
+}
+
+/// The fleet changes its owner between one crash and the next.
+#[test]
+fn crash_each_term() {
+    let mut world = world_with_crasher();
+    let mut outcome = None;
+    for _ in 0..12 {
+        world.run_for(Duration::from_millis(600));
+        world.take_over();
+        outcome = outcome.or_else(|| world.run_until_over("bad", Duration::from_secs(2)));
+    }
+    assert_eq!(outcome, Some(JobOutcome::Failed));
+    assert!(world.crashes.excuse("bad"));
+}
+
+/// The start's answer is lost with the executor.
+#[test]
+fn crash_before_answer() {
+    let mut world = world_with_crasher();
+    world.delivery = Box::new(|_| world::Delivery::AnswerLost);
+    let outcome = world.run_until_over("bad", Duration::from_secs(90));
+    assert_eq!(outcome, Some(JobOutcome::Failed));
+    assert!(world.crashes.excuse("bad"));
+}
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -117,6 +117,11 @@
         self.running.keys()
     }
 
+    /// Whether a task has been running for at least this long.
+    pub fn has_run_for(&self, task: &TaskKey, time: Duration) -> bool {
+        self.running.get(task).is_some_and(|run| self.now >= run.started_at + time)
+    }
+
     /// Tasks whose startup is over.
     pub fn at_work(&self) -> impl Iterator<Item = &TaskKey> {
         let is_at_work = |run: &Run| self.now >= run.started_at + STARTUP;
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses a part of the world")]
 
+pub mod crashes;
 pub mod executor;
 mod machines;
 
@@ -13,6 +14,7 @@
     time::Duration,
 };
 
+use crashes::Crashes;
 use executor::FakeExecutor;
 use jackdawpier_fleet::{
     executor::ExecutorInfo,
@@ -138,6 +140,8 @@
     pub advised: usize,
     /// Labels of machines beside the common one.
     pub labels: BTreeMap<Arc<str>, Arc<str>>,
+    /// Tasks that crash their executors, and what has crashed under whom.
+    pub crashes: Crashes,
 }
 
 impl World {
@@ -182,6 +186,7 @@
             approved: Vec::new(),
             advised: 0,
             labels: BTreeMap::new(),
+            crashes: Crashes::default(),
         };
         for pool in pools {
             for number in 0..per_pool {
@@ -242,7 +247,9 @@
     pub fn crash(&mut self, machine: &str, back_after: Option<Duration>) {
         let now = self.now;
         let id = self.executor_of(machine);
-        self.executors.get_mut(&id).expect("it lives").crash();
+        let executor = self.executors.get_mut(&id).expect("it lives");
+        self.crashes.note(now, executor.running());
+        executor.crash();
         let back = back_after.map(|after| (now + after, id));
         self.machines.get_mut(machine).expect("it was read above").back_at = back;
     }
@@ -322,6 +329,7 @@
     fn advance(&mut self) {
         let now = self.now;
         self.executors.values_mut().for_each(|executor| executor.advance(now));
+        self.crash_by_tasks();
         self.return_machines();
         let is_listing = now.as_millis().is_multiple_of(200);
         if is_listing {
@@ -539,6 +547,7 @@
     /// What must hold whatever happens.
     fn check(&mut self) {
         self.check_done();
+        self.crashes.check(&self.started);
         let mut running: HashMap<&TaskKey, &Arc<str>> = HashMap::new();
         for (id, executor) in &self.executors {
             executor.check_room();
