Give up a task that crashes its executors

Callers saw three in four quick jobs of a pool fail for minutes: a task that crashes each executor that starts it was started again without end, 89 times in one case, and took some ten executors a second along. An executor that crashes reports nothing, and only reported failures counted.

Each loss that may be a crash is now noted at the tasks that were ordered there, durably, and a task is given up after three crashes (five at the most where no start was ever confirmed). Its job is shown as failed. An executor whose machine was ordered away gets no work for the second in which the registry still names it; that hole showed in the model, where such orders looked like crashes.

sudden_crash, crash_each_term and crash_before_answer failed before (started three times after three crashes) and pass; so do late_crash and crashing_member, added here. Histories get a variant with such tasks, and check that no job fails for fewer than two crashes.

--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -139,6 +139,7 @@
                 "took_ms": job.took.as_millis() as u64,
                 "objective_ms": job.objective.as_millis() as u64,
                 "most_failures": job.most_failures,
+                "most_crashes": job.most_crashes,
             });
             self.events.emit("job_over", fields);
         }
--- a/crates/jackdawpier_entry/src/owner/explain.rs
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -5,7 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use jackdawpier_fleet::fleet::{Loss, LostRun, Obstacles, Shortage, Wait};
+use jackdawpier_fleet::fleet::{Blame, Loss, LostRun, Obstacles, Shortage, Wait};
 use serde_json::{Value, json};
 
 use super::Owner;
@@ -35,10 +35,18 @@
         }
     }
 
-    /// Says of each executor that was lost which tasks it took along.
+    /// Says of each executor that was lost which tasks it took along, and which of them are blamed.
     pub(super) fn log_losses(&self) {
-        for loss in self.fleet.borrow_mut().take_losses() {
-            self.events.emit("executor_lost", lost(&loss));
+        let (losses, blames) = {
+            let mut fleet = self.fleet.borrow_mut();
+            (fleet.take_losses(), fleet.take_blames())
+        };
+        for loss in &losses {
+            self.events.emit("executor_lost", lost(loss));
+        }
+        for blame in &blames {
+            let event = if blame.is_given_up { "task_given_up" } else { "task_suspect" };
+            self.events.emit(event, blamed(blame));
         }
     }
 }
@@ -74,6 +82,18 @@
     })
 }
 
+fn blamed(blame: &Blame) -> Value {
+    let Blame { task, run, executor, crash, crashes, .. } = blame;
+    json!({
+        "task": task.to_string(),
+        "run": run,
+        "executor": **executor,
+        "crashes": crashes,
+        "confirmed": crash.is_confirmed,
+        "sudden": crash.is_sudden,
+    })
+}
+
 fn lacking(shortage: &Shortage) -> Value {
     let Shortage { pool, label, holds, lacks, entitled } = shortage;
     let label = label.as_deref();
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -0,0 +1,44 @@
+//! What speaks for a task being the cause when executors crash under it.
+//!
+//! An executor that crashes reports nothing, and all that it ran may be to blame. How the blame is
+//! shared is in `docs/design/lives.md`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::spec::RunNumber;
+
+/// A run during which its executor crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Number of the start.
+    #[serde(rename = "r")]
+    pub run: RunNumber,
+    /// The executor had confirmed the start and was heard of lately; if not, the order may not have
+    /// reached it, or the run may have ended.
+    #[serde(rename = "c", default)]
+    pub is_confirmed: bool,
+    /// It may have been the start that the executor didn't survive: nothing was heard of it later.
+    #[serde(rename = "s", default)]
+    pub is_sudden: bool,
+}
+
+/// What follows from the crashes under a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Suspicion {
+    /// It is placed like any other.
+    None,
+    /// The evidence against it is plain: it isn't started again.
+    Plain,
+}
+
+/// Crashes with which a task is given up, by how many of them it certainly ran during: what may not
+/// have been its run counts for less, and five starts are all that a task that crashes its executors
+/// may have.
+const ENOUGH: [usize; 3] = [5, 4, 3];
+
+/// Judges a task by its crashes.
+pub(crate) fn suspicion(crashes: &[Crash]) -> Suspicion {
+    let confirmed = crashes.iter().filter(|crash| crash.is_confirmed).count();
+    let enough = ENOUGH[confirmed.min(ENOUGH.len() - 1)];
+    if crashes.len() >= enough { Suspicion::Plain } else { Suspicion::None }
+}
--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -145,6 +145,8 @@
     /// has been started again since. The executor takes no work until its life is over.
     pub(crate) is_frozen: bool,
     pub(crate) seen: u64,
+    /// When it last answered anything at all.
+    pub(crate) answered_at: Now,
     pub(crate) is_listed: bool,
     /// Its life is certainly over, though the registry may name it for seconds more.
     pub(crate) is_over: bool,
@@ -174,6 +176,7 @@
             acknowledged: 0,
             is_frozen: false,
             seen: 0,
+            answered_at: Now::ZERO,
             is_listed: false,
             is_over: false,
             avoid_until: Now::ZERO,
@@ -190,6 +193,7 @@
     /// The executor has answered. A former owner may have given it a lease of the usual length just
     /// before.
     pub(crate) fn heard(&mut self, now: Now, executor_clock: Duration, usual_lease: Duration) {
+        self.answered_at = now;
         self.lease_until.get_or_insert(executor_clock + usual_lease);
         // Answers overtake each other: an older reading is no news.
         if self.clock.is_none_or(|last| last.executor_clock <= executor_clock) {
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -3,6 +3,7 @@
 //! Everything here is rebuilt by each new owner from the store and from what executors say, so
 //! nothing in it has to outlive the process. Orders leave only for placements that are durable.
 
+mod blame;
 mod commits;
 mod executors;
 mod freed_labels;
@@ -33,6 +34,7 @@
     ids::{ExecutorId, JobId, PoolName, Revision, ServiceName},
 };
 
+pub use blame::Blame;
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use losses::{Loss, LossEvidence, LostRun};
 pub use pools::Shortage;
@@ -174,6 +176,7 @@
     commands: Vec<Command>,
     finished: Vec<FinishedJob>,
     losses: Vec<Loss>,
+    blames: Vec<Blame>,
     /// Executors of which more ends have become durable.
     settled: Vec<ExecutorId>,
     machines: Machines,
@@ -212,6 +215,7 @@
             commands: Vec::new(),
             finished: Vec::new(),
             losses: Vec::new(),
+            blames: Vec::new(),
             settled: Vec::new(),
             machines_planned_at: Now::ZERO,
             expired_at: Now::ZERO,
--- a/crates/jackdawpier_fleet/src/fleet/commits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/commits.rs
@@ -33,6 +33,8 @@
     pub objective: Duration,
     /// Failed runs of the task that failed most often.
     pub most_failures: u32,
+    /// Executors that crashed under the task under which most did.
+    pub most_crashes: usize,
 }
 
 /// A job whose record is to be written.
@@ -125,7 +127,7 @@
                 }
                 continue;
             }
-            self.order_starts(id, record);
+            self.order_starts(now, id, record);
         }
     }
 
@@ -140,6 +142,7 @@
             took: now.saturating_sub(job.next_began_at()),
             objective: queue.map(|queue| objective(job, queue)).unwrap_or_default(),
             most_failures: worst.map_or(0, Task::failures),
+            most_crashes: job.tasks.iter().map(|task| task.crashes().len()).max().unwrap_or(0),
         });
     }
 
@@ -154,7 +157,7 @@
         std::mem::take(&mut self.settled)
     }
 
-    fn order_starts(&mut self, id: &JobId, record: &JobRecord) {
+    fn order_starts(&mut self, now: Now, id: &JobId, record: &JobRecord) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         for (index, written) in record.tasks.iter().enumerate() {
             let Phase::Planned { executor } = &job.tasks[index].phase else { continue };
@@ -172,6 +175,7 @@
             let key: TaskKey = job.key(index);
             let task = &mut job.tasks[index];
             task.phase = Phase::Starting { executor: executor.clone() };
+            task.ordered_at = now;
             self.commands.push(Command::Start {
                 executor,
                 task: key,
--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{Fleet, losses::LossEvidence};
-use crate::executor::{Executor, ExecutorInfo, TaskRef};
+use crate::executor::{Executor, ExecutorInfo};
 
 /// An executor that is in the registry and in the list of machines gets this long to answer, though
 /// its lease has lapsed before: longer than executors hang, and than an owner is short of processor.
@@ -100,10 +100,7 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        for id in &lapsed {
-            self.note_loss(now, id, LossEvidence::Lapsed);
-            self.release_tasks(now, id);
-        }
+        lapsed.iter().for_each(|id| self.lose(now, id, LossEvidence::Lapsed));
         let lease = self.settings.lease;
         self.executors.retain(|_, executor| {
             let is_heard = executor.heard_at().is_some_and(|at| now.saturating_sub(at) < lease);
@@ -123,20 +120,13 @@
     }
 
     /// An executor's life is certainly over, so everything that ran there has ended.
-    pub fn executor_ended(&mut self, now: Now, id: &ExecutorId) {
-        self.note_loss(now, id, LossEvidence::Unlisted);
-        self.release_tasks(now, id);
+    pub fn executor_ended(&mut self, now: Now, id: &ExecutorId, evidence: LossEvidence) {
+        self.lose(now, id, evidence);
         if let Some(executor) = self.executors.get_mut(id) {
             executor.is_over = true;
         }
     }
 
-    fn release_tasks(&mut self, now: Now, id: &ExecutorId) {
-        let Some(executor) = self.executors.get(id) else { return };
-        let tasks: Vec<TaskRef> = executor.tasks.iter().cloned().collect();
-        tasks.into_iter().for_each(|task| self.run_over(now, &task, None));
-    }
-
     /// The executors that are known, with their addresses.
     pub fn executors(&self) -> impl Iterator<Item = (&ExecutorId, Option<&ExecutorInfo>)> {
         self.executors.iter().map(|(id, executor)| (id, executor.info.as_ref()))
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -89,6 +89,7 @@
         for (index, executor) in placed {
             let task = &mut job.tasks[*index];
             task.run = run;
+            task.confirmed_at = None;
             task.checkpoint.clone_from(&checkpoint);
             task.phase = Phase::Planned { executor: executor.clone() };
         }
--- a/crates/jackdawpier_fleet/src/fleet/losses.rs
+++ b/crates/jackdawpier_fleet/src/fleet/losses.rs
@@ -1,4 +1,4 @@
-//! Executors whose lives are over, and what ran there: for the log.
+//! Executors whose lives are over: what ran there is released, and named for the log.
 
 use std::time::Duration;
 
@@ -6,7 +6,8 @@
 
 use super::Fleet;
 use crate::{
-    job::Phase,
+    executor::{Executor, TaskRef},
+    job::{Phase, Task},
     spec::{RunNumber, TaskKey},
 };
 
@@ -15,6 +16,8 @@
 pub enum LossEvidence {
     /// The list of machines doesn't name it.
     Unlisted,
+    /// Its machine was moved or maintained.
+    Taken,
     /// It has been silent for so long that all it ran has lapsed.
     Lapsed,
 }
@@ -26,7 +29,7 @@
     pub task: TaskKey,
     /// Number of the start.
     pub run: RunNumber,
-    /// How long ago the executor confirmed the start; none if it never did.
+    /// How long ago the executor confirmed the start; none if it never did, or to an earlier owner.
     pub age: Option<Duration>,
 }
 
@@ -49,8 +52,44 @@
         std::mem::take(&mut self.losses)
     }
 
-    /// Notes what an executor takes along that is about to be given up.
-    pub(super) fn note_loss(&mut self, now: Now, id: &ExecutorId, evidence: LossEvidence) {
+    /// Releases what ran on an executor, and blames it if the executor may have crashed.
+    pub(super) fn lose(&mut self, now: Now, id: &ExecutorId, evidence: LossEvidence) {
+        let Some(executor) = self.executors.get(id) else { return };
+        let is_crash = self.may_have_crashed(id, executor, evidence);
+        let tasks: Vec<TaskRef> = executor.tasks.iter().cloned().collect();
+        self.note_loss(now, id, evidence);
+        for task in &tasks {
+            if is_crash {
+                self.note_crash(now, id, task);
+            }
+            self.run_over(now, task, None);
+        }
+        if is_crash {
+            tasks.iter().for_each(|task| self.give_up_if_plain(now, task));
+        }
+    }
+
+    /// Whether an executor that is lost may have crashed: it wasn't taken away, had said nothing of
+    /// leaving, and isn't merely cut off.
+    fn may_have_crashed(
+        &self,
+        id: &ExecutorId,
+        executor: &Executor,
+        evidence: LossEvidence,
+    ) -> bool {
+        let is_draining = executor.info.as_ref().is_some_and(|info| info.is_draining);
+        let is_gone = match evidence {
+            LossEvidence::Unlisted => true,
+            LossEvidence::Taken => false,
+            LossEvidence::Lapsed => {
+                let heard_at = executor.heard_at().unwrap_or(executor.known_at);
+                !executor.is_listed && !self.machines.has_named_since(heard_at, id)
+            }
+        };
+        is_gone && !is_draining
+    }
+
+    fn note_loss(&mut self, now: Now, id: &ExecutorId, evidence: LossEvidence) {
         let Some(executor) = self.executors.get(id) else { return };
         let runs: Vec<LostRun> = executor
             .tasks
@@ -58,12 +97,12 @@
             .filter_map(|(job_id, index)| {
                 let job = self.jobs.get(job_id)?;
                 let task = &job.tasks[*index];
-                let age = match &task.phase {
-                    Phase::Planned { .. } => return None,
-                    Phase::Running { since, .. } => Some(now.saturating_sub(*since)),
-                    _ => None,
-                };
-                Some(LostRun { task: job.key(*index), run: task.run, age })
+                let is_ordered = !matches!(task.phase, Phase::Planned { .. });
+                is_ordered.then(|| LostRun {
+                    task: job.key(*index),
+                    run: task.run,
+                    age: age(now, task),
+                })
             })
             .collect();
         if runs.is_empty() {
@@ -73,3 +112,8 @@
         self.losses.push(Loss { executor: id.clone(), evidence, silent_for, runs });
     }
 }
+
+fn age(now: Now, task: &Task) -> Option<Duration> {
+    let confirmed_at = task.confirmed_at.filter(|at| *at > Now::ZERO)?;
+    Some(now.saturating_sub(confirmed_at))
+}
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -5,7 +5,7 @@
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
-use super::{Command, Fleet};
+use super::{Command, Fleet, losses::LossEvidence};
 use crate::machines::{
     MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork, Stage, Wave,
     WaveNumber, WaveProgress, WaveState,
@@ -33,7 +33,7 @@
         if machines.is_empty() {
             return;
         }
-        self.machines.list(machines);
+        let former = self.machines.list(asked_at, machines);
         let ended: Vec<ExecutorId> = self
             .executors
             .iter()
@@ -42,7 +42,11 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        ended.iter().for_each(|executor| self.executor_ended(now, executor));
+        for executor in &ended {
+            let is_taken = self.machines.was_taken(executor, former.get(executor));
+            let evidence = if is_taken { LossEvidence::Taken } else { LossEvidence::Unlisted };
+            self.executor_ended(now, executor, evidence);
+        }
         self.end_errands(asked_at);
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -153,6 +153,7 @@
         let job = self.jobs.get_mut(id).expect("the caller has just read it");
         let task = &mut job.tasks[index];
         task.run += 1;
+        task.confirmed_at = None;
         task.phase = Phase::Planned { executor: executor.clone() };
         book(self.executors.get_mut(&executor).expect("just chosen"), job, index);
     }
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -229,6 +229,10 @@
             let is_kept = !matches!(task.phase, Phase::Stopping { .. });
             let is_at_work = running.percent >= 100 && is_kept;
             task.at_work_since = if is_at_work { task.at_work_since.or(Some(now)) } else { None };
+            if task.confirmed_at.is_none() {
+                let is_from_before = matches!(task.phase, Phase::Doubt { .. });
+                task.confirmed_at = Some(if is_from_before { Now::ZERO } else { now });
+            }
             if matches!(task.phase, Phase::Doubt { .. } | Phase::Starting { .. }) {
                 task.phase = Phase::Running { executor: id.clone(), since: now };
                 if !job.has_begun {
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -33,6 +33,18 @@
     Unanswered,
 }
 
+impl StartEnd {
+    /// Whether the executor that was meant has answered.
+    fn is_answer(self) -> bool {
+        match self {
+            Self::Started | Self::NoRoom | Self::RunIsOver | Self::TooLate | Self::BadTicket => {
+                true
+            }
+            Self::Unavailable | Self::Withheld | Self::Invalid | Self::Unanswered => false,
+        }
+    }
+}
+
 /// How an order to stop ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopEnd {
@@ -70,11 +82,15 @@
             return;
         }
         let task_ref = (key.job.clone(), index);
-        let executor = self.executors.get_mut(executor_id);
+        let mut executor = self.executors.get_mut(executor_id);
+        if let Some(executor) = executor.as_deref_mut().filter(|_| end.is_answer()) {
+            executor.answered_at = now;
+        }
         match end {
             StartEnd::Started => {
                 let Phase::Starting { executor } = task.phase.clone() else { return };
                 task.phase = Phase::Running { executor, since: now };
+                task.confirmed_at = Some(now);
                 task.percent = 0;
                 task.pace_percent = 100;
                 if !job.has_begun {
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    crash::Crash,
     record::{JobOutcome, JobRecord, Standing, TaskRecord},
     spec::{JobSpec, QueueName, RunNumber, StepSpec, Submission, TaskKey},
 };
@@ -54,6 +55,12 @@
     pub(crate) run: RunNumber,
     /// Runs that ended in failure.
     failed_runs: Vec<RunNumber>,
+    /// Runs during which their executors crashed.
+    crashes: Vec<Crash>,
+    /// When the order for the present run left.
+    pub(crate) ordered_at: Now,
+    /// When the executor confirmed the present run; [`Now::ZERO`] if to an earlier owner.
+    pub(crate) confirmed_at: Option<Now>,
     pub(crate) checkpoint: Box<str>,
     /// Last share of its full speed that the executor reported, in percent.
     pub(crate) percent: u32,
@@ -73,6 +80,9 @@
             phase: Phase::Waiting,
             run: 0,
             failed_runs: Vec::new(),
+            crashes: Vec::new(),
+            ordered_at: Now::ZERO,
+            confirmed_at: None,
             checkpoint: "".into(),
             percent: 100,
             pace_percent: 100,
@@ -94,6 +104,22 @@
         self.failed_runs.len() as u32
     }
 
+    /// Counts a run during which its executor crashed.
+    pub(crate) fn note_crash(&mut self, crash: Crash) {
+        if !self.crashes.iter().any(|known| known.run == crash.run) {
+            self.crashes.push(crash);
+        }
+    }
+
+    /// The executor lived on long enough for it to be no cause of earlier crashes.
+    pub(crate) fn clear_crashes(&mut self) {
+        self.crashes.clear();
+    }
+
+    pub(crate) fn crashes(&self) -> &[Crash] {
+        &self.crashes
+    }
+
     fn record(&self) -> TaskRecord {
         let standing = match (&self.phase, self.phase.executor()) {
             (Phase::Done, _) => Standing::Done,
@@ -104,6 +130,7 @@
             standing,
             run: self.run,
             failed_runs: self.failed_runs.clone(),
+            crashes: self.crashes.clone(),
             checkpoint: self.checkpoint.clone(),
         }
     }
@@ -207,6 +234,7 @@
         for (index, (task, known)) in self.tasks.iter_mut().zip(&record.tasks).enumerate() {
             task.run = known.run;
             task.failed_runs.clone_from(&known.failed_runs);
+            task.crashes.clone_from(&known.crashes);
             task.checkpoint.clone_from(&known.checkpoint);
             match &known.standing {
                 Standing::Waiting => {}
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -166,6 +166,8 @@
     held: BTreeMap<MachineId, Now>,
     pub(crate) listed: BTreeMap<MachineId, MachineInfo>,
     pub(crate) has_listing: bool,
+    /// When the last listing was asked for.
+    listed_at: Now,
     pub(crate) errands: BTreeMap<MachineId, Errand>,
     pub(crate) waves: BTreeMap<WaveNumber, WaveProgress>,
     /// Pools that don't take a machine, since they are of other machines.
@@ -180,6 +182,7 @@
             held: BTreeMap::new(),
             listed: BTreeMap::new(),
             has_listing: false,
+            listed_at: Now::ZERO,
             errands: BTreeMap::new(),
             waves: BTreeMap::new(),
             refused_moves: BTreeSet::new(),
@@ -209,8 +212,15 @@
         self.machine_of.get(executor).is_some_and(|machine| self.is_held(now, machine))
     }
 
-    /// Takes in a listing.
-    pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) {
+    /// Takes in a listing that was asked for at `asked_at`, and returns on which machines executors
+    /// lived by the one before.
+    pub(crate) fn list(
+        &mut self,
+        asked_at: Now,
+        machines: Vec<MachineInfo>,
+    ) -> HashMap<ExecutorId, MachineId> {
+        self.listed_at = asked_at;
+        let former = std::mem::take(&mut self.machine_of);
         self.machine_of = machines
             .iter()
             .filter_map(|info| Some((info.executor.clone()?, info.id.clone())))
@@ -224,6 +234,23 @@
             }
         }
         self.has_listing = true;
+        former
+    }
+
+    /// Whether an executor was named by a listing that was asked for after a time.
+    pub(crate) fn has_named_since(&self, at: Now, executor: &ExecutorId) -> bool {
+        self.listed_at > at && self.has_executor(executor)
+    }
+
+    /// Whether an executor is gone since its machine was moved or maintained, by this owner's order or
+    /// an earlier one's; `machine` is the one that it was last listed on.
+    pub(crate) fn was_taken(&self, executor: &ExecutorId, machine: Option<&MachineId>) -> bool {
+        let is_ordered = self
+            .errands
+            .values()
+            .any(|errand| errand.is_away() && errand.executor.as_ref() == Some(executor));
+        let state = machine.and_then(|machine| self.listed.get(machine)).map(|info| info.state);
+        is_ordered || matches!(state, Some(MachineState::Moving | MachineState::Maintenance))
     }
 
     /// Whether an executor lives on some machine by the last listing.
@@ -235,7 +262,9 @@
     pub(crate) fn vacating(&self) -> impl Iterator<Item = &ExecutorId> {
         self.errands.iter().filter_map(|(machine, errand)| {
             let executor = errand.executor.as_ref()?;
-            (self.machine_of.get(executor) == Some(machine)).then_some(executor)
+            // One that is being taken isn't listed any more, though the registry names it a while longer.
+            let is_there = errand.is_away() || self.machine_of.get(executor) == Some(machine);
+            is_there.then_some(executor)
         })
     }
 
--- a/crates/jackdawpier_fleet/src/record.rs
+++ b/crates/jackdawpier_fleet/src/record.rs
@@ -6,7 +6,7 @@
 use jackdawpier_kernel::ids::ExecutorId;
 use serde::{Deserialize, Serialize};
 
-use crate::spec::RunNumber;
+use crate::{crash::Crash, spec::RunNumber};
 
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +47,9 @@
     /// a later owner until it is acknowledged.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub failed_runs: Vec<RunNumber>,
+    /// Runs during which their executors crashed.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
     /// Checkpoint to go on from; empty if there is none.
     #[serde(rename = "c", default, skip_serializing_if = "str::is_empty")]
     pub checkpoint: Box<str>,
--- a/crates/jackdawpier_fleet/tests/crashing_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/crashing_tasks.rs
@@ -39,6 +39,16 @@
     assert!(world.crashes.excuse("bad"));
 }
 
+/// It works for a while before it takes its executor along.
+#[test]
+fn late_crash() {
+    let mut world = world_with_crasher();
+    world.crashes.after = Duration::from_millis(700);
+    let outcome = world.run_until_over("bad", LONG);
+    assert_eq!(outcome, Some(JobOutcome::Failed));
+    assert!(world.crashes.excuse("bad"));
+}
+
 /// The fleet changes its owner between one crash and the next.
 #[test]
 fn crash_each_term() {
@@ -62,3 +72,15 @@
     assert_eq!(outcome, Some(JobOutcome::Failed));
     assert!(world.crashes.excuse("bad"));
 }
+
+/// A gang is lost with the one of its members.
+#[test]
+fn crashing_member() {
+    let mut world = World::new(&["view"], 6);
+    world.crashes.jobs.push("bad".into());
+    let mut gang = step(4, 2, 800);
+    gang.is_gang = true;
+    world.submit("bad", "q-view", job(vec![gang]));
+    let outcome = world.run_until_over("bad", LONG);
+    assert_eq!(outcome, Some(JobOutcome::Failed));
+}
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -20,6 +20,8 @@
 /// Histories in an ordinary run of the tests; more by `HISTORIES=10000`.
 const HISTORIES: u64 = 60;
 const EVENTS: usize = 40;
+/// Part of the jobs with a task that crashes its executors.
+const CRASHING: f64 = 0.3;
 /// Seeds that failed once, with what was wrong.
 const FAILED_BEFORE: [(u64, &str); 3] = [
     (0, "an unlisted executor that had just answered a new owner counted as lapsed: run twice"),
@@ -102,6 +104,12 @@
 }
 
 fn play(seed: u64) {
+    play_with(seed, 0.0);
+}
+
+/// Plays a history in which this part of the jobs have a task that crashes its executors.
+fn play_with(seed: u64, crashing: f64) {
+    let mut marks = ChaCha8Rng::seed_from_u64(seed ^ 2);
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut world = World::new(&["view", "report", "off"], 3);
     let mut orders = ChaCha8Rng::seed_from_u64(seed ^ 1);
@@ -111,14 +119,24 @@
         1 if is_lossy => Delivery::Late(Duration::from_millis(u64::from(orders.next_u32() % 9000))),
         _ => Delivery::Answered,
     });
+    if crashing > 0.0 {
+        world.crashes.after = Duration::from_millis(marks.random_range(10..1_500));
+    }
     let mut jobs = Vec::new();
     for _ in 0..EVENTS {
+        let next = format!("job-{}", jobs.len());
+        if marks.random_bool(crashing) && !world.crashes.jobs.iter().any(|id| **id == *next) {
+            world.crashes.jobs.push(next.into());
+        }
         random_event(&mut world, &mut random, &mut jobs);
         world.run_for(Duration::from_millis(random.random_range(10..900)));
     }
     heal(&mut world);
     for id in &jobs {
         let is_over = world.run_until_over(id, Duration::from_secs(120)).is_some();
+        if !is_over && std::env::var("TRACE").is_ok() {
+            println!("{:?}", world.fleet.long_waits(world.now, Duration::ZERO, 3));
+        }
         assert!(is_over, "seed {seed}: {id} never ends, {:?}", world.fleet.view(id));
     }
     let is_true = |id: &&String| {
@@ -126,6 +144,14 @@
             || world.cancelled.iter().any(|cancelled| **cancelled == ***id)
     };
     assert!(jobs.iter().all(|id| is_true(&id)), "seed {seed}");
+    for id in &jobs {
+        let is_failed = world.fleet.view(id) == Some(JobView::Over(JobOutcome::Failed));
+        let crashes = world.crashes.most_under(id);
+        assert!(
+            !is_failed || world.crashes.excuse(id),
+            "seed {seed}: {id} after {crashes} crashes"
+        );
+    }
 }
 
 #[test]
@@ -133,13 +159,24 @@
     FAILED_BEFORE.iter().for_each(|(seed, _)| play(*seed));
 }
 
+fn seeds() -> std::ops::Range<u64> {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let first = number("FIRST").unwrap_or(0);
+    first..first + number("HISTORIES").unwrap_or(HISTORIES)
+}
+
 #[test]
 fn many_histories() {
-    let histories =
-        std::env::var("HISTORIES").ok().and_then(|text| text.parse().ok()).unwrap_or(HISTORIES);
-    let first = std::env::var("FIRST").ok().and_then(|text| text.parse().ok()).unwrap_or(0);
-    for seed in first..first + histories {
+    for seed in seeds() {
         println!("seed {seed}");
         play(seed);
     }
 }
+
+#[test]
+fn crashing_histories() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        play_with(seed, CRASHING);
+    }
+}
--- a/crates/jackdawpier_fleet/tests/lost_executors.rs
+++ b/crates/jackdawpier_fleet/tests/lost_executors.rs
@@ -163,7 +163,7 @@
     world.run_for(Duration::from_secs(2));
     let gone = world.executor_of("m-view-0");
     assert!(world.fleet.hold_order(world.now, &gone).is_some());
-    world.fleet.executor_ended(world.now, &gone);
+    world.fleet.executor_ended(world.now, &gone, LossEvidence::Unlisted);
     assert!(world.fleet.hold_order(world.now, &gone).is_none());
     let others = world.executor_of("m-view-1");
     assert!(world.fleet.hold_order(world.now, &others).is_some());
--- a/crates/jackdawpier_fleet/tests/world/crashes.rs
+++ b/crates/jackdawpier_fleet/tests/world/crashes.rs
@@ -42,7 +42,11 @@
 
 impl Crashes {
     pub(super) fn note<'a>(&mut self, now: Duration, tasks: impl Iterator<Item = &'a TaskKey>) {
-        tasks.for_each(|task| self.under.entry(task.clone()).or_default().push(now));
+        let tasks: Vec<&TaskKey> = tasks.collect();
+        if std::env::var("TRACE").is_ok() {
+            println!("{now:?} crash under {tasks:?}");
+        }
+        tasks.into_iter().for_each(|task| self.under.entry(task.clone()).or_default().push(now));
     }
 
     /// Whether a task crashes each executor that starts it.
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -117,6 +117,13 @@
         self.running.keys()
     }
 
+    /// What a crash takes along: what runs, and ends of this moment, of which nobody has heard.
+    pub fn at_stake(&self) -> impl Iterator<Item = &TaskKey> {
+        let is_unheard = |end: &&EndedTask| self.ended_at[&end.sequence] == self.now;
+        let unheard = self.ended.iter().filter(is_unheard).map(|end| &end.task);
+        self.running().chain(unheard)
+    }
+
     /// Whether a task has been running for at least this long.
     pub fn has_run_for(&self, task: &TaskKey, time: Duration) -> bool {
         self.running.get(task).is_some_and(|run| self.now >= run.started_at + time)
--- a/crates/jackdawpier_fleet/tests/world/machines.rs
+++ b/crates/jackdawpier_fleet/tests/world/machines.rs
@@ -9,7 +9,11 @@
 impl World {
     pub(super) fn state_of(&self, machine: &Machine) -> MachineState {
         let is_dead = machine.executor.as_ref().is_some_and(|id| !self.executors[id].is_alive());
-        if is_dead || machine.back_at.is_some() { MachineState::Down } else { MachineState::Up }
+        match machine.away_for {
+            Some(state) => state,
+            None if is_dead || machine.back_at.is_some() => MachineState::Down,
+            None => MachineState::Up,
+        }
     }
 
     pub(super) fn return_machines(&mut self) {
@@ -29,6 +33,7 @@
             let machine = self.machines.get_mut(&id).expect("it was listed above");
             machine.executor = executor;
             machine.back_at = None;
+            machine.away_for = None;
         }
     }
 
@@ -79,10 +84,12 @@
         let takes = match &order.work {
             MachineWork::Move(pool) => {
                 machine.pool = pool.clone();
+                machine.away_for = Some(MachineState::Moving);
                 MIGRATION
             }
             MachineWork::Maintain(wave) => {
                 machine.maintained_for.push(*wave);
+                machine.away_for = Some(MachineState::Maintenance);
                 MAINTENANCE
             }
         };
@@ -91,6 +98,7 @@
             self.executors.get_mut(&executor).expect("it lives").crash();
             return MachineOrderEnd::Taken;
         }
+        machine.away_for = None;
         let pool = machine.pool.clone();
         if !self.is_standby(&pool) {
             let id = self.new_life(&pool, "rack-x", &order.machine);
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -19,7 +19,7 @@
 use jackdawpier_fleet::{
     executor::ExecutorInfo,
     fleet::{Batch, Command, Fleet, FleetSettings, JobView, StartEnd, StopEnd},
-    machines::{MachineInfo, MachineOrder, Wave},
+    machines::{MachineInfo, MachineOrder, MachineState, Wave},
     policy::Policy,
     record::{JobOutcome, JobRecord},
     spec::{JobSpec, Queue, Resources, Service, StepSpec, Submission, TaskKey},
@@ -87,6 +87,8 @@
     pub pool: Arc<str>,
     pub executor: Option<Arc<str>>,
     pub back_at: Option<(Duration, Arc<str>)>,
+    /// What it is away for, if by an order.
+    pub away_for: Option<MachineState>,
     pub maintained_for: Vec<u64>,
 }
 
@@ -212,7 +214,13 @@
         let executor = (!self.is_standby(pool)).then(|| self.new_life(pool, rack, machine));
         self.machines.insert(
             machine.clone(),
-            Machine { pool: pool.into(), executor, back_at: None, maintained_for: Vec::new() },
+            Machine {
+                pool: pool.into(),
+                executor,
+                back_at: None,
+                away_for: None,
+                maintained_for: Vec::new(),
+            },
         );
     }
 
@@ -248,7 +256,7 @@
         let now = self.now;
         let id = self.executor_of(machine);
         let executor = self.executors.get_mut(&id).expect("it lives");
-        self.crashes.note(now, executor.running());
+        self.crashes.note(now, executor.at_stake());
         executor.crash();
         let back = back_after.map(|after| (now + after, id));
         self.machines.get_mut(machine).expect("it was read above").back_at = back;
@@ -408,6 +416,10 @@
     }
 
     fn carry_out(&mut self) {
+        let blames = self.fleet.take_blames();
+        if std::env::var("TRACE").is_ok() {
+            blames.iter().for_each(|blame| println!("{:?} {blame:?}", self.now));
+        }
         for command in self.fleet.take_commands() {
             if std::env::var("TRACE").is_ok() {
                 println!("{:?} fence {}: {command:?}", self.now, self.fence);
