Tell the lives of an executor apart

An executor may start again under the id that it had, knowing nothing. The owner took it for the one that it knew: its ends, numbered from one again, passed unheard; an executor that the list of machines had been without was never used again; and the crash of a task whose executor was back before anybody missed it wasn't counted, so that it was started without end there.

Reports and registry entries now carry the life. The first report in another one settles the former: what it doesn't list is gone and counts as a crash. Whoever failed to answer is told neither a position in its ends nor a lease until it has, for the next life would take them for its own.

--- a/crates/jackdawpier_bench/src/owner.rs
+++ b/crates/jackdawpier_bench/src/owner.rs
@@ -148,6 +148,7 @@
                 gauge: 0,
             });
             let report = HoldReport {
+                life: None,
                 clock: now,
                 running: running.collect(),
                 ended: executor.ended.clone(),
@@ -221,6 +222,7 @@
 
 fn settings() -> FleetSettings {
     FleetSettings {
+        longest_lease: Duration::from_secs(10),
         lease: Duration::from_secs(5),
         doubt: Duration::from_millis(7500),
         stop_timeout: Duration::from_millis(200),
@@ -247,6 +249,7 @@
     let rack = format!("rack-{}", number / 8);
     ExecutorInfo {
         id: format!("i-{number:04}").into(),
+        life: None,
         service: format!("pool-{}", number / load.per_pool).into(),
         address: "10.0.0.1:1".into(),
         zone: "zone".into(),
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -219,6 +219,7 @@
     let lease = settings.longest_lease.min(EXECUTOR_LEASE);
     FleetSettings {
         lease,
+        longest_lease: settings.longest_lease,
         // An owner that was cut off may have renewed until its own lease ended.
         doubt: ownership::ttl(settings.shortest_ttl) + lease * 21 / 20 + Duration::from_millis(300),
         stop_timeout: settings.stop_timeout,
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -122,7 +122,7 @@
             match answer {
                 Ok(report) => {
                     if !is_heard {
-                        let fields = json!({ "executor": *id, "running": report.running.len(), "ended": report.ended.len() });
+                        let fields = json!({ "executor": *id, "life": report.life, "running": report.running.len(), "ended": report.ended.len() });
                         self.events.emit("executor_heard", fields);
                     }
                     is_heard = true;
@@ -142,6 +142,7 @@
                     self.term.lose();
                 }
                 Err(error) => {
+                    self.fleet.borrow_mut().hold_failed(clock::now(), &id);
                     if is_heard {
                         let fields = json!({ "executor": *id, "why": error.to_string() });
                         self.events.emit("executor_silent", fields);
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -390,7 +390,7 @@
         let mut state = self.0.borrow_mut();
         state.ended.retain(|end| end.sequence > question.acknowledged);
         let ended = state.ended.clone();
-        Ok(HoldReport { clock: clock::now(), running: Vec::new(), ended })
+        Ok(HoldReport { life: None, clock: clock::now(), running: Vec::new(), ended })
     }
 }
 
@@ -463,6 +463,7 @@
         }
         Ok(ExecutorInfo {
             id: EXECUTOR.into(),
+            life: None,
             service: "service".into(),
             address: "127.0.0.1:1".into(),
             zone: "zone".into(),
--- a/crates/jackdawpier_fleet/src/crash.rs
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -41,13 +41,24 @@
 /// may have.
 const ENOUGH: [usize; 3] = [5, 4, 3];
 
+/// Crashes after which the starts of a task are counted.
+const MOST_CRASHES: usize = 3;
 /// Crashes that are enough if they are sudden and confirmed: the later ones were watched.
 const ENOUGH_SUDDEN: usize = 2;
+/// Starts that a task may have after the third crash, whatever becomes of them.
+const STARTS_AFTER: u32 = 2;
 /// Some thirty times what a task that crashes its executor at once takes for that.
 const WATCH_START: Duration = Duration::from_millis(300);
 /// For a task whose executors crashed later than that; most tasks are over by then.
 const WATCH_WORK: Duration = Duration::from_secs(2);
 
+/// Whether a task has used up its starts with this run, if that didn't end well.
+pub(crate) fn is_spent(crashes: &[Crash], run: RunNumber) -> bool {
+    let third = crashes.get(MOST_CRASHES - 1);
+    let is_confirmed = crashes.iter().any(|crash| crash.is_confirmed);
+    is_confirmed && third.is_some_and(|third| run >= third.run + STARTS_AFTER)
+}
+
 /// Judges a task by its crashes.
 pub(crate) fn suspicion(crashes: &[Crash]) -> Suspicion {
     let confirmed = crashes.iter().filter(|crash| crash.is_confirmed).count();
--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -19,8 +19,10 @@
 /// An executor as the registry lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ExecutorInfo {
-    /// Its id, which it keeps for one life.
+    /// Its id, which it may keep when it starts again.
     pub id: ExecutorId,
+    /// Which of its lives this is; none if it doesn't say.
+    pub life: Option<LifeId>,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Its network address; a later executor may get the same one.
@@ -37,9 +39,15 @@
     pub is_draining: bool,
 }
 
+/// Tells the lives of an executor apart: when it started, in milliseconds since 1970 by its own clock, so
+/// a later one isn't always larger.
+pub type LifeId = u64;
+
 /// What an executor says about itself.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct HoldReport {
+    /// Which of its lives this is; none if it doesn't say.
+    pub life: Option<LifeId>,
     /// Its steady clock when it answered.
     pub clock: Duration,
     /// What runs.
@@ -123,6 +131,15 @@
 /// end of its tasks can be foreseen: a little over one long poll and its timeout.
 const RAISE_WHILE_HEARD_WITHIN: Duration = Duration::from_millis(1800);
 
+/// The last that was heard of a life.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LastSigns {
+    /// When it last answered anything at all.
+    pub(crate) answered_at: Now,
+    /// When it first failed to answer after that.
+    pub(crate) failed_at: Option<Now>,
+}
+
 /// A task that may be what earlier executors crashed of, in its first moments here.
 #[derive(Debug)]
 pub(crate) struct Watch {
@@ -136,6 +153,13 @@
     /// Since when this process knows of it.
     pub(crate) known_at: Now,
     pub(crate) info: Option<ExecutorInfo>,
+    /// The life that it was last heard in, or registered with.
+    pub(crate) life: Option<LifeId>,
+    /// Lives that are over.
+    pub(crate) former_lives: Vec<LifeId>,
+    /// Since when it doesn't answer holds. Until it does, what is said to it holds for any life: neither
+    /// a position in the ends nor a time on the clock of the one that is known.
+    pub(crate) failed_at: Option<Now>,
     pub(crate) booked: Resources,
     /// It has answered under this ownership, so nothing of an earlier owner can start there.
     pub(crate) is_synced: bool,
@@ -157,6 +181,8 @@
     pub(crate) watch: Option<Watch>,
     /// When it last answered anything at all.
     pub(crate) answered_at: Now,
+    /// What was known of the end of its former life.
+    pub(crate) former_end: LastSigns,
     pub(crate) is_listed: bool,
     /// Its life is certainly over, though the registry may name it for seconds more.
     pub(crate) is_over: bool,
@@ -175,6 +201,9 @@
         Self {
             known_at,
             info: None,
+            life: None,
+            former_lives: Vec::new(),
+            failed_at: None,
             booked: Resources::default(),
             is_synced: false,
             clock: None,
@@ -188,6 +217,7 @@
             seen: 0,
             watch: None,
             answered_at: Now::ZERO,
+            former_end: LastSigns::default(),
             is_listed: false,
             is_over: false,
             avoid_until: Now::ZERO,
@@ -197,6 +227,10 @@
         }
     }
 
+    pub(crate) fn last_signs(&self) -> LastSigns {
+        LastSigns { answered_at: self.answered_at, failed_at: self.failed_at }
+    }
+
     pub(crate) fn is_watching(&self, now: Now) -> bool {
         self.watch.as_ref().is_some_and(|watch| watch.until.is_none_or(|until| now < until))
     }
@@ -212,11 +246,37 @@
         self.info.as_ref().map_or(Resources::default(), |info| info.capacity.minus(&self.booked))
     }
 
+    /// It has started again: all that is known of it counts anew, but for the tasks that were ordered.
+    pub(crate) fn begin_life(&mut self, now: Now, life: LifeId) {
+        let former_end = self.last_signs();
+        let former = std::mem::replace(self, Self::new(now, now));
+        self.former_end = former_end;
+        self.info = former.info;
+        self.is_listed = former.is_listed;
+        self.booked = former.booked;
+        self.tasks = former.tasks;
+        self.per_slot = former.per_slot;
+        self.serving = former.serving;
+        self.fillers = former.fillers;
+        self.former_lives = former.former_lives;
+        self.former_lives.extend(former.life);
+        self.life = Some(life);
+        self.failed_at = Some(now);
+    }
+
     /// The executor has answered. A former owner may have given it a lease of the usual length just
-    /// before.
-    pub(crate) fn heard(&mut self, now: Now, executor_clock: Duration, usual_lease: Duration) {
+    /// before; an order that was meant for a former life, with a time on another clock, the longest.
+    pub(crate) fn heard(
+        &mut self,
+        now: Now,
+        executor_clock: Duration,
+        usual_lease: Duration,
+        longest_lease: Duration,
+    ) {
         self.answered_at = now;
-        self.lease_until.get_or_insert(executor_clock + usual_lease);
+        self.failed_at = None;
+        let first = if self.former_lives.is_empty() { usual_lease } else { longest_lease };
+        self.lease_until.get_or_insert(executor_clock + first);
         // Answers overtake each other: an older reading is no news.
         if self.clock.is_none_or(|last| last.executor_clock <= executor_clock) {
             self.clock = Some(ClockReading { executor_clock, at: now });
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -11,6 +11,7 @@
 mod held_room;
 mod label_need;
 mod label_shares;
+mod lives;
 mod losses;
 mod maintenance;
 mod openings;
@@ -43,6 +44,7 @@
 pub use waits::{Obstacles, Wait};
 
 use crate::{
+    crash::is_spent,
     demand::Arrivals,
     executor::{Executor, TaskRef, Watch},
     job::{Job, Phase, TaskIndex},
@@ -61,6 +63,8 @@
     /// Lease that executors get for what they run; a running task survives that long without
     /// word from an owner.
     pub lease: Duration,
+    /// The longest lease that executors accept.
+    pub longest_lease: Duration,
     /// How long after a take-over an executor that never answered may still run something.
     pub doubt: Duration,
     /// An executor needs at most this long to stop a task.
@@ -476,10 +480,15 @@
             job.wait(now, index);
         }
         let is_done = job.progress.iter().all(|slot| slot.remaining == 0);
-        let is_broken = is_gang && job.tasks[index].phase == Phase::Waiting;
+        let task = &job.tasks[index];
+        let is_waiting = task.phase == Phase::Waiting;
+        let is_broken = is_gang && is_waiting;
+        let is_given_up = is_waiting && is_spent(task.crashes(), task.run);
         self.touch(&id.clone());
         if is_done {
             self.finish(now, &id.clone(), JobOutcome::Completed);
+        } else if is_given_up {
+            self.finish(now, &id.clone(), JobOutcome::Failed);
         } else if is_broken {
             self.stop_gang(now, &id.clone(), slot);
         }
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -12,7 +12,7 @@
 use super::Fleet;
 use crate::{
     crash::{Crash, Suspicion, suspicion},
-    executor::{Executor, TaskRef, Watch},
+    executor::{Executor, LastSigns, TaskRef, Watch},
     job::{Job, Phase, TaskIndex},
     record::JobOutcome,
     spec::{RunNumber, TaskKey},
@@ -55,8 +55,15 @@
     }
 
     /// Counts the crash of an executor against a task that was ordered there.
-    pub(super) fn note_crash(&mut self, now: Now, id: &ExecutorId, task_ref: &TaskRef) {
-        let Some(executor) = self.executors.get(id) else { return };
+    /// `signs` are the last of the life that crashed.
+    pub(super) fn note_crash(
+        &mut self,
+        now: Now,
+        id: &ExecutorId,
+        signs: LastSigns,
+        task_ref: &TaskRef,
+    ) {
+        let is_known = self.is_last_known(now, id, signs);
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
         let lasts = job.step(task_ref.1).is_long_running;
         let key = job.key(task_ref.1);
@@ -64,18 +71,17 @@
         if matches!(task.phase, Phase::Planned { .. }) {
             return;
         }
-        let survived = task.confirmed_at.map(|at| executor.answered_at.saturating_sub(at));
+        let survived = task.confirmed_at.map(|at| signs.answered_at.saturating_sub(at));
         if lasts && survived.is_some_and(|time| time >= LASTING_PROOF) {
             task.clear_crashes();
             return;
         }
         let is_from_before = matches!(task.phase, Phase::Doubt { .. });
-        let was_alive = executor.answered_at + ALIVE_BEFORE_ORDER >= task.ordered_at;
+        let was_alive = signs.answered_at + ALIVE_BEFORE_ORDER >= task.ordered_at;
         if survived.is_none() && !is_from_before && !was_alive {
             return;
         }
         let is_sudden = survived.is_none_or(|time| time <= SUDDEN);
-        let is_known = now.saturating_sub(executor.answered_at) <= KNOWN_FOR;
         let is_stopping = matches!(task.phase, Phase::Stopping { .. });
         let is_confirmed = survived.is_some() && !is_stopping && is_known;
         let crash = Crash { run: task.run, is_confirmed, is_sudden };
@@ -86,6 +92,14 @@
         self.blames.push(Blame { task: key, run, executor, crash, crashes, is_given_up });
     }
 
+    /// Whether what is known of an executor's runs holds until its crash: it had just answered when it first
+    /// failed to, and nobody has seen it alive since.
+    fn is_last_known(&self, now: Now, id: &ExecutorId, signs: LastSigns) -> bool {
+        let silent_from = signs.failed_at.unwrap_or(now);
+        let lived_on = self.machines.has_named_since(silent_from + KNOWN_FOR, id);
+        silent_from.saturating_sub(signs.answered_at) <= KNOWN_FOR && !lived_on
+    }
+
     /// Whether a task is watched when it starts.
     pub(super) fn is_suspect(&self, job: &Job, index: TaskIndex) -> bool {
         let is_watched = matches!(suspicion(job.tasks[index].crashes()), Suspicion::Watched(_));
--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -29,6 +29,7 @@
         let moved_from = former.map(|one| one.service.clone()).filter(|name| *name != info.service);
         let is_new = former.is_none() || moved_from.is_some();
         executor.is_listed = true;
+        executor.note_registered(now, &info);
         let service = info.service.clone();
         executor.info = Some(info);
         if let Some(former) = moved_from {
@@ -124,6 +125,8 @@
         self.lose(now, id, evidence);
         if let Some(executor) = self.executors.get_mut(id) {
             executor.is_over = true;
+            let registered = executor.info.as_ref().and_then(|info| info.life);
+            executor.life = executor.life.or(registered);
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/losses.rs
+++ b/crates/jackdawpier_fleet/src/fleet/losses.rs
@@ -18,6 +18,8 @@
     Unlisted,
     /// Its machine was moved or maintained.
     Taken,
+    /// It has started again under its id.
+    Restarted,
     /// It has been silent for so long that all it ran has lapsed.
     Lapsed,
 }
@@ -55,12 +57,13 @@
     /// Releases what ran on an executor, and blames it if the executor may have crashed.
     pub(super) fn lose(&mut self, now: Now, id: &ExecutorId, evidence: LossEvidence) {
         let Some(executor) = self.executors.get(id) else { return };
+        let signs = executor.last_signs();
         let is_crash = self.may_have_crashed(id, executor, evidence);
         let tasks: Vec<TaskRef> = executor.tasks.iter().cloned().collect();
-        self.note_loss(now, id, evidence);
+        self.note_loss(now, id, evidence, &tasks);
         for task in &tasks {
             if is_crash {
-                self.note_crash(now, id, task);
+                self.note_crash(now, id, signs, task);
             }
             self.run_over(now, task, None);
         }
@@ -79,7 +82,7 @@
     ) -> bool {
         let is_draining = executor.info.as_ref().is_some_and(|info| info.is_draining);
         let is_gone = match evidence {
-            LossEvidence::Unlisted => true,
+            LossEvidence::Unlisted | LossEvidence::Restarted => true,
             LossEvidence::Taken => false,
             LossEvidence::Lapsed => {
                 let heard_at = executor.heard_at().unwrap_or(executor.known_at);
@@ -89,10 +92,16 @@
         is_gone && !is_draining
     }
 
-    fn note_loss(&mut self, now: Now, id: &ExecutorId, evidence: LossEvidence) {
+    /// Notes for the log which runs are lost.
+    pub(super) fn note_loss(
+        &mut self,
+        now: Now,
+        id: &ExecutorId,
+        evidence: LossEvidence,
+        tasks: &[TaskRef],
+    ) {
         let Some(executor) = self.executors.get(id) else { return };
-        let runs: Vec<LostRun> = executor
-            .tasks
+        let runs: Vec<LostRun> = tasks
             .iter()
             .filter_map(|(job_id, index)| {
                 let job = self.jobs.get(job_id)?;
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -158,7 +158,9 @@
         task.run += 1;
         task.confirmed_at = None;
         task.phase = Phase::Planned { executor: executor.clone() };
-        book(self.executors.get_mut(&executor).expect("just chosen"), job, index);
+        let chosen = self.executors.get_mut(&executor).expect("just chosen");
+        task.placed_in = chosen.life;
+        book(chosen, job, index);
         self.watch_start(&executor, id, index);
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -4,10 +4,10 @@
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
-use super::{Command, Fleet, TaskEnd};
+use super::{Command, Fleet, FleetSettings, TaskEnd, lives::Life};
 use crate::{
     crash::{Suspicion, suspicion},
-    executor::{EndKind, EndedTask, HoldReport, MAX_ENDS_PER_REPORT, TaskRef},
+    executor::{EndKind, EndedTask, HoldReport, LastSigns, MAX_ENDS_PER_REPORT, TaskRef},
     job::Phase,
     record::JobOutcome,
     spec::RunNumber,
@@ -51,8 +51,10 @@
         let acknowledged =
             executor.acknowledge(|job| jobs.get(job).map_or(u64::MAX, |job| job.durable_changes));
         let is_heard = executor.heard_at().is_some();
-        let may_wait = executor.is_synced && is_heard && !executor.has_unacknowledged();
-        let lease_until = executor.grant_lease(now, lease);
+        let is_sure = executor.failed_at.is_none();
+        let may_wait = executor.is_synced && is_heard && !executor.has_unacknowledged() && is_sure;
+        let acknowledged = if is_sure { acknowledged } else { 0 };
+        let lease_until = if is_sure { executor.grant_lease(now, lease) } else { None };
         let is_frozen = executor.is_frozen;
         Some(HoldOrder { acknowledged, lease_until, may_wait, expects_end, is_frozen })
     }
@@ -72,12 +74,22 @@
     /// An executor has answered a hold that was sent at `sent_at`.
     pub fn hold_answered(&mut self, now: Now, sent_at: Now, id: &ExecutorId, report: &HoldReport) {
         let Some(executor) = self.executors.get_mut(id) else { return };
-        executor.heard(now, report.clock, self.settings.lease);
+        let life = executor.life_of(report);
+        match life {
+            Life::Same => {}
+            Life::Former => return,
+            Life::New(life) => executor.begin_life(now, life),
+        }
+        let FleetSettings { lease, longest_lease, .. } = self.settings;
+        executor.heard(now, report.clock, lease, longest_lease);
         let seen = executor.seen;
         let is_whole = report.ended.len() < MAX_ENDS_PER_REPORT;
         for end in report.ended.iter().filter(|end| end.sequence > seen) {
             self.end_reported(now, id, end);
         }
+        if matches!(life, Life::New(_)) {
+            self.settle_former_life(now, sent_at, id, report);
+        }
         self.runs_reported(now, sent_at, id, report, is_whole);
         if is_whole && let Some(executor) = self.executors.get_mut(id) {
             executor.is_synced = true;
@@ -270,14 +282,23 @@
         present: &HashMap<TaskRef, RunNumber>,
     ) {
         let Some(executor) = self.executors.get(id) else { return };
+        let life = executor.life;
         let absent: Vec<TaskRef> =
             executor.tasks.iter().filter(|task| !present.contains_key(*task)).cloned().collect();
         let stop_bound = self.settings.stop_timeout + STOP_MARGIN;
         for task_ref in absent {
             let Some(job) = self.jobs.get(&task_ref.0) else { continue };
-            match &job.tasks[task_ref.1].phase {
+            let task = &job.tasks[task_ref.1];
+            match &task.phase {
                 // The fence keeps a former owner's late order from starting it now.
-                Phase::Doubt { .. } => self.run_over(now, &task_ref, None),
+                Phase::Doubt { .. } => {
+                    if task.placed_in.is_some_and(|placed| life.is_some_and(|life| life != placed))
+                    {
+                        self.note_crash(now, id, LastSigns::default(), &task_ref);
+                    }
+                    self.run_over(now, &task_ref, None);
+                    self.give_up_if_plain(now, &task_ref);
+                }
                 Phase::Stopping { confirmed_at: Some(at), .. } if sent_at > *at + stop_bound => {
                     self.run_over(now, &task_ref, None);
                 }
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     crash::Crash,
+    executor::LifeId,
     record::{JobOutcome, JobRecord, Standing, TaskRecord},
     spec::{JobSpec, QueueName, RunNumber, StepSpec, Submission, TaskKey},
 };
@@ -57,6 +58,8 @@
     failed_runs: Vec<RunNumber>,
     /// Runs during which their executors crashed.
     crashes: Vec<Crash>,
+    /// The life of the executor that it was last placed on, if that is known.
+    pub(crate) placed_in: Option<LifeId>,
     /// When the order for the present run left.
     pub(crate) ordered_at: Now,
     /// When the executor confirmed the present run; [`Now::ZERO`] if to an earlier owner.
@@ -81,6 +84,7 @@
             run: 0,
             failed_runs: Vec::new(),
             crashes: Vec::new(),
+            placed_in: None,
             ordered_at: Now::ZERO,
             confirmed_at: None,
             checkpoint: "".into(),
@@ -127,6 +131,7 @@
             (_, None) => Standing::Waiting,
         };
         TaskRecord {
+            placed_in: self.placed_in.filter(|_| matches!(standing, Standing::Placed(_))),
             standing,
             run: self.run,
             failed_runs: self.failed_runs.clone(),
@@ -235,6 +240,7 @@
             task.run = known.run;
             task.failed_runs.clone_from(&known.failed_runs);
             task.crashes.clone_from(&known.crashes);
+            task.placed_in = known.placed_in;
             task.checkpoint.clone_from(&known.checkpoint);
             match &known.standing {
                 Standing::Waiting => {}
--- a/crates/jackdawpier_fleet/src/record.rs
+++ b/crates/jackdawpier_fleet/src/record.rs
@@ -6,7 +6,7 @@
 use jackdawpier_kernel::ids::ExecutorId;
 use serde::{Deserialize, Serialize};
 
-use crate::{crash::Crash, spec::RunNumber};
+use crate::{crash::Crash, executor::LifeId, spec::RunNumber};
 
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +40,9 @@
     /// Where it stands.
     #[serde(rename = "s")]
     pub standing: Standing,
+    /// The life of the executor that it was placed on, if that is known.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub placed_in: Option<LifeId>,
     /// Number of its last start; 0 before the first.
     #[serde(rename = "r", default)]
     pub run: RunNumber,
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -121,6 +121,7 @@
     });
     if crashing > 0.0 {
         world.crashes.after = Duration::from_millis(marks.random_range(10..1_500));
+        world.keeps_ids = marks.random_bool(0.5);
     }
     let mut jobs = Vec::new();
     for _ in 0..EVENTS {
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -41,6 +41,8 @@
     /// Starts, with their times.
     pub starts: Vec<(TaskKey, Duration)>,
     next_end: u64,
+    /// Ends up to this position are forgotten, also those to come.
+    forgotten: u64,
     lease_until: Duration,
     started_at: Duration,
     now: Duration,
@@ -69,6 +71,7 @@
             acknowledged_done: Vec::new(),
             starts: Vec::new(),
             next_end: 1,
+            forgotten: 0,
             lease_until: Duration::ZERO,
             started_at: now,
             now,
@@ -180,6 +183,12 @@
             if how == EndKind::Lapsed {
                 self.lapsed_at = Some(now);
             }
+            if sequence <= self.forgotten {
+                if how == EndKind::Done {
+                    self.acknowledged_done.push((task, now));
+                }
+                continue;
+            }
             self.ended.push(EndedTask { sequence, task, run, how, checkpoint: "".into() });
         }
     }
@@ -203,7 +212,7 @@
         if self.over.get(task).is_some_and(|over| *over >= run) {
             return StartEnd::RunIsOver;
         }
-        self.lease_until = self.lease_until.max(lease);
+        self.lease_until = self.lease_until.max(lease.min(self.clock(now) + super::LONGEST_LEASE));
         if lease <= self.clock(now) {
             return StartEnd::TooLate;
         }
@@ -262,9 +271,11 @@
                 self.acknowledged_done.push((end.task.clone(), ended_at));
             }
         }
+        self.forgotten = self.forgotten.max(order.acknowledged);
         self.ended.retain(|end| end.sequence > order.acknowledged);
         if let Some(until) = order.lease_until {
-            self.lease_until = self.lease_until.max(until);
+            let longest = self.clock(now) + super::LONGEST_LEASE;
+            self.lease_until = self.lease_until.max(until.min(longest));
         }
         let running = self.running.iter().map(|(task, run)| RunningTask {
             task: task.clone(),
@@ -274,6 +285,7 @@
             gauge: self.tail_ms,
         });
         Some(HoldReport {
+            life: self.info.life,
             clock: self.clock(now),
             running: running.collect(),
             ended: self.ended.clone(),
--- a/crates/jackdawpier_fleet/tests/world/machines.rs
+++ b/crates/jackdawpier_fleet/tests/world/machines.rs
@@ -28,8 +28,14 @@
         for (id, former) in due {
             let rack = self.executors[&former].info.rack.clone().unwrap_or_default();
             let pool = self.machines[&id].pool.clone();
+            let keeps_id = self.keeps_ids && self.machines[&id].away_for.is_none();
             self.executors.remove(&former);
-            let executor = (!self.is_standby(&pool)).then(|| self.new_life(&pool, &rack, &id));
+            let executor = (!self.is_standby(&pool)).then(|| {
+                if keeps_id {
+                    return self.begin_life(former, &pool, &rack, &id);
+                }
+                self.new_life(&pool, &rack, &id)
+            });
             let machine = self.machines.get_mut(&id).expect("it was listed above");
             machine.executor = executor;
             machine.back_at = None;
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -26,6 +26,8 @@
 };
 
 pub const STEP: Duration = Duration::from_millis(10);
+/// Executors accept no longer lease.
+pub const LONGEST_LEASE: Duration = Duration::from_secs(6);
 pub const MIGRATION: Duration = Duration::from_millis(1500);
 pub const MAINTENANCE: Duration = Duration::from_millis(2000);
 /// Holders of orders about a machine must not take turns within this time.
@@ -38,6 +40,7 @@
 pub fn settings() -> FleetSettings {
     FleetSettings {
         lease: Duration::from_secs(5),
+        longest_lease: LONGEST_LEASE,
         doubt: Duration::from_millis(7500),
         stop_timeout: Duration::from_millis(200),
         maintenance: MAINTENANCE,
@@ -142,6 +145,8 @@
     pub advised: usize,
     /// Labels of machines beside the common one.
     pub labels: BTreeMap<Arc<str>, Arc<str>>,
+    /// An executor that comes back after a crash has the id that it had.
+    pub keeps_ids: bool,
     /// Tasks that crash their executors, and what has crashed under whom.
     pub crashes: Crashes,
 }
@@ -188,6 +193,7 @@
             approved: Vec::new(),
             advised: 0,
             labels: BTreeMap::new(),
+            keeps_ids: false,
             crashes: Crashes::default(),
         };
         for pool in pools {
@@ -225,10 +231,15 @@
     }
 
     fn new_life(&mut self, pool: &str, rack: &str, machine: &str) -> Arc<str> {
+        let id: Arc<str> = format!("i-{}", self.lives + 1).into();
+        self.begin_life(id, pool, rack, machine)
+    }
+
+    fn begin_life(&mut self, id: Arc<str>, pool: &str, rack: &str, machine: &str) -> Arc<str> {
         self.lives += 1;
-        let id: Arc<str> = format!("i-{}", self.lives).into();
         let info = ExecutorInfo {
             id: id.clone(),
+            life: Some(1_000 - self.lives),
             service: pool.into(),
             address: format!("{machine}:1").into(),
             zone: "z".into(),
@@ -387,6 +398,9 @@
             let is_deaf = self.deaf_to.as_ref() == Some(&id);
             let is_due = now >= executor.hold_due || has_ends;
             if !executor.is_reachable() || is_deaf || !is_due {
+                if is_due {
+                    self.fleet.hold_failed(now, &id);
+                }
                 continue;
             }
             let Some(order) = self.fleet.hold_order(now, &id) else { continue };
@@ -458,7 +472,8 @@
             Command::Start { executor, .. } => self.fleet.order_lease(self.now, executor),
             _ => None,
         };
-        let sent = Sent { fence: self.fence, lease, command };
+        let mut sent = Sent { fence: self.fence, lease, life: None, command };
+        sent.life = sent.target().and_then(|id| self.executors.get(id)?.info.life);
         match (self.delivery)(self.orders) {
             Delivery::Answered => self.deliver(&sent, true),
             Delivery::AnswerLost => self.deliver(&sent, false),
@@ -475,6 +490,10 @@
             std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
         self.late = rest;
         for (_, sent) in due {
+            let is_there = |one: &FakeExecutor| one.info.life == sent.life;
+            if sent.target().is_some_and(|id| !self.executors.get(id).is_some_and(is_there)) {
+                continue;
+            }
             if std::env::var("TRACE").is_ok() {
                 println!("{:?} late: {:?} lease {:?}", self.now, sent.command, sent.lease);
             }
@@ -604,10 +623,21 @@
 /// An order on its way.
 struct Sent {
     fence: u64,
+    /// The life that it reaches: an executor that starts again holds nothing of before.
+    life: Option<u64>,
     lease: Option<Duration>,
     command: Command,
 }
 
+impl Sent {
+    fn target(&self) -> Option<&Arc<str>> {
+        match &self.command {
+            Command::Start { executor, .. } | Command::Stop { executor, .. } => Some(executor),
+            _ => None,
+        }
+    }
+}
+
 enum Executed {
     Start(StartEnd),
     Stop(StopEnd),
