Don't count the room of executors that take no work any more

A gang whose pool had one executor left and one that is frozen for the rest of its life waited for ever: the plan of pools counted both, so no further machine came.

--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -122,7 +122,8 @@
             };
             let Some(known) = &executor.info else { continue };
             pool.need_millicores += executor.booked.cpu_millicores;
-            if known.is_draining || errand.is_some() {
+            // A frozen executor takes no work for the rest of its life: it is no room for anybody.
+            if known.is_draining || errand.is_some() || executor.is_frozen {
                 continue;
             }
             pool.up += 1;
