Remember that an executor was seen alive after it fell silent

A run that had ended behind a cut counted as lost when its executor crashed later, and its job was given up after one real crash: whether a list of machines had named the executor in between was asked of the newest list, which had just lost it. Each executor now keeps when it was last named.

--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -135,9 +135,11 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct LastSigns {
     /// When it last answered anything at all.
-    pub(crate) answered_at: Now,
+    pub(crate) last_answer: Now,
     /// When it first failed to answer after that.
-    pub(crate) failed_at: Option<Now>,
+    pub(crate) first_failure: Option<Now>,
+    /// When a list of machines last named it.
+    pub(crate) last_listing: Now,
 }
 
 /// A task that may be what earlier executors crashed of, in its first moments here.
@@ -184,6 +186,8 @@
     /// What was known of the end of its former life.
     pub(crate) former_end: LastSigns,
     pub(crate) is_listed: bool,
+    /// When the last list of machines was asked for that named it.
+    pub(crate) named_at: Now,
     /// Its life is certainly over, though the registry may name it for seconds more.
     pub(crate) is_over: bool,
     /// No placements before this time, after a refusal or a missing answer.
@@ -219,6 +223,7 @@
             answered_at: Now::ZERO,
             former_end: LastSigns::default(),
             is_listed: false,
+            named_at: Now::ZERO,
             is_over: false,
             avoid_until: Now::ZERO,
             serving: 0,
@@ -228,7 +233,11 @@
     }
 
     pub(crate) fn last_signs(&self) -> LastSigns {
-        LastSigns { answered_at: self.answered_at, failed_at: self.failed_at }
+        LastSigns {
+            last_answer: self.answered_at,
+            first_failure: self.failed_at,
+            last_listing: self.named_at,
+        }
     }
 
     pub(crate) fn is_watching(&self, now: Now) -> bool {
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -63,7 +63,7 @@
         signs: LastSigns,
         task_ref: &TaskRef,
     ) {
-        let is_known = self.is_last_known(now, id, signs);
+        let is_known = signs.hold_until_end(now);
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
         let lasts = job.step(task_ref.1).is_long_running;
         let key = job.key(task_ref.1);
@@ -71,13 +71,13 @@
         if matches!(task.phase, Phase::Planned { .. }) {
             return;
         }
-        let survived = task.confirmed_at.map(|at| signs.answered_at.saturating_sub(at));
+        let survived = task.confirmed_at.map(|at| signs.last_answer.saturating_sub(at));
         if lasts && survived.is_some_and(|time| time >= LASTING_PROOF) {
             task.clear_crashes();
             return;
         }
         let is_from_before = matches!(task.phase, Phase::Doubt { .. });
-        let was_alive = signs.answered_at + ALIVE_BEFORE_ORDER >= task.ordered_at;
+        let was_alive = signs.last_answer + ALIVE_BEFORE_ORDER >= task.ordered_at;
         if survived.is_none() && !is_from_before && !was_alive {
             return;
         }
@@ -92,14 +92,6 @@
         self.blames.push(Blame { task: key, run, executor, crash, crashes, is_given_up });
     }
 
-    /// Whether what is known of an executor's runs holds until its crash: it had just answered when it first
-    /// failed to, and nobody has seen it alive since.
-    fn is_last_known(&self, now: Now, id: &ExecutorId, signs: LastSigns) -> bool {
-        let silent_from = signs.failed_at.unwrap_or(now);
-        let lived_on = self.machines.has_named_since(silent_from + KNOWN_FOR, id);
-        silent_from.saturating_sub(signs.answered_at) <= KNOWN_FOR && !lived_on
-    }
-
     /// Whether a task is watched when it starts.
     pub(super) fn is_suspect(&self, job: &Job, index: TaskIndex) -> bool {
         let is_watched = matches!(suspicion(job.tasks[index].crashes()), Suspicion::Watched(_));
@@ -143,3 +135,13 @@
         }
     }
 }
+
+impl LastSigns {
+    /// Whether what the executor said of its runs holds until its crash: it had just answered when it first
+    /// failed to, and nobody has seen it alive since.
+    fn hold_until_end(&self, now: Now) -> bool {
+        let silent_from = self.first_failure.unwrap_or(now);
+        let lived_on = self.last_listing > silent_from + KNOWN_FOR;
+        silent_from.saturating_sub(self.last_answer) <= KNOWN_FOR && !lived_on
+    }
+}
--- a/crates/jackdawpier_fleet/src/fleet/losses.rs
+++ b/crates/jackdawpier_fleet/src/fleet/losses.rs
@@ -58,7 +58,7 @@
     pub(super) fn lose(&mut self, now: Now, id: &ExecutorId, evidence: LossEvidence) {
         let Some(executor) = self.executors.get(id) else { return };
         let signs = executor.last_signs();
-        let is_crash = self.may_have_crashed(id, executor, evidence);
+        let is_crash = executor.may_have_crashed(evidence);
         let tasks: Vec<TaskRef> = executor.tasks.iter().cloned().collect();
         self.note_loss(now, id, evidence, &tasks);
         for task in &tasks {
@@ -72,26 +72,6 @@
         }
     }
 
-    /// Whether an executor that is lost may have crashed: it wasn't taken away, had said nothing of
-    /// leaving, and isn't merely cut off.
-    fn may_have_crashed(
-        &self,
-        id: &ExecutorId,
-        executor: &Executor,
-        evidence: LossEvidence,
-    ) -> bool {
-        let is_draining = executor.info.as_ref().is_some_and(|info| info.is_draining);
-        let is_gone = match evidence {
-            LossEvidence::Unlisted | LossEvidence::Restarted => true,
-            LossEvidence::Taken => false,
-            LossEvidence::Lapsed => {
-                let heard_at = executor.heard_at().unwrap_or(executor.known_at);
-                !executor.is_listed && !self.machines.has_named_since(heard_at, id)
-            }
-        };
-        is_gone && !is_draining
-    }
-
     /// Notes for the log which runs are lost.
     pub(super) fn note_loss(
         &mut self,
@@ -122,6 +102,23 @@
     }
 }
 
+impl Executor {
+    /// Whether an executor that is lost may have crashed: it wasn't taken away, had said nothing of
+    /// leaving, and isn't merely cut off.
+    fn may_have_crashed(&self, evidence: LossEvidence) -> bool {
+        let is_draining = self.info.as_ref().is_some_and(|info| info.is_draining);
+        let is_gone = match evidence {
+            LossEvidence::Unlisted | LossEvidence::Restarted => true,
+            LossEvidence::Taken => false,
+            LossEvidence::Lapsed => {
+                let heard_at = self.heard_at().unwrap_or(self.known_at);
+                !self.is_listed && self.named_at <= heard_at
+            }
+        };
+        is_gone && !is_draining
+    }
+}
+
 fn age(now: Now, task: &Task) -> Option<Duration> {
     let confirmed_at = task.confirmed_at.filter(|at| *at > Now::ZERO)?;
     Some(now.saturating_sub(confirmed_at))
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -33,7 +33,12 @@
         if machines.is_empty() {
             return;
         }
-        let former = self.machines.list(asked_at, machines);
+        let former = self.machines.list(machines);
+        for id in self.machines.executors() {
+            if let Some(executor) = self.executors.get_mut(id) {
+                executor.named_at = asked_at;
+            }
+        }
         let ended: Vec<ExecutorId> = self
             .executors
             .iter()
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -166,8 +166,6 @@
     held: BTreeMap<MachineId, Now>,
     pub(crate) listed: BTreeMap<MachineId, MachineInfo>,
     pub(crate) has_listing: bool,
-    /// When the last listing was asked for.
-    listed_at: Now,
     pub(crate) errands: BTreeMap<MachineId, Errand>,
     pub(crate) waves: BTreeMap<WaveNumber, WaveProgress>,
     /// Pools that don't take a machine, since they are of other machines.
@@ -182,7 +180,6 @@
             held: BTreeMap::new(),
             listed: BTreeMap::new(),
             has_listing: false,
-            listed_at: Now::ZERO,
             errands: BTreeMap::new(),
             waves: BTreeMap::new(),
             refused_moves: BTreeSet::new(),
@@ -212,14 +209,8 @@
         self.machine_of.get(executor).is_some_and(|machine| self.is_held(now, machine))
     }
 
-    /// Takes in a listing that was asked for at `asked_at`, and returns on which machines executors
-    /// lived by the one before.
-    pub(crate) fn list(
-        &mut self,
-        asked_at: Now,
-        machines: Vec<MachineInfo>,
-    ) -> HashMap<ExecutorId, MachineId> {
-        self.listed_at = asked_at;
+    /// Takes in a listing, and returns on which machines executors lived by the one before.
+    pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) -> HashMap<ExecutorId, MachineId> {
         let former = std::mem::take(&mut self.machine_of);
         self.machine_of = machines
             .iter()
@@ -237,9 +228,9 @@
         former
     }
 
-    /// Whether an executor was named by a listing that was asked for after a time.
-    pub(crate) fn has_named_since(&self, at: Now, executor: &ExecutorId) -> bool {
-        self.listed_at > at && self.has_executor(executor)
+    /// The executors that the last listing names.
+    pub(crate) fn executors(&self) -> impl Iterator<Item = &ExecutorId> {
+        self.machine_of.keys()
     }
 
     /// Whether an executor is gone since its machine was moved or maintained, by this owner's order or
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -23,11 +23,12 @@
 /// Part of the jobs with a task that crashes its executors.
 const CRASHING: f64 = 0.3;
 /// Seeds that failed once, with what was wrong.
-const FAILED_BEFORE: [(u64, &str); 5] = [
+const FAILED_BEFORE: [(u64, &str); 6] = [
     (0, "an unlisted executor that had just answered a new owner counted as lapsed: run twice"),
     (14, "an order carried out for an earlier owner took a machine out of use for ever"),
     (2255, "the room of an executor that takes no work any more counted: a gang waited for ever"),
     (9738, "the same, for a later step"),
+    (7794, "a run that ended behind a cut counted as lost in the crash after it: given up"),
     (204, "a pool gave away the machines without which a hopeless gang could never end"),
 ];
 
