Park a repeatable job that loses the workers that run it

On the product's own interface a job that may be repeated was claimed again whenever the lease of its silent worker was over: one that crashes its workers took one after the other, without end. A worker that crashes reports nothing, and only reported failures counted. Silence under a job now counts against that job, not against the worker; three workers in two racks park it.

lost_workers::loses_each failed before (nine starts in twelve leases, three now).

--- a/crates/jackdawpier_jobs/src/blame.rs
+++ b/crates/jackdawpier_jobs/src/blame.rs
@@ -63,7 +63,7 @@
         self.workers.keys().filter(|worker| self.is_quarantined(now, worker)).count()
     }
 
-    /// Workers on which `job` has failed; it is not placed there again while others are free.
+    /// Workers on which `job` has failed, or which it lost; it is not placed there again while others are free.
     pub fn failed_on(&self, job: &str) -> impl Iterator<Item = &WorkerId> {
         self.jobs.get(job).into_iter().flatten().map(|(worker, _)| worker)
     }
@@ -79,12 +79,23 @@
         self.jobs.remove(job);
     }
 
-    /// Notes that a job failed on a worker.
-    pub fn failed(&mut self, now: Now, job: &JobId, worker: &WorkerId, rack: &RackName) -> Verdict {
+    /// Notes that a worker fell silent while it ran a job, which may be why: one that crashes reports
+    /// nothing. It doesn't count against the worker, which others may have taken along.
+    pub fn lost(&mut self, now: Now, job: &JobId, worker: &WorkerId, rack: &RackName) -> Verdict {
+        self.note_place(job, worker, rack);
+        if self.never_runs(now, job) { Verdict::JobNeverRuns } else { Verdict::TryElsewhere }
+    }
+
+    fn note_place(&mut self, job: &JobId, worker: &WorkerId, rack: &RackName) {
         let places = self.jobs.entry(job.clone()).or_default();
         if !places.iter().any(|(place, _)| place == worker) {
             places.push((worker.clone(), rack.clone()));
         }
+    }
+
+    /// Notes that a job failed on a worker.
+    pub fn failed(&mut self, now: Now, job: &JobId, worker: &WorkerId, rack: &RackName) -> Verdict {
+        self.note_place(job, worker, rack);
         let record = self.workers.entry(worker.clone()).or_default();
         record.failed_in_a_row.insert(job.clone());
         if record.failed_in_a_row.len() >= QUARANTINE_AFTER {
--- a/crates/jackdawpier_jobs/src/job.rs
+++ b/crates/jackdawpier_jobs/src/job.rs
@@ -59,8 +59,8 @@
     /// It is not idempotent and failed.
     #[display("it failed and is not idempotent")]
     Failed,
-    /// It failed on several healthy workers in different racks.
-    #[display("it failed on several healthy workers")]
+    /// It failed on several healthy workers in different racks, or these fell silent under it.
+    #[display("it failed on several healthy workers, or lost them")]
     NeverRuns,
     /// No worker is large enough.
     #[display("no worker is large enough")]
--- a/crates/jackdawpier_jobs/src/queue/tasks.rs
+++ b/crates/jackdawpier_jobs/src/queue/tasks.rs
@@ -4,7 +4,7 @@
 
 use jackdawpier_kernel::{
     Now,
-    ids::{JobId, WorkerId},
+    ids::{JobId, RackName, WorkerId},
     task::{TaskAction, TaskCommand, TaskReport, TaskState},
 };
 
@@ -82,7 +82,7 @@
             .filter(|id| now >= self.jobs[*id].renewed_at + self.task_lease + LEASE_MARGIN)
             .cloned()
             .collect();
-        commands.extend(missing.iter().flat_map(|id| self.on_unknown(id)));
+        commands.extend(missing.iter().flat_map(|id| self.on_unknown(now, id)));
         commands
     }
 
@@ -114,8 +114,7 @@
     }
 
     fn on_failed(&mut self, now: Now, id: &JobId, worker: &WorkerId) -> Vec<Command> {
-        let rack =
-            self.workers.info(worker).map_or_else(|| worker.clone(), |info| info.rack.clone());
+        let rack = self.rack_of(worker);
         let verdict = self.blame.failed(now, id, worker, &rack);
         self.free_worker(id);
         let live = &self.jobs[id];
@@ -145,14 +144,24 @@
         self.finish(id, state)
     }
 
+    /// The rack of a worker; one that isn't known stands alone.
+    fn rack_of(&self, worker: &WorkerId) -> RackName {
+        self.workers.info(worker).map_or_else(|| worker.clone(), |info| info.rack.clone())
+    }
+
     /// The lease is over and nobody knows how the task ended.
-    fn on_unknown(&mut self, id: &JobId) -> Vec<Command> {
+    fn on_unknown(&mut self, now: Now, id: &JobId) -> Vec<Command> {
+        let worker = self.jobs[id].worker().cloned();
         self.free_worker(id);
+        let verdict = worker.map_or(Verdict::TryElsewhere, |worker| {
+            let rack = self.rack_of(&worker);
+            self.blame.lost(now, id, &worker, &rack)
+        });
         let is_idempotent = self.jobs[id].job.is_idempotent;
-        let state = if is_idempotent {
-            JobState::Queued
-        } else {
-            JobState::Parked { reason: ParkReason::OutcomeUnknown }
+        let state = match (is_idempotent, verdict) {
+            (false, _) => JobState::Parked { reason: ParkReason::OutcomeUnknown },
+            (true, Verdict::JobNeverRuns) => JobState::Parked { reason: ParkReason::NeverRuns },
+            (true, _) => JobState::Queued,
         };
         self.finish(id, state)
     }
@@ -202,6 +211,6 @@
             .filter(|id| now >= self.jobs[*id].renewed_at + wait)
             .cloned()
             .collect();
-        silent.iter().flat_map(|id| self.on_unknown(id)).collect()
+        silent.iter().flat_map(|id| self.on_unknown(now, id)).collect()
     }
 }
