--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -51,7 +51,8 @@
         let acknowledged =
             executor.acknowledge(|job| jobs.get(job).map_or(u64::MAX, |job| job.durable_changes));
         let is_heard = executor.heard_at().is_some();
-        let is_sure = executor.failed_at.is_none();
+        // One that doesn't tell its lives apart has another id in each.
+        let is_sure = executor.failed_at.is_none() || executor.life.is_none();
         let may_wait = executor.is_synced && is_heard && !executor.has_unacknowledged() && is_sure;
         let acknowledged = if is_sure { acknowledged } else { 0 };
         let lease_until = if is_sure { executor.grant_lease(now, lease) } else { None };
