--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    crash::{Crash, Suspicion, suspicion},
     job::TaskIndex,
     spec::{Label, Resources, RunNumber, TaskKey},
 };
@@ -244,10 +245,11 @@
         self.watch.as_ref().is_some_and(|watch| watch.until.is_none_or(|until| now < until))
     }
 
-    /// The task that is watched has begun.
-    pub(crate) fn watch_until(&mut self, task: &TaskRef, until: Now) {
+    /// A task has begun; if it is watched, it is so for a while from now.
+    pub(crate) fn has_begun(&mut self, now: Now, task: &TaskRef, crashes: &[Crash]) {
+        let Suspicion::Watched(time) = suspicion(crashes) else { return };
         if let Some(watch) = self.watch.as_mut().filter(|watch| watch.task == *task) {
-            watch.until.get_or_insert(until);
+            watch.until.get_or_insert(now + time);
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -13,7 +13,7 @@
 use crate::{
     crash::{Crash, Suspicion, suspicion},
     executor::{Executor, LastSigns, TaskRef, Watch},
-    job::{Job, Phase, TaskIndex},
+    job::{Job, Phase, Task, TaskIndex},
     record::JobOutcome,
     spec::{RunNumber, TaskKey},
 };
@@ -54,8 +54,8 @@
         std::mem::take(&mut self.blames)
     }
 
-    /// Counts the crash of an executor against a task that was ordered there.
-    /// `signs` are the last of the life that crashed.
+    /// Counts the crash of an executor against a task that was ordered there; `signs` are the last of the
+    /// life that crashed.
     pub(super) fn note_crash(
         &mut self,
         now: Now,
@@ -63,28 +63,15 @@
         signs: LastSigns,
         task_ref: &TaskRef,
     ) {
-        let is_known = signs.hold_until_end(now);
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
         let lasts = job.step(task_ref.1).is_long_running;
         let key = job.key(task_ref.1);
         let task = &mut job.tasks[task_ref.1];
-        if matches!(task.phase, Phase::Planned { .. }) {
-            return;
-        }
-        let survived = task.confirmed_at.map(|at| signs.last_answer.saturating_sub(at));
-        if lasts && survived.is_some_and(|time| time >= LASTING_PROOF) {
+        if lasts && survived(task, signs).is_some_and(|time| time >= LASTING_PROOF) {
             task.clear_crashes();
             return;
         }
-        let is_from_before = matches!(task.phase, Phase::Doubt { .. });
-        let was_alive = signs.last_answer + ALIVE_BEFORE_ORDER >= task.ordered_at;
-        if survived.is_none() && !is_from_before && !was_alive {
-            return;
-        }
-        let is_sudden = survived.is_none_or(|time| time <= SUDDEN);
-        let is_stopping = matches!(task.phase, Phase::Stopping { .. });
-        let is_confirmed = survived.is_some() && !is_stopping && is_known;
-        let crash = Crash { run: task.run, is_confirmed, is_sudden };
+        let Some(crash) = crash_under(now, task, signs) else { return };
         task.note_crash(crash.clone());
         let crashes = task.crashes().len();
         let is_given_up = suspicion(task.crashes()) == Suspicion::Plain;
@@ -136,6 +123,28 @@
     }
 }
 
+/// How long an executor was heard of after it had confirmed the start of a task; none if it never did.
+fn survived(task: &Task, signs: LastSigns) -> Option<Duration> {
+    task.confirmed_at.map(|at| signs.last_answer.saturating_sub(at))
+}
+
+/// What the crash of its executor says of a task; none if the task may not have been there at all.
+fn crash_under(now: Now, task: &Task, signs: LastSigns) -> Option<Crash> {
+    let survived = survived(task, signs);
+    let may_have_begun = match task.phase {
+        Phase::Planned { .. } => false,
+        Phase::Doubt { .. } => true,
+        _ => survived.is_some() || signs.last_answer + ALIVE_BEFORE_ORDER >= task.ordered_at,
+    };
+    if !may_have_begun {
+        return None;
+    }
+    let is_stopping = matches!(task.phase, Phase::Stopping { .. });
+    let is_confirmed = survived.is_some() && !is_stopping && signs.hold_until_end(now);
+    let is_sudden = survived.is_none_or(|time| time <= SUDDEN);
+    Some(Crash { run: task.run, is_confirmed, is_sudden })
+}
+
 impl LastSigns {
     /// Whether what the executor said of its runs holds until its crash: it had just answered when it first
     /// failed to, and nobody has seen it alive since.
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -6,7 +6,6 @@
 
 use super::{Command, Fleet, FleetSettings, TaskEnd, lives::Life};
 use crate::{
-    crash::{Suspicion, suspicion},
     executor::{EndKind, EndedTask, HoldReport, LastSigns, MAX_ENDS_PER_REPORT, TaskRef},
     job::Phase,
     record::JobOutcome,
@@ -246,10 +245,8 @@
             if task.confirmed_at.is_none() {
                 let is_from_before = matches!(task.phase, Phase::Doubt { .. });
                 task.confirmed_at = Some(if is_from_before { Now::ZERO } else { now });
-                if let (Some(executor), Suspicion::Watched(time)) =
-                    (self.executors.get_mut(id), suspicion(task.crashes()))
-                {
-                    executor.watch_until(&(job.id.clone(), index), now + time);
+                if let Some(executor) = self.executors.get_mut(id) {
+                    executor.has_begun(now, &(job.id.clone(), index), task.crashes());
                 }
             }
             if matches!(task.phase, Phase::Doubt { .. } | Phase::Starting { .. }) {
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -6,7 +6,6 @@
 
 use super::Fleet;
 use crate::{
-    crash::{Suspicion, suspicion},
     job::Phase,
     spec::{RunNumber, TaskKey},
 };
@@ -89,13 +88,11 @@
         }
         match end {
             StartEnd::Started => {
-                let Phase::Starting { executor } = task.phase.clone() else { return };
-                task.phase = Phase::Running { executor, since: now };
+                let Phase::Starting { executor: at } = task.phase.clone() else { return };
+                task.phase = Phase::Running { executor: at, since: now };
                 task.confirmed_at = Some(now);
-                if let (Some(executor), Suspicion::Watched(time)) =
-                    (self.executors.get_mut(executor_id), suspicion(task.crashes()))
-                {
-                    executor.watch_until(&task_ref, now + time);
+                if let Some(executor) = executor {
+                    executor.has_begun(now, &task_ref, task.crashes());
                 }
                 task.percent = 0;
                 task.pace_percent = 100;
