Keep what an account has running within its cap

What callers saw: nothing yet, since no key is read.

Whatever may be running counts: placements whose order hasn't left, orders without an answer, runs that are being stopped, what a former owner placed, and what a job that is over may have left running when its owner was lost (said in its record, since the tasks aren't in it any more). A gang counts as a whole; a task that is larger than the cap by itself runs alone. A cap that falls starts nothing and stops nothing. Pools fetch no machines for what a cap keeps from running.

Ways weighed: counting by account at each booking (kept) or adding up all runs in each round (simple, and thousands of tasks a hundred times a second); at a take-over, counting what records say (kept) or starting nothing of a capped account until all executors have answered (one silent executor would cost 7.5 s).

--- a/crates/jackdawpier_bench/src/owner.rs
+++ b/crates/jackdawpier_bench/src/owner.rs
@@ -102,6 +102,7 @@
         }
         self.accepted.insert(id.clone(), now);
         let submission = Submission {
+            account: None,
             queue: queue.name.clone(),
             settings: Some(queue.clone()),
             accepted_ms: wall_ms,
@@ -281,7 +282,7 @@
     let queues: Vec<Queue> = (0..load.pools - 1).map(queue).collect();
     let services = (0..load.pools)
         .map(|pool| Service { name: format!("pool-{pool}").into(), is_standby: false });
-    bench.fleet.configure(queues.clone(), services.collect());
+    bench.fleet.configure(queues.clone(), services.collect(), Vec::new());
     let mut writes = Vec::new();
     let mut number = 0u64;
     while bench.now < start + RUN {
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -116,8 +116,9 @@
         };
         let queue = route.queue.name.clone();
         let settings = Some(route.queue.clone());
+        let accepted_ms = clock::wall_ms();
         let submission =
-            Submission { queue: queue.clone(), settings, accepted_ms: clock::wall_ms(), spec };
+            Submission { queue: queue.clone(), settings, account: None, accepted_ms, spec };
         let arrived_at = clock::now();
         let unanswered = self.intake.unanswered_since();
         if let Some(since) = unanswered.filter(|at| !self.active.is_heard_since(*at)) {
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -154,7 +154,7 @@
             return;
         }
         let queues = current.routes.iter().map(|route| route.queue.clone()).collect();
-        self.fleet.borrow_mut().configure(queues, current.services.clone());
+        self.fleet.borrow_mut().configure(queues, current.services.clone(), Vec::new());
     }
 
     async fn tick_loop(self: Rc<Self>) {
--- a/crates/jackdawpier_entry/src/owner/explain.rs
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -58,6 +58,7 @@
     json!({
         "task": wait.task.to_string(),
         "waited_ms": wait.waited.as_millis() as u64,
+        "capped": wait.is_capped,
         "open": open,
         "leaving": leaving,
         "silent": silent,
--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -40,7 +40,8 @@
                 self.unreadable(&keys::submission(&job), "missing, though its job isn't over");
                 continue;
             }
-            self.fleet.borrow_mut().recover_over(clock::now(), job.into(), &record);
+            let (now, wall_ms) = (clock::now(), clock::wall_ms());
+            self.fleet.borrow_mut().recover_over(now, wall_ms, job.into(), &record);
         }
         self.tick();
         let fields = json!({
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -31,7 +31,13 @@
         ..StepSpec::default()
     };
     let spec = JobSpec { payload: Arc::from("payload"), steps: vec![step], schedule: None };
-    Submission { queue: QUEUE.into(), settings: None, accepted_ms: clock::wall_ms(), spec }
+    Submission {
+        queue: QUEUE.into(),
+        settings: None,
+        account: None,
+        accepted_ms: clock::wall_ms(),
+        spec,
+    }
 }
 
 pub fn settings(entry: &str) -> EntrySettings {
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -32,7 +32,7 @@
 
 use jackdawpier_kernel::{
     Now,
-    ids::{ExecutorId, JobId, PoolName, Revision, ServiceName},
+    ids::{AccountName, ExecutorId, JobId, PoolName, Revision, ServiceName},
 };
 
 pub use blame::Blame;
@@ -44,6 +44,7 @@
 pub use waits::{Obstacles, Wait};
 
 use crate::{
+    account::{Account, Accounts},
     crash::is_spent,
     demand::Arrivals,
     executor::{Executor, TaskRef, Watch},
@@ -54,6 +55,8 @@
     spec::{JobSpec, Label, Queue, QueueName, RunNumber, Service, Submission, TaskKey},
 };
 
+/// Entries' times of day differ by no more than this, also while they are set right.
+const CLOCK_DIFFERENCE: Duration = Duration::from_secs(5);
 /// Labels that are remembered: callers may make up any number.
 const MAX_ASKED_LABELS: usize = 64;
 
@@ -145,6 +148,7 @@
 #[derive(Debug)]
 struct EndedBefore {
     outcome: JobOutcome,
+    account: Option<AccountName>,
     /// Some task of it was ordered more than once.
     has_rerun: bool,
 }
@@ -164,6 +168,7 @@
     started_at: Now,
     queues: HashMap<QueueName, Queue>,
     services: HashMap<ServiceName, Service>,
+    accounts: Accounts,
     jobs: HashMap<JobId, Job>,
     /// Jobs that aren't over, by queue.
     open: BTreeMap<QueueName, BTreeSet<JobId>>,
@@ -207,6 +212,7 @@
             started_at: now,
             queues: HashMap::new(),
             services: HashMap::new(),
+            accounts: Accounts::default(),
             jobs: HashMap::new(),
             open: BTreeMap::new(),
             scheduled: BTreeSet::new(),
@@ -233,9 +239,15 @@
         }
     }
 
-    /// Takes over the configuration. Queues that are gone keep their last settings for the jobs
-    /// that they accepted.
-    pub fn configure(&mut self, queues: Vec<Queue>, services: Vec<Service>) {
+    /// Takes over the configuration. Queues and accounts that are gone keep their last settings for
+    /// the jobs that they accepted or handed in.
+    pub fn configure(
+        &mut self,
+        queues: Vec<Queue>,
+        services: Vec<Service>,
+        accounts: Vec<Account>,
+    ) {
+        self.accounts.configure(accounts);
         for queue in queues {
             self.queues.insert(queue.name.clone(), queue);
         }
@@ -248,7 +260,9 @@
             && !self.jobs.contains_key(&id)
         {
             let arrivals = self.arrivals.entry(queue.service.clone()).or_default();
-            arrivals.add(now, submission.spec.core_ms());
+            // What a cap keeps from running within a second needs no machines.
+            let most = self.accounts.left_millicores(submission.account.as_ref());
+            arrivals.add(now, submission.spec.core_ms().min(most));
         }
         self.recover_job(now, wall_ms, id, submission, None);
     }
@@ -276,6 +290,9 @@
             job.restore(record, *revision);
         }
         if job.is_over() {
+            if let Some((record, _)) = &written {
+                self.count_remains(now, wall_ms, record);
+            }
             self.over.push_back((id.clone(), now));
         } else {
             self.open.entry(job.queue.clone()).or_default().insert(id.clone());
@@ -298,12 +315,14 @@
     }
 
     /// Takes in a job that an earlier owner ended, of which the store only has the record.
-    pub fn recover_over(&mut self, now: Now, id: JobId, record: &JobRecord) {
+    pub fn recover_over(&mut self, now: Now, wall_ms: u64, id: JobId, record: &JobRecord) {
         let Some(outcome) = record.outcome else { return };
         if self.jobs.contains_key(&id) {
             return;
         }
-        let ended = EndedBefore { outcome, has_rerun: record.has_rerun };
+        self.count_remains(now, wall_ms, record);
+        let account = record.account.clone();
+        let ended = EndedBefore { outcome, account, has_rerun: record.has_rerun };
         self.ended_before.insert(id.clone(), ended);
         self.over.push_back((id, now));
     }
@@ -315,6 +334,16 @@
         self.machines.hold(now, machines);
     }
 
+    /// Counts what a job that an earlier owner ended may still have running, until it must have ended.
+    fn count_remains(&mut self, now: Now, wall_ms: u64, record: &JobRecord) {
+        let (Some(account), Some(remains)) = (&record.account, record.remains) else { return };
+        let age = Duration::from_millis(wall_ms.saturating_sub(remains.ended_ms));
+        if age < self.settings.doubt + CLOCK_DIFFERENCE {
+            let until = self.started_at.max(now) + self.settings.doubt;
+            self.accounts.book_until(until, account, &remains.amount);
+        }
+    }
+
     /// Books the room of the tasks that an earlier owner placed.
     fn place_doubtful(&mut self, job: &Job) {
         let doubt_until = self.started_at + self.settings.doubt;
@@ -324,7 +353,7 @@
                 .executors
                 .entry(id.clone())
                 .or_insert_with(|| Executor::new(self.started_at, doubt_until));
-            book(executor, job, index);
+            book(executor, &mut self.accounts, job, index);
         }
     }
 
@@ -350,6 +379,12 @@
         })
     }
 
+    /// The client account that a job belongs to; none if the job isn't known here.
+    pub fn account_of(&self, id: &str) -> Option<Option<&AccountName>> {
+        let of_open = self.jobs.get(id).map(|job| job.account.as_ref());
+        of_open.or_else(|| self.ended_before.get(id).map(|ended| ended.account.as_ref()))
+    }
+
     /// Jobs of each queue of which no task has begun.
     pub fn pending(&self) -> BTreeMap<QueueName, u64> {
         let count = |ids: &BTreeSet<JobId>| {
@@ -384,6 +419,7 @@
     /// Lets time pass: occurrences become due, leases lapse, waiting tasks get room.
     pub fn tick(&mut self, now: Now, wall_ms: u64) {
         self.wall_ms = wall_ms;
+        self.accounts.expire(now);
         self.open_due(now, wall_ms);
         self.expire_sometimes(now);
         self.plan_machines(now);
@@ -404,6 +440,7 @@
     fn finish(&mut self, now: Now, id: &JobId, outcome: JobOutcome) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.outcome = Some(outcome);
+        job.ended_ms = self.wall_ms;
         job.startable.clear();
         if let Some(open) = self.open.get_mut(&job.queue) {
             open.remove(id);
@@ -455,7 +492,7 @@
         if let Some(executor) = job.tasks[index].phase.executor().cloned()
             && let Some(executor) = self.executors.get_mut(&executor)
         {
-            unbook(executor, job, index);
+            unbook(executor, &mut self.accounts, job, index);
         }
         let slot = job.slot(index);
         let is_gang = job.step(index).is_gang;
@@ -517,22 +554,24 @@
     Failed,
 }
 
-fn book(executor: &mut Executor, job: &Job, index: TaskIndex) {
+fn book(executor: &mut Executor, accounts: &mut Accounts, job: &Job, index: TaskIndex) {
     let step = job.step(index);
     if !executor.tasks.insert((job.id.clone(), index)) {
         return;
     }
+    accounts.book(job.account.as_ref(), &step.need);
     executor.booked.add(&step.booked());
     *executor.per_slot.entry((job.id.clone(), job.slot(index))).or_default() += 1;
     executor.serving += u32::from(step.tail_target.is_some());
     executor.fillers += u32::from(step.is_filler);
 }
 
-fn unbook(executor: &mut Executor, job: &Job, index: TaskIndex) {
+fn unbook(executor: &mut Executor, accounts: &mut Accounts, job: &Job, index: TaskIndex) {
     let step = job.step(index);
     if !executor.tasks.remove(&(job.id.clone(), index)) {
         return;
     }
+    accounts.unbook(job.account.as_ref(), &step.need);
     executor.booked.subtract(&step.booked());
     let is_watched = |watch: &Watch| watch.task.0 == job.id && watch.task.1 == index;
     if executor.watch.as_ref().is_some_and(is_watched) {
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -59,7 +59,8 @@
                 let chosen = self.choose(now, id, index, rack.as_deref(), openings);
                 let Some(executor) = chosen else { break };
                 let job = &self.jobs[id];
-                book(self.executors.get_mut(&executor).expect("just chosen"), job, index);
+                let member = self.executors.get_mut(&executor).expect("just chosen");
+                book(member, &mut self.accounts, job, index);
                 placed.push((index, executor));
             }
             if placed.len() == members.len() {
@@ -68,7 +69,8 @@
             }
             for (index, executor) in placed {
                 let job = &self.jobs[id];
-                unbook(self.executors.get_mut(&executor).expect("just booked"), job, index);
+                let member = self.executors.get_mut(&executor).expect("just booked");
+                unbook(member, &mut self.accounts, job, index);
             }
         }
         false
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -114,6 +114,11 @@
                 kept.push(index);
                 continue;
             }
+            if !self.is_within_cap(job, index) {
+                full_slots.push(slot);
+                kept.push(index);
+                continue;
+            }
             if step.is_gang {
                 placed += usize::from(self.place_gang(now, id, slot, openings));
                 if self.jobs[id].tasks[index].phase == Phase::Waiting {
@@ -146,6 +151,14 @@
         placed > 0
     }
 
+    /// Whether a task, or its whole gang, may start without its account having more running than its
+    /// cap allows.
+    pub(super) fn is_within_cap(&self, job: &Job, index: TaskIndex) -> bool {
+        let step = job.step(index);
+        let together = if step.is_gang { step.count } else { 1 };
+        self.accounts.allows(job.account.as_ref(), &step.need, together)
+    }
+
     /// Whether nothing but its room and its labels keeps an executor from running a step.
     fn is_plain(&self, job: &Job, step: &StepSpec) -> bool {
         let needs_advice = self.queues.get(&job.queue).is_some_and(|queue| queue.needs_advice);
@@ -160,7 +173,7 @@
         task.phase = Phase::Planned { executor: executor.clone() };
         let chosen = self.executors.get_mut(&executor).expect("just chosen");
         task.placed_in = chosen.life;
-        book(chosen, job, index);
+        book(chosen, &mut self.accounts, job, index);
         self.watch_start(&executor, id, index);
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -195,8 +195,9 @@
         need.pinned += usize::from(is_pinned);
     }
 
-    /// Adds what waits and may still be of use.
+    /// Adds what waits and may still be of use, as far as the caps of the accounts let it run.
     fn add_waiting(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
+        let mut headroom = self.accounts.headroom();
         for (queue, ids) in &self.open {
             let Some(queue) = self.queues.get(queue) else { continue };
             let Some(pool) = pools.get_mut(&queue.service) else { continue };
@@ -207,7 +208,8 @@
                     continue;
                 }
                 let waiting = job.startable.iter().map(|&index| job.step(index).booked());
-                pool.need_millicores += waiting.map(|need| need.cpu_millicores).sum::<u64>();
+                let millicores = waiting.map(|need| need.cpu_millicores).sum::<u64>();
+                pool.need_millicores += headroom.take(job.account.as_ref(), millicores);
             }
             // What can't earn any more still has to end: there must be room for the largest of it.
             pool.need_millicores += least_millicores;
--- a/crates/jackdawpier_fleet/src/fleet/waits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/waits.rs
@@ -21,6 +21,8 @@
     pub task: TaskKey,
     /// How long it has been startable.
     pub waited: Duration,
+    /// Its client account has as much running as its cap allows.
+    pub is_capped: bool,
     /// What keeps it from the executors of its service.
     pub obstacles: Obstacles,
 }
@@ -65,6 +67,7 @@
             .map(|(since, job, index)| Wait {
                 task: job.key(index),
                 waited: now.saturating_sub(since),
+                is_capped: !self.is_within_cap(job, index),
                 obstacles: self.obstacles(now, job, index, &vacating),
             })
             .collect()
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -4,14 +4,14 @@
 
 use jackdawpier_kernel::{
     Now,
-    ids::{ExecutorId, JobId, Revision},
+    ids::{AccountName, ExecutorId, JobId, Revision},
 };
 
 use crate::{
     crash::Crash,
     executor::LifeId,
-    record::{JobOutcome, JobRecord, Standing, TaskRecord},
-    spec::{JobSpec, QueueName, RunNumber, StepSpec, Submission, TaskKey},
+    record::{JobOutcome, JobRecord, Remains, Standing, TaskRecord},
+    spec::{JobSpec, QueueName, Resources, RunNumber, StepSpec, Submission, TaskKey},
 };
 
 /// Place of a task in the flat list of its job.
@@ -154,6 +154,7 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) queue: QueueName,
+    pub(crate) account: Option<AccountName>,
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) tasks: Vec<Task>,
     pub(crate) progress: Vec<StepProgress>,
@@ -164,6 +165,8 @@
     /// When some of them last got one.
     pub(crate) served_at: Option<Now>,
     pub(crate) outcome: Option<JobOutcome>,
+    /// Time of day at which it was over.
+    pub(crate) ended_ms: u64,
     pub(crate) is_cancelled: bool,
     pub(crate) has_begun: bool,
     /// An earlier owner ordered some task more than once.
@@ -206,12 +209,14 @@
         Self {
             id,
             queue: submission.queue,
+            account: submission.account,
             tasks: vec![Task::new(); tasks_per_occurrence * occurrences],
             progress: one.repeat(occurrences),
             began_at: vec![accepted_at; occurrences],
             startable: VecDeque::new(),
             served_at: None,
             outcome: None,
+            ended_ms: 0,
             is_cancelled: false,
             has_begun: false,
             had_rerun: false,
@@ -264,7 +269,26 @@
             None => self.tasks.iter().map(Task::record).collect(),
         };
         let has_rerun = self.had_rerun || self.tasks.iter().any(|task| task.run > 1);
-        JobRecord { outcome: self.outcome, has_begun: self.has_begun, has_rerun, tasks }
+        JobRecord {
+            outcome: self.outcome,
+            account: self.account.clone(),
+            remains: self.remains(),
+            has_begun: self.has_begun,
+            has_rerun,
+            tasks,
+        }
+    }
+
+    /// What may still be running of a job that is over; none if nothing is, or nobody's cap covers it.
+    fn remains(&self) -> Option<Remains> {
+        self.account.as_ref().filter(|_| self.is_over())?;
+        let mut amount = Resources::default();
+        for (index, task) in self.tasks.iter().enumerate() {
+            if task.phase.executor().is_some() {
+                amount.add(&self.step(index).need);
+            }
+        }
+        (amount != Resources::default()).then_some(Remains { amount, ended_ms: self.ended_ms })
     }
 
     /// Whether a task may have been started again after this run of it.
--- a/crates/jackdawpier_fleet/src/lib.rs
+++ b/crates/jackdawpier_fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`fleet::Fleet`] takes events with the time they came at and returns commands; it holds no I/O,
 //! no clock and no random numbers. See `docs/design/platform.md`.
 
+pub mod account;
 pub mod crash;
 mod demand;
 pub mod executor;
--- a/crates/jackdawpier_fleet/src/record.rs
+++ b/crates/jackdawpier_fleet/src/record.rs
@@ -3,10 +3,14 @@
 //! A placement is written before the first order leaves, so that whatever may be running anywhere
 //! is named in the store; an end is written before its executor may forget it.
 
-use jackdawpier_kernel::ids::ExecutorId;
+use jackdawpier_kernel::ids::{AccountName, ExecutorId};
 use serde::{Deserialize, Serialize};
 
-use crate::{crash::Crash, executor::LifeId, spec::RunNumber};
+use crate::{
+    crash::Crash,
+    executor::LifeId,
+    spec::{Resources, RunNumber},
+};
 
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,11 +62,27 @@
     pub checkpoint: Box<str>,
 }
 
+/// What a job that is over may have left running: its tasks were told to stop and hadn't said yet that
+/// they did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Remains {
+    /// The room of those tasks.
+    pub amount: Resources,
+    /// Time of day of the job's end, in milliseconds since 1970.
+    pub ended_ms: u64,
+}
+
 /// The durable state of one job, in the order of occurrences, steps and tasks.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Set once the job is over.
     pub outcome: Option<JobOutcome>,
+    /// The client account that it belongs to; none where no key was asked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<AccountName>,
+    /// What may still have been running of it when it was over, for the account's cap.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub remains: Option<Remains>,
     /// Some task has been ordered at least once.
     pub has_begun: bool,
     /// Some task was ordered more than once.
--- a/crates/jackdawpier_fleet/src/spec.rs
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use derive_more::{Display, Error};
-use jackdawpier_kernel::ids::{JobId, ServiceName};
+use jackdawpier_kernel::ids::{AccountName, JobId, ServiceName};
 use serde::{Deserialize, Serialize};
 
 /// Name of a queue, from the configuration.
@@ -56,6 +56,16 @@
         self.gpus += other.gpus;
     }
 
+    /// This much for each of some tasks.
+    #[must_use]
+    pub fn times(&self, tasks: u64) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_mul(tasks),
+            memory_mb: self.memory_mb.saturating_mul(tasks),
+            gpus: self.gpus.saturating_mul(tasks),
+        }
+    }
+
     /// Takes `other` away.
     pub fn subtract(&mut self, other: &Self) {
         self.cpu_millicores = self.cpu_millicores.saturating_sub(other.cpu_millicores);
@@ -290,6 +300,9 @@
     /// while its jobs wait.
     #[serde(default)]
     pub settings: Option<Queue>,
+    /// The client account that handed it in; none where no key is asked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<AccountName>,
     /// Time of day of its acceptance, in milliseconds since 1970.
     pub accepted_ms: u64,
     /// What to run.
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -15,13 +15,17 @@
 };
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::{Delivery, World, job, step};
+use world::{Delivery, World, accounts::cores, job, step};
 
 /// Histories in an ordinary run of the tests; more by `HISTORIES=10000`.
 const HISTORIES: u64 = 60;
 const EVENTS: usize = 40;
 /// Part of the jobs with a task that crashes its executors.
 const CRASHING: f64 = 0.3;
+/// Accounts of capped histories.
+const ACCOUNTS: [&str; 3] = ["shop", "bakery", "cafe"];
+/// Room for the largest gang, and for less than all that an account hands in.
+const CAP_CORES: u64 = 14;
 /// Seeds that failed once, with what was wrong.
 const FAILED_BEFORE: [(u64, &str); 6] = [
     (0, "an unlisted executor that had just answered a new owner counted as lapsed: run twice"),
@@ -106,12 +110,23 @@
     world.delivery = Box::new(|_| Delivery::Answered);
 }
 
+/// Gives a job to an account, and now and then lets a cap fall or rise.
+fn random_account(world: &mut World, random: &mut ChaCha8Rng, job: &str) {
+    world.accounts.give(job, ACCOUNTS[random.random_range(0..ACCOUNTS.len())]);
+    if random.random_bool(0.2) {
+        let account = ACCOUNTS[random.random_range(0..ACCOUNTS.len())];
+        world.set_cap(account, cores(random.random_range(2..30)));
+    }
+}
+
 fn play(seed: u64) {
-    play_with(seed, 0.0);
+    play_with(seed, 0.0, false);
 }
 
-/// Plays a history in which this part of the jobs have a task that crashes its executors.
-fn play_with(seed: u64, crashing: f64) {
+/// Plays a history in which this part of the jobs have a task that crashes its executors, and in which
+/// jobs may belong to accounts with caps.
+fn play_with(seed: u64, crashing: f64, is_capped: bool) {
+    let mut accounts = ChaCha8Rng::seed_from_u64(seed ^ 3);
     let mut marks = ChaCha8Rng::seed_from_u64(seed ^ 2);
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut world = World::new(&["view", "report", "off"], 3);
@@ -126,9 +141,17 @@
         world.crashes.after = Duration::from_millis(marks.random_range(10..1_500));
         world.keeps_ids = marks.random_bool(0.5);
     }
+    if is_capped {
+        // An order that is carried out late may have left under a former cap.
+        world.accounts.former_counts_for = Duration::from_secs(12);
+        ACCOUNTS.iter().for_each(|account| world.set_cap(account, cores(CAP_CORES)));
+    }
     let mut jobs = Vec::new();
     for _ in 0..EVENTS {
         let next = format!("job-{}", jobs.len());
+        if is_capped {
+            random_account(&mut world, &mut accounts, &next);
+        }
         if marks.random_bool(crashing) && !world.crashes.jobs.iter().any(|id| **id == *next) {
             world.crashes.jobs.push(next.into());
         }
@@ -136,6 +159,9 @@
         world.run_for(Duration::from_millis(random.random_range(10..900)));
     }
     heal(&mut world);
+    if is_capped {
+        ACCOUNTS.iter().for_each(|account| world.set_cap(account, cores(CAP_CORES)));
+    }
     for id in &jobs {
         let is_over = world.run_until_over(id, Duration::from_secs(120)).is_some();
         if !is_over && std::env::var("TRACE").is_ok() {
@@ -181,6 +207,15 @@
 fn crashing_histories() {
     for seed in seeds() {
         println!("seed {seed}");
-        play_with(seed, CRASHING);
+        play_with(seed, CRASHING, false);
+    }
+}
+
+/// Caps that bind, over changes of owners and late orders.
+#[test]
+fn capped_histories() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        play_with(seed, 0.0, true);
     }
 }
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -4,9 +4,11 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses a part of the world")]
 
+pub mod accounts;
 pub mod crashes;
 pub mod executor;
 mod machines;
+mod orders;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -14,16 +16,18 @@
     time::Duration,
 };
 
+use accounts::Accounts;
 use crashes::Crashes;
 use executor::FakeExecutor;
 use jackdawpier_fleet::{
     executor::ExecutorInfo,
-    fleet::{Batch, Command, Fleet, FleetSettings, JobView, StartEnd, StopEnd},
+    fleet::{Batch, Command, Fleet, FleetSettings, JobView},
     machines::{MachineInfo, MachineOrder, MachineState, Wave},
     policy::Policy,
     record::{JobOutcome, JobRecord},
     spec::{JobSpec, Queue, Resources, Service, StepSpec, Submission, TaskKey},
 };
+pub use orders::Delivery;
 
 pub const STEP: Duration = Duration::from_millis(10);
 /// Executors accept no longer lease.
@@ -75,16 +79,6 @@
     JobSpec { payload: "payload".into(), steps, schedule: None }
 }
 
-/// What happens to orders to executors.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Delivery {
-    Answered,
-    /// Carried out, but the answer is lost.
-    AnswerLost,
-    /// Not answered, and carried out this much later.
-    Late(Duration),
-}
-
 #[derive(Debug)]
 pub struct Machine {
     pub pool: Arc<str>,
@@ -112,9 +106,11 @@
     /// Decides what becomes of an order, by its number.
     pub delivery: Box<dyn FnMut(u64) -> Delivery>,
     orders: u64,
-    late: Vec<(Duration, Sent)>,
+    late: Vec<(Duration, orders::Sent)>,
     pub queues: Vec<Queue>,
     pub services: Vec<Service>,
+    /// Client accounts, and whose jobs are whose.
+    pub accounts: Accounts,
     pub machine_orders: Vec<(Duration, MachineOrder)>,
     /// Machines with the time and the owner of the last order that left, which an owner notes.
     noted: BTreeMap<Arc<str>, (Duration, u64)>,
@@ -174,6 +170,7 @@
                 .iter()
                 .map(|pool| Service { name: (*pool).into(), is_standby: pool.starts_with("off") })
                 .collect(),
+            accounts: Accounts::default(),
             machine_orders: Vec::new(),
             noted: BTreeMap::new(),
             loses_note: false,
@@ -209,7 +206,8 @@
     }
 
     pub fn configure(&mut self) {
-        self.fleet.configure(self.queues.clone(), self.services.clone());
+        let (queues, services) = (self.queues.clone(), self.services.clone());
+        self.fleet.configure(queues, services, self.accounts.settings());
     }
 
     fn is_standby(&self, pool: &str) -> bool {
@@ -275,8 +273,9 @@
 
     pub fn submit(&mut self, id: &str, queue: &str, spec: JobSpec) {
         let settings = self.queues.iter().find(|one| &*one.name == queue).cloned();
-        let submission =
-            Submission { queue: queue.into(), settings, accepted_ms: self.wall_ms(), spec };
+        let account = self.accounts.of_job(id);
+        let accepted_ms = self.wall_ms();
+        let submission = Submission { queue: queue.into(), settings, account, accepted_ms, spec };
         self.submissions.insert(id.into(), submission.clone());
         self.fleet.add_job(self.now, self.wall_ms(), id.into(), submission);
     }
@@ -304,7 +303,7 @@
             if let Some((record, _)) = &written
                 && record.outcome.is_some()
             {
-                self.fleet.recover_over(self.now, id.clone(), record);
+                self.fleet.recover_over(self.now, wall_ms, id.clone(), record);
                 continue;
             }
             self.fleet.recover_job(self.now, wall_ms, id.clone(), submission.clone(), written);
@@ -443,123 +442,11 @@
         }
     }
 
-    fn order(&mut self, command: Command) {
-        match &command {
-            Command::Machine(order) => {
-                let at = self.now + self.machine_order_delay;
-                self.noted.insert(order.machine.clone(), (self.now, self.fence));
-                self.machine_orders_under_way.push((at, self.fence, order.clone()));
-                if self.machine_order_delay.is_zero() {
-                    self.order_machines();
-                }
-                return;
-            }
-            Command::Wave(_) => return,
-            Command::Advise { task, executors } => {
-                let approved = executors
-                    .iter()
-                    .filter(|id| self.approved.contains(*id))
-                    .map(|id| (id.clone(), format!("ticket-{id}").into()))
-                    .collect();
-                self.advised += 1;
-                self.fleet.advised(self.now, task, approved, Duration::from_secs(3));
-                return;
-            }
-            Command::Start { .. } | Command::Stop { .. } | Command::Pace { .. } => {}
-        }
-        self.orders += 1;
-        let lease = match &command {
-            Command::Start { executor, .. } => self.fleet.order_lease(self.now, executor),
-            _ => None,
-        };
-        let mut sent = Sent { fence: self.fence, lease, life: None, command };
-        sent.life = sent.target().and_then(|id| self.executors.get(id)?.info.life);
-        match (self.delivery)(self.orders) {
-            Delivery::Answered => self.deliver(&sent, true),
-            Delivery::AnswerLost => self.deliver(&sent, false),
-            Delivery::Late(after) => {
-                self.report_unanswered(&sent.command);
-                self.late.push((self.now + after, sent));
-            }
-        }
-    }
-
-    fn carry_out_late(&mut self) {
-        let now = self.now;
-        let (due, rest): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
-        self.late = rest;
-        for (_, sent) in due {
-            let is_there = |one: &FakeExecutor| one.info.life == sent.life;
-            if sent.target().is_some_and(|id| !self.executors.get(id).is_some_and(is_there)) {
-                continue;
-            }
-            if std::env::var("TRACE").is_ok() {
-                println!("{:?} late: {:?} lease {:?}", self.now, sent.command, sent.lease);
-            }
-            self.execute(&sent);
-        }
-    }
-
-    fn deliver(&mut self, sent: &Sent, is_answered: bool) {
-        let end = self.execute(sent);
-        match (&sent.command, end) {
-            (Command::Start { executor, task, run, .. }, Some(Executed::Start(end)))
-                if is_answered =>
-            {
-                self.fleet.start_ended(self.now, executor, task, *run, end, true);
-            }
-            (Command::Stop { task, run, .. }, Some(Executed::Stop(end))) if is_answered => {
-                self.fleet.stop_ended(self.now, task, *run, end);
-            }
-            _ => self.report_unanswered(&sent.command),
-        }
-    }
-
-    fn report_unanswered(&mut self, command: &Command) {
-        match command {
-            Command::Start { executor, task, run, .. } => {
-                let end = StartEnd::Unanswered;
-                self.fleet.start_ended(self.now, executor, task, *run, end, false);
-            }
-            Command::Stop { task, run, .. } => {
-                self.fleet.stop_ended(self.now, task, *run, StopEnd::NotTaken);
-            }
-            _ => {}
-        }
-    }
-
-    fn execute(&mut self, sent: &Sent) -> Option<Executed> {
-        let (now, fence) = (self.now, sent.fence);
-        match &sent.command {
-            Command::Start { executor, task, run, .. } => {
-                let lease = sent.lease?;
-                let spec = self.submissions[&task.job].spec.clone();
-                let target = self.executors.get_mut(executor)?;
-                if !target.is_reachable() {
-                    return None;
-                }
-                Some(Executed::Start(target.start(now, fence, task, *run, &spec, lease)))
-            }
-            Command::Stop { executor, task, run } => {
-                let target = self.executors.get_mut(executor)?;
-                if !target.is_reachable() {
-                    return None;
-                }
-                Some(Executed::Stop(target.stop(now, fence, task, *run)))
-            }
-            Command::Pace { executor, task, percent, .. } => {
-                self.executors.get_mut(executor)?.pace(task, *percent);
-                None
-            }
-            _ => None,
-        }
-    }
-
     /// No task may start after an end that was acknowledged as good, then or later.
     fn check_done(&mut self) {
         for executor in self.executors.values_mut() {
             for (task, at) in executor.starts.drain(..) {
+                self.accounts.note_start(&task);
                 self.started.entry(task).or_default().push(at);
             }
         }
@@ -579,6 +466,7 @@
     fn check(&mut self) {
         self.check_done();
         self.crashes.check(&self.started);
+        self.check_caps();
         let mut running: HashMap<&TaskKey, &Arc<str>> = HashMap::new();
         for (id, executor) in &self.executors {
             executor.check_room();
@@ -619,26 +507,3 @@
         self.executors.values().flat_map(FakeExecutor::running).filter(of_job).count()
     }
 }
-
-/// An order on its way.
-struct Sent {
-    fence: u64,
-    /// The life that it reaches: an executor that starts again holds nothing of before.
-    life: Option<u64>,
-    lease: Option<Duration>,
-    command: Command,
-}
-
-impl Sent {
-    fn target(&self) -> Option<&Arc<str>> {
-        match &self.command {
-            Command::Start { executor, .. } | Command::Stop { executor, .. } => Some(executor),
-            _ => None,
-        }
-    }
-}
-
-enum Executed {
-    Start(StartEnd),
-    Stop(StopEnd),
-}
--- a/crates/jackdawpier_kernel/src/ids.rs
+++ b/crates/jackdawpier_kernel/src/ids.rs
@@ -8,6 +8,8 @@
 pub type ClassName = Arc<str>;
 /// Name of a customer (tenant) of a class.
 pub type CustomerName = Arc<str>;
+/// Name of a client account, from the users' configuration.
+pub type AccountName = Arc<str>;
 /// Name of a service, which is the unit that back ends belong to.
 pub type ServiceName = Arc<str>;
 /// Name of a back-end executor, from the platform's instance list.
