Ask callers for keys, and serve a key only while it is known to stand

Cause: nothing on the way of a request read a key.

An entry serves a key only with a proof that is younger than the bound: the time at which a question to the store left whose answer shows that the configuration was the newest. A watch proves nothing, since it may hear nothing, nor does the time of an answer, since it may have hung. The clock that counts suspensions is looked at after the request has been read whole. Every request that is judged was sent before that look, so whatever becomes of the entry later it was sent within the bound. A key that isn't known may be newer than the configuration: one look that all who wait share, then 401; 503 with Retry-After where none can be had.

A job belongs to the account that handed it in: 403 to others for a look, a cancellation and the same id.

--- a/crates/jackdawpier_entry/src/acceptance.rs
+++ b/crates/jackdawpier_entry/src/acceptance.rs
@@ -13,7 +13,11 @@
 };
 
 use jackdawpier_fleet::spec::Submission;
-use jackdawpier_kernel::{Now, ids::JobId};
+use jackdawpier_kernel::{
+    Now,
+    ids::{AccountName, JobId},
+};
+use serde::Deserialize;
 use tokio::{
     sync::{Notify, oneshot},
     time::timeout,
@@ -21,7 +25,7 @@
 
 use crate::{
     clock, keys,
-    ports::{CallError, CallResult, Platform, Transaction, TransactionEnd},
+    ports::{CallError, CallResult, Item, Platform, Transaction, TransactionEnd},
 };
 
 /// Jobs in one transaction: two conditions and a value each, of the 32 rows that it may have.
@@ -49,6 +53,8 @@
 pub enum Acceptance {
     /// The store holds it.
     Accepted,
+    /// The store holds a job of another client account under its id.
+    Foreign,
     /// The store doesn't and never will hold it by this request.
     Refused,
     /// It may be held, or may yet come to be.
@@ -58,6 +64,7 @@
 #[derive(Debug)]
 struct Entry {
     id: JobId,
+    account: Option<AccountName>,
     value: Vec<u8>,
     /// When it is given up.
     deadline: Now,
@@ -115,7 +122,9 @@
         }
         let Ok(value) = serde_json::to_vec(submission) else { return Acceptance::Refused };
         let (answer, mut fate) = oneshot::channel();
-        let entry = Entry { id: id.clone(), value, deadline, may_be_stored: false, answer };
+        let account = submission.account.clone();
+        let entry =
+            Entry { id: id.clone(), account, value, deadline, may_be_stored: false, answer };
         self.queue.borrow_mut().waiting.push_back(entry);
         self.changed.notify_one();
         match timeout(QUEUE_PATIENCE, &mut fate).await {
@@ -210,12 +219,12 @@
                 return;
             }
             Ok(TransactionEnd::Conflict(items)) => {
-                let is_held = |entry: &Entry| {
-                    let keys = [keys::submission(&entry.id), keys::record(&entry.id)];
-                    items.iter().any(|item| keys.contains(&item.key) && item.revision > 0)
-                };
+                let is_held = |entry: &Entry| held_item(entry, &items).is_some();
                 let (held, rest): (Vec<_>, Vec<_>) = batch.into_iter().partition(is_held);
-                answer_all(held, Acceptance::Accepted);
+                let is_own = |entry: &Entry| belongs_to(entry, &items);
+                let (own, foreign): (Vec<_>, Vec<_>) = held.into_iter().partition(is_own);
+                answer_all(own, Acceptance::Accepted);
+                answer_all(foreign, Acceptance::Foreign);
                 batch = rest;
             }
             Err(CallError::NotDone { .. }) => {
@@ -242,6 +251,27 @@
     }
 }
 
+/// What the store holds under a job's id, among the items of a conflict.
+fn held_item<'a>(entry: &Entry, items: &'a [Item]) -> Option<&'a Item> {
+    let keys = [keys::submission(&entry.id), keys::record(&entry.id)];
+    items.iter().find(|item| keys.contains(&item.key) && item.revision > 0)
+}
+
+/// Whether the job that the store holds under an id is the same account's; so is one that was handed in
+/// without a key.
+fn belongs_to(entry: &Entry, items: &[Item]) -> bool {
+    #[derive(Deserialize)]
+    struct Owned {
+        #[serde(default)]
+        account: Option<AccountName>,
+    }
+    let held = held_item(entry, items).map(|item| serde_json::from_slice::<Owned>(&item.value));
+    match held {
+        Some(Ok(held)) => held.account.is_none() || held.account == entry.account,
+        Some(Err(_)) | None => false,
+    }
+}
+
 /// Writes a batch once, for no longer than the most patient of its callers waits.
 async fn commit<P: Platform>(platform: &P, batch: &[Entry]) -> CallResult<TransactionEnd> {
     let patience = batch.iter().map(|entry| entry.deadline).max().unwrap_or_default();
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -14,11 +14,16 @@
     record::JobRecord,
     spec::{QueueName, Submission},
 };
-use jackdawpier_kernel::{Now, ids::JobId};
+use jackdawpier_kernel::{
+    Now,
+    ids::{AccountName, JobId},
+};
+use serde::de::DeserializeOwned;
 use serde_json::json;
 
 use crate::{
     acceptance::{Acceptance, Intake},
+    access::{Access, ApiKey, judge},
     clock,
     configuration::Active,
     events::Events,
@@ -27,7 +32,7 @@
     metrics::Latency,
     owner::OwnerCell,
     pending::Pending,
-    ports::{CallError, CallerLimits, Platform, Route, Transaction, TransactionEnd},
+    ports::{CallError, CallerLimits, Item, Platform, Route, Transaction, TransactionEnd},
 };
 
 /// How long a caller is taken to wait if it doesn't say.
@@ -38,6 +43,9 @@
 const RETRY_AFTER_S: &str = "1";
 /// A store that can't be reached is asked again for this long; then the caller may try another entry.
 const STORE_PATIENCE: Duration = Duration::from_millis(600);
+/// A caller whose key can't be vouched for waits this long for the store's word: a hundred times what it
+/// takes as a rule.
+const PROOF_PATIENCE: Duration = Duration::from_millis(400);
 /// Pause before a store that gave no answer is asked again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(60);
 
@@ -62,6 +70,8 @@
     /// Answers one request.
     pub async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
         let path = request.uri().path().to_owned();
+        let arrived_at = clock::now();
+        let deadline = arrived_at + self.patience(&request);
         let Some(configuration) = self.active.get() else {
             return self.refuse(&path, "no configuration yet");
         };
@@ -69,7 +79,13 @@
         let Some(route) = self.active.route(host, &path) else {
             return self.problem(&path, StatusCode::NOT_FOUND, "no such queue");
         };
-        let deadline = clock::now() + self.patience(&request);
+        let key = request.headers().get(self.platform.key_header());
+        let key = key.map(|value| ApiKey::new(value.as_bytes()));
+        let credentials = Credentials { key, arrived_at, deadline };
+        let account = match self.admit(&path, &route, &credentials).await {
+            Ok(account) => account,
+            Err(reply) => return reply,
+        };
         let id = path[route.prefix.len()..].to_owned();
         if id.is_empty() && request.method() == Method::GET {
             return self.pending(&route.queue.name).await;
@@ -80,13 +96,49 @@
         }
         let id: JobId = id.into();
         match *request.method() {
-            Method::POST => self.submit(&route, id, request, configuration.limits, deadline).await,
-            Method::GET => self.look(&id, deadline.min(clock::now() + STORE_PATIENCE)).await,
-            Method::DELETE => self.cancel(&id, deadline.min(clock::now() + STORE_PATIENCE)).await,
+            Method::POST => {
+                self.submit(&route, id, request, configuration.limits, &credentials).await
+            }
+            Method::GET => self.look(&id, account.as_ref(), store_deadline(deadline)).await,
+            Method::DELETE => self.cancel(&id, account.as_ref(), store_deadline(deadline)).await,
             _ => self.problem(&id, StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE"),
         }
     }
 
+    /// Finds out in whose name a caller asks, or what it is to be told if it may not.
+    async fn admit(
+        &self,
+        id: &str,
+        route: &Route,
+        credentials: &Credentials,
+    ) -> Result<Option<AccountName>, Reply> {
+        let Credentials { key, arrived_at, deadline } = credentials;
+        let give_up_at = (*deadline).min(*arrived_at + PROOF_PATIENCE);
+        loop {
+            let Some(configuration) = self.active.get() else {
+                return Err(self.refuse(id, "no configuration yet"));
+            };
+            let (proof, now) = (self.active.proof(), clock::now());
+            let access = judge(&configuration, route, key.as_ref(), proof, *arrived_at, now);
+            match access {
+                Access::Granted(account) => return Ok(account),
+                Access::NoKey => {
+                    return Err(self.problem(id, StatusCode::UNAUTHORIZED, "a key is needed"));
+                }
+                Access::UnknownKey => {
+                    let why = "the key isn't known; nothing was done";
+                    return Err(self.problem(id, StatusCode::UNAUTHORIZED, why));
+                }
+                Access::Unproved => {
+                    let patience = give_up_at.saturating_sub(now);
+                    if !self.active.prove_since(*arrived_at, patience).await {
+                        return Err(self.refuse(id, "the key can't be checked now"));
+                    }
+                }
+            }
+        }
+    }
+
     fn patience(&self, request: &Request<Incoming>) -> Duration {
         request
             .headers()
@@ -102,7 +154,7 @@
         id: JobId,
         request: Request<Incoming>,
         limits: CallerLimits,
-        deadline: Now,
+        credentials: &Credentials,
     ) -> Reply {
         let body = match Limited::new(request.into_body(), limits.body_bytes).collect().await {
             Ok(body) => body.to_bytes(),
@@ -110,6 +162,12 @@
                 return self.problem(&id, StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
             }
         };
+        // The key may have been taken away while the body arrived.
+        let account = match self.admit(&id, route, credentials).await {
+            Ok(account) => account,
+            Err(reply) => return reply,
+        };
+        let deadline = credentials.deadline;
         let spec = match self.platform.read_job(&body) {
             Ok(spec) => spec,
             Err(error) => return self.problem(&id, StatusCode::BAD_REQUEST, &error.to_string()),
@@ -117,14 +175,18 @@
         let queue = route.queue.name.clone();
         let settings = Some(route.queue.clone());
         let accepted_ms = clock::wall_ms();
-        let submission =
-            Submission { queue: queue.clone(), settings, account: None, accepted_ms, spec };
+        let submission = Submission { queue: queue.clone(), settings, account, accepted_ms, spec };
         let arrived_at = clock::now();
         let unanswered = self.intake.unanswered_since();
         if let Some(since) = unanswered.filter(|at| !self.active.is_heard_since(*at)) {
             let silent_ms = clock::since(since).as_millis() as u64;
-            let fields =
-                json!({ "job": *id, "queue": *queue, "fate": "Refused", "silent_ms": silent_ms });
+            let fields = json!({
+                "job": *id,
+                "queue": *queue,
+                "account": submission.account.as_deref(),
+                "fate": "Refused",
+                "silent_ms": silent_ms,
+            });
             self.events.emit("job_in", fields);
             return self.refuse(&id, "the store doesn't answer");
         }
@@ -132,10 +194,17 @@
         self.events.metrics().took(Latency::Acceptance, clock::since(arrived_at));
         let took_ms = clock::since(arrived_at).as_millis() as u64;
         let fate_name = format!("{fate:?}");
-        let fields = json!({ "job": *id, "queue": *queue, "fate": fate_name, "took_ms": took_ms });
+        let fields = json!({
+            "job": *id,
+            "queue": *queue,
+            "account": submission.account.as_deref(),
+            "fate": fate_name,
+            "took_ms": took_ms,
+        });
         self.events.emit("job_in", fields);
         match fate {
             Acceptance::Accepted => reply(StatusCode::OK, Vec::new()),
+            Acceptance::Foreign => self.foreign(&id),
             Acceptance::Refused => self.refuse(&id, "the store can't be reached"),
             Acceptance::Unknown => self.problem(
                 &id,
@@ -145,13 +214,13 @@
         }
     }
 
-    async fn look(&self, id: &JobId, deadline: Now) -> Reply {
-        if let Some(view) = self.owner.view(id) {
-            return reply(StatusCode::OK, self.platform.job_view(view));
+    async fn look(&self, id: &JobId, account: Option<&AccountName>, deadline: Now) -> Reply {
+        if let Some((view, owner)) = self.owner.job(id) {
+            return self.show(id, view, owner.as_ref(), account);
         }
         loop {
             match self.look_in_store(id).await {
-                Ok(Some(view)) => return reply(StatusCode::OK, self.platform.job_view(view)),
+                Ok(Some((view, owner))) => return self.show(id, view, owner.as_ref(), account),
                 Ok(None) => return self.problem(id, StatusCode::GONE, "no such job"),
                 Err(_) if clock::now() + REPEAT_PAUSE < deadline => {
                     tokio::time::sleep(REPEAT_PAUSE).await;
@@ -161,41 +230,62 @@
         }
     }
 
-    async fn look_in_store(&self, id: &JobId) -> Result<Option<JobView>, CallError> {
-        if let Some(view) = self.look_at_record(id).await? {
-            return Ok(Some(view));
+    /// Tells a caller of a job, if it is its own.
+    fn show(
+        &self,
+        id: &JobId,
+        view: JobView,
+        owner: Option<&AccountName>,
+        account: Option<&AccountName>,
+    ) -> Reply {
+        if is_foreign(owner, account) {
+            return self.foreign(id);
         }
-        if self.platform.get(&keys::submission(id)).await?.is_some() {
-            return Ok(Some(JobView::Queued));
+        reply(StatusCode::OK, self.platform.job_view(view))
+    }
+
+    async fn look_in_store(&self, id: &JobId) -> Result<Option<KnownJob>, CallError> {
+        if let Some(known) = self.look_at_record(id).await? {
+            return Ok(Some(known));
+        }
+        if let Some(item) = self.platform.get(&keys::submission(id)).await? {
+            let submission: Submission = self.parse(&item)?;
+            return Ok(Some((JobView::Queued, submission.account)));
         }
         // It may have ended between the two questions.
         self.look_at_record(id).await
     }
 
-    async fn look_at_record(&self, id: &JobId) -> Result<Option<JobView>, CallError> {
+    async fn look_at_record(&self, id: &JobId) -> Result<Option<KnownJob>, CallError> {
         let Some(item) = self.platform.get(&keys::record(id)).await? else { return Ok(None) };
-        let record: JobRecord = serde_json::from_slice(&item.value).map_err(|error| {
-            let why = error.to_string();
-            self.events.emit("unreadable", json!({ "key": item.key, "why": why }));
-            CallError::Unanswered { reason: why }
-        })?;
-        Ok(Some(match record.outcome {
+        let record: JobRecord = self.parse(&item)?;
+        let view = match record.outcome {
             Some(outcome) => JobView::Over(outcome),
             None if record.has_begun => JobView::Running,
             None => JobView::Queued,
-        }))
+        };
+        Ok(Some((view, record.account)))
+    }
+
+    fn parse<T: DeserializeOwned>(&self, item: &Item) -> Result<T, CallError> {
+        serde_json::from_slice(&item.value).map_err(|error| {
+            let why = error.to_string();
+            self.events.emit("unreadable", json!({ "key": item.key, "why": why }));
+            CallError::Unanswered { reason: why }
+        })
     }
 
     /// A cancellation is acknowledged once it is durable; the owner carries it out.
-    async fn cancel(&self, id: &JobId, deadline: Now) -> Reply {
+    async fn cancel(&self, id: &JobId, account: Option<&AccountName>, deadline: Now) -> Reply {
         loop {
-            match self.cancel_once(id).await {
-                Ok(is_known) => {
-                    self.events.emit("cancel_in", json!({ "job": **id, "known": is_known }));
-                    return if is_known {
-                        reply(StatusCode::OK, Vec::new())
-                    } else {
-                        self.problem(id, StatusCode::GONE, "no such job")
+            match self.cancel_once(id, account).await {
+                Ok(end) => {
+                    let fields = json!({ "job": **id, "known": end != Cancellation::Unknown });
+                    self.events.emit("cancel_in", fields);
+                    return match end {
+                        Cancellation::Durable => reply(StatusCode::OK, Vec::new()),
+                        Cancellation::Unknown => self.problem(id, StatusCode::GONE, "no such job"),
+                        Cancellation::Foreign => self.foreign(id),
                     };
                 }
                 Err(_) if clock::now() + REPEAT_PAUSE < deadline => {
@@ -206,27 +296,47 @@
         }
     }
 
-    async fn cancel_once(&self, id: &JobId) -> Result<bool, CallError> {
-        let Some(submission) = self.platform.get(&keys::submission(id)).await? else {
-            // One that is over is known, and there is nothing left to cancel.
-            return Ok(self.look_at_record(id).await?.is_some());
+    async fn cancel_once(
+        &self,
+        id: &JobId,
+        account: Option<&AccountName>,
+    ) -> Result<Cancellation, CallError> {
+        let Some(item) = self.platform.get(&keys::submission(id)).await? else {
+            return self.cancel_ended(id, account).await;
         };
+        let submission: Submission = self.parse(&item)?;
+        if is_foreign(submission.account.as_ref(), account) {
+            return Ok(Cancellation::Foreign);
+        }
         let key = keys::cancellation(id);
         let transaction = Transaction {
-            expect: vec![(submission.key, submission.revision), (key.clone(), 0)],
+            expect: vec![(item.key, item.revision), (key.clone(), 0)],
             puts: vec![(key.clone(), b"{}".to_vec(), None)],
             removes: Vec::new(),
         };
         match self.platform.commit(&transaction).await? {
-            TransactionEnd::Committed(_) => Ok(true),
-            // Cancelled before, or over just now.
-            TransactionEnd::Conflict(items) => {
-                let is_cancelled = items.iter().any(|item| item.key == key);
-                Ok(is_cancelled || self.look_at_record(id).await?.is_some())
+            TransactionEnd::Committed(_) => Ok(Cancellation::Durable),
+            TransactionEnd::Conflict(items) if items.iter().any(|item| item.key == key) => {
+                Ok(Cancellation::Durable)
             }
+            TransactionEnd::Conflict(_) => self.cancel_ended(id, account).await,
         }
     }
 
+    /// A job that is over is known, and there is nothing left to cancel.
+    async fn cancel_ended(
+        &self,
+        id: &JobId,
+        account: Option<&AccountName>,
+    ) -> Result<Cancellation, CallError> {
+        let known = self.look_at_record(id).await?;
+        Ok(match known {
+            Some((_, owner)) if is_foreign(owner.as_ref(), account) => Cancellation::Foreign,
+            Some(_) => Cancellation::Durable,
+            None => Cancellation::Unknown,
+        })
+    }
+
     async fn pending(&self, queue: &QueueName) -> Reply {
         if let Some(count) = self.owner.pending(queue) {
             return reply(StatusCode::OK, self.platform.pending(count));
@@ -237,6 +347,12 @@
         }
     }
 
+    /// The job is another client account's.
+    fn foreign(&self, id: &str) -> Reply {
+        let why = "the job belongs to another client account; nothing was done";
+        self.problem(id, StatusCode::FORBIDDEN, why)
+    }
+
     /// Nothing was done, and the caller may come back.
     fn refuse(&self, id: &str, why: &str) -> Reply {
         let mut reply = self.problem(id, StatusCode::SERVICE_UNAVAILABLE, why);
@@ -253,6 +369,38 @@
     }
 }
 
+/// What a caller shows, and until when it waits.
+struct Credentials {
+    key: Option<ApiKey>,
+    arrived_at: Now,
+    deadline: Now,
+}
+
+/// A job's state and the client account that it belongs to.
+type KnownJob = (JobView, Option<AccountName>);
+
+/// How a request to cancel ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cancellation {
+    /// The job is cancelled or over, durably.
+    Durable,
+    /// There is no such job.
+    Unknown,
+    /// It is another client account's.
+    Foreign,
+}
+
+/// Whether a job belongs to another client account than the caller's. One that was handed in without a
+/// key is nobody's in particular.
+fn is_foreign(owner: Option<&AccountName>, account: Option<&AccountName>) -> bool {
+    owner.is_some_and(|owner| account != Some(owner))
+}
+
+/// Until when the store is asked for a caller that waits until `deadline`.
+fn store_deadline(deadline: Now) -> Now {
+    deadline.min(clock::now() + STORE_PATIENCE)
+}
+
 fn reply(status: StatusCode, body: Vec<u8>) -> Reply {
     let mut reply = Response::new(Full::new(Bytes::from(body)));
     *reply.status_mut() = status;
--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -4,8 +4,10 @@
 
 use jackdawpier_kernel::{Now, ids::Revision};
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::{
+    access::Proof,
     clock,
     events::Events,
     ports::{CallError, CallResult, Change, Configuration, Item, Platform, Route},
@@ -26,43 +28,97 @@
     current: Option<Rc<Configuration>>,
     revision: Revision,
     heard_at: Option<Now>,
+    proof: Proof,
 }
 
 /// The configuration in force.
 #[derive(Debug, Clone, Default)]
-pub struct Active(Rc<RefCell<State>>);
+pub struct Active {
+    state: Rc<RefCell<State>>,
+    /// Somebody waits for a newer proof.
+    wanted: Rc<Notify>,
+    /// There is a newer proof.
+    proved: Rc<Notify>,
+}
 
 impl Active {
+    /// The configuration of an entry whose keys have to be proved that often; none for never.
+    pub fn new(holds_for: Option<Duration>) -> Self {
+        let active = Self::default();
+        active.state.borrow_mut().proof.holds_for = holds_for;
+        active
+    }
+
     /// The configuration; none before the first has been read.
     pub fn get(&self) -> Option<Rc<Configuration>> {
-        self.0.borrow().current.clone()
+        self.state.borrow().current.clone()
     }
 
     /// Revision of the store at which it was written.
     pub fn revision(&self) -> Revision {
-        self.0.borrow().revision
+        self.state.borrow().revision
     }
 
     /// Whether the store has answered lately, so that the configuration is known to be current.
     pub fn is_in_touch(&self, now: Now) -> bool {
-        let state = self.0.borrow();
+        let state = self.state.borrow();
         let is_fresh = |at: Now| now.saturating_sub(at) < OUT_OF_TOUCH_AFTER;
         state.current.is_some() && state.heard_at.is_some_and(is_fresh)
     }
 
     /// Whether the store has answered a question that was asked after `at`.
     pub fn is_heard_since(&self, at: Now) -> bool {
-        self.0.borrow().heard_at.is_some_and(|heard_at| heard_at > at)
+        self.state.borrow().heard_at.is_some_and(|heard_at| heard_at > at)
     }
 
     /// The store has answered a question that was asked at `asked_at`.
     pub fn heard(&self, asked_at: Now) {
-        self.0.borrow_mut().heard_at = Some(asked_at);
+        self.state.borrow_mut().heard_at = Some(asked_at);
+    }
+
+    /// Whether callers need keys.
+    pub fn asks_for_keys(&self) -> bool {
+        self.state.borrow().current.as_ref().is_some_and(|current| current.keys.is_some())
+    }
+
+    /// How sure it is that no newer configuration stands.
+    pub fn proof(&self) -> Proof {
+        self.state.borrow().proof
+    }
+
+    /// How long ago the configuration was last known to be the newest; none before the first proof, and
+    /// where no keys are asked for.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.proof().asked_at.filter(|_| self.asks_for_keys()).map(clock::since)
+    }
+
+    /// Whether callers with a key that stands can be served.
+    pub fn can_prove_keys(&self, now: Now) -> bool {
+        !self.asks_for_keys() || self.proof().holds(now)
+    }
+
+    /// A question that left at `asked_at` has shown that the configuration in force was the newest.
+    pub(crate) fn proved(&self, asked_at: Now) {
+        let last = self.proof().asked_at.unwrap_or_default();
+        self.state.borrow_mut().proof.asked_at = Some(last.max(asked_at));
+        self.proved.notify_waiters();
+    }
+
+    /// Asks for a newer proof and waits for one.
+    pub(crate) async fn want_proof(&self) {
+        let proved = self.proved.notified();
+        self.wanted.notify_one();
+        proved.await;
+    }
+
+    /// Waits until somebody asks for a newer proof.
+    pub(crate) async fn proof_wanted(&self) {
+        self.wanted.notified().await;
     }
 
     /// Takes over a version if it is higher than the one in force.
     pub fn offer(&self, configuration: Configuration, revision: Revision) -> bool {
-        let mut state = self.0.borrow_mut();
+        let mut state = self.state.borrow_mut();
         let is_newer =
             state.current.as_ref().is_none_or(|current| configuration.version > current.version);
         if is_newer {
@@ -135,6 +191,10 @@
     let listing = platform.list(platform.configuration_key()).await?;
     active.heard(read_at);
     listing.items.iter().for_each(|item| take_item(platform, active, events, item));
+    let key = platform.configuration_key();
+    if listing.items.iter().any(|item| item.key == key && item.revision == active.revision()) {
+        active.proved(read_at);
+    }
     Ok(Position { revision: listing.revision, read_at })
 }
 
@@ -164,7 +224,8 @@
     Ok(Position { revision: news.revision, ..from })
 }
 
-fn take_item<P: Platform>(platform: &P, active: &Active, events: &Events, item: &Item) {
+/// Takes an item of the store over if it is a newer configuration.
+pub(crate) fn take_item<P: Platform>(platform: &P, active: &Active, events: &Events, item: &Item) {
     if item.key == platform.configuration_key() && item.revision != active.revision() {
         take(platform, active, events, &item.value, item.revision);
     }
--- /dev/null
+++ b/crates/jackdawpier_entry/src/freshness.rs
@@ -0,0 +1,80 @@
+//! Proving again and again that the configuration in force is the newest.
+//!
+//! Neither a watch without news proves that, since it may hear nothing, nor the time of an answer, since
+//! the answer may have hung. What proves it is the time at which a question left whose answer was made
+//! from the store's newest state. The question is a write of nothing under the condition that the
+//! configuration is unchanged: some 200 bytes, and the answer that it has changed brings the new one.
+
+use std::time::Duration;
+
+use jackdawpier_kernel::Now;
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::{
+    clock,
+    configuration::{Active, take_item},
+    events::Events,
+    ports::{CallResult, Platform, Transaction, TransactionEnd},
+};
+
+/// Time between two proofs where nobody asks for one: three may fail before a key can't be relied on.
+const INTERVAL: Duration = Duration::from_millis(1200);
+/// Least time between two questions, however many callers show keys that aren't known.
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Proves the configuration for as long as the process lives, where keys are asked for.
+pub async fn prove<P: Platform>(platform: P, active: Active, events: Events) {
+    let mut was_proved = true;
+    loop {
+        // Whether it is time or a caller that waits makes no difference.
+        let _ = timeout(INTERVAL, active.proof_wanted()).await;
+        if !active.asks_for_keys() {
+            tokio::time::sleep(LEAST_PAUSE).await;
+            continue;
+        }
+        let asked_at = clock::now();
+        let outcome = ask(&platform, &active, &events).await;
+        if matches!(outcome, Ok(true)) {
+            active.proved(asked_at);
+        }
+        let is_proved = active.proof().holds(clock::now());
+        if is_proved != was_proved {
+            let event = if is_proved { "keys_proved" } else { "keys_unproved" };
+            let age_ms = active.proof_age().map(|age| age.as_millis() as u64);
+            let why = outcome.err().map(|error| error.to_string());
+            events.emit(event, json!({ "age_ms": age_ms, "why": why }));
+            was_proved = is_proved;
+        }
+        tokio::time::sleep(LEAST_PAUSE).await;
+    }
+}
+
+/// Asks whether the configuration in force is the newest, takes a newer one over, and returns whether
+/// the newest is in force now.
+async fn ask<P: Platform>(platform: &P, active: &Active, events: &Events) -> CallResult<bool> {
+    let key = platform.configuration_key();
+    let question =
+        Transaction { expect: vec![(key.to_owned(), active.revision())], ..Transaction::default() };
+    match platform.commit(&question).await? {
+        TransactionEnd::Committed(_) => Ok(true),
+        TransactionEnd::Conflict(items) => {
+            items.iter().for_each(|item| take_item(platform, active, events, item));
+            Ok(items.iter().any(|item| item.key == key && item.revision == active.revision()))
+        }
+    }
+}
+
+impl Active {
+    /// Waits until the store has been asked after `since`, for `patience` at most, and returns whether
+    /// it was and answered.
+    pub async fn prove_since(&self, since: Now, patience: Duration) -> bool {
+        let is_since = || self.proof().asked_at.is_some_and(|asked_at| asked_at >= since);
+        let waiting = async {
+            while !is_since() {
+                self.want_proof().await;
+            }
+        };
+        timeout(patience, waiting).await.is_ok()
+    }
+}
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -6,10 +6,12 @@
 //! `docs/design/platform.md`.
 
 pub mod acceptance;
+pub mod access;
 pub mod callers;
 pub mod clock;
 pub mod configuration;
 pub mod events;
+pub mod freshness;
 pub mod http_client;
 pub mod http_server;
 pub mod keys;
--- a/crates/jackdawpier_entry/src/metrics.rs
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Each log line counts here under its event and outcome, also where its rate kept it out of the
 //! log, so counts are whole while the log's volume is bounded.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -68,6 +68,7 @@
     events: Family<EventLabels, Counter>,
     latencies: Vec<Histogram>,
     is_owner: Gauge,
+    proof_age: Gauge<f64, AtomicU64>,
 }
 
 /// The metrics of the process.
@@ -81,6 +82,9 @@
         registry.register("events", "Events of the log, by outcome", events.clone());
         let is_owner = Gauge::default();
         registry.register("owner", "1 while this entry owns the fleet", is_owner.clone());
+        let proof_age = Gauge::<f64, AtomicU64>::default();
+        let help = "Time since the configuration was last known to be the newest, where keys are asked for";
+        registry.register_with_unit("key_proof_age", help, Unit::Seconds, proof_age.clone());
         let latencies = Latency::ALL.map(|latency| {
             let histogram = Histogram::new(exponential_buckets(SHORTEST_S, 2.0, BUCKETS));
             let (name, help) = (latency.name(), latency.help());
@@ -88,7 +92,7 @@
             histogram
         });
         let latencies = latencies.into();
-        Self(Rc::new(RefCell::new(Inner { registry, events, latencies, is_owner })))
+        Self(Rc::new(RefCell::new(Inner { registry, events, latencies, is_owner, proof_age })))
     }
 }
 
@@ -111,6 +115,11 @@
         self.0.borrow().is_owner.set(i64::from(is_owner));
     }
 
+    /// Notes how long ago the configuration was last known to be the newest, if that is asked.
+    pub fn set_proof_age(&self, age: Option<Duration>) {
+        self.0.borrow().proof_age.set(age.unwrap_or_default().as_secs_f64());
+    }
+
     /// All metrics in the text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -22,7 +22,10 @@
     policy::Policy,
     spec::QueueName,
 };
-use jackdawpier_kernel::{Now, ids::ExecutorId};
+use jackdawpier_kernel::{
+    Now,
+    ids::{AccountName, ExecutorId},
+};
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -66,6 +69,12 @@
         self.with(|fleet| fleet.view(id)).flatten()
     }
 
+    /// The same with the client account that it belongs to.
+    pub fn job(&self, id: &str) -> Option<(JobView, Option<AccountName>)> {
+        let read = |fleet: &Fleet| Some((fleet.view(id)?, fleet.account_of(id)?.cloned()));
+        self.with(read).flatten()
+    }
+
     /// Jobs of a queue that haven't begun; none if this entry doesn't own the fleet.
     pub fn pending(&self, queue: &QueueName) -> Option<u64> {
         self.with(|fleet| fleet.pending().get(queue).copied().unwrap_or(0))
@@ -154,7 +163,8 @@
             return;
         }
         let queues = current.routes.iter().map(|route| route.queue.clone()).collect();
-        self.fleet.borrow_mut().configure(queues, current.services.clone(), Vec::new());
+        let (services, accounts) = (current.services.clone(), current.accounts.clone());
+        self.fleet.borrow_mut().configure(queues, services, accounts);
     }
 
     async fn tick_loop(self: Rc<Self>) {
--- a/crates/jackdawpier_entry/src/ports.rs
+++ b/crates/jackdawpier_entry/src/ports.rs
@@ -7,6 +7,7 @@
 
 use derive_more::{Display, Error};
 use jackdawpier_fleet::{
+    account::Account,
     executor::{ExecutorInfo, HoldReport},
     fleet::{JobView, StartEnd, StopEnd},
     machines::{MachineInfo, MachineOrder, MachineOrderEnd, Wave, WaveState},
@@ -14,6 +15,8 @@
 };
 use jackdawpier_kernel::ids::{ExecutorId, Revision};
 
+use crate::access::ClientKeys;
+
 /// Why a call gave no usable answer.
 #[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
 pub enum CallError {
@@ -235,6 +238,8 @@
     pub prefix: String,
     /// The queue.
     pub queue: Queue,
+    /// Callers need no key.
+    pub is_public: bool,
 }
 
 /// Bounds on what callers send.
@@ -255,6 +260,10 @@
     pub routes: Vec<Route>,
     /// The services.
     pub services: Vec<Service>,
+    /// The client accounts.
+    pub accounts: Vec<Account>,
+    /// The keys by which callers show whose they are; none where nobody needs one.
+    pub keys: Option<ClientKeys>,
     /// Bounds on what callers send.
     pub limits: CallerLimits,
 }
@@ -295,6 +304,8 @@
     fn problem(&self, text: &str) -> Vec<u8>;
     /// Name of the header with the time in milliseconds for which a caller waits.
     fn deadline_header(&self) -> &'static str;
+    /// Name of the header with a caller's key.
+    fn key_header(&self) -> &'static str;
 }
 
 /// All that an entry needs from the outside.
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -17,6 +17,7 @@
     clock,
     configuration::{self, Active},
     events::Events,
+    freshness,
     http_server::{self, InFlight},
     owner::{self, OwnerCell},
     pending::Pending,
@@ -44,7 +45,7 @@
     let events = Events::new(&settings.entry);
     let life = format!("{}-{}", std::process::id(), clock::wall_ms());
     events.emit("started", json!({ "life": life, "callers": settings.callers.to_string() }));
-    let active = Active::default();
+    let active = Active::new(settings.revocation);
     let intake = Intake::default();
     let cell = OwnerCell::default();
     let (stop, stopping) = watch::channel(false);
@@ -55,6 +56,7 @@
         active.clone(),
         events.clone(),
     ));
+    tokio::task::spawn_local(freshness::prove(platform.clone(), active.clone(), events.clone()));
     tokio::task::spawn_local(acceptance::write_jobs(platform.clone(), intake.clone()));
     let owning = tokio::task::spawn_local(owner::own_when_free(
         platform.clone(),
@@ -80,7 +82,9 @@
     let ready = {
         let (active, stopping) = (active.clone(), stopping.clone());
         move |_| {
-            let is_ready = !*stopping.borrow() && active.is_in_touch(clock::now());
+            let now = clock::now();
+            let is_in_touch = active.is_in_touch(now) && active.can_prove_keys(now);
+            let is_ready = !*stopping.borrow() && is_in_touch;
             async move { ready_reply(is_ready) }
         }
     };
@@ -89,7 +93,9 @@
 
     if let Some(address) = settings.metrics {
         let metrics = events.metrics();
+        let active = active.clone();
         let answer = move |_| {
+            metrics.set_proof_age(active.proof_age());
             let text = metrics.text();
             async move { Response::new(Full::new(Bytes::from(text))) }
         };
--- a/crates/jackdawpier_entry/src/settings.rs
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -31,6 +31,9 @@
     pub order_lease: Duration,
     /// Shortest time to live of a lease that the store grants.
     pub shortest_ttl: Duration,
+    /// A key that was taken away serves nobody this long after, whatever the entry hears of it; none
+    /// where that is no promise.
+    pub revocation: Option<Duration>,
     /// How long the state of a job that is over has to be known.
     pub retention: Duration,
 }
--- /dev/null
+++ b/crates/jackdawpier_entry/tests/client_accounts.rs
@@ -0,0 +1,160 @@
+//! What callers get by their keys, over the port that they use.
+
+mod support;
+
+use std::{net::SocketAddr, net::TcpListener, rc::Rc, time::Duration};
+
+use jackdawpier_entry::{
+    callers::Callers,
+    configuration::{Active, follow},
+    events::Events,
+    freshness::prove,
+    http_server::{InFlight, serve},
+    keys,
+    owner::OwnerCell,
+    pending::Pending,
+};
+use support::{Fake, run, start_intake, wait_until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+};
+
+const KEY: &str = "configuration";
+const DOCUMENT: &[u8] = b"1 baker-key:bakery shop-key:shop";
+const HOLDS_FOR: Duration = Duration::from_millis(1500);
+
+/// An entry in front of a store, and the end of its stop signal.
+struct Entry {
+    fake: Fake,
+    address: SocketAddr,
+    _stop: watch::Sender<bool>,
+}
+
+async fn start() -> Entry {
+    let fake = Fake::default();
+    fake.put(KEY, DOCUMENT);
+    let active = Active::new(Some(HOLDS_FOR));
+    let events = Events::new("a");
+    tokio::task::spawn_local(follow(fake.clone(), active.clone(), events.clone()));
+    tokio::task::spawn_local(prove(fake.clone(), active.clone(), events.clone()));
+    let callers = Rc::new(Callers {
+        platform: fake.clone(),
+        active: active.clone(),
+        intake: start_intake(&fake),
+        owner: OwnerCell::default(),
+        pending: Pending::default(),
+        events,
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    let address = listener.local_addr().expect("it is bound");
+    drop(listener);
+    let (stop, stopping) = watch::channel(false);
+    let answer = move |request| callers.clone().answer(request);
+    tokio::task::spawn_local(serve(address, answer, InFlight::default(), stopping));
+    assert!(wait_until(|| active.proof_age().is_some()).await);
+    Entry { fake, address, _stop: stop }
+}
+
+impl Entry {
+    /// Sends one request and returns the whole answer.
+    async fn ask(&self, method: &str, path: &str, key: Option<&str>) -> String {
+        let mut stream = loop {
+            match TcpStream::connect(self.address).await {
+                Ok(stream) => break stream,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        };
+        let key = key.map_or(String::new(), |key| format!("x-key: {key}\r\n"));
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: host\r\n{key}connection: close\r\ncontent-length: 2\r\n\r\n{{}}"
+        );
+        stream.write_all(head.as_bytes()).await.expect("it is open");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("it is answered");
+        answer
+    }
+
+    async fn status(&self, method: &str, path: &str, key: Option<&str>) -> u16 {
+        let answer = self.ask(method, path, key).await;
+        answer[9..12].parse().expect("a status follows the version")
+    }
+}
+
+#[test]
+fn own_jobs() {
+    run(async {
+        let entry = start().await;
+        assert_eq!(entry.status("POST", "/a/job", Some("shop-key")).await, 200);
+        assert_eq!(entry.status("GET", "/a/job", Some("shop-key")).await, 200);
+        assert_eq!(entry.status("GET", "/a/", Some("shop-key")).await, 200);
+        // A repeat is the same job.
+        assert_eq!(entry.status("POST", "/a/job", Some("shop-key")).await, 200);
+        assert_eq!(entry.status("DELETE", "/a/job", Some("shop-key")).await, 200);
+    });
+}
+
+/// Nothing is done for a caller without a key that stands, and it is told so without its key.
+#[test]
+fn unknown_keys() {
+    run(async {
+        let entry = start().await;
+        for method in ["POST", "GET", "DELETE"] {
+            assert_eq!(entry.status(method, "/a/job", None).await, 401);
+            let answer = entry.ask(method, "/a/job", Some("nobodys-key")).await;
+            assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+            assert!(!answer.contains("nobodys-key"), "{answer}");
+        }
+        assert_eq!(entry.status("GET", "/a/", None).await, 401);
+        assert_eq!(entry.fake.value(&keys::submission("job")), None);
+        assert_eq!(entry.status("POST", "/open/job", None).await, 200);
+    });
+}
+
+/// A job is shown to its own account only, and its id isn't another account's to use.
+#[test]
+fn foreign_jobs() {
+    run(async {
+        let entry = start().await;
+        assert_eq!(entry.status("POST", "/a/job", Some("shop-key")).await, 200);
+        for method in ["POST", "GET", "DELETE"] {
+            assert_eq!(entry.status(method, "/a/job", Some("baker-key")).await, 403, "{method}");
+            assert_eq!(entry.status(method, "/open/job", None).await, 403, "{method}");
+        }
+        assert_eq!(entry.fake.value(&keys::cancellation("job")), None);
+        assert_eq!(entry.status("GET", "/a/job", Some("shop-key")).await, 200);
+    });
+}
+
+/// The store turns the entry away and a key is taken away meanwhile: the entry refuses both keys at once
+/// when the promise is due, with when to come back, and knows which one stands as soon as it is served.
+#[test]
+fn taken_key() {
+    run(async {
+        let entry = start().await;
+        entry.fake.set_down(true);
+        entry.fake.put(KEY, b"2 baker-key:bakery");
+        tokio::time::sleep(HOLDS_FOR).await;
+        for key in ["baker-key", "shop-key"] {
+            let answer = entry.ask("POST", "/a/job", Some(key)).await;
+            assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+            assert!(answer.to_ascii_lowercase().contains("retry-after"), "{answer}");
+        }
+        entry.fake.set_down(false);
+        assert_eq!(entry.status("POST", "/a/taken", Some("shop-key")).await, 401);
+        assert_eq!(entry.status("POST", "/a/standing", Some("baker-key")).await, 200);
+        assert_eq!(entry.fake.value(&keys::submission("taken")), None);
+    });
+}
+
+/// A key that has just been added is known though the watch hasn't told of it.
+#[test]
+fn added_key() {
+    run(async {
+        let entry = start().await;
+        entry.fake.set_deaf(true);
+        entry.fake.put(KEY, b"2 baker-key:bakery shop-key:shop cafe-key:cafe");
+        assert_eq!(entry.status("POST", "/a/job", Some("cafe-key")).await, 200);
+    });
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/tests/key_proof.rs
@@ -0,0 +1,121 @@
+//! How an entry keeps proving that its configuration is the newest.
+
+mod support;
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use jackdawpier_entry::{
+    clock,
+    configuration::{Active, follow},
+    events::Events,
+    freshness::prove,
+};
+use support::{Fake, run, wait_until};
+
+const KEY: &str = "configuration";
+const HOLDS_FOR: Duration = Duration::from_millis(2500);
+
+/// An entry that has the first version in force and proves it.
+async fn start(fake: &Fake, document: &str) -> Active {
+    fake.put(KEY, document.as_bytes());
+    let active = Active::new(Some(HOLDS_FOR));
+    tokio::task::spawn_local(follow(fake.clone(), active.clone(), Events::new("a")));
+    tokio::task::spawn_local(prove(fake.clone(), active.clone(), Events::new("a")));
+    assert!(wait_until(|| active.get().is_some()).await);
+    active
+}
+
+/// Proofs go on while nothing changes, with about one call a second.
+#[test]
+fn steady_proof() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1 standing:shop").await;
+        for _ in 0..40 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert!(active.can_prove_keys(clock::now()));
+        }
+        assert!(fake.commits() <= 4, "{} calls in four seconds", fake.commits());
+    });
+}
+
+/// A watch that hears nothing answers as if nothing had changed; that proves nothing, and the next
+/// proof brings the change.
+#[test]
+fn deaf_watch() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1 standing:shop").await;
+        fake.set_deaf(true);
+        fake.put(KEY, b"2 other:shop");
+        let version = || active.get().map(|current| current.version);
+        assert!(wait_until(|| version() == Some(2)).await);
+        assert!(active.proof_age().is_some_and(|age| age < Duration::from_secs(2)));
+    });
+}
+
+/// An entry that the store turns away can't vouch for keys any more once the promise is due, and says so
+/// to the balancer; it can again soon after the store is back.
+#[test]
+fn store_away() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1 standing:shop").await;
+        fake.set_down(true);
+        tokio::time::sleep(HOLDS_FOR).await;
+        assert!(!active.can_prove_keys(clock::now()));
+        fake.set_down(false);
+        let since = clock::now();
+        assert!(active.prove_since(since, Duration::from_secs(1)).await);
+        assert!(active.can_prove_keys(clock::now()));
+    });
+}
+
+/// A question that hangs proves what stood when it left, not when its answer came.
+#[test]
+fn hanging_question() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1 standing:shop").await;
+        fake.set_delay(Duration::from_millis(1000));
+        let since = clock::now();
+        assert!(active.prove_since(since, Duration::from_secs(4)).await);
+        assert!(active.proof_age().is_some_and(|age| age >= Duration::from_millis(990)));
+    });
+}
+
+/// A hundred callers with keys that nobody knows share a few questions to the store.
+#[test]
+fn many_strangers() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1 standing:shop").await;
+        let before = fake.commits();
+        let answered = Rc::new(Cell::new(0));
+        for number in 0..100 {
+            let (active, answered) = (active.clone(), answered.clone());
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(Duration::from_millis(10 * number)).await;
+                if active.prove_since(clock::now(), Duration::from_millis(400)).await {
+                    answered.set(answered.get() + 1);
+                }
+            });
+        }
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        assert_eq!(answered.get(), 100);
+        let calls = fake.commits() - before;
+        assert!(calls <= 17, "{calls} calls in a second and a half");
+    });
+}
+
+/// Where callers need no keys nothing is asked.
+#[test]
+fn no_keys() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1").await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(fake.commits(), 0);
+        assert!(active.can_prove_keys(clock::now()));
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -11,6 +11,7 @@
 };
 
 use jackdawpier_entry::{
+    access::ApiKey,
     clock, keys,
     ports::{
         Advisor, Approval, CallError, CallResult, CallerLimits, Change, Changes, Configuration,
@@ -27,7 +28,10 @@
     record::JobOutcome,
     spec::{JobSpec, Queue, Resources, RunNumber, Service, TaskKey},
 };
-use jackdawpier_kernel::{Now, ids::ExecutorId};
+use jackdawpier_kernel::{
+    Now,
+    ids::{AccountName, ExecutorId},
+};
 
 use super::submission;
 
@@ -441,8 +445,12 @@
 
     fn read_configuration(&self, value: &[u8]) -> Result<Configuration, Malformed> {
         let text = String::from_utf8_lossy(value);
-        let version = text.parse().map_err(|_| Malformed { reason: "not a version".to_owned() })?;
-        Ok(configuration(version))
+        let (version, keys) =
+            text.split_once(' ').map_or((&*text, None), |(version, keys)| (version, Some(keys)));
+        let version =
+            version.parse().map_err(|_| Malformed { reason: "not a version".to_owned() })?;
+        let keys = keys.map(|keys| keys.split(' ').filter_map(read_key).collect());
+        Ok(Configuration { keys, ..configuration(version) })
     }
 
     fn read_wave(&self, value: &[u8]) -> Result<Wave, Malformed> {
@@ -497,6 +505,16 @@
     fn deadline_header(&self) -> &'static str {
         "x-deadline-ms"
     }
+
+    fn key_header(&self) -> &'static str {
+        "x-key"
+    }
+}
+
+/// A key and its account, written as `key:account`.
+fn read_key(text: &str) -> Option<(ApiKey, AccountName)> {
+    let (key, account) = text.split_once(':')?;
+    Some((ApiKey::new(key.as_bytes()), account.into()))
 }
 
 pub fn configuration(version: u64) -> Configuration {
@@ -513,11 +531,18 @@
         host: "host".to_owned(),
         prefix: prefix.to_owned(),
         queue: Queue { name: name.into(), ..queue.clone() },
+        is_public: false,
     };
     Configuration {
         version,
-        routes: vec![route("/a/", QUEUE), route("/a/long/", "longer")],
+        routes: vec![
+            route("/a/", QUEUE),
+            route("/a/long/", "longer"),
+            Route { is_public: true, ..route("/open/", QUEUE) },
+        ],
         services: vec![Service { name: "service".into(), is_standby: false }],
+        accounts: Vec::new(),
+        keys: None,
         limits: CallerLimits { body_bytes: 1000, header_timeout: Duration::from_secs(1) },
     }
 }
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -55,6 +55,7 @@
         remote_factor: 1.0,
         order_lease: Duration::from_secs(3),
         shortest_ttl: Duration::from_secs(1),
+        revocation: None,
         retention: Duration::from_secs(120),
     }
 }
