Count jobs that are found late as coming when they came

Cause, by counts of machines and need by pool each 0.2 s: the new owner found 130 jobs that had come while there was none, counted all of them as coming at that moment, and took the pool for one that needs 719 machines (it held 155). 72 idle machines of the others went there and were never used; the pool whose turn began a second later had 36 of 130.

Test found_backlog (6 machines moved in vain before).

--- a/crates/jackdawpier_bench/src/owner.rs
+++ b/crates/jackdawpier_bench/src/owner.rs
@@ -109,7 +109,7 @@
             spec,
         };
         self.timed("add_job", |fleet| {
-            fleet.add_job(now, wall_ms, id.as_str().into(), submission);
+            fleet.add_job(now, now, wall_ms, id.as_str().into(), submission);
         });
     }
 
--- a/crates/jackdawpier_entry/src/owner/intake.rs
+++ b/crates/jackdawpier_entry/src/owner/intake.rs
@@ -5,7 +5,7 @@
 use jackdawpier_kernel::ids::Revision;
 use serde_json::json;
 
-use super::Owner;
+use super::{Owner, takeover::Source};
 use crate::{
     clock, keys, link, pending,
     ports::{CallError, Change, Platform, Transaction},
@@ -46,7 +46,7 @@
                         })
                         .collect();
                     if !items.is_empty() && self.is_valid() {
-                        self.take_in(items, &mut HashMap::new());
+                        self.take_in(Source::Watch, items, &mut HashMap::new());
                         self.changed.notify_one();
                     }
                 }
@@ -87,7 +87,7 @@
         let bytes: usize = listing.items.iter().map(|item| item.value.len()).sum();
         let longest = list_interval(bytes, self.settings.link_mbps);
         self.intake_silence.borrow_mut().set_longest(longest);
-        let found = self.take_in(listing.items, &mut HashMap::new());
+        let found = self.take_in(Source::Listing, listing.items, &mut HashMap::new());
         self.intake_silence.borrow_mut().listed(clock::now(), found);
         if found > 0 {
             self.events.emit("listing_found", json!({ "jobs": found }));
--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use jackdawpier_fleet::{record::JobRecord, spec::Submission};
-use jackdawpier_kernel::ids::Revision;
+use jackdawpier_kernel::{Now, ids::Revision};
 use serde_json::json;
 
 use super::Owner;
@@ -16,6 +16,28 @@
 /// Pause before a listing that failed is asked for again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How the owner learns of jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Source {
+    /// As they come.
+    Watch,
+    /// Together with all that came since the last listing, or while nobody owned the fleet.
+    Listing,
+}
+
+impl Source {
+    /// When a job arrived. Other entries' times of day aren't relied on where it comes as news.
+    fn arrival(self, now: Now, wall_ms: u64, submission: &Submission) -> Now {
+        match self {
+            Self::Watch => now,
+            Self::Listing => {
+                let age_ms = wall_ms.saturating_sub(submission.accepted_ms);
+                now.saturating_sub(Duration::from_millis(age_ms))
+            }
+        }
+    }
+}
+
 impl<P: Platform> Owner<P> {
     /// Rebuilds the state from the store and returns the revision from which to watch the intake;
     /// none if the ownership ended meanwhile.
@@ -34,7 +56,7 @@
             }
         }
         let jobs = intake.items.len();
-        self.take_in(intake.items, &mut written);
+        self.take_in(Source::Listing, intake.items, &mut written);
         for (job, (record, _)) in written {
             if record.outcome.is_none() {
                 self.unreadable(&keys::submission(&job), "missing, though its job isn't over");
@@ -68,6 +90,7 @@
     /// number of jobs that weren't known.
     pub(super) fn take_in(
         &self,
+        source: Source,
         items: Vec<crate::ports::Item>,
         written: &mut HashMap<String, (JobRecord, Revision)>,
     ) -> usize {
@@ -87,7 +110,10 @@
                     Some(record) => {
                         fleet.recover_job(now, wall_ms, id.into(), submission, Some(record));
                     }
-                    None => fleet.add_job(now, wall_ms, id.into(), submission),
+                    None => {
+                        let arrived_at = source.arrival(now, wall_ms, &submission);
+                        fleet.add_job(now, arrived_at, wall_ms, id.into(), submission);
+                    }
                 },
                 Err(error) => self.unreadable(&item.key, &error.to_string()),
             }
--- a/crates/jackdawpier_fleet/src/demand.rs
+++ b/crates/jackdawpier_fleet/src/demand.rs
@@ -29,10 +29,14 @@
 }
 
 impl Arrivals {
-    /// A job with this much work has come, in thousandths of a core times milliseconds over a
-    /// thousand: core-milliseconds.
-    pub(crate) fn add(&mut self, now: Now, core_ms: u64) {
-        self.jobs.push_back((now, core_ms));
+    /// A job with this much work, in core-milliseconds, came at `arrived_at`. One that has waited to be
+    /// noticed doesn't count as coming now.
+    pub(crate) fn add(&mut self, now: Now, arrived_at: Now, core_ms: u64) {
+        if now.saturating_sub(arrived_at) > WINDOW {
+            return;
+        }
+        let place = self.jobs.partition_point(|(at, _)| *at <= arrived_at);
+        self.jobs.insert(place, (arrived_at, core_ms));
         self.core_ms += core_ms;
     }
 
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -254,15 +254,22 @@
         self.services = services.into_iter().map(|one| (one.name.clone(), one)).collect();
     }
 
-    /// Takes in an accepted job. A job that is known already stays as it is.
-    pub fn add_job(&mut self, now: Now, wall_ms: u64, id: JobId, submission: Submission) {
+    /// Takes in an accepted job that arrived at `arrived_at`. A job that is known already stays as it is.
+    pub fn add_job(
+        &mut self,
+        now: Now,
+        arrived_at: Now,
+        wall_ms: u64,
+        id: JobId,
+        submission: Submission,
+    ) {
         if let Some(queue) = self.queues.get(&submission.queue)
             && !self.jobs.contains_key(&id)
         {
             let arrivals = self.arrivals.entry(queue.service.clone()).or_default();
             // What a cap keeps from running within a second needs no machines.
             let most = self.accounts.left_millicores(submission.account.as_ref());
-            arrivals.add(now, submission.spec.core_ms().min(most));
+            arrivals.add(now, arrived_at, submission.spec.core_ms().min(most));
         }
         self.recover_job(now, wall_ms, id, submission, None);
     }
--- a/crates/jackdawpier_fleet/tests/pools.rs
+++ b/crates/jackdawpier_fleet/tests/pools.rs
@@ -72,3 +72,20 @@
     }
     assert!(moves_to(&world, "view") >= 3, "{} machines ordered", moves_to(&world, "view"));
 }
+
+/// Jobs that came while nobody owned the fleet are found together. Counted as if all came at that moment
+/// they looked like a rise to several times the fleet: a pool that held 155 machines was said to need 719, took
+/// 72 from the others that it never used, and the pool whose turn began a second later was left with 36 of 130.
+#[test]
+fn found_backlog() {
+    let mut world = World::new(&["view", "report"], 12);
+    world.run_for(Duration::from_secs(4));
+    // Half of the pool is asked for, by work for some six machines that comes in each second.
+    for number in 0..24 {
+        world.accept(&format!("found-{number}"), "q-view", job(vec![step(2, 1, 4_000)]));
+        world.now += Duration::from_millis(170);
+    }
+    world.take_over();
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(moves_to(&world, "view"), 0, "machines that nobody needs");
+}
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -272,12 +272,18 @@
     }
 
     pub fn submit(&mut self, id: &str, queue: &str, spec: JobSpec) {
+        self.accept(id, queue, spec);
+        let submission = self.submissions[id].clone();
+        self.fleet.add_job(self.now, self.now, self.wall_ms(), id.into(), submission);
+    }
+
+    /// Stores a job of which the owner doesn't hear.
+    pub fn accept(&mut self, id: &str, queue: &str, spec: JobSpec) {
         let settings = self.queues.iter().find(|one| &*one.name == queue).cloned();
         let account = self.accounts.of_job(id);
         let accepted_ms = self.wall_ms();
         let submission = Submission { queue: queue.into(), settings, account, accepted_ms, spec };
-        self.submissions.insert(id.into(), submission.clone());
-        self.fleet.add_job(self.now, self.wall_ms(), id.into(), submission);
+        self.submissions.insert(id.into(), submission);
     }
 
     pub fn cancel(&mut self, id: &str) {
@@ -306,7 +312,13 @@
                 self.fleet.recover_over(self.now, wall_ms, id.clone(), record);
                 continue;
             }
-            self.fleet.recover_job(self.now, wall_ms, id.clone(), submission.clone(), written);
+            let (id, submission) = (id.clone(), submission.clone());
+            if written.is_some() {
+                self.fleet.recover_job(self.now, wall_ms, id, submission, written);
+                continue;
+            }
+            let age = Duration::from_millis(wall_ms - submission.accepted_ms);
+            self.fleet.add_job(self.now, self.now.saturating_sub(age), wall_ms, id, submission);
         }
         for id in &self.cancelled {
             self.fleet.cancel(self.now, id);
