Order machines for what will come when they can take work

A turn is a ramp of three seconds; the need followed the rate of the last second, and machines take 1.5 s to come, so a pool was behind until the ramp ended.

Test growing_demand, seen failing with the switch off.

--- a/crates/jackdawpier_fleet/src/demand.rs
+++ b/crates/jackdawpier_fleet/src/demand.rs
@@ -9,8 +9,15 @@
 
 use crate::policy::Policy;
 
-/// Arrivals are looked at over this time.
+/// The rate of arrivals is taken over this time.
 const WINDOW: Duration = Duration::from_millis(1000);
+/// Arrivals are remembered for this time: the window and the one before it, which tell a trend.
+const MEMORY: Duration = Duration::from_millis(2000);
+/// From the middle of the window to the moment at which a machine that is ordered now takes work, in
+/// windows.
+const TREND_LEAD: f64 = 2.3;
+/// Growth from one window to the next that isn't chance, in standard deviations of its count.
+const TREND_DEVIATIONS: f64 = 2.0;
 /// The rate is taken over this much at least, so that two jobs at once aren't a burst.
 const SHORTEST: Duration = Duration::from_millis(400);
 
@@ -21,44 +28,63 @@
 /// Jobs within that time from which on it is taken for a rise: fewer are chance.
 const RISE_JOBS: usize = 5;
 
-/// Arrivals of one pool within the last second.
+/// Arrivals of one pool within the last two seconds.
 #[derive(Debug, Default)]
 pub(crate) struct Arrivals {
     jobs: VecDeque<(Now, u64)>,
-    core_ms: u64,
 }
 
 impl Arrivals {
     /// A job with this much work, in core-milliseconds, came at `arrived_at`. One that has waited to be
     /// noticed doesn't count as coming now.
     pub(crate) fn add(&mut self, now: Now, arrived_at: Now, core_ms: u64) {
-        if now.saturating_sub(arrived_at) > WINDOW {
+        if now.saturating_sub(arrived_at) > MEMORY {
             return;
         }
         let place = self.jobs.partition_point(|(at, _)| *at <= arrived_at);
         self.jobs.insert(place, (arrived_at, core_ms));
-        self.core_ms += core_ms;
     }
 
     /// The room that work arriving at the present rate takes on the long run, in thousandths of a
     /// core.
     pub(crate) fn millicores(&mut self, now: Now, policy: Policy) -> u64 {
-        while let Some(&(at, core_ms)) = self.jobs.front() {
-            if now.saturating_sub(at) <= WINDOW {
-                break;
-            }
-            self.core_ms -= core_ms;
+        let is_old = |at: Now| now.saturating_sub(at) > MEMORY;
+        while self.jobs.front().is_some_and(|(at, _)| is_old(*at)) {
             self.jobs.pop_front();
         }
         let steady = if policy.follows_arrivals { self.steady_millicores(now) } else { 0 };
         let risen = if policy.sees_rises { self.risen_millicores(now) } else { 0 };
-        steady.max(risen)
+        let trend = if policy.follows_trend { self.trend_millicores(now) } else { 0 };
+        steady.max(risen).max(trend)
+    }
+
+    /// The jobs of the last window.
+    fn recent(&self, now: Now) -> impl Iterator<Item = &(Now, u64)> {
+        let is_recent = move |(at, _): &&(Now, u64)| now.saturating_sub(*at) <= WINDOW;
+        self.jobs.iter().rev().take_while(is_recent)
     }
 
     fn steady_millicores(&self, now: Now) -> u64 {
-        let over = self.jobs.front().map_or(WINDOW, |(at, _)| now.saturating_sub(*at));
+        let oldest = self.recent(now).last();
+        let over = oldest.map_or(WINDOW, |(at, _)| now.saturating_sub(*at));
         let over_ms = over.clamp(SHORTEST, WINDOW).as_millis() as u64;
-        self.core_ms * 1000 / over_ms
+        let core_ms: u64 = self.recent(now).map(|(_, core_ms)| core_ms).sum();
+        core_ms * 1000 / over_ms
+    }
+
+    /// What the rate will be when machines that are ordered now take work, if it grows.
+    fn trend_millicores(&self, now: Now) -> u64 {
+        let recent = self.recent(now).count() as f64;
+        let before = self.jobs.len() as f64 - recent;
+        let growth = recent - before;
+        if growth <= TREND_DEVIATIONS * (recent + before).sqrt() {
+            return 0;
+        }
+        let core_ms: u64 = self.jobs.iter().map(|(_, core_ms)| core_ms).sum();
+        let mean_core_ms = core_ms as f64 / (recent + before);
+        // A core-millisecond a millisecond is a core.
+        let cores = (recent + growth * TREND_LEAD) * mean_core_ms / WINDOW.as_millis() as f64;
+        (cores * 1000.0) as u64
     }
 
     fn risen_millicores(&self, now: Now) -> u64 {
--- a/crates/jackdawpier_fleet/src/policy.rs
+++ b/crates/jackdawpier_fleet/src/policy.rs
@@ -21,6 +21,8 @@
     pub follows_arrivals: bool,
     /// A rise within a quarter of a second counts as well as the rate over a second.
     pub sees_rises: bool,
+    /// A rate of arrivals that grows counts as what it will be when machines could come.
+    pub follows_trend: bool,
     /// A pool keeps part of an equal share of the machines though it needs less now.
     pub keeps_share: bool,
     /// A machine that is to be taken gives its long-running tasks away one by one.
@@ -38,6 +40,7 @@
             watches_suspects: true,
             follows_arrivals: true,
             sees_rises: true,
+            follows_trend: true,
             keeps_share: true,
             gives_away: true,
         }
--- a/crates/jackdawpier_fleet/tests/pools.rs
+++ b/crates/jackdawpier_fleet/tests/pools.rs
@@ -89,3 +89,24 @@
     world.run_for(Duration::from_secs(3));
     assert_eq!(moves_to(&world, "view"), 0, "machines that nobody needs");
 }
+
+/// A turn begins as a ramp: each half second brings more than the one before. Machines are ordered for what
+/// will come when they can take work, not for what comes now, or the pool is behind until the ramp ends.
+#[test]
+fn growing_demand() {
+    let mut world = World::new(&["view", "report"], 12);
+    world.run_for(Duration::from_secs(4));
+    let mut number = 0;
+    // From 4 to 20 jobs a half second, each work for half a machine's second.
+    for rate in (4..=20).step_by(4) {
+        for _ in 0..rate {
+            world.submit(&format!("ramp-{number}"), "q-view", job(vec![step(2, 2, 800)]));
+            world.run_for(Duration::from_millis(500 / rate));
+            number += 1;
+        }
+        if rate == 12 {
+            // 24 jobs a second need ten machines, 40 a second sixteen.
+            assert!(moves_to(&world, "view") >= 3, "{} moves", moves_to(&world, "view"));
+        }
+    }
+}
