Let proofs of keys do what short watches did, and read where writes lose their answers

A proof each 1.2 s tells whether the store answers and brings what a watch misses, so the watch of the configuration may wait for 5 s where keys are asked for.

A store that loses the answers of writes is read instead: test lost_answers, seen failing without it.

--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -16,6 +16,9 @@
 /// How long a watch waits for a change, which has to be in force within two seconds. Reading the whole
 /// twice a second instead took 18 kB a second of each entry's link with 30 routes.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// The same where keys are asked for: the proofs that they need bring what the watch misses, and tell whether
+/// the store answers.
+const PROVED_WATCH_WAIT: Duration = Duration::from_millis(5000);
 /// The configuration is read again after this long, whatever the watch hears.
 const READ_INTERVAL: Duration = Duration::from_secs(10);
 /// Pause after the store didn't answer.
@@ -73,7 +76,8 @@
 
     /// The store has answered a question that was asked at `asked_at`.
     pub fn heard(&self, asked_at: Now) {
-        self.state.borrow_mut().heard_at = Some(asked_at);
+        let mut state = self.state.borrow_mut();
+        state.heard_at = state.heard_at.max(Some(asked_at));
     }
 
     /// Whether callers need keys.
@@ -207,12 +211,13 @@
 ) -> CallResult<Position> {
     let asked_at = clock::now();
     let key = platform.configuration_key();
-    let news = platform.watch(key, from.revision, WATCH_WAIT).await?;
+    let wait = if active.asks_for_keys() { PROVED_WATCH_WAIT } else { WATCH_WAIT };
+    let news = platform.watch(key, from.revision, wait).await?;
     let took = clock::since(asked_at);
     // An answer without news left the store when the wait was over, and nothing had changed by then; one
     // that came sooner was cut short and says no more than that the store was asked.
-    let is_waited_for = news.changes.is_empty() && took >= WATCH_WAIT;
-    active.heard(if is_waited_for { asked_at + WATCH_WAIT } else { asked_at });
+    let is_waited_for = news.changes.is_empty() && took >= wait;
+    active.heard(if is_waited_for { asked_at + wait } else { asked_at });
     if news.changes.is_empty() && !is_waited_for {
         tokio::time::sleep(REPEAT_PAUSE).await;
     }
--- a/crates/jackdawpier_entry/src/freshness.rs
+++ b/crates/jackdawpier_entry/src/freshness.rs
@@ -3,7 +3,8 @@
 //! Neither a watch without news proves that, since it may hear nothing, nor the time of an answer, since
 //! the answer may have hung. What proves it is the time at which a question left whose answer was made
 //! from the store's newest state. The question is a write of nothing under the condition that the
-//! configuration is unchanged: some 200 bytes, and the answer that it has changed brings the new one.
+//! configuration is unchanged: some 200 bytes, and the answer that it has changed brings the new one. A store that loses
+//! the answers of writes is read instead.
 
 use std::time::Duration;
 
@@ -26,15 +27,23 @@
 /// Proves the configuration for as long as the process lives, where keys are asked for.
 pub async fn prove<P: Platform>(platform: P, active: Active, events: Events) {
     let mut was_proved = true;
+    let mut question = Question::Condition;
     loop {
-        // Whether it is time or a caller that waits makes no difference.
-        let _ = timeout(INTERVAL, active.proof_wanted()).await;
+        // The other way of asking follows at once where the first has failed.
+        if question == Question::Condition {
+            // Whether it is time or a caller that waits makes no difference.
+            let _ = timeout(INTERVAL, active.proof_wanted()).await;
+        }
         if !active.asks_for_keys() {
             tokio::time::sleep(LEAST_PAUSE).await;
             continue;
         }
         let asked_at = clock::now();
-        let outcome = ask(&platform, &active, &events).await;
+        let outcome = ask(question, &platform, &active, &events).await;
+        question = if outcome.is_ok() { Question::Condition } else { question.other() };
+        if outcome.is_ok() {
+            active.heard(asked_at);
+        }
         if matches!(outcome, Ok(true)) {
             active.proved(asked_at);
         }
@@ -50,19 +59,47 @@
     }
 }
 
+/// How the store is asked whether the configuration has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Question {
+    /// By a write of nothing under the condition that it hasn't.
+    Condition,
+    /// By reading it.
+    Reading,
+}
+
+impl Question {
+    fn other(self) -> Self {
+        match self {
+            Self::Condition => Self::Reading,
+            Self::Reading => Self::Condition,
+        }
+    }
+}
+
 /// Asks whether the configuration in force is the newest, takes a newer one over, and returns whether
 /// the newest is in force now.
-async fn ask<P: Platform>(platform: &P, active: &Active, events: &Events) -> CallResult<bool> {
+async fn ask<P: Platform>(
+    question: Question,
+    platform: &P,
+    active: &Active,
+    events: &Events,
+) -> CallResult<bool> {
     let key = platform.configuration_key();
-    let question =
-        Transaction { expect: vec![(key.to_owned(), active.revision())], ..Transaction::default() };
-    match platform.commit(&question).await? {
-        TransactionEnd::Committed(_) => Ok(true),
-        TransactionEnd::Conflict(items) => {
-            items.iter().for_each(|item| take_item(platform, active, events, item));
-            Ok(items.iter().any(|item| item.key == key && item.revision == active.revision()))
+    let newest = match question {
+        Question::Condition => {
+            let expect = vec![(key.to_owned(), active.revision())];
+            let nothing = Transaction { expect, ..Transaction::default() };
+            match platform.commit(&nothing).await? {
+                TransactionEnd::Committed(_) => return Ok(true),
+                TransactionEnd::Conflict(items) => items.into_iter().find(|item| item.key == key),
+            }
         }
-    }
+        Question::Reading => platform.get(key).await?,
+    };
+    let Some(newest) = newest else { return Ok(false) };
+    take_item(platform, active, events, &newest);
+    Ok(newest.revision == active.revision())
 }
 
 impl Active {
--- a/crates/jackdawpier_entry/tests/key_proof.rs
+++ b/crates/jackdawpier_entry/tests/key_proof.rs
@@ -10,7 +10,7 @@
     events::Events,
     freshness::prove,
 };
-use support::{Fake, run, wait_until};
+use support::{Fake, Fate, run, wait_until};
 
 const KEY: &str = "configuration";
 const HOLDS_FOR: Duration = Duration::from_millis(2500);
@@ -71,6 +71,20 @@
     });
 }
 
+/// A store that leaves writes unanswered is read, so that keys go on being vouched for.
+#[test]
+fn lost_answers() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1 standing:shop").await;
+        fake.next_writes(&[Fate::AnswerLost; 20]);
+        for _ in 0..50 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert!(active.can_prove_keys(clock::now()));
+        }
+    });
+}
+
 /// A question that hangs proves what stood when it left, not when its answer came.
 #[test]
 fn hanging_question() {
