--- a/crates/jackdawpier_jobs/tests/lost_workers.rs
+++ b/crates/jackdawpier_jobs/tests/lost_workers.rs
@@ -1,21 +1,21 @@
 //! A job that may be repeated crashed each worker that ran it. A worker that crashes reports nothing, so
 //! the job was claimed again whenever its lease was over, by one worker after the other, without end.
 
+mod support;
+
 use std::time::Duration;
 
 use jackdawpier_jobs::{
-    job::{Job, JobState, ParkReason},
+    job::{JobState, ParkReason},
     queue::{Command, JobQueue, StartEnd},
-    workers::WorkerInfo,
 };
 use jackdawpier_kernel::{
     Now,
     ids::JobId,
-    task::{Size, TaskReport, TaskState},
+    task::{TaskReport, TaskState},
 };
+use support::{SIZE, job, worker};
 
-const SIZE: Size = Size { cores_milli: 1_000, memory_mb: 1_000, accelerators: 0 };
-const CAPACITY: Size = Size { cores_milli: 8_000, memory_mb: 8_000, accelerators: 0 };
 const LEASE: Duration = Duration::from_secs(3);
 const TICK: Duration = Duration::from_millis(100);
 
@@ -31,28 +31,16 @@
     fn new(workers: usize) -> Self {
         let mut queue = JobQueue::new(LEASE, Duration::from_secs(60));
         for number in 0..workers {
-            queue.upsert_worker(WorkerInfo {
-                id: format!("worker-{number}").into(),
-                zone: "zone".into(),
-                rack: format!("rack-{}", number % 2).into(),
-                capacity: CAPACITY,
-                is_leaving: false,
-            });
+            queue.upsert_worker(worker(
+                &format!("worker-{number}"),
+                &format!("rack-{}", number % 2),
+            ));
         }
         Self { queue, now: Now::ZERO, writes: 0, starts: 0 }
     }
 
     fn submit(&mut self, id: &JobId) {
-        let job = Job {
-            id: id.clone(),
-            class: "ledger".into(),
-            customer: "none".into(),
-            is_idempotent: true,
-            declared: SIZE,
-            payload: String::new(),
-            attempts: 0,
-            state: JobState::Queued,
-        };
+        let job = job(id, true);
         let commands = self.queue.submit(job);
         self.follow(commands);
     }
--- a/crates/jackdawpier_jobs/tests/parked.rs
+++ b/crates/jackdawpier_jobs/tests/parked.rs
@@ -1,20 +1,19 @@
 //! An operator's decision on a parked job, while the job's last state is not durable yet.
 
+mod support;
+
 use std::time::Duration;
 
 use jackdawpier_jobs::{
     job::{Job, JobState, ParkReason},
     queue::{Command, JobQueue, StartEnd},
-    workers::WorkerInfo,
 };
 use jackdawpier_kernel::{
     Now,
     ids::JobId,
-    task::{Size, TaskReport, TaskState},
+    task::{TaskReport, TaskState},
 };
-
-const SIZE: Size = Size { cores_milli: 1_000, memory_mb: 1_000, accelerators: 0 };
-const CAPACITY: Size = Size { cores_milli: 8_000, memory_mb: 8_000, accelerators: 0 };
+use support::{SIZE, job, worker};
 
 /// A queue that numbers its writes, as the cell of its owner does.
 struct Owner {
@@ -55,24 +54,9 @@
 /// to the store.
 fn owner_of_failed(id: &JobId) -> Owner {
     let mut queue = JobQueue::new(Duration::from_secs(3), Duration::from_secs(60));
-    queue.upsert_worker(WorkerInfo {
-        id: "worker".into(),
-        zone: "zone".into(),
-        rack: "rack".into(),
-        capacity: CAPACITY,
-        is_leaving: false,
-    });
+    queue.upsert_worker(worker("worker", "rack"));
     let mut owner = Owner { queue, writes: Vec::new() };
-    let job = Job {
-        id: id.clone(),
-        class: "ledger".into(),
-        customer: "none".into(),
-        is_idempotent: false,
-        declared: SIZE,
-        payload: String::new(),
-        attempts: 0,
-        state: JobState::Queued,
-    };
+    let job = job(id, false);
     let submitted = owner.queue.submit(job);
     owner.follow(submitted);
     owner.commit(1);
