--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -106,15 +106,14 @@
             }
             found += 1;
             match serde_json::from_slice::<Submission>(&item.value) {
-                Ok(submission) => match written.remove(id) {
-                    Some(record) => {
+                Ok(submission) => {
+                    if let Some(record) = written.remove(id) {
                         fleet.recover_job(now, wall_ms, id.into(), submission, Some(record));
-                    }
-                    None => {
+                    } else {
                         let arrived_at = source.arrival(now, wall_ms, &submission);
                         fleet.add_job(now, arrived_at, wall_ms, id.into(), submission);
                     }
-                },
+                }
                 Err(error) => self.unreadable(&item.key, &error.to_string()),
             }
         }
