Never judge a key by the same old proof twice

What callers saw: nothing yet; read from the code in the last look at the diff, then seen in a test: an entry that spins and answers nobody. Cause: a request whose body takes longer to arrive than a proof of its key holds, while the store is gone: a proof from after the request's arrival is there and too old, so the entry judged, was told at once that there was such a proof, and judged again without a pause.

Now it waits for a proof from after the look that found the last one too old.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -113,7 +113,7 @@
         credentials: &Credentials,
     ) -> Result<Option<AccountName>, Reply> {
         let Credentials { key, arrived_at, deadline } = credentials;
-        let give_up_at = (*deadline).min(*arrived_at + PROOF_PATIENCE);
+        let give_up_at = (*deadline).min(clock::now() + PROOF_PATIENCE);
         loop {
             let Some(configuration) = self.active.get() else {
                 return Err(self.refuse(id, "no configuration yet"));
@@ -130,8 +130,9 @@
                     return Err(self.problem(id, StatusCode::UNAUTHORIZED, why));
                 }
                 Access::Unproved => {
+                    // One from between the request's arrival and now may be too old already.
                     let patience = give_up_at.saturating_sub(now);
-                    if !self.active.prove_since(*arrived_at, patience).await {
+                    if !self.active.prove_since(now, patience).await {
                         return Err(self.refuse(id, "the key can't be checked now"));
                     }
                 }
--- a/crates/jackdawpier_entry/tests/client_accounts.rs
+++ b/crates/jackdawpier_entry/tests/client_accounts.rs
@@ -148,6 +148,27 @@
     });
 }
 
+/// A body takes longer to arrive than a proof holds, and the store is gone meanwhile: a proof from after the
+/// request's arrival was there and too old, so the entry looked at it again and again and did nothing else.
+#[test]
+fn slow_body() {
+    run(async {
+        let entry = start().await;
+        let mut stream = TcpStream::connect(entry.address).await.expect("it is served");
+        let head = "POST /a/job HTTP/1.1\r\nhost: host\r\nx-key: shop-key\r\nconnection: close\r\ncontent-length: 2\r\n\r\n{";
+        stream.write_all(head.as_bytes()).await.expect("it is open");
+        // The next proof is asked for after the request has come.
+        tokio::time::sleep(Duration::from_millis(1400)).await;
+        entry.fake.set_down(true);
+        tokio::time::sleep(HOLDS_FOR).await;
+        stream.write_all(b"}").await.expect("it is open");
+        let mut answer = String::new();
+        let reading = stream.read_to_string(&mut answer);
+        let answered = tokio::time::timeout(Duration::from_secs(2), reading).await;
+        assert!(answered.is_ok() && answer.starts_with("HTTP/1.1 503"), "{answer}");
+    });
+}
+
 /// A key that has just been added is known though the watch hasn't told of it.
 #[test]
 fn added_key() {
