Say why a run is stopped, and keep the log whole in a burst

On call, nothing told why a run was stopped, and of some jobs that lost their runs the log had neither the stop nor the end. Lines of which there are many had as much room in the queue as those that end somebody's work, and what was left out of a kind was said only with its next line.

Stops carry their reason; rare kinds have room of their own; what is left out is said a second later.

--- a/crates/jackdawpier_entry/src/events.rs
+++ b/crates/jackdawpier_entry/src/events.rs
@@ -1,40 +1,26 @@
 //! Structured log lines on standard output: one JSON object for each decision.
 //!
-//! Writing never holds a decision up: lines go through a bounded queue to a thread of their own.
-//! What doesn't fit, or exceeds a kind's rate, is counted and said in a line of its own.
+//! Writing never holds a decision up: lines go through a bounded queue to a thread of their own. The
+//! log of a burst leaves out what there is most of, counts it, and says so within a second; the rare
+//! decisions, such as those that end a caller's work, stand in it.
 
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    io::Write,
-    rc::Rc,
-    sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
-    time::Duration,
-};
+use std::{cell::RefCell, rc::Rc};
 
 use jackdawpier_kernel::Now;
 use serde_json::{Map, Value, json};
 
-use crate::{clock, metrics::Metrics};
-
-/// Lines that may wait for the writing thread: about a megabyte.
-const QUEUED_LINES: usize = 4096;
-/// Lines of one kind a second; a busy owner starts and ends some 400 tasks a second.
-const LINES_PER_KIND_PER_S: u32 = 500;
-const SECOND: Duration = Duration::from_secs(1);
-
-#[derive(Debug, Default)]
-struct Rate {
-    second: u64,
-    written: u32,
-    left_out: u64,
-}
+use crate::{
+    clock,
+    log_volume::{LogVolume, is_routine},
+    log_writer::LogWriter,
+    metrics::Metrics,
+};
 
 #[derive(Debug)]
 struct Inner {
     entry: String,
-    lines: SyncSender<String>,
-    rates: HashMap<&'static str, Rate>,
+    lines: LogWriter,
+    volume: LogVolume,
     dropped: u64,
     metrics: Metrics,
 }
@@ -46,11 +32,13 @@
 impl Events {
     /// Starts the writing thread.
     pub fn new(entry: &str) -> Self {
-        let (lines, queue) = sync_channel(QUEUED_LINES);
-        std::thread::spawn(move || write_lines(&queue));
-        let entry = entry.to_owned();
-        let inner =
-            Inner { entry, lines, rates: HashMap::new(), dropped: 0, metrics: Metrics::default() };
+        let inner = Inner {
+            entry: entry.to_owned(),
+            lines: LogWriter::start(),
+            volume: LogVolume::default(),
+            dropped: 0,
+            metrics: Metrics::default(),
+        };
         Self(Rc::new(RefCell::new(inner)))
     }
 
@@ -64,32 +52,17 @@
         let mut inner = self.0.borrow_mut();
         inner.metrics.count(kind, &outcome(&fields));
         let now = clock::now();
-        if let Some(left_out) = inner.admit(kind, now) {
-            if left_out > 0 {
-                inner.write("left_out", json!({ "of": kind, "lines": left_out }), now);
-            }
+        for left_out in inner.volume.begin_second(now) {
+            let fields = json!({ "of": left_out.kind, "lines": left_out.lines });
+            inner.write("left_out", fields, now);
+        }
+        if inner.volume.admit(kind) {
             inner.write(kind, fields, now);
         }
     }
 }
 
 impl Inner {
-    /// Returns how many lines of this kind were left out before, or none if this one is too.
-    fn admit(&mut self, kind: &'static str, now: Now) -> Option<u64> {
-        let second = now.as_secs();
-        let rate = self.rates.entry(kind).or_default();
-        if rate.second != second {
-            rate.second = second;
-            rate.written = 0;
-        }
-        if rate.written >= LINES_PER_KIND_PER_S {
-            rate.left_out += 1;
-            return None;
-        }
-        rate.written += 1;
-        Some(std::mem::take(&mut rate.left_out))
-    }
-
     fn write(&mut self, kind: &str, fields: Value, now: Now) {
         let mut line = Map::new();
         line.insert("at_ms".to_owned(), json!(clock::wall_ms()));
@@ -102,10 +75,8 @@
         if self.dropped > 0 {
             line.insert("dropped_before".to_owned(), json!(self.dropped));
         }
-        match self.lines.try_send(Value::Object(line).to_string()) {
-            Ok(()) => self.dropped = 0,
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.dropped += 1,
-        }
+        let is_sent = self.lines.try_send(Value::Object(line).to_string(), is_routine(kind));
+        self.dropped = if is_sent { 0 } else { self.dropped + 1 };
     }
 }
 
@@ -119,21 +90,3 @@
         other => other.to_string(),
     })
 }
-
-/// Writes lines in groups, so that a burst costs few system calls.
-fn write_lines(queue: &Receiver<String>) {
-    let mut output = std::io::stdout();
-    while let Ok(line) = queue.recv() {
-        let mut text = line;
-        text.push('\n');
-        while let Ok(more) = queue.try_recv() {
-            text.push_str(&more);
-            text.push('\n');
-        }
-        if output.write_all(text.as_bytes()).is_err() {
-            return;
-        }
-        // Waiting a little lets lines gather; they carry their own times.
-        std::thread::sleep(SECOND / 20);
-    }
-}
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod http_server;
 pub mod keys;
 pub mod link;
+pub mod log_volume;
+pub mod log_writer;
 pub mod metrics;
 pub mod owner;
 pub mod ownership;
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use jackdawpier_fleet::{
-    fleet::{Command, StartEnd, StopEnd},
+    fleet::{Command, StartEnd, StopEnd, StopReason},
     spec::{RunNumber, TaskKey},
 };
 use jackdawpier_kernel::ids::ExecutorId;
@@ -192,8 +192,10 @@
                     self.start(order).await;
                 });
             }
-            Command::Stop { executor, task, run } => {
-                tokio::task::spawn_local(async move { self.stop(executor, task, run).await });
+            Command::Stop { executor, task, run, reason } => {
+                tokio::task::spawn_local(async move {
+                    self.stop(executor, task, run, reason).await;
+                });
             }
             Command::Pace { executor, task, run, percent } => {
                 tokio::task::spawn_local(async move {
@@ -278,7 +280,13 @@
         }
     }
 
-    async fn stop(self: Rc<Self>, executor: ExecutorId, task: TaskKey, run: RunNumber) {
+    async fn stop(
+        self: Rc<Self>,
+        executor: ExecutorId,
+        task: TaskKey,
+        run: RunNumber,
+        reason: StopReason,
+    ) {
         let session = self.session(&executor);
         let _permit = session.stops.acquire().await.expect("it is never closed");
         for _ in 0..STOP_TRIES {
@@ -287,7 +295,7 @@
                 return;
             }
             let end = self.platform.stop(&target, &task, run).await;
-            let fields = json!({ "executor": *executor, "task": task.to_string(), "run": run, "end": format!("{end:?}") });
+            let fields = json!({ "executor": *executor, "task": task.to_string(), "run": run, "why": format!("{reason:?}"), "end": format!("{end:?}") });
             self.events.emit("task_stopped", fields);
             if end == StopEnd::Taken {
                 self.fleet.borrow_mut().stop_ended(clock::now(), &task, run, end);
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -108,6 +108,8 @@
         task: TaskKey,
         /// Number of the start.
         run: RunNumber,
+        /// Why, for the log.
+        reason: StopReason,
     },
     /// Let a task work at this share of its speed.
     Pace {
@@ -133,6 +135,27 @@
     Wave(crate::machines::WaveState),
 }
 
+/// Why a run is stopped. What ends work of callers has to be found in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReason {
+    /// Its job is over, by this outcome.
+    JobOver(JobOutcome),
+    /// Another member of its gang doesn't run.
+    GangBroken,
+    /// It runs elsewhere from now on, so that its machine can be taken.
+    MachineTaken,
+    /// The order to start it went without a sure answer.
+    StartUnsure,
+    /// Its executor had confirmed it and doesn't list it.
+    Unlisted,
+    /// Its executor has started again while the order to start it was on its way.
+    ExecutorRestarted,
+    /// It is of a job that is over or unknown, or was followed by a later run.
+    Superseded,
+    /// The order to stop it went without an answer before.
+    Repeated,
+}
+
 /// What a caller is told of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobView {
@@ -454,13 +477,13 @@
         }
         self.over.push_back((id.clone(), now));
         for index in 0..job.tasks.len() {
-            self.stop_task(now, &(id.clone(), index));
+            self.stop_task(now, &(id.clone(), index), StopReason::JobOver(outcome));
         }
         self.touch(id);
     }
 
     /// Orders the end of a task that may run; one whose order hasn't left is simply dropped.
-    fn stop_task(&mut self, now: Now, task_ref: &TaskRef) {
+    fn stop_task(&mut self, now: Now, task_ref: &TaskRef, reason: StopReason) {
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
         let task = &mut job.tasks[task_ref.1];
         // It is away from now on, though it takes a moment to end.
@@ -475,7 +498,7 @@
                 task.phase = Phase::Stopping { executor: executor.clone(), confirmed_at: None };
                 let run = task.run;
                 let task = job.key(task_ref.1);
-                self.commands.push(Command::Stop { executor, task, run });
+                self.commands.push(Command::Stop { executor, task, run, reason });
             }
         }
     }
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -2,7 +2,7 @@
 
 use jackdawpier_kernel::{Now, ids::JobId};
 
-use super::{Fleet, book, openings::Openings, unbook};
+use super::{Fleet, StopReason, book, openings::Openings, unbook};
 use crate::{
     executor::TaskRef,
     job::{Phase, TaskIndex},
@@ -14,7 +14,7 @@
     pub(super) fn stop_gang(&mut self, now: Now, id: &JobId, slot: usize) {
         let Some(job) = self.jobs.get(id) else { return };
         let members: Vec<TaskRef> = job.tasks_of(slot).map(|index| (id.clone(), index)).collect();
-        members.iter().for_each(|member| self.stop_task(now, member));
+        members.iter().for_each(|member| self.stop_task(now, member, StopReason::GangBroken));
     }
 
     /// Whether another member of the task's gang has ended well in the same run, which counts for
--- a/crates/jackdawpier_fleet/src/fleet/lives.rs
+++ b/crates/jackdawpier_fleet/src/fleet/lives.rs
@@ -7,7 +7,7 @@
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
-use super::{Fleet, losses::LossEvidence};
+use super::{Fleet, StopReason, losses::LossEvidence};
 use crate::{
     executor::{Executor, ExecutorInfo, HoldReport, LifeId, TaskRef},
     job::Phase,
@@ -74,7 +74,9 @@
         let task = &mut job.tasks[task_ref.1];
         match &mut task.phase {
             Phase::Running { since, .. } if *since < sent_at => self.run_over(now, task_ref, None),
-            Phase::Starting { .. } => self.stop_task(now, task_ref),
+            Phase::Starting { .. } => {
+                self.stop_task(now, task_ref, StopReason::ExecutorRestarted);
+            }
             Phase::Stopping { confirmed_at, .. } => *confirmed_at = None,
             _ => {}
         }
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -4,7 +4,7 @@
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
-use super::{Command, Fleet, FleetSettings, TaskEnd, lives::Life};
+use super::{Command, Fleet, FleetSettings, StopReason, TaskEnd, lives::Life};
 use crate::{
     executor::{EndKind, EndedTask, HoldReport, LastSigns, MAX_ENDS_PER_REPORT, TaskRef},
     job::Phase,
@@ -268,6 +268,7 @@
             executor: id.clone(),
             task: running.task.clone(),
             run: running.run,
+            reason: StopReason::Superseded,
         });
     }
 
@@ -302,7 +303,7 @@
                 }
                 // Confirmed before the question left, and neither running nor ended: make sure.
                 Phase::Running { since, .. } if sent_at > *since => {
-                    self.stop_task(now, &task_ref);
+                    self.stop_task(now, &task_ref, StopReason::Unlisted);
                 }
                 _ => {}
             }
@@ -316,7 +317,8 @@
             let job = self.jobs.get(&task_ref.0)?;
             let task = &job.tasks[task_ref.1];
             matches!(&task.phase, Phase::Stopping { confirmed_at: None, .. }).then(|| {
-                Command::Stop { executor: id.clone(), task: job.key(task_ref.1), run: task.run }
+                let (executor, task, run) = (id.clone(), job.key(task_ref.1), task.run);
+                Command::Stop { executor, task, run, reason: StopReason::Repeated }
             })
         });
         pending.collect()
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -4,7 +4,7 @@
 
 use jackdawpier_kernel::Now;
 
-use super::Fleet;
+use super::{Fleet, StopReason};
 use crate::{
     job::Phase,
     spec::{RunNumber, TaskKey},
@@ -123,7 +123,7 @@
         if is_certain && !matches!(end, StartEnd::Unanswered | StartEnd::RunIsOver) {
             self.run_over(now, &task_ref, None);
         } else {
-            self.stop_task(now, &task_ref);
+            self.stop_task(now, &task_ref, StopReason::StartUnsure);
         }
         if let Some(slot) = gang {
             self.stop_gang(now, &key.job, slot);
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -11,7 +11,7 @@
     ids::{ExecutorId, ServiceName},
 };
 
-use super::{Command, Fleet, openings::Openings, placement::suits};
+use super::{Command, Fleet, StopReason, openings::Openings, placement::suits};
 use crate::{
     executor::{Executor, TaskRef},
     job::{Job, Phase, Task, TaskIndex},
@@ -147,7 +147,7 @@
             task = self.task_to_spare(now, machine, openings, |_, _| true);
         }
         if let Some(task) = task {
-            self.stop_task(now, &task);
+            self.stop_task(now, &task, StopReason::MachineTaken);
         }
     }
 
--- a/crates/jackdawpier_fleet/tests/world/orders.rs
+++ b/crates/jackdawpier_fleet/tests/world/orders.rs
@@ -115,7 +115,7 @@
                 }
                 Some(Executed::Start(target.start(now, fence, task, *run, &spec, lease)))
             }
-            Command::Stop { executor, task, run } => {
+            Command::Stop { executor, task, run, .. } => {
                 let target = self.executors.get_mut(executor)?;
                 if !target.is_reachable() {
                     return None;
