--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/lasting_neighbours.rs
@@ -0,0 +1,93 @@
+//! A lasting task was given up for crashes that its neighbours caused. It never ends, so it is there
+//! whenever its executor crashes; only ten seconds of life took that back, and where tasks that crash
+//! their executors come every few seconds no executor lives for so long. With the third crash its job was
+//! shown as failed, and the healthy tasks of the job, which had been at work for seconds, were stopped
+//! together:
+//!
+//! ```text
+//! 18.862  task_given_up  task c65e0641aaa58128.0.0.1, run 4, crashes 3, confirmed, not sudden
+//! 18.912  task_stopped   task c65e0641aaa58128.0.0.3, run 2, why JobOver(Failed)
+//! 18.912  task_stopped   task c65e0641aaa58128.0.0.0, run 2, why JobOver(Failed)
+//! ```
+//!
+//! The world checks at every order that ends work at work that its step can spare it.
+
+mod world;
+
+use std::time::Duration;
+
+use jackdawpier_fleet::{fleet::JobView, record::JobOutcome, spec::StepSpec};
+use world::{World, job, step};
+
+fn lasting(count: u32, cores: u64) -> StepSpec {
+    StepSpec { is_long_running: true, may_miss: 1, max_per_executor: 1, ..step(count, cores, 0) }
+}
+
+/// Work of others comes all the while; of every `crashing_of` jobs one has a task that crashes.
+fn neighbours(world: &mut World, rounds: usize, crashing_of: usize) -> Vec<String> {
+    let mut innocent = Vec::new();
+    for round in 0..rounds {
+        let id = format!("other-{}", world.submissions.len());
+        if round % crashing_of == 0 {
+            world.crashes.jobs.push(id.as_str().into());
+        } else {
+            innocent.push(id.clone());
+        }
+        world.submit(&id, "q-view", job(vec![step(4, 1, 900)]));
+        world.run_for(Duration::from_millis(150));
+    }
+    innocent
+}
+
+/// All of the lasting job but what was hit last is at work, and its caller sees that it runs.
+fn assert_lives(world: &mut World, id: &str, tasks: usize) {
+    assert_eq!(world.fleet.view(id), Some(JobView::Running));
+    world.run_for(Duration::from_secs(8));
+    assert_eq!(world.at_work_of(id), tasks);
+}
+
+#[test]
+fn crashing_neighbours() {
+    let mut world = World::new(&["view"], 6);
+    world.submit("lasting", "q-view", job(vec![lasting(4, 2)]));
+    world.run_for(Duration::from_secs(3));
+    neighbours(&mut world, 200, 8);
+    assert_lives(&mut world, "lasting", 4);
+}
+
+/// The owner changes every few seconds.
+#[test]
+fn changing_owners() {
+    let mut world = World::new(&["view"], 6);
+    world.submit("lasting", "q-view", job(vec![lasting(4, 2)]));
+    world.run_for(Duration::from_secs(3));
+    for _ in 0..8 {
+        neighbours(&mut world, 25, 8);
+        world.take_over();
+    }
+    assert_lives(&mut world, "lasting", 4);
+}
+
+/// One task of a lasting job is the cause: it stops starting, and the others stay at work.
+#[test]
+fn lasting_cause() {
+    let mut world = World::new(&["view"], 6);
+    world.crashes.jobs.push("lasting".into());
+    world.submit("lasting", "q-view", job(vec![lasting(4, 2)]));
+    world.run_for(Duration::from_secs(30));
+    assert_eq!(world.crashes.most_under("lasting"), 2, "no third executor falls to it");
+    assert_eq!(world.fleet.view("lasting"), Some(JobView::Running));
+    assert_eq!(world.at_work_of("lasting"), 3);
+}
+
+/// Jobs that end are no cause either because they were there: each has one of several tasks hit now and
+/// then, in a pool where an executor crashes every second.
+#[test]
+fn innocent_jobs() {
+    let mut world = World::new(&["view"], 6);
+    let innocent = neighbours(&mut world, 200, 8);
+    let limit = Duration::from_secs(30);
+    let failed =
+        innocent.iter().filter(|id| world.run_until_over(id, limit) != Some(JobOutcome::Completed));
+    assert_eq!(failed.count(), 0);
+}
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -147,6 +147,11 @@
         self.running.iter().filter(move |(_, run)| is_at_work(run)).map(|(task, _)| task)
     }
 
+    /// Tasks at work that haven't been told to stop.
+    pub fn settled(&self) -> impl Iterator<Item = &TaskKey> {
+        self.at_work().filter(|task| self.running[*task].stops_at.is_none())
+    }
+
     pub fn far_runs(&self) -> usize {
         self.running.values().filter(|run| run.is_far).count()
     }
--- a/crates/jackdawpier_fleet/tests/world/machines.rs
+++ b/crates/jackdawpier_fleet/tests/world/machines.rs
@@ -87,6 +87,10 @@
         if machine.back_at.is_some() {
             return MachineOrderEnd::Busy;
         }
+        if let Some(executor) = machine.executor.clone() {
+            self.check_all_spared(&executor);
+        }
+        let machine = self.machines.get_mut(&order.machine).expect("it was read above");
         let takes = match &order.work {
             MachineWork::Move(pool) => {
                 machine.pool = pool.clone();
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -7,6 +7,7 @@
 pub mod accounts;
 pub mod crashes;
 pub mod executor;
+pub mod lasting;
 mod machines;
 mod orders;
 
@@ -27,8 +28,11 @@
     record::{JobOutcome, JobRecord},
     spec::{JobSpec, Queue, Resources, Service, StepSpec, Submission, TaskKey},
 };
+use lasting::Lasting;
 pub use orders::Delivery;
 
+/// Time of day at the world's begin.
+const EPOCH_MS: u64 = 1_000_000;
 pub const STEP: Duration = Duration::from_millis(10);
 /// Executors accept no longer lease.
 pub const LONGEST_LEASE: Duration = Duration::from_secs(6);
@@ -145,6 +149,8 @@
     pub keeps_ids: bool,
     /// Tasks that crash their executors, and what has crashed under whom.
     pub crashes: Crashes,
+    /// What has been at work of work that lasts.
+    pub lasting: Lasting,
 }
 
 impl World {
@@ -192,6 +198,7 @@
             labels: BTreeMap::new(),
             keeps_ids: false,
             crashes: Crashes::default(),
+            lasting: Lasting::default(),
         };
         for pool in pools {
             for number in 0..per_pool {
@@ -292,7 +299,7 @@
     }
 
     pub fn wall_ms(&self) -> u64 {
-        1_000_000 + self.now.as_millis() as u64
+        EPOCH_MS + self.now.as_millis() as u64
     }
 
     /// Another entry takes over; nothing of the former one's memory is left.
@@ -360,6 +367,7 @@
         let now = self.now;
         self.executors.values_mut().for_each(|executor| executor.advance(now));
         self.crash_by_tasks();
+        self.note_lasting();
         self.return_machines();
         let is_listing = now.as_millis().is_multiple_of(200);
         if is_listing {
--- a/crates/jackdawpier_fleet/tests/world/orders.rs
+++ b/crates/jackdawpier_fleet/tests/world/orders.rs
@@ -76,6 +76,11 @@
     }
 
     fn deliver(&mut self, sent: &Sent, is_answered: bool) {
+        if let Command::Stop { executor, task, .. } = &sent.command
+            && self.executors.get(executor).is_some_and(FakeExecutor::is_reachable)
+        {
+            self.check_spared(&executor.clone(), &task.clone());
+        }
         let end = self.execute(sent);
         match (&sent.command, end) {
             (Command::Start { executor, task, run, .. }, Some(Executed::Start(end)))
