Don't give lasting work up for the crashes of its neighbours, nor healthy tasks with a guilty one

Callers saw a lasting job shown as failed, and all its healthy tasks stopped at once, more than its step may miss, since executors had crashed three times under one of them. It wasn't the cause: it lasts, so it is there at each crash of its executor, and only ten seconds of life took that back.

Cause: co-residence counted as evidence, the same for what had run for seconds as for what had begun 20 ms before, and the verdict ended a whole job for good at the cost of work that did no harm.

Now a crash with a likelier cause (a task of which nothing shows that it survived its start) weighs against what had been there for longer only so far that it is watched at its next start; two seconds of life clear a lasting task; crashes while watched count as those at once. A job that lasts goes on without a task that is given up. A lasting suspect gets an executor kept quiet for its start, or it would wait for one in a busy pool for ever.

assert_lives of the committed tests asked for all tasks at work while neighbours still crashed executors; it waits for the last neighbour now and keeps its bound of eight seconds after that.

--- a/crates/jackdawpier_entry/src/owner/explain.rs
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -5,7 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use jackdawpier_fleet::fleet::{Blame, Loss, LostRun, Obstacles, Shortage, Wait};
+use jackdawpier_fleet::fleet::{Blame, GivenUp, Loss, LostRun, Obstacles, Shortage, Wait};
 use serde_json::{Value, json};
 
 use super::Owner;
@@ -37,16 +37,18 @@
 
     /// Says of each executor that was lost which tasks it took along, and which of them are blamed.
     pub(super) fn log_losses(&self) {
-        let (losses, blames) = {
+        let (losses, blames, given_up) = {
             let mut fleet = self.fleet.borrow_mut();
-            (fleet.take_losses(), fleet.take_blames())
+            (fleet.take_losses(), fleet.take_blames(), fleet.take_given_up())
         };
         for loss in &losses {
             self.events.emit("executor_lost", lost(loss));
         }
         for blame in &blames {
-            let event = if blame.is_given_up { "task_given_up" } else { "task_suspect" };
-            self.events.emit(event, blamed(blame));
+            self.events.emit("task_suspect", blamed(blame));
+        }
+        for task in &given_up {
+            self.events.emit("task_given_up", not_started_again(task));
         }
     }
 }
@@ -94,9 +96,15 @@
         "crashes": crashes,
         "confirmed": crash.is_confirmed,
         "sudden": crash.is_sudden,
+        "shared": crash.is_shared,
     })
 }
 
+fn not_started_again(given_up: &GivenUp) -> Value {
+    let GivenUp { task, run, crashes, job_goes_on } = given_up;
+    json!({ "task": task.to_string(), "run": run, "crashes": crashes, "job_goes_on": job_goes_on })
+}
+
 fn lacking(shortage: &Shortage) -> Value {
     let Shortage { pool, label, holds, lacks, entitled } = shortage;
     let label = label.as_deref();
--- a/crates/jackdawpier_fleet/src/crash.rs
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -22,6 +22,19 @@
     /// It may have been the start that the executor didn't survive: nothing was heard of it later.
     #[serde(rename = "s", default)]
     pub is_sudden: bool,
+    /// Another task had just begun there and this one hadn't, so that the other is the likelier cause.
+    #[serde(rename = "o", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_shared: bool,
+    /// It was watched, so that nothing else had begun there since it did.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_watched: bool,
+}
+
+impl Crash {
+    /// Whether a second one like it leaves no doubt.
+    fn is_telling(&self) -> bool {
+        self.is_confirmed && !self.is_shared && (self.is_sudden || self.is_watched)
+    }
 }
 
 /// What follows from the crashes under a task.
@@ -43,8 +56,8 @@
 
 /// Crashes after which the starts of a task are counted.
 const MOST_CRASHES: usize = 3;
-/// Crashes that are enough if they are sudden and confirmed: the later ones were watched.
-const ENOUGH_SUDDEN: usize = 2;
+/// Crashes that are enough if they are telling: after the first the task was watched.
+const ENOUGH_TELLING: usize = 2;
 /// Starts that a task may have after the third crash, whatever becomes of them.
 const STARTS_AFTER: u32 = 2;
 /// Some thirty times what a task that crashes its executor at once takes for that.
@@ -52,24 +65,41 @@
 /// For a task whose executors crashed later than that; most tasks are over by then.
 const WATCH_WORK: Duration = Duration::from_secs(2);
 
-/// Whether a task has used up its starts with this run, if that didn't end well.
-pub(crate) fn is_spent(crashes: &[Crash], run: RunNumber) -> bool {
-    let third = crashes.get(MOST_CRASHES - 1);
-    let is_confirmed = crashes.iter().any(|crash| crash.is_confirmed);
-    is_confirmed && third.is_some_and(|third| run >= third.run + STARTS_AFTER)
+/// Whether a task isn't started again once this run hasn't ended well. `refused` are runs that certainly
+/// never began.
+pub(crate) fn is_given_up(crashes: &[Crash], run: RunNumber, refused: &[RunNumber]) -> bool {
+    suspicion(crashes) == Suspicion::Plain || is_spent(crashes, run, refused)
 }
 
-/// Judges a task by its crashes.
+/// Whether a task has used up its starts with this run. One that is always there with a likelier cause
+/// never has.
+fn is_spent(crashes: &[Crash], run: RunNumber, refused: &[RunNumber]) -> bool {
+    let Some(third) = crashes.get(MOST_CRASHES - 1) else { return false };
+    let is_certain = crashes.iter().any(|crash| crash.is_confirmed);
+    let has_own = own(crashes).next().is_some();
+    let never_began = refused.iter().filter(|refused| **refused > third.run).count() as u32;
+    let starts_after = run.saturating_sub(third.run).saturating_sub(never_began);
+    is_certain && has_own && starts_after >= STARTS_AFTER
+}
+
+/// Judges a task by its crashes. Those with a likelier cause only let it be watched, so that the next
+/// one has none.
 pub(crate) fn suspicion(crashes: &[Crash]) -> Suspicion {
-    let confirmed = crashes.iter().filter(|crash| crash.is_confirmed).count();
+    let count_own = own(crashes).count();
+    let confirmed = own(crashes).filter(|crash| crash.is_confirmed).count();
+    let telling = crashes.iter().filter(|crash| crash.is_telling()).count();
     let sudden = crashes.iter().filter(|crash| crash.is_sudden).count();
-    let plain = crashes.iter().filter(|crash| crash.is_confirmed && crash.is_sudden).count();
     let enough = ENOUGH[confirmed.min(ENOUGH.len() - 1)];
     match crashes.len() {
         0 => Suspicion::None,
-        count if count >= enough || plain >= ENOUGH_SUDDEN => Suspicion::Plain,
+        _ if count_own >= enough || telling >= ENOUGH_TELLING => Suspicion::Plain,
         1 if sudden == 0 => Suspicion::None,
         count if sudden == count => Suspicion::Watched(WATCH_START),
         _ => Suspicion::Watched(WATCH_WORK),
     }
 }
+
+/// Crashes without a likelier cause.
+fn own(crashes: &[Crash]) -> impl Iterator<Item = &Crash> {
+    crashes.iter().filter(|crash| !crash.is_shared)
+}
--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -266,6 +266,7 @@
         self.is_listed = former.is_listed;
         self.booked = former.booked;
         self.tasks = former.tasks;
+        self.watch = former.watch;
         self.per_slot = former.per_slot;
         self.serving = former.serving;
         self.fillers = former.fillers;
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -35,7 +35,7 @@
     ids::{AccountName, ExecutorId, JobId, PoolName, Revision, ServiceName},
 };
 
-pub use blame::Blame;
+pub use blame::{Blame, GivenUp};
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use losses::{Loss, LossEvidence, LostRun};
 pub use pools::Shortage;
@@ -45,7 +45,6 @@
 
 use crate::{
     account::{Account, Accounts},
-    crash::is_spent,
     demand::Arrivals,
     executor::{Executor, TaskRef, Watch},
     job::{Job, Phase, TaskIndex},
@@ -209,6 +208,7 @@
     finished: Vec<FinishedJob>,
     losses: Vec<Loss>,
     blames: Vec<Blame>,
+    given_up: Vec<GivenUp>,
     /// Executors of which more ends have become durable.
     settled: Vec<ExecutorId>,
     machines: Machines,
@@ -249,6 +249,7 @@
             finished: Vec::new(),
             losses: Vec::new(),
             blames: Vec::new(),
+            given_up: Vec::new(),
             settled: Vec::new(),
             machines_planned_at: Now::ZERO,
             expired_at: Now::ZERO,
@@ -379,11 +380,15 @@
         let doubt_until = self.started_at + self.settings.doubt;
         for (index, task) in job.tasks.iter().enumerate() {
             let Some(id) = task.phase.executor() else { continue };
+            let is_suspect = self.is_suspect(job, index);
             let executor = self
                 .executors
                 .entry(id.clone())
                 .or_insert_with(|| Executor::new(self.started_at, doubt_until));
             book(executor, &mut self.accounts, job, index);
+            if is_suspect {
+                executor.watch = Some(Watch { task: (job.id.clone(), index), until: None });
+            }
         }
     }
 
@@ -543,21 +548,26 @@
         if job.is_over() {
             return;
         }
-        if job.tasks[index].phase == Phase::Waiting && job.progress[slot].is_open {
-            job.wait(now, index);
-        }
+        let is_waiting = job.tasks[index].phase == Phase::Waiting;
         let is_done = job.progress.iter().all(|slot| slot.remaining == 0);
-        let task = &job.tasks[index];
-        let is_waiting = task.phase == Phase::Waiting;
-        let is_broken = is_gang && is_waiting;
-        let is_given_up = is_waiting && is_spent(task.crashes(), task.run);
-        self.touch(&id.clone());
+        self.touch(id);
         if is_done {
-            self.finish(now, &id.clone(), JobOutcome::Completed);
-        } else if is_given_up {
-            self.finish(now, &id.clone(), JobOutcome::Failed);
-        } else if is_broken {
-            self.stop_gang(now, &id.clone(), slot);
+            self.finish(now, id, JobOutcome::Completed);
+        } else if is_waiting {
+            self.wait_again(now, task_ref);
+        }
+    }
+
+    /// A task whose run is over without success waits for its next start, unless it is given up.
+    fn wait_again(&mut self, now: Now, task_ref: &TaskRef) {
+        self.give_up(now, task_ref);
+        let Some(job) = self.jobs.get_mut(&task_ref.0).filter(|job| !job.is_over()) else { return };
+        let slot = job.slot(task_ref.1);
+        if job.progress[slot].is_open {
+            job.wait(now, task_ref.1);
+        }
+        if job.step(task_ref.1).is_gang {
+            self.stop_gang(now, &task_ref.0, slot);
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -9,7 +9,7 @@
     ids::{ExecutorId, JobId},
 };
 
-use super::Fleet;
+use super::{Fleet, openings::Openings, placement::suits};
 use crate::{
     crash::{Crash, Suspicion, suspicion},
     executor::{Executor, LastSigns, TaskRef, Watch},
@@ -27,9 +27,11 @@
 /// An order without an answer tells something only of an executor that was heard of this shortly before
 /// the order left; another one may have been gone by then.
 const ALIVE_BEFORE_ORDER: Duration = Duration::from_millis(300);
-/// A task that lasts and has run for this long isn't what its executor crashed of, nor earlier ones:
-/// it may see any number of crashes in its life.
-const LASTING_PROOF: Duration = Duration::from_secs(10);
+/// A task that lasts and has run for this long is no cause, neither of this crash nor of earlier ones: it
+/// has been at work, and is there whenever its executor crashes of another.
+const LASTING_PROOF: Duration = Duration::from_secs(2);
+/// Executors of a service that are kept from starting anything at a time, for suspects that wait.
+const QUIETED_AT_ONCE: usize = 2;
 
 /// A task under which an executor has crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,8 +46,19 @@
     pub crash: Crash,
     /// Executors that have crashed under it by now.
     pub crashes: usize,
-    /// The task is given up, and its job with it.
-    pub is_given_up: bool,
+}
+
+/// A task that isn't started again, since executors crash under it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GivenUp {
+    /// The task.
+    pub task: TaskKey,
+    /// Number of its last start.
+    pub run: RunNumber,
+    /// Executors that have crashed under it.
+    pub crashes: usize,
+    /// Its job lasts, so the other tasks of it go on.
+    pub job_goes_on: bool,
 }
 
 impl Fleet {
@@ -54,29 +67,73 @@
         std::mem::take(&mut self.blames)
     }
 
-    /// Counts the crash of an executor against a task that was ordered there; `signs` are the last of the
-    /// life that crashed.
+    /// Tasks that were given up since the last call.
+    pub fn take_given_up(&mut self) -> Vec<GivenUp> {
+        std::mem::take(&mut self.given_up)
+    }
+
+    /// Counts the crash of an executor against the tasks that were ordered there; `signs` are the last of
+    /// the life that crashed.
     pub(super) fn note_crash(
         &mut self,
         now: Now,
         id: &ExecutorId,
         signs: LastSigns,
-        task_ref: &TaskRef,
+        tasks: &[TaskRef],
     ) {
+        let crashes: Vec<(&TaskRef, Crash)> = tasks
+            .iter()
+            .filter_map(|task| Some((task, crash_under(now, self.task(task)?, signs)?)))
+            .collect();
+        let watched = self.watched_at(id, signs);
+        let has_newcomer = crashes.iter().any(|(_, crash)| crash.is_sudden);
+        for (task_ref, mut crash) in crashes {
+            if self.is_proved(task_ref, signs) {
+                self.clear_crashes(task_ref);
+                continue;
+            }
+            crash.is_shared = has_newcomer && !crash.is_sudden;
+            crash.is_watched = watched.as_ref() == Some(task_ref);
+            self.blame(id, task_ref, crash);
+        }
+    }
+
+    fn blame(&mut self, id: &ExecutorId, task_ref: &TaskRef, crash: Crash) {
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
-        let lasts = job.step(task_ref.1).is_long_running;
-        let key = job.key(task_ref.1);
+        let task_key = job.key(task_ref.1);
         let task = &mut job.tasks[task_ref.1];
-        if lasts && survived(task, signs).is_some_and(|time| time >= LASTING_PROOF) {
-            task.clear_crashes();
+        if !task.note_crash(crash.clone()) {
             return;
         }
-        let Some(crash) = crash_under(now, task, signs) else { return };
-        task.note_crash(crash.clone());
-        let crashes = task.crashes().len();
-        let is_given_up = suspicion(task.crashes()) == Suspicion::Plain;
-        let (run, executor) = (task.run, id.clone());
-        self.blames.push(Blame { task: key, run, executor, crash, crashes, is_given_up });
+        let (run, crashes) = (task.run, task.crashes().len());
+        self.blames.push(Blame { task: task_key, run, executor: id.clone(), crash, crashes });
+    }
+
+    /// The task that was watched on an executor when it was last heard of.
+    fn watched_at(&self, id: &ExecutorId, signs: LastSigns) -> Option<TaskRef> {
+        let watch = self.executors.get(id)?.watch.as_ref()?;
+        let is_on = watch.until.is_none_or(|until| signs.last_answer < until);
+        is_on.then(|| watch.task.clone())
+    }
+
+    fn task(&self, task_ref: &TaskRef) -> Option<&Task> {
+        self.jobs.get(&task_ref.0).map(|job| &job.tasks[task_ref.1])
+    }
+
+    fn clear_crashes(&mut self, task_ref: &TaskRef) {
+        if let Some(job) = self.jobs.get_mut(&task_ref.0) {
+            job.tasks[task_ref.1].clear_crashes();
+        }
+    }
+
+    /// Whether a task lasts and has lived for so long before the crash that it is no cause. What an
+    /// earlier owner saw of it isn't known.
+    fn is_proved(&self, task_ref: &TaskRef, signs: LastSigns) -> bool {
+        let Some(job) = self.jobs.get(&task_ref.0) else { return false };
+        let confirmed_at = job.tasks[task_ref.1].confirmed_at;
+        let seen_from = confirmed_at.map(|at| at.max(self.started_at));
+        let lived = seen_from.map(|at| signs.last_answer.saturating_sub(at));
+        job.step(task_ref.1).is_long_running && lived.is_some_and(|time| time >= LASTING_PROOF)
     }
 
     /// Whether a task is watched when it starts.
@@ -86,7 +143,7 @@
     }
 
     /// Whether a task can be watched on an executor: it was heard of a moment ago, so that its end means
-    /// something, and nothing else has yet to begin there but members of its own gang.
+    /// something, and all else has survived its start there but members of its own gang.
     pub(super) fn can_watch(
         &self,
         now: Now,
@@ -94,15 +151,49 @@
         job: &Job,
         index: TaskIndex,
     ) -> bool {
+        let is_fresh = executor.answered_at + ALIVE_BEFORE_ORDER >= now;
+        is_fresh && self.newcomers(executor, job, index) == 0
+    }
+
+    /// Tasks on an executor that may yet crash of their start, other than members of a task's own gang.
+    fn newcomers(&self, executor: &Executor, job: &Job, index: TaskIndex) -> usize {
         let is_gang = job.step(index).is_gang;
-        let has_begun = |(id, other): &TaskRef| {
-            if is_gang && *id == job.id && job.slot(*other) == job.slot(index) {
-                return true;
+        let is_newcomer = |(id, other): &&TaskRef| {
+            let is_own = *id == job.id && job.slot(*other) == job.slot(index);
+            match self.jobs.get(id).map(|job| &job.tasks[*other].phase) {
+                _ if is_gang && is_own => false,
+                Some(Phase::Running { since, .. }) => *since + SUDDEN > executor.answered_at,
+                phase => !matches!(phase, Some(Phase::Stopping { .. })),
             }
-            let phase = self.jobs.get(id).map(|job| &job.tasks[*other].phase);
-            matches!(phase, Some(Phase::Running { .. } | Phase::Stopping { .. }))
         };
-        executor.answered_at + ALIVE_BEFORE_ORDER >= now && executor.tasks.iter().all(has_begun)
+        executor.tasks.iter().filter(is_newcomer).count()
+    }
+
+    /// Lets nothing start in this round on the executor where a suspect task that lasts could be watched
+    /// soonest. In a busy pool there is none otherwise: whatever room there is is taken at once.
+    pub(super) fn keep_quiet(
+        &self,
+        now: Now,
+        id: &JobId,
+        index: TaskIndex,
+        openings: &mut Openings,
+    ) {
+        let job = &self.jobs[id];
+        if !job.step(index).is_long_running || openings.quieted >= QUIETED_AT_ONCE {
+            return;
+        }
+        let quietest = openings
+            .executors
+            .iter()
+            .filter_map(|id| Some((id, self.executors.get(id)?)))
+            .filter(|(_, executor)| suits(executor, job, index, None))
+            .filter(|(_, executor)| !executor.is_watching(now))
+            .min_by_key(|(id, executor)| (self.newcomers(executor, job, index), *id))
+            .map(|(id, _)| id.clone());
+        if let Some(quietest) = quietest {
+            openings.executors.retain(|id| *id != quietest);
+            openings.quieted += 1;
+        }
     }
 
     /// Keeps other tasks from starting beside one that is watched.
@@ -113,13 +204,27 @@
         }
     }
 
-    /// Ends the job of a task with plain evidence against it.
-    pub(super) fn give_up_if_plain(&mut self, now: Now, task_ref: &TaskRef) {
-        let Some(job) = self.jobs.get(&task_ref.0) else { return };
-        let is_plain = suspicion(job.tasks[task_ref.1].crashes()) == Suspicion::Plain;
-        if is_plain && !job.is_over() {
+    /// Ends the job of a task that isn't started again. A job that lasts goes on without it: its other
+    /// tasks serve, and stopping them would take away more at once than their step may miss.
+    pub(super) fn give_up(&mut self, now: Now, task_ref: &TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
+        let task = &job.tasks[task_ref.1];
+        if job.is_over() || task.is_given_up || !task.crashes_too_often() {
+            return;
+        }
+        let given_up = GivenUp {
+            task: job.key(task_ref.1),
+            run: task.run,
+            crashes: task.crashes().len(),
+            job_goes_on: job.lasts(),
+        };
+        job.tasks[task_ref.1].is_given_up = true;
+        if given_up.job_goes_on {
+            self.touch(&task_ref.0);
+        } else {
             self.finish(now, &task_ref.0, JobOutcome::Failed);
         }
+        self.given_up.push(given_up);
     }
 }
 
@@ -142,7 +247,7 @@
     let is_stopping = matches!(task.phase, Phase::Stopping { .. });
     let is_confirmed = survived.is_some() && !is_stopping && signs.hold_until_end(now);
     let is_sudden = survived.is_none_or(|time| time <= SUDDEN);
-    Some(Crash { run: task.run, is_confirmed, is_sudden })
+    Some(Crash { run: task.run, is_confirmed, is_sudden, is_shared: false, is_watched: false })
 }
 
 impl LastSigns {
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -5,7 +5,7 @@
 use super::{Fleet, StopReason, book, openings::Openings, unbook};
 use crate::{
     executor::TaskRef,
-    job::{Phase, TaskIndex},
+    job::{Phase, Task, TaskIndex},
     spec::RunNumber,
 };
 
@@ -46,7 +46,8 @@
     ) -> bool {
         let Some(job) = self.jobs.get(id) else { return false };
         let members: Vec<TaskIndex> = job.tasks_of(slot).collect();
-        let is_whole = members.iter().all(|&index| job.tasks[index].phase == Phase::Waiting);
+        let is_ready = |task: &Task| task.phase == Phase::Waiting && !task.is_given_up;
+        let is_whole = members.iter().all(|&index| is_ready(&job.tasks[index]));
         if !is_whole {
             return false;
         }
--- a/crates/jackdawpier_fleet/src/fleet/lives.rs
+++ b/crates/jackdawpier_fleet/src/fleet/lives.rs
@@ -56,15 +56,11 @@
         let gone: Vec<TaskRef> =
             executor.tasks.iter().filter(|task| !here.contains(*task)).cloned().collect();
         self.note_loss(now, id, evidence, &gone);
-        for task in &gone {
-            if !is_taken {
-                self.note_crash(now, id, signs, task);
-            }
-            self.settle_lost_run(now, sent_at, task);
-        }
         if !is_taken {
-            gone.iter().for_each(|task| self.give_up_if_plain(now, task));
+            self.note_crash(now, id, signs, &gone);
         }
+        gone.iter().for_each(|task| self.settle_lost_run(now, sent_at, task));
+        gone.iter().for_each(|task| self.give_up(now, task));
     }
 
     /// A run that isn't there after its executor has started again. An order that is under way may reach
--- a/crates/jackdawpier_fleet/src/fleet/losses.rs
+++ b/crates/jackdawpier_fleet/src/fleet/losses.rs
@@ -61,15 +61,10 @@
         let is_crash = executor.may_have_crashed(evidence);
         let tasks: Vec<TaskRef> = executor.tasks.iter().cloned().collect();
         self.note_loss(now, id, evidence, &tasks);
-        for task in &tasks {
-            if is_crash {
-                self.note_crash(now, id, signs, task);
-            }
-            self.run_over(now, task, None);
-        }
         if is_crash {
-            tasks.iter().for_each(|task| self.give_up_if_plain(now, task));
+            self.note_crash(now, id, signs, &tasks);
         }
+        tasks.iter().for_each(|task| self.run_over(now, task, None));
     }
 
     /// Notes for the log which runs are lost.
--- a/crates/jackdawpier_fleet/src/fleet/openings.rs
+++ b/crates/jackdawpier_fleet/src/fleet/openings.rs
@@ -36,6 +36,8 @@
     pub(super) has_held: bool,
     /// Starved jobs that were tried and found no room.
     pub(super) starved_misses: usize,
+    /// Executors that are kept from starting anything, so that a suspect task can be watched there.
+    pub(super) quieted: usize,
 }
 
 impl Openings {
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -137,7 +137,9 @@
             if is_plain {
                 openings.note_refused(self.jobs[id].step(index));
             }
-            if !is_suspect {
+            if is_suspect {
+                self.keep_quiet(now, id, index, openings);
+            } else {
                 full_slots.push(slot);
             }
             kept.push(index);
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -293,10 +293,10 @@
                 Phase::Doubt { .. } => {
                     if task.placed_in.is_some_and(|placed| life.is_some_and(|life| life != placed))
                     {
-                        self.note_crash(now, id, LastSigns::default(), &task_ref);
+                        let signs = LastSigns::default();
+                        self.note_crash(now, id, signs, std::slice::from_ref(&task_ref));
                     }
                     self.run_over(now, &task_ref, None);
-                    self.give_up_if_plain(now, &task_ref);
                 }
                 Phase::Stopping { confirmed_at: Some(at), .. } if sent_at > *at + stop_bound => {
                     self.run_over(now, &task_ref, None);
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -120,7 +120,9 @@
             StartEnd::RunIsOver | StartEnd::TooLate | StartEnd::Withheld => {}
         }
         let gang = job.step(index).is_gang.then(|| job.slot(index));
+        let task = &mut job.tasks[index];
         if is_certain && !matches!(end, StartEnd::Unanswered | StartEnd::RunIsOver) {
+            task.note_refused();
             self.run_over(now, &task_ref, None);
         } else {
             self.stop_task(now, &task_ref, StopReason::StartUnsure);
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    crash::Crash,
+    crash::{Crash, is_given_up},
     executor::LifeId,
     record::{JobOutcome, JobRecord, Remains, Standing, TaskRecord},
     spec::{JobSpec, QueueName, Resources, RunNumber, StepSpec, Submission, TaskKey},
@@ -58,6 +58,10 @@
     failed_runs: Vec<RunNumber>,
     /// Runs during which their executors crashed.
     crashes: Vec<Crash>,
+    /// Runs under this owner that certainly never began.
+    refused_runs: Vec<RunNumber>,
+    /// It isn't started again, since executors crash under it.
+    pub(crate) is_given_up: bool,
     /// The life of the executor that it was last placed on, if that is known.
     pub(crate) placed_in: Option<LifeId>,
     /// When the order for the present run left.
@@ -84,6 +88,8 @@
             run: 0,
             failed_runs: Vec::new(),
             crashes: Vec::new(),
+            refused_runs: Vec::new(),
+            is_given_up: false,
             placed_in: None,
             ordered_at: Now::ZERO,
             confirmed_at: None,
@@ -108,11 +114,13 @@
         self.failed_runs.len() as u32
     }
 
-    /// Counts a run during which its executor crashed.
-    pub(crate) fn note_crash(&mut self, crash: Crash) {
-        if !self.crashes.iter().any(|known| known.run == crash.run) {
+    /// Counts a run during which its executor crashed, and returns whether that is news.
+    pub(crate) fn note_crash(&mut self, crash: Crash) -> bool {
+        let is_news = self.crashes.iter().all(|known| known.run != crash.run);
+        if is_news {
             self.crashes.push(crash);
         }
+        is_news
     }
 
     /// The executor lived on long enough for it to be no cause of earlier crashes.
@@ -120,6 +128,18 @@
         self.crashes.clear();
     }
 
+    /// Its present run was refused, so it is no start that counts.
+    pub(crate) fn note_refused(&mut self) {
+        if !self.crashes.is_empty() {
+            self.refused_runs.push(self.run);
+        }
+    }
+
+    /// Whether executors have crashed under it so often that it isn't started again.
+    pub(crate) fn crashes_too_often(&self) -> bool {
+        is_given_up(&self.crashes, self.run, &self.refused_runs)
+    }
+
     pub(crate) fn crashes(&self) -> &[Crash] {
         &self.crashes
     }
@@ -136,6 +156,7 @@
             run: self.run,
             failed_runs: self.failed_runs.clone(),
             crashes: self.crashes.clone(),
+            is_given_up: self.is_given_up,
             checkpoint: self.checkpoint.clone(),
         }
     }
@@ -245,6 +266,7 @@
             task.run = known.run;
             task.failed_runs.clone_from(&known.failed_runs);
             task.crashes.clone_from(&known.crashes);
+            task.is_given_up = known.is_given_up;
             task.placed_in = known.placed_in;
             task.checkpoint.clone_from(&known.checkpoint);
             match &known.standing {
@@ -378,8 +400,11 @@
         }
     }
 
-    /// Puts a task at the end of those that wait for an executor.
+    /// Puts a task at the end of those that wait for an executor, if it may be started.
     pub(crate) fn wait(&mut self, now: Now, index: TaskIndex) {
+        if self.tasks[index].is_given_up {
+            return;
+        }
         self.tasks[index].waits_since = now;
         self.startable.push_back(index);
     }
@@ -400,6 +425,11 @@
         }
     }
 
+    /// Whether some of its tasks run until it is cancelled.
+    pub(crate) fn lasts(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.is_long_running)
+    }
+
     /// When the occurrence began that its next task belongs to.
     pub(crate) fn next_began_at(&self) -> Now {
         let next = self.startable.front().copied().unwrap_or(0);
--- a/crates/jackdawpier_fleet/src/order.rs
+++ b/crates/jackdawpier_fleet/src/order.rs
@@ -47,7 +47,7 @@
     let began_at = job.next_began_at();
     let due = began_at + objective;
     let ends_at = now + job.remaining_estimate();
-    let lateness = if job.spec.steps.iter().any(|step| step.is_long_running) {
+    let lateness = if job.lasts() {
         Lateness::LongRunning
     } else if ends_at <= due {
         Lateness::OnTime
--- a/crates/jackdawpier_fleet/tests/lasting_neighbours.rs
+++ b/crates/jackdawpier_fleet/tests/lasting_neighbours.rs
@@ -39,10 +39,15 @@
     innocent
 }
 
-/// All of the lasting job but what was hit last is at work, and its caller sees that it runs.
+/// Once the neighbours are over, all of the lasting job is at work, and its caller sees that it runs.
 fn assert_lives(world: &mut World, id: &str, tasks: usize) {
     assert_eq!(world.fleet.view(id), Some(JobView::Running));
+    let others: Vec<_> =
+        world.submissions.keys().filter(|other| ***other != *id).cloned().collect();
+    let limit = Duration::from_secs(30);
+    assert!(others.iter().all(|other| world.run_until_over(other, limit).is_some()));
     world.run_for(Duration::from_secs(8));
+    assert_eq!(world.fleet.view(id), Some(JobView::Running));
     assert_eq!(world.at_work_of(id), tasks);
 }
 
@@ -80,6 +85,24 @@
     assert_eq!(world.at_work_of("lasting"), 3);
 }
 
+/// It is still not started under a later owner, and its caller can end the job.
+#[test]
+fn cause_over_owners() {
+    let mut world = World::new(&["view"], 6);
+    world.crashes.jobs.push("lasting".into());
+    world.submit("lasting", "q-view", job(vec![lasting(4, 2)]));
+    for _ in 0..6 {
+        world.run_for(Duration::from_secs(4));
+        world.take_over();
+    }
+    world.run_for(Duration::from_secs(4));
+    assert!(world.crashes.most_under("lasting") <= 3);
+    assert_eq!(world.at_work_of("lasting"), 3);
+    world.cancel("lasting");
+    let outcome = world.run_until_over("lasting", Duration::from_secs(5));
+    assert_eq!(outcome, Some(JobOutcome::Cancelled));
+}
+
 /// Jobs that end are no cause either because they were there: each has one of several tasks hit now and
 /// then, in a pool where an executor crashes every second.
 #[test]
--- a/crates/jackdawpier_fleet/tests/world/lasting.rs
+++ b/crates/jackdawpier_fleet/tests/world/lasting.rs
@@ -8,7 +8,7 @@
 
 use jackdawpier_fleet::spec::{StepSpec, TaskKey};
 
-use super::World;
+use super::{World, executor::FakeExecutor};
 
 /// What hasn't been at work for this long counts as away, whatever the cause.
 const NOTICE: Duration = Duration::from_millis(4500);
@@ -24,7 +24,7 @@
 impl World {
     pub(super) fn note_lasting(&mut self) {
         let at_work = self.executors.values().filter(|one| one.is_alive());
-        for task in at_work.flat_map(|one| one.settled()) {
+        for task in at_work.flat_map(FakeExecutor::settled) {
             if !self.submissions[&task.job].spec.steps[task.step as usize].is_long_running {
                 continue;
             }
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -452,6 +452,7 @@
         let blames = self.fleet.take_blames();
         if std::env::var("TRACE").is_ok() {
             blames.iter().for_each(|blame| println!("{:?} {blame:?}", self.now));
+            self.fleet.take_given_up().iter().for_each(|one| println!("{:?} {one:?}", self.now));
         }
         for command in self.fleet.take_commands() {
             if std::env::var("TRACE").is_ok() {
