Don't watch tasks for crashes that another turned out to have caused

Beside tasks that crash their executors all that had been there was watched at its next starts: nothing else starts on an executor meanwhile, and the pool's queue waits. Once the cause is given up, its crashes are explained now for the others: they aren't watched for them.

A crash that came while a task was watched tells as much as a sudden one, with the third crash it is enough; a gang is watched as a whole, also under the next owner.

--- a/crates/jackdawpier_fleet/src/crash.rs
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -10,7 +10,7 @@
 use crate::spec::RunNumber;
 
 /// A run during which its executor crashed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// Number of the start.
     #[serde(rename = "r")]
@@ -28,18 +28,27 @@
     /// It was watched, so that nothing else had begun there since it did.
     #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_watched: bool,
+    /// Another task turned out to be the cause.
+    #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_explained: bool,
 }
 
 impl Crash {
     /// Whether a second one like it leaves no doubt.
     fn is_telling(&self) -> bool {
-        self.is_confirmed && !self.is_shared && (self.is_sudden || self.is_watched)
+        let is_open = !self.is_shared && !self.is_explained;
+        self.is_alone() || (self.is_confirmed && self.is_sudden && is_open)
+    }
+
+    /// Whether it was certainly there and nothing else had begun since.
+    fn is_alone(&self) -> bool {
+        self.is_confirmed && self.is_watched && !self.is_shared
     }
 }
 
 /// What follows from the crashes under a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Suspicion {
+pub enum Suspicion {
     /// It is placed like any other.
     None,
     /// It starts where nothing else starts beside it, until it has run for this long: then a crash
@@ -67,7 +76,8 @@
 
 /// Whether a task isn't started again once this run hasn't ended well. `refused` are runs that certainly
 /// never began.
-pub(crate) fn is_given_up(crashes: &[Crash], run: RunNumber, refused: &[RunNumber]) -> bool {
+#[must_use]
+pub fn is_given_up(crashes: &[Crash], run: RunNumber, refused: &[RunNumber]) -> bool {
     suspicion(crashes) == Suspicion::Plain || is_spent(crashes, run, refused)
 }
 
@@ -82,24 +92,28 @@
     is_certain && has_own && starts_after >= STARTS_AFTER
 }
 
-/// Judges a task by its crashes. Those with a likelier cause only let it be watched, so that the next
-/// one has none.
-pub(crate) fn suspicion(crashes: &[Crash]) -> Suspicion {
-    let count_own = own(crashes).count();
-    let confirmed = own(crashes).filter(|crash| crash.is_confirmed).count();
+/// Judges a task by its crashes. Those with a likelier cause only let it be watched, so that the next one has
+/// none. It isn't watched for those that are explained, up to the third: any number of tasks may be alike.
+#[must_use]
+pub fn suspicion(crashes: &[Crash]) -> Suspicion {
     let telling = crashes.iter().filter(|crash| crash.is_telling()).count();
-    let sudden = crashes.iter().filter(|crash| crash.is_sudden).count();
+    let confirmed = own(crashes).filter(|crash| crash.is_confirmed).count();
     let enough = ENOUGH[confirmed.min(ENOUGH.len() - 1)];
-    match crashes.len() {
-        0 => Suspicion::None,
-        _ if count_own >= enough || telling >= ENOUGH_TELLING => Suspicion::Plain,
-        1 if sudden == 0 => Suspicion::None,
-        count if sudden == count => Suspicion::Watched(WATCH_START),
+    let counts_all = crashes.len() >= MOST_CRASHES;
+    let is_third_alone = counts_all && crashes.iter().any(Crash::is_alone);
+    if own(crashes).count() >= enough || telling >= ENOUGH_TELLING || is_third_alone {
+        return Suspicion::Plain;
+    }
+    let counted = crashes.iter().filter(|crash| counts_all || !crash.is_explained);
+    let (sudden, late): (Vec<&Crash>, Vec<&Crash>) = counted.partition(|crash| crash.is_sudden);
+    match (sudden.len(), late.len()) {
+        (0, 0 | 1) => Suspicion::None,
+        (_, 0) => Suspicion::Watched(WATCH_START),
         _ => Suspicion::Watched(WATCH_WORK),
     }
 }
 
-/// Crashes without a likelier cause.
+/// Crashes that speak against the task itself.
 fn own(crashes: &[Crash]) -> impl Iterator<Item = &Crash> {
     crashes.iter().filter(|crash| !crash.is_shared)
 }
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -5,6 +5,7 @@
 
 mod blame;
 mod commits;
+mod crash_scenes;
 mod executors;
 mod freed_labels;
 mod gangs;
@@ -43,6 +44,8 @@
 pub use starts::{StartEnd, StopEnd};
 pub use waits::{Obstacles, Wait};
 
+use crash_scenes::CrashScenes;
+
 use crate::{
     account::{Account, Accounts},
     demand::Arrivals,
@@ -209,6 +212,7 @@
     losses: Vec<Loss>,
     blames: Vec<Blame>,
     given_up: Vec<GivenUp>,
+    crash_scenes: CrashScenes,
     /// Executors of which more ends have become durable.
     settled: Vec<ExecutorId>,
     machines: Machines,
@@ -250,6 +254,7 @@
             losses: Vec::new(),
             blames: Vec::new(),
             given_up: Vec::new(),
+            crash_scenes: CrashScenes::default(),
             settled: Vec::new(),
             machines_planned_at: Now::ZERO,
             expired_at: Now::ZERO,
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -85,6 +85,7 @@
             .iter()
             .filter_map(|task| Some((task, crash_under(now, self.task(task)?, signs)?)))
             .collect();
+        self.note_scene(&crashes);
         let watched = self.watched_at(id, signs);
         let has_newcomer = crashes.iter().any(|(_, crash)| crash.is_sudden);
         for (task_ref, mut crash) in crashes {
@@ -92,12 +93,18 @@
                 self.clear_crashes(task_ref);
                 continue;
             }
-            crash.is_shared = has_newcomer && !crash.is_sudden;
-            crash.is_watched = watched.as_ref() == Some(task_ref);
+            crash.is_shared = has_newcomer && !crash.is_sudden && self.settings.policy.weighs_life;
+            crash.is_watched =
+                watched.as_ref().is_some_and(|one| self.start_together(one, task_ref));
             self.blame(id, task_ref, crash);
         }
     }
 
+    fn note_scene(&mut self, crashes: &[(&TaskRef, Crash)]) {
+        let present = crashes.iter().map(|(task, crash)| ((*task).clone(), crash.run));
+        self.crash_scenes.note(present.collect());
+    }
+
     fn blame(&mut self, id: &ExecutorId, task_ref: &TaskRef, crash: Crash) {
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
         let task_key = job.key(task_ref.1);
@@ -116,6 +123,13 @@
         is_on.then(|| watch.task.clone())
     }
 
+    /// Whether two tasks are one, or members of one gang.
+    fn start_together(&self, one: &TaskRef, other: &TaskRef) -> bool {
+        let Some(job) = self.jobs.get(&one.0).filter(|_| one.0 == other.0) else { return false };
+        let is_gang = job.step(one.1).is_gang && job.slot(one.1) == job.slot(other.1);
+        is_gang || one.1 == other.1
+    }
+
     fn task(&self, task_ref: &TaskRef) -> Option<&Task> {
         self.jobs.get(&task_ref.0).map(|job| &job.tasks[task_ref.1])
     }
@@ -219,6 +233,7 @@
             job_goes_on: job.lasts(),
         };
         job.tasks[task_ref.1].is_given_up = true;
+        self.clear_beside(task_ref);
         if given_up.job_goes_on {
             self.touch(&task_ref.0);
         } else {
@@ -247,7 +262,7 @@
     let is_stopping = matches!(task.phase, Phase::Stopping { .. });
     let is_confirmed = survived.is_some() && !is_stopping && signs.hold_until_end(now);
     let is_sudden = survived.is_none_or(|time| time <= SUDDEN);
-    Some(Crash { run: task.run, is_confirmed, is_sudden, is_shared: false, is_watched: false })
+    Some(Crash { run: task.run, is_confirmed, is_sudden, ..Crash::default() })
 }
 
 impl LastSigns {
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/crash_scenes.rs
@@ -0,0 +1,54 @@
+//! Who was on an executor when it crashed, so that the others are cleared once one of them turns out to be
+//! the cause.
+//!
+//! See `docs/design/lives.md`. What an earlier owner saw isn't known; the crashes that it noted stay.
+
+use std::collections::VecDeque;
+
+use super::Fleet;
+use crate::{executor::TaskRef, spec::RunNumber};
+
+/// Crashes that are remembered: a suspect is judged within seconds, in which some dozens of executors crash.
+const REMEMBERED: usize = 256;
+
+/// A run that may have been why an executor crashed.
+type Present = (TaskRef, RunNumber);
+
+/// The last crashes with the runs that were there.
+#[derive(Debug, Default)]
+pub(super) struct CrashScenes(VecDeque<Vec<Present>>);
+
+impl CrashScenes {
+    pub(super) fn note(&mut self, present: Vec<Present>) {
+        if self.0.len() == REMEMBERED {
+            self.0.pop_front();
+        }
+        self.0.push_back(present);
+    }
+
+    /// Runs that were there when a task's executors crashed, other than its own.
+    fn beside(&mut self, cause: &TaskRef) -> Vec<Present> {
+        let (of_cause, others): (Vec<_>, Vec<_>) = std::mem::take(&mut self.0)
+            .into_iter()
+            .partition(|present| present.iter().any(|(task, _)| task == cause));
+        self.0 = others.into();
+        let mut beside: Vec<Present> = of_cause.into_iter().flatten().collect();
+        beside.retain(|(task, _)| task != cause);
+        beside
+    }
+}
+
+impl Fleet {
+    /// Clears all others that were there of the crashes that a task has caused.
+    pub(super) fn clear_beside(&mut self, cause: &TaskRef) {
+        if !self.settings.policy.explains_crashes {
+            return;
+        }
+        for (task, run) in self.crash_scenes.beside(cause) {
+            let job = self.jobs.get_mut(&task.0).filter(|job| !job.is_over());
+            if job.is_some_and(|job| job.tasks[task.1].explain_crash(run)) {
+                self.touch(&task.0);
+            }
+        }
+    }
+}
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -123,6 +123,13 @@
         is_news
     }
 
+    /// Another task turned out to be the cause of the crash of this run, unless this one was watched;
+    /// returns whether that is news.
+    pub(crate) fn explain_crash(&mut self, run: RunNumber) -> bool {
+        let crash = self.crashes.iter_mut().find(|crash| crash.run == run && !crash.is_watched);
+        crash.is_some_and(|crash| !std::mem::replace(&mut crash.is_explained, true))
+    }
+
     /// The executor lived on long enough for it to be no cause of earlier crashes.
     pub(crate) fn clear_crashes(&mut self) {
         self.crashes.clear();
--- a/crates/jackdawpier_fleet/src/policy.rs
+++ b/crates/jackdawpier_fleet/src/policy.rs
@@ -17,6 +17,10 @@
     pub leaves_out_suspects: bool,
     /// A task under which executors have crashed starts where nothing else starts beside it.
     pub watches_suspects: bool,
+    /// What had been on an executor for long is hardly blamed for a crash beside what had just begun.
+    pub weighs_life: bool,
+    /// Once a task turns out to be the cause of a crash the others that were there aren't suspected for it.
+    pub explains_crashes: bool,
     /// The rate of arrivals counts towards what a pool needs, not only what runs and waits.
     pub follows_arrivals: bool,
     /// A rise within a quarter of a second counts as well as the rate over a second.
@@ -38,6 +42,8 @@
             spares_labels: true,
             leaves_out_suspects: true,
             watches_suspects: true,
+            weighs_life: true,
+            explains_crashes: true,
             follows_arrivals: true,
             sees_rises: true,
             follows_trend: true,
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/crash_evidence.rs
@@ -0,0 +1,69 @@
+//! What crashes say of a task, by what is known of each: the decision by itself, without a world.
+
+use jackdawpier_fleet::crash::{Crash, Suspicion, is_given_up, suspicion};
+
+fn crash(run: u32) -> Crash {
+    Crash { run, is_confirmed: true, ..Crash::default() }
+}
+
+fn sudden(run: u32) -> Crash {
+    Crash { is_sudden: true, ..crash(run) }
+}
+
+fn shared(run: u32) -> Crash {
+    Crash { is_shared: true, ..crash(run) }
+}
+
+fn is_watched(crashes: &[Crash]) -> bool {
+    matches!(suspicion(crashes), Suspicion::Watched(_))
+}
+
+#[test]
+fn sudden_twice() {
+    assert!(is_watched(&[sudden(1)]));
+    assert_eq!(suspicion(&[sudden(1), sudden(2)]), Suspicion::Plain);
+}
+
+/// What had been there for long beside newcomers is never given up for that alone.
+#[test]
+fn always_shared() {
+    let crashes: Vec<Crash> = (1..20).map(shared).collect();
+    assert!(is_watched(&crashes));
+    assert!(!is_given_up(&crashes, 30, &[]));
+}
+
+#[test]
+fn crash_while_watched() {
+    let watched = |run| Crash { is_watched: true, ..crash(run) };
+    assert!(is_watched(&[shared(1), shared(2)]));
+    assert_eq!(suspicion(&[shared(1), shared(2), watched(3)]), Suspicion::Plain);
+    assert_eq!(suspicion(&[crash(1), watched(2), watched(3)]), Suspicion::Plain);
+}
+
+/// One that another task turned out to have caused is as good as none, but for the third.
+#[test]
+fn explained_crash() {
+    let explained = |run| Crash { is_explained: true, ..sudden(run) };
+    assert_eq!(suspicion(&[explained(1), explained(2)]), Suspicion::None);
+    assert!(is_watched(&[explained(1), sudden(2)]));
+    assert_ne!(suspicion(&[explained(1), explained(2), shared(3)]), Suspicion::None);
+}
+
+/// A start that was refused for certain isn't one of the two that are left after the third crash.
+#[test]
+fn refused_starts() {
+    let crashes = [shared(1), shared(2), Crash { is_confirmed: false, ..crash(3) }];
+    assert!(!is_given_up(&crashes, 4, &[]));
+    assert!(is_given_up(&crashes, 5, &[]));
+    assert!(!is_given_up(&crashes, 5, &[4]));
+}
+
+/// Nothing that was never confirmed is held against a task before the fifth.
+#[test]
+fn unconfirmed() {
+    let unconfirmed = |run| Crash { is_confirmed: false, ..sudden(run) };
+    let four: Vec<Crash> = (1..5).map(unconfirmed).collect();
+    assert_ne!(suspicion(&four), Suspicion::Plain);
+    let five: Vec<Crash> = (1..6).map(unconfirmed).collect();
+    assert_eq!(suspicion(&five), Suspicion::Plain);
+}
