Don't park a long job of the own interface for workers that others took along

A loss beside a job that began at least a third of a lease later counts only towards a bound of twelve on all losses, and a job that has lost a worker doesn't begin beside another newcomer where it can be helped.

beside_another fails without it (parked with the third worker, NeverRuns), also with the loss alone not shared; loses_each still parks a job that loses each worker with the third.

--- a/crates/jackdawpier_jobs/src/blame.rs
+++ b/crates/jackdawpier_jobs/src/blame.rs
@@ -20,6 +20,8 @@
 const PARK_AFTER: usize = 3;
 /// Racks that these workers must stand in at least.
 const PARK_RACKS: usize = 2;
+/// Workers that a job may lose in all before it is parked, also beside likelier causes.
+const PARK_AFTER_LOSSES: usize = 12;
 /// Time for which a worker is left out; doubles each time.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 const MAX_QUARANTINE: Duration = Duration::from_secs(3600);
@@ -31,11 +33,20 @@
     quarantine: Option<Duration>,
 }
 
+/// A worker on which a job has failed, or which fell silent while it ran there.
+#[derive(Debug)]
+struct Place {
+    worker: WorkerId,
+    rack: RackName,
+    /// Another job had just begun there, which is the likelier cause.
+    is_shared: bool,
+}
+
 /// Failures of jobs and workers.
 #[derive(Debug, Default)]
 pub struct Blame {
     workers: HashMap<WorkerId, WorkerRecord>,
-    jobs: HashMap<JobId, Vec<(WorkerId, RackName)>>,
+    jobs: HashMap<JobId, Vec<Place>>,
 }
 
 /// What follows from a failure.
@@ -65,7 +76,7 @@
 
     /// Workers on which `job` has failed, or which it lost; it is not placed there again while others are free.
     pub fn failed_on(&self, job: &str) -> impl Iterator<Item = &WorkerId> {
-        self.jobs.get(job).into_iter().flatten().map(|(worker, _)| worker)
+        self.jobs.get(job).into_iter().flatten().map(|place| &place.worker)
     }
 
     /// Notes that a job ran to its end.
@@ -80,22 +91,31 @@
     }
 
     /// Notes that a worker fell silent while it ran a job, which may be why: one that crashes reports
-    /// nothing. It doesn't count against the worker, which others may have taken along.
-    pub fn lost(&mut self, now: Now, job: &JobId, worker: &WorkerId, rack: &RackName) -> Verdict {
-        self.note_place(job, worker, rack);
+    /// nothing. It doesn't count against the worker, which others may have taken along; nor, but for a bound
+    /// on all losses, against a job that had been there for longer than one that `is_shared` tells of.
+    pub fn lost(
+        &mut self,
+        now: Now,
+        job: &JobId,
+        worker: &WorkerId,
+        rack: &RackName,
+        is_shared: bool,
+    ) -> Verdict {
+        self.note_place(job, worker, rack, is_shared);
         if self.never_runs(now, job) { Verdict::JobNeverRuns } else { Verdict::TryElsewhere }
     }
 
-    fn note_place(&mut self, job: &JobId, worker: &WorkerId, rack: &RackName) {
+    fn note_place(&mut self, job: &JobId, worker: &WorkerId, rack: &RackName, is_shared: bool) {
         let places = self.jobs.entry(job.clone()).or_default();
-        if !places.iter().any(|(place, _)| place == worker) {
-            places.push((worker.clone(), rack.clone()));
+        match places.iter_mut().find(|place| place.worker == *worker) {
+            Some(place) => place.is_shared &= is_shared,
+            None => places.push(Place { worker: worker.clone(), rack: rack.clone(), is_shared }),
         }
     }
 
     /// Notes that a job failed on a worker.
     pub fn failed(&mut self, now: Now, job: &JobId, worker: &WorkerId, rack: &RackName) -> Verdict {
-        self.note_place(job, worker, rack);
+        self.note_place(job, worker, rack, false);
         let record = self.workers.entry(worker.clone()).or_default();
         record.failed_in_a_row.insert(job.clone());
         if record.failed_in_a_row.len() >= QUARANTINE_AFTER {
@@ -114,20 +134,22 @@
         let accused = std::mem::take(&mut record.failed_in_a_row);
         for job in accused {
             if let Some(places) = self.jobs.get_mut(&job) {
-                places.retain(|(place, _)| place != worker);
+                places.retain(|place| place.worker != *worker);
             }
         }
     }
 
     fn never_runs(&self, now: Now, job: &JobId) -> bool {
-        let healthy: Vec<&(WorkerId, RackName)> = self
+        let healthy: Vec<&Place> = self
             .jobs
             .get(job)
             .into_iter()
             .flatten()
-            .filter(|(worker, _)| !self.is_quarantined(now, worker))
+            .filter(|place| !self.is_quarantined(now, &place.worker))
             .collect();
-        let racks: BTreeSet<&RackName> = healthy.iter().map(|(_, rack)| rack).collect();
-        healthy.len() >= PARK_AFTER && racks.len() >= PARK_RACKS
+        let own = || healthy.iter().filter(|place| !place.is_shared);
+        let racks: BTreeSet<&RackName> = own().map(|place| &place.rack).collect();
+        let fails_everywhere = own().count() >= PARK_AFTER && racks.len() >= PARK_RACKS;
+        fails_everywhere || healthy.len() >= PARK_AFTER_LOSSES
     }
 }
--- a/crates/jackdawpier_jobs/src/queue.rs
+++ b/crates/jackdawpier_jobs/src/queue.rs
@@ -79,6 +79,8 @@
     last_write: u64,
     reserved: Size,
     renewed_at: Now,
+    /// When its present run was ordered.
+    started_at: Now,
     is_stopping: bool,
     is_cancelled: bool,
 }
@@ -218,6 +220,7 @@
             last_write: 0,
             reserved: Size::default(),
             renewed_at: Now::ZERO,
+            started_at: Now::ZERO,
             is_stopping: false,
             is_cancelled: false,
             job,
@@ -300,6 +303,7 @@
                 }
                 live.phase = Phase::Starting;
                 live.renewed_at = now;
+                live.started_at = now;
                 let job = &live.job;
                 let task = StartTask {
                     job: id.clone(),
--- a/crates/jackdawpier_jobs/src/queue/placement.rs
+++ b/crates/jackdawpier_jobs/src/queue/placement.rs
@@ -61,8 +61,11 @@
         let job = &self.jobs[id].job;
         let expected = self.learning.expected(&job.class, &job.customer, job.declared);
         let failed_on: BTreeSet<WorkerId> = self.blame.failed_on(id).cloned().collect();
-        let avoid =
-            |worker: &str| failed_on.contains(worker) || self.blame.is_quarantined(now, worker);
+        let avoid = |worker: &str| {
+            failed_on.contains(worker)
+                || self.blame.is_quarantined(now, worker)
+                || self.blurs_blame(now, id, worker)
+        };
         let chosen = self.workers.best_fit(&expected, avoid).or_else(|| {
             self.workers.best_fit(&expected, |worker| self.blame.is_quarantined(now, worker))
         });
--- a/crates/jackdawpier_jobs/src/queue/tasks.rs
+++ b/crates/jackdawpier_jobs/src/queue/tasks.rs
@@ -152,10 +152,11 @@
     /// The lease is over and nobody knows how the task ended.
     fn on_unknown(&mut self, now: Now, id: &JobId) -> Vec<Command> {
         let worker = self.jobs[id].worker().cloned();
+        let is_shared = self.has_newcomer_beside(id);
         self.free_worker(id);
         let verdict = worker.map_or(Verdict::TryElsewhere, |worker| {
             let rack = self.rack_of(&worker);
-            self.blame.lost(now, id, &worker, &rack)
+            self.blame.lost(now, id, &worker, &rack, is_shared)
         });
         let is_idempotent = self.jobs[id].job.is_idempotent;
         let state = match (is_idempotent, verdict) {
@@ -166,6 +167,28 @@
         self.finish(id, state)
     }
 
+    /// Whether another job began on the worker of a job long after it, and hasn't ended there.
+    fn has_newcomer_beside(&self, id: &JobId) -> bool {
+        let live = &self.jobs[id];
+        let began_after = live.started_at + self.task_lease / RENEWALS_PER_LEASE;
+        let beside = live.worker().and_then(|worker| self.by_worker.get(worker));
+        beside.into_iter().flatten().any(|other| self.jobs[other].started_at >= began_after)
+    }
+
+    /// Whether a job and another that has just begun on a worker would begin there together, and one of them
+    /// has lost a worker before: if this one falls silent too, nothing would tell which of them it was.
+    pub(super) fn blurs_blame(&self, now: Now, id: &JobId, worker: &str) -> bool {
+        let is_suspect = |id: &JobId| self.blame.failed_on(id).next().is_some();
+        let is_newcomer = |other: &&JobId| {
+            let live = &self.jobs[*other];
+            let began = live.started_at + self.task_lease / RENEWALS_PER_LEASE;
+            matches!(live.phase, Phase::Claiming | Phase::Starting) || began > now
+        };
+        let there = self.by_worker.get(worker);
+        let mut newcomers = there.into_iter().flatten().filter(is_newcomer);
+        newcomers.any(|other| is_suspect(id) || is_suspect(other))
+    }
+
     /// Notes that a renewal reached the worker, sent at `sent_at`.
     pub fn renewed(&mut self, sent_at: Now, id: &str) {
         if let Some(live) = self.jobs.get_mut(id) {
--- a/crates/jackdawpier_jobs/tests/lost_workers.rs
+++ b/crates/jackdawpier_jobs/tests/lost_workers.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use jackdawpier_jobs::{
     job::{JobState, ParkReason},
@@ -11,7 +11,7 @@
 };
 use jackdawpier_kernel::{
     Now,
-    ids::JobId,
+    ids::{JobId, WorkerId},
     task::{TaskReport, TaskState},
 };
 use support::{SIZE, job, worker};
@@ -19,12 +19,15 @@
 const LEASE: Duration = Duration::from_secs(3);
 const TICK: Duration = Duration::from_millis(100);
 
-/// A queue with as many workers in two racks, all of which take a start and then fall silent.
+/// A queue with as many workers in two racks, each of which falls silent once it has taken a start, other
+/// than of a harmless job.
 struct SilentWorkers {
     queue: JobQueue,
     now: Now,
     writes: u64,
-    starts: usize,
+    starts: Vec<JobId>,
+    harmless: BTreeSet<JobId>,
+    silent: BTreeSet<WorkerId>,
 }
 
 impl SilentWorkers {
@@ -36,7 +39,14 @@
                 &format!("rack-{}", number % 2),
             ));
         }
-        Self { queue, now: Now::ZERO, writes: 0, starts: 0 }
+        Self {
+            queue,
+            now: Now::ZERO,
+            writes: 0,
+            starts: Vec::new(),
+            harmless: BTreeSet::new(),
+            silent: BTreeSet::new(),
+        }
     }
 
     fn submit(&mut self, id: &JobId) {
@@ -54,8 +64,11 @@
                     let durable = self.queue.committed(self.now, self.writes);
                     self.follow(durable);
                 }
-                Command::Start { task: start, .. } => {
-                    self.starts += 1;
+                Command::Start { worker, task: start } => {
+                    self.starts.push(start.job.clone());
+                    if !self.harmless.contains(&start.job) {
+                        self.silent.insert(worker);
+                    }
                     let report = TaskReport {
                         job: start.job.clone(),
                         attempt: start.attempt,
@@ -78,6 +91,16 @@
             self.now += TICK;
             let commands = self.queue.tick(self.now);
             self.follow(commands);
+            self.renew();
+        }
+    }
+
+    fn renew(&mut self) {
+        for renewal in self.queue.renewals(self.now) {
+            let Command::Tell { worker, command } = renewal else { continue };
+            if !self.silent.contains(&worker) {
+                self.queue.renewed(self.now, &command.job);
+            }
         }
     }
 }
@@ -89,6 +112,28 @@
     world.submit(&id);
     world.run_for(LEASE * 12);
     let state = world.queue.job(&id).expect("it is known").state.clone();
-    assert_eq!(world.starts, 3);
+    assert_eq!(world.starts.len(), 3);
     assert_eq!(state, JobState::Parked { reason: ParkReason::NeverRuns });
 }
+
+/// A long job loses its workers to others that had just begun there. It was parked with the third, as if
+/// it could run nowhere, though it had run for seconds on each.
+#[test]
+fn beside_another() {
+    let long: JobId = "long".into();
+    let mut world = SilentWorkers::new(24);
+    world.harmless.insert(long.clone());
+    world.submit(&long);
+    world.run_for(LEASE * 2);
+    for number in 0..3 {
+        let short: JobId = format!("short-{number}").as_str().into();
+        world.submit(&short);
+        world.run_for(LEASE * 3);
+        let silent = world.silent.clone();
+        world.queue.retain_workers(|worker| !silent.contains(worker));
+    }
+    let state = world.queue.job(&long).expect("it is known").state.clone();
+    assert!(matches!(state, JobState::Claimed { .. }), "{state:?}");
+    let starts = world.starts.iter().filter(|id| **id == long).count();
+    assert!(starts > 3, "it has lost three workers to the others: {starts} starts");
+}
