Take whoever began last on an executor for the likelier cause of its crash

With what stood, 185 of 400 left a lasting task held back for good that was no cause: crashes that come half a second after a start had no newcomer within 100 ms, so all that was there was blamed alike; and a task was taken for watched under an owner that hadn't seen it begin.

A crash is now shared for all that had been there longer than whoever began last; a lasting suspect starts beside what has outlived the time in which its executors crashed; what this owner didn't see begin wasn't watched; one crash alone is enough with the third (the fourth for a task that lasts) if two are certain; orders that were stopped before they began are no starts; the verdict on a lasting task stands in its record.

--- a/crates/jackdawpier_fleet/src/crash.rs
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -75,18 +75,23 @@
 const WATCH_WORK: Duration = Duration::from_secs(2);
 
 /// Whether a task isn't started again once this run hasn't ended well. `refused` are runs that certainly
-/// never began.
+/// never began. One that `lasts` would be missed until its job is cancelled, so that it takes one more.
 #[must_use]
-pub fn is_given_up(crashes: &[Crash], run: RunNumber, refused: &[RunNumber]) -> bool {
-    suspicion(crashes) == Suspicion::Plain || is_spent(crashes, run, refused)
+pub fn is_given_up(crashes: &[Crash], run: RunNumber, refused: &[RunNumber], lasts: bool) -> bool {
+    let enough_with_one_alone = MOST_CRASHES + usize::from(lasts);
+    let confirmed = crashes.iter().filter(|crash| crash.is_confirmed).count();
+    let was_alone = confirmed >= ENOUGH_TELLING && crashes.iter().any(Crash::is_alone);
+    suspicion(crashes) == Suspicion::Plain
+        || is_spent(crashes, run, refused, lasts)
+        || (was_alone && crashes.len() >= enough_with_one_alone)
 }
 
 /// Whether a task has used up its starts with this run. One that is always there with a likelier cause
-/// never has.
-fn is_spent(crashes: &[Crash], run: RunNumber, refused: &[RunNumber]) -> bool {
+/// never has; nor has one that lasts, if it may not have been there when it had none.
+fn is_spent(crashes: &[Crash], run: RunNumber, refused: &[RunNumber], lasts: bool) -> bool {
     let Some(third) = crashes.get(MOST_CRASHES - 1) else { return false };
     let is_certain = crashes.iter().any(|crash| crash.is_confirmed);
-    let has_own = own(crashes).next().is_some();
+    let has_own = own(crashes).any(|crash| crash.is_confirmed || !lasts);
     let never_began = refused.iter().filter(|refused| **refused > third.run).count() as u32;
     let starts_after = run.saturating_sub(third.run).saturating_sub(never_began);
     is_certain && has_own && starts_after >= STARTS_AFTER
@@ -100,8 +105,7 @@
     let confirmed = own(crashes).filter(|crash| crash.is_confirmed).count();
     let enough = ENOUGH[confirmed.min(ENOUGH.len() - 1)];
     let counts_all = crashes.len() >= MOST_CRASHES;
-    let is_third_alone = counts_all && crashes.iter().any(Crash::is_alone);
-    if own(crashes).count() >= enough || telling >= ENOUGH_TELLING || is_third_alone {
+    if own(crashes).count() >= enough || telling >= ENOUGH_TELLING {
         return Suspicion::Plain;
     }
     let counted = crashes.iter().filter(|crash| counts_all || !crash.is_explained);
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -85,24 +85,45 @@
             .iter()
             .filter_map(|task| Some((task, crash_under(now, self.task(task)?, signs)?)))
             .collect();
-        self.note_scene(&crashes);
+        let present = crashes.iter().map(|(task, crash)| ((*task).clone(), crash.run));
+        self.crash_scenes.note(present.collect());
         let watched = self.watched_at(id, signs);
-        let has_newcomer = crashes.iter().any(|(_, crash)| crash.is_sudden);
+        let shortest = crashes.iter().map(|(task, _)| self.lived(task, signs)).min();
+        let shortest = shortest.unwrap_or_default();
         for (task_ref, mut crash) in crashes {
-            if self.is_proved(task_ref, signs) {
+            if self.lasts(task_ref) && self.seen_for(task_ref, signs) >= LASTING_PROOF {
                 self.clear_crashes(task_ref);
                 continue;
             }
-            crash.is_shared = has_newcomer && !crash.is_sudden && self.settings.policy.weighs_life;
-            crash.is_watched =
-                watched.as_ref().is_some_and(|one| self.start_together(one, task_ref));
+            let was_longer_there =
+                !crash.is_sudden && self.lived(task_ref, signs) > shortest + SUDDEN;
+            crash.is_shared = was_longer_there && self.settings.policy.weighs_life;
+            crash.is_watched = self.saw_start(task_ref)
+                && watched.as_ref().is_some_and(|one| self.start_together(one, task_ref));
             self.blame(id, task_ref, crash);
         }
     }
 
-    fn note_scene(&mut self, crashes: &[(&TaskRef, Crash)]) {
-        let present = crashes.iter().map(|(task, crash)| ((*task).clone(), crash.run));
-        self.crash_scenes.note(present.collect());
+    /// How long an executor was heard of after it had confirmed the start of a task; nothing if it never did.
+    fn lived(&self, task_ref: &TaskRef, signs: LastSigns) -> Duration {
+        self.task(task_ref).and_then(|task| survived(task, signs)).unwrap_or_default()
+    }
+
+    /// For how long this owner has seen a task alive.
+    fn seen_for(&self, task_ref: &TaskRef, signs: LastSigns) -> Duration {
+        let confirmed_at = self.task(task_ref).and_then(|task| task.confirmed_at);
+        let seen_from = confirmed_at.map(|at| at.max(self.started_at));
+        seen_from.map(|at| signs.last_answer.saturating_sub(at)).unwrap_or_default()
+    }
+
+    /// Whether the executor has confirmed the start of a task to this owner.
+    fn saw_start(&self, task_ref: &TaskRef) -> bool {
+        let confirmed_at = self.task(task_ref).and_then(|task| task.confirmed_at);
+        confirmed_at.is_some_and(|at| at >= self.started_at)
+    }
+
+    fn lasts(&self, task_ref: &TaskRef) -> bool {
+        self.jobs.get(&task_ref.0).is_some_and(|job| job.step(task_ref.1).is_long_running)
     }
 
     fn blame(&mut self, id: &ExecutorId, task_ref: &TaskRef, crash: Crash) {
@@ -140,16 +161,6 @@
         }
     }
 
-    /// Whether a task lasts and has lived for so long before the crash that it is no cause. What an
-    /// earlier owner saw of it isn't known.
-    fn is_proved(&self, task_ref: &TaskRef, signs: LastSigns) -> bool {
-        let Some(job) = self.jobs.get(&task_ref.0) else { return false };
-        let confirmed_at = job.tasks[task_ref.1].confirmed_at;
-        let seen_from = confirmed_at.map(|at| at.max(self.started_at));
-        let lived = seen_from.map(|at| signs.last_answer.saturating_sub(at));
-        job.step(task_ref.1).is_long_running && lived.is_some_and(|time| time >= LASTING_PROOF)
-    }
-
     /// Whether a task is watched when it starts.
     pub(super) fn is_suspect(&self, job: &Job, index: TaskIndex) -> bool {
         let is_watched = matches!(suspicion(job.tasks[index].crashes()), Suspicion::Watched(_));
@@ -172,11 +183,14 @@
     /// Tasks on an executor that may yet crash of their start, other than members of a task's own gang.
     fn newcomers(&self, executor: &Executor, job: &Job, index: TaskIndex) -> usize {
         let is_gang = job.step(index).is_gang;
+        let survives_after = survives_after(job, index);
         let is_newcomer = |(id, other): &&TaskRef| {
             let is_own = *id == job.id && job.slot(*other) == job.slot(index);
             match self.jobs.get(id).map(|job| &job.tasks[*other].phase) {
                 _ if is_gang && is_own => false,
-                Some(Phase::Running { since, .. }) => *since + SUDDEN > executor.answered_at,
+                Some(Phase::Running { since, .. }) => {
+                    *since + survives_after > executor.answered_at
+                }
                 phase => !matches!(phase, Some(Phase::Stopping { .. })),
             }
         };
@@ -223,7 +237,7 @@
     pub(super) fn give_up(&mut self, now: Now, task_ref: &TaskRef) {
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
         let task = &job.tasks[task_ref.1];
-        if job.is_over() || task.is_given_up || !task.crashes_too_often() {
+        if job.is_over() || task.is_given_up || !task.crashes_too_often(job.lasts()) {
             return;
         }
         let given_up = GivenUp {
@@ -243,7 +257,16 @@
     }
 }
 
-/// How long an executor was heard of after it had confirmed the start of a task; none if it never did.
+/// How long others have to be there before a task is watched beside them. One that lasts can wait until
+/// the executors that it saw crash would have crashed by then.
+fn survives_after(job: &Job, index: TaskIndex) -> Duration {
+    match suspicion(job.tasks[index].crashes()) {
+        Suspicion::Watched(time) if job.step(index).is_long_running => time.max(SUDDEN),
+        _ => SUDDEN,
+    }
+}
+
+/// As [`Fleet::lived`]; none if the start was never confirmed.
 fn survived(task: &Task, signs: LastSigns) -> Option<Duration> {
     task.confirmed_at.map(|at| signs.last_answer.saturating_sub(at))
 }
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -286,8 +286,8 @@
             executor.tasks.iter().filter(|task| !present.contains_key(*task)).cloned().collect();
         let stop_bound = self.settings.stop_timeout + STOP_MARGIN;
         for task_ref in absent {
-            let Some(job) = self.jobs.get(&task_ref.0) else { continue };
-            let task = &job.tasks[task_ref.1];
+            let Some(job) = self.jobs.get_mut(&task_ref.0) else { continue };
+            let task = &mut job.tasks[task_ref.1];
             match &task.phase {
                 // The fence keeps a former owner's late order from starting it now.
                 Phase::Doubt { .. } => {
@@ -299,6 +299,10 @@
                     self.run_over(now, &task_ref, None);
                 }
                 Phase::Stopping { confirmed_at: Some(at), .. } if sent_at > *at + stop_bound => {
+                    // Its end would have been listed before.
+                    if task.confirmed_at.is_none() {
+                        task.note_refused();
+                    }
                     self.run_over(now, &task_ref, None);
                 }
                 // Confirmed before the question left, and neither running nor ended: make sure.
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -143,8 +143,8 @@
     }
 
     /// Whether executors have crashed under it so often that it isn't started again.
-    pub(crate) fn crashes_too_often(&self) -> bool {
-        is_given_up(&self.crashes, self.run, &self.refused_runs)
+    pub(crate) fn crashes_too_often(&self, lasts: bool) -> bool {
+        is_given_up(&self.crashes, self.run, &self.refused_runs, lasts)
     }
 
     pub(crate) fn crashes(&self) -> &[Crash] {
