--- a/crates/jackdawpier_fleet/src/crash.rs
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -101,6 +101,9 @@
 /// none. It isn't watched for those that are explained, up to the third: any number of tasks may be alike.
 #[must_use]
 pub fn suspicion(crashes: &[Crash]) -> Suspicion {
+    if crashes.is_empty() {
+        return Suspicion::None;
+    }
     let telling = crashes.iter().filter(|crash| crash.is_telling()).count();
     let confirmed = own(crashes).filter(|crash| crash.is_confirmed).count();
     let enough = ENOUGH[confirmed.min(ENOUGH.len() - 1)];
