Say what a late question for a job waited for, and what kept a call from leaving

Callers saw 503 or nothing for a job; the log said "the store can't be reached" for a store that turned the entry away, one that was silent, a key that waited for its proof and an entry without descriptors alike, and nothing at all of a late answer. A question that takes over 0.3 s or gets 503 leaves a line with the entry, where it asked, how long for the key and for the store, the last error, and the age of what it knew; all count in a histogram.

The entry of tests/client_accounts.rs moved to the tests' support; no assertion changed.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -33,6 +33,7 @@
     owner::OwnerCell,
     pending::Pending,
     ports::{CallError, CallerLimits, Item, Platform, Route, Transaction, TransactionEnd},
+    question::Question,
 };
 
 /// How long a caller is taken to wait if it doesn't say.
@@ -99,7 +100,10 @@
             Method::POST => {
                 self.submit(&route, id, request, configuration.limits, &credentials).await
             }
-            Method::GET => self.look(&id, account.as_ref(), store_deadline(deadline)).await,
+            Method::GET => {
+                let question = Question::admitted(arrived_at);
+                self.look(&id, account.as_ref(), store_deadline(deadline), question).await
+            }
             Method::DELETE => self.cancel(&id, account.as_ref(), store_deadline(deadline)).await,
             _ => self.problem(&id, StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE"),
         }
@@ -215,19 +219,39 @@
         }
     }
 
-    async fn look(&self, id: &JobId, account: Option<&AccountName>, deadline: Now) -> Reply {
-        if let Some((view, owner)) = self.owner.job(id) {
-            return self.show(id, view, owner.as_ref(), account);
-        }
+    async fn look(
+        &self,
+        id: &JobId,
+        account: Option<&AccountName>,
+        deadline: Now,
+        mut question: Question,
+    ) -> Reply {
+        let reply = match self.owner.job(id) {
+            Some((view, owner)) => self.show(id, view, owner.as_ref(), account),
+            None => self.look_until(id, account, deadline, &mut question).await,
+        };
+        question.answered(&self.events, id, reply.status(), self.active.proof_age());
+        reply
+    }
+
+    async fn look_until(
+        &self,
+        id: &JobId,
+        account: Option<&AccountName>,
+        deadline: Now,
+        question: &mut Question,
+    ) -> Reply {
+        question.asks_store();
         loop {
             match self.look_in_store(id).await {
                 Ok(Some((view, owner))) => return self.show(id, view, owner.as_ref(), account),
                 Ok(None) => return self.problem(id, StatusCode::GONE, "no such job"),
-                Err(_) if clock::now() + REPEAT_PAUSE < deadline => {
-                    tokio::time::sleep(REPEAT_PAUSE).await;
-                }
-                Err(_) => return self.refuse(id, "the store can't be reached"),
+                Err(error) => question.failed(error),
+            }
+            if clock::now() + REPEAT_PAUSE >= deadline {
+                return self.refuse(id, "the store can't be reached");
             }
+            tokio::time::sleep(REPEAT_PAUSE).await;
         }
     }
 
--- a/crates/jackdawpier_entry/src/http_client.rs
+++ b/crates/jackdawpier_entry/src/http_client.rs
@@ -1,8 +1,9 @@
 //! The one HTTP client of the process: kept-alive connections a host, a timeout for every call.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use derive_more::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Method, Request,
@@ -10,6 +11,7 @@
     header::{CONTENT_TYPE, HOST},
 };
 use hyper_util::rt::TokioIo;
+use nix::errno::Errno;
 use tokio::{net::TcpStream, time::timeout};
 
 /// Idle connections kept a host: a long poll, and a few orders at a time.
@@ -60,11 +62,40 @@
     pub body: Bytes,
 }
 
+/// What kept a request from leaving.
+#[derive(Debug, Clone, Copy, Display, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The connection didn't open in time.
+    #[display("it doesn't open connections")]
+    Timeout,
+    /// The host turned the connection away.
+    #[display("it refuses connections")]
+    Refused,
+    /// This process has as many open files as it may have.
+    #[display("no file descriptor is left here")]
+    NoDescriptor,
+    /// Anything else that ended the connection first.
+    #[display("the connection failed")]
+    Failed,
+}
+
+impl Obstacle {
+    fn of(error: &io::Error) -> Self {
+        let errno = error.raw_os_error().map(Errno::from_raw);
+        match errno {
+            Some(Errno::EMFILE | Errno::ENFILE) => Self::NoDescriptor,
+            Some(Errno::ECONNREFUSED) => Self::Refused,
+            Some(Errno::ETIMEDOUT) => Self::Timeout,
+            Some(_) | None => Self::Failed,
+        }
+    }
+}
+
 /// Why there is no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoAnswer {
     /// The request didn't leave.
-    NotSent,
+    NotSent(Obstacle),
     /// It may have arrived.
     Lost,
 }
@@ -101,7 +132,7 @@
             }
             match send(&mut sender, host, call).await {
                 // The host had closed it: nothing left, so a new one may be tried.
-                Err(NoAnswer::NotSent) => {}
+                Err(NoAnswer::NotSent(_)) => {}
                 Err(NoAnswer::Lost) => return Err(NoAnswer::Lost),
                 Ok(answer) => {
                     self.keep(host, sender);
@@ -138,11 +169,12 @@
 
 async fn connect(host: &str) -> Result<Sender, NoAnswer> {
     let opening = timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await;
-    let stream = opening.map_err(|_| NoAnswer::NotSent)?.map_err(|_| NoAnswer::NotSent)?;
+    let opened = opening.map_err(|_| NoAnswer::NotSent(Obstacle::Timeout))?;
+    let stream = opened.map_err(|error| NoAnswer::NotSent(Obstacle::of(&error)))?;
+    let failed = NoAnswer::NotSent(Obstacle::Failed);
     // Without it small requests wait for acknowledgements.
-    stream.set_nodelay(true).map_err(|_| NoAnswer::NotSent)?;
-    let (sender, connection) =
-        handshake(TokioIo::new(stream)).await.map_err(|_| NoAnswer::NotSent)?;
+    stream.set_nodelay(true).map_err(|_| failed)?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failed)?;
     // Its errors come back through the sender.
     tokio::task::spawn_local(async move { drop(connection.await) });
     Ok(sender)
@@ -157,11 +189,12 @@
         request = request.header(*name, value);
     }
     let body = Full::new(Bytes::from(call.body.clone()));
-    let request = request.body(body).map_err(|_| NoAnswer::NotSent)?;
+    let not_sent = NoAnswer::NotSent(Obstacle::Failed);
+    let request = request.body(body).map_err(|_| not_sent)?;
     let response = sender
         .send_request(request)
         .await
-        .map_err(|error| if error.is_canceled() { NoAnswer::NotSent } else { NoAnswer::Lost })?;
+        .map_err(|error| if error.is_canceled() { not_sent } else { NoAnswer::Lost })?;
     let status = response.status().as_u16();
     let body = response.into_body().collect().await.map_err(|_| NoAnswer::Lost)?.to_bytes();
     Ok(Answer { status, body })
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ownership;
 pub mod pending;
 pub mod ports;
+mod question;
 pub mod registry;
 pub mod run;
 pub mod settings;
--- a/crates/jackdawpier_entry/src/log_volume.rs
+++ b/crates/jackdawpier_entry/src/log_volume.rs
@@ -6,11 +6,12 @@
 use jackdawpier_kernel::Now;
 
 /// Events of which a busy owner has hundreds a second.
-const ROUTINE: [&str; 8] = [
+const ROUTINE: [&str; 9] = [
     "answered",
     "job_in",
     "pace",
     "pool_lacks",
+    "question",
     "task_ended",
     "task_started",
     "task_suspect",
--- a/crates/jackdawpier_entry/src/metrics.rs
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -33,10 +33,13 @@
     Start,
     /// From a take-over's begin until the state is rebuilt.
     TakeOver,
+    /// From the arrival of a question for a job to its answer.
+    Question,
 }
 
 impl Latency {
-    const ALL: [Self; 4] = [Self::Acceptance, Self::Write, Self::Start, Self::TakeOver];
+    const ALL: [Self; 5] =
+        [Self::Acceptance, Self::Write, Self::Start, Self::TakeOver, Self::Question];
 
     fn name(self) -> &'static str {
         match self {
@@ -44,6 +47,7 @@
             Self::Write => "record_write",
             Self::Start => "task_start",
             Self::TakeOver => "takeover",
+            Self::Question => "question",
         }
     }
 
@@ -53,6 +57,7 @@
             Self::Write => "From the first try to write a group of records until it is durable",
             Self::Start => "From an order to start a task until its outcome, repeats included",
             Self::TakeOver => "From the begin of a take-over until the state is rebuilt",
+            Self::Question => "From the arrival of a question for a job to its answer",
         }
     }
 }
--- a/crates/jackdawpier_entry/tests/client_accounts.rs
+++ b/crates/jackdawpier_entry/tests/client_accounts.rs
@@ -2,84 +2,22 @@
 
 mod support;
 
-use std::{net::SocketAddr, net::TcpListener, rc::Rc, time::Duration};
+use std::time::Duration;
 
-use jackdawpier_entry::{
-    callers::Callers,
-    configuration::{Active, follow},
-    events::Events,
-    freshness::prove,
-    http_server::{InFlight, serve},
-    keys,
-    owner::OwnerCell,
-    pending::Pending,
-};
-use support::{Fake, run, start_intake, wait_until};
+use jackdawpier_entry::keys;
+use support::{CONFIGURATION, Entry, Fake, run};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    sync::watch,
 };
 
-const KEY: &str = "configuration";
 const DOCUMENT: &[u8] = b"1 baker-key:bakery shop-key:shop";
 const HOLDS_FOR: Duration = Duration::from_millis(1500);
 
-/// An entry in front of a store, and the end of its stop signal.
-struct Entry {
-    fake: Fake,
-    address: SocketAddr,
-    _stop: watch::Sender<bool>,
-}
-
 async fn start() -> Entry {
     let fake = Fake::default();
-    fake.put(KEY, DOCUMENT);
-    let active = Active::new(Some(HOLDS_FOR));
-    let events = Events::new("a");
-    tokio::task::spawn_local(follow(fake.clone(), active.clone(), events.clone()));
-    tokio::task::spawn_local(prove(fake.clone(), active.clone(), events.clone()));
-    let callers = Rc::new(Callers {
-        platform: fake.clone(),
-        active: active.clone(),
-        intake: start_intake(&fake),
-        owner: OwnerCell::default(),
-        pending: Pending::default(),
-        events,
-    });
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    let address = listener.local_addr().expect("it is bound");
-    drop(listener);
-    let (stop, stopping) = watch::channel(false);
-    let answer = move |request| callers.clone().answer(request);
-    tokio::task::spawn_local(serve(address, answer, InFlight::default(), stopping));
-    assert!(wait_until(|| active.proof_age().is_some()).await);
-    Entry { fake, address, _stop: stop }
-}
-
-impl Entry {
-    /// Sends one request and returns the whole answer.
-    async fn ask(&self, method: &str, path: &str, key: Option<&str>) -> String {
-        let mut stream = loop {
-            match TcpStream::connect(self.address).await {
-                Ok(stream) => break stream,
-                Err(_) => tokio::task::yield_now().await,
-            }
-        };
-        let key = key.map_or(String::new(), |key| format!("x-key: {key}\r\n"));
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nhost: host\r\n{key}connection: close\r\ncontent-length: 2\r\n\r\n{{}}"
-        );
-        stream.write_all(head.as_bytes()).await.expect("it is open");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.expect("it is answered");
-        answer
-    }
-
-    async fn status(&self, method: &str, path: &str, key: Option<&str>) -> u16 {
-        let answer = self.ask(method, path, key).await;
-        answer[9..12].parse().expect("a status follows the version")
-    }
+    fake.put(CONFIGURATION, DOCUMENT);
+    Entry::start(&fake, Some(HOLDS_FOR)).await
 }
 
 #[test]
@@ -134,7 +72,7 @@
     run(async {
         let entry = start().await;
         entry.fake.set_down(true);
-        entry.fake.put(KEY, b"2 baker-key:bakery");
+        entry.fake.put(CONFIGURATION, b"2 baker-key:bakery");
         tokio::time::sleep(HOLDS_FOR).await;
         for key in ["baker-key", "shop-key"] {
             let answer = entry.ask("POST", "/a/job", Some(key)).await;
@@ -175,7 +113,7 @@
     run(async {
         let entry = start().await;
         entry.fake.set_deaf(true);
-        entry.fake.put(KEY, b"2 baker-key:bakery shop-key:shop cafe-key:cafe");
+        entry.fake.put(CONFIGURATION, b"2 baker-key:bakery shop-key:shop cafe-key:cafe");
         assert_eq!(entry.status("POST", "/a/job", Some("cafe-key")).await, 200);
     });
 }
--- /dev/null
+++ b/crates/jackdawpier_entry/tests/late_questions.rs
@@ -0,0 +1,53 @@
+//! A question that is late or isn't answered can be followed from the job's id.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::Method;
+use jackdawpier_entry::http_client::{Call, HttpClient, NoAnswer, Obstacle};
+use support::{Entry, Fake, put_job, run};
+
+const PATIENCE: Duration = Duration::from_secs(1);
+
+fn counted(entry: &Entry, outcome: u16) -> bool {
+    let line = format!("jackdawpier_events_total{{event=\"question\",outcome=\"{outcome}\"}} 1");
+    entry.events.metrics().text().contains(&line)
+}
+
+#[test]
+fn silent_store() {
+    run(async {
+        let entry = Entry::start(&Fake::default(), None).await;
+        put_job(&entry.fake, "job");
+        entry.fake.set_down(true);
+        assert_eq!(entry.status("GET", "/a/job", None).await, 503);
+        assert!(counted(&entry, 503));
+    });
+}
+
+#[test]
+fn slow_store() {
+    run(async {
+        let entry = Entry::start(&Fake::default(), None).await;
+        put_job(&entry.fake, "job");
+        assert_eq!(entry.status("GET", "/a/job", None).await, 200);
+        assert!(!counted(&entry, 200), "it took milliseconds");
+        entry.fake.set_delay(Duration::from_millis(250));
+        assert_eq!(entry.status("GET", "/a/job", None).await, 200);
+        assert!(counted(&entry, 200));
+    });
+}
+
+/// A host that turns connections away, a silent one and a want of descriptors were all "can't be reached".
+#[test]
+fn named_obstacle() {
+    run(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+        let host: Arc<str> = listener.local_addr().expect("it is bound").to_string().into();
+        drop(listener);
+        let call = Call::new(Method::GET, "/");
+        let answer = HttpClient::default().call(&host, &call, PATIENCE).await;
+        assert_eq!(answer.err(), Some(NoAnswer::NotSent(Obstacle::Refused)));
+    });
+}
--- /dev/null
+++ b/crates/jackdawpier_entry/tests/support/entry.rs
@@ -0,0 +1,87 @@
+//! An entry with the port that callers use, in front of a store in memory.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    time::Duration,
+};
+
+use jackdawpier_entry::{
+    callers::Callers,
+    configuration::{Active, follow},
+    events::Events,
+    freshness::prove,
+    http_server::{InFlight, serve},
+    owner::OwnerCell,
+    pending::Pending,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+};
+
+use super::{CONFIGURATION, Fake, start_intake, wait_until};
+
+/// An entry in front of a store, and the end of its stop signal.
+pub struct Entry {
+    pub fake: Fake,
+    pub address: SocketAddr,
+    pub events: Events,
+    _stop: watch::Sender<bool>,
+}
+
+impl Entry {
+    /// Starts one whose keys have to be proved that often, and waits until it has a configuration, which
+    /// is a plain one if the store holds none.
+    pub async fn start(fake: &Fake, holds_for: Option<Duration>) -> Self {
+        if fake.value(CONFIGURATION).is_none() {
+            fake.put(CONFIGURATION, b"1");
+        }
+        let active = Active::new(holds_for);
+        let events = Events::new("a");
+        tokio::task::spawn_local(follow(fake.clone(), active.clone(), events.clone()));
+        tokio::task::spawn_local(prove(fake.clone(), active.clone(), events.clone()));
+        let callers = Rc::new(Callers {
+            platform: fake.clone(),
+            active: active.clone(),
+            intake: start_intake(fake),
+            owner: OwnerCell::default(),
+            pending: Pending::default(),
+            events: events.clone(),
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+        let address = listener.local_addr().expect("it is bound");
+        drop(listener);
+        let (stop, stopping) = watch::channel(false);
+        let answer = move |request| callers.clone().answer(request);
+        tokio::task::spawn_local(serve(address, answer, InFlight::default(), stopping));
+        let is_known =
+            || active.get().is_some() && (holds_for.is_none() || active.proof_age().is_some());
+        assert!(wait_until(is_known).await);
+        Self { fake: fake.clone(), address, events, _stop: stop }
+    }
+
+    /// Sends one request and returns the whole answer.
+    pub async fn ask(&self, method: &str, path: &str, key: Option<&str>) -> String {
+        let mut stream = loop {
+            match TcpStream::connect(self.address).await {
+                Ok(stream) => break stream,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        };
+        let key = key.map_or(String::new(), |key| format!("x-key: {key}\r\n"));
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: host\r\n{key}connection: close\r\ncontent-length: 2\r\n\r\n{{}}"
+        );
+        stream.write_all(head.as_bytes()).await.expect("it is open");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("it is answered");
+        answer
+    }
+
+    pub async fn status(&self, method: &str, path: &str, key: Option<&str>) -> u16 {
+        let answer = self.ask(method, path, key).await;
+        answer[9..12].parse().expect("a status follows the version")
+    }
+}
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -92,6 +92,8 @@
 /// How long a call waits for an answer.
 const CALL_PATIENCE: Duration = Duration::from_millis(800);
 
+/// Key of the operators' document.
+pub const CONFIGURATION: &str = "configuration";
 pub const EXECUTOR: &str = "executor-1";
 pub const QUEUE: &str = "queue";
 /// A value of the registry or of a wave that can't be read.
@@ -428,7 +430,7 @@
 
 impl Formats for Fake {
     fn configuration_key(&self) -> &'static str {
-        "configuration"
+        CONFIGURATION
     }
 
     fn wave_prefix(&self) -> &'static str {
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, unused_imports, reason = "each test file uses a part of it")]
 
+mod entry;
 mod fake;
 
 use std::{future::Future, rc::Rc, sync::Arc, time::Duration};
@@ -21,7 +22,8 @@
     spec::{JobSpec, Resources, StepSpec, Submission},
 };
 
-pub use fake::{EXECUTOR, Fake, Fate, QUEUE, UNREADABLE, configuration};
+pub use entry::Entry;
+pub use fake::{CONFIGURATION, EXECUTOR, Fake, Fate, QUEUE, UNREADABLE, configuration};
 
 pub fn submission() -> Submission {
     let step = StepSpec {
