--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -69,6 +69,8 @@
     listings: usize,
     /// Readings of items or of listings, without those that a watch makes here.
     reads: usize,
+    /// Bytes of the values that listings have returned.
+    listed_bytes: usize,
     ended: Vec<EndedTask>,
     starts: Vec<(TaskKey, RunNumber)>,
     is_down: bool,
@@ -187,6 +189,11 @@
         self.0.borrow().listings
     }
 
+    /// Bytes of the values that listings have returned.
+    pub fn listed_bytes(&self) -> usize {
+        self.0.borrow().listed_bytes
+    }
+
     pub fn reads(&self) -> usize {
         self.0.borrow().reads
     }
@@ -274,7 +281,12 @@
 
     async fn list(&self, prefix: &str) -> CallResult<Listing> {
         self.0.borrow_mut().reads += 1;
-        self.items_under(prefix)
+        self.travel().await;
+        let listing = self.items_under(prefix)?;
+        let bytes: usize = listing.items.iter().map(|item| item.value.len()).sum();
+        self.0.borrow_mut().listed_bytes += bytes;
+        self.travel().await;
+        Ok(listing)
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallResult<Changes> {
