Prove keys again after the operators' document is written again as it was

Callers with keys got 503 at every entry and for good, and every entry was out of rotation, once the same version was written under a new revision. Cause: an entry took over higher versions only, and kept the revision of the first writing, so that each proof met a changed document that it wouldn't take. The test client_accounts::same_document_again got 503 before. The latest writing of a version stands now. A document of a lower version is still not taken over and says so in the log.

--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -120,12 +120,14 @@
         self.wanted.notified().await;
     }
 
-    /// Takes over a version if it is higher than the one in force.
+    /// Takes over a version if it is higher than the one in force, and returns whether it is. The same
+    /// version may be written again; then its latest writing stands.
     pub fn offer(&self, configuration: Configuration, revision: Revision) -> bool {
         let mut state = self.state.borrow_mut();
-        let is_newer =
-            state.current.as_ref().is_none_or(|current| configuration.version > current.version);
-        if is_newer {
+        let known = state.current.as_ref().map(|current| current.version);
+        let is_newer = known.is_none_or(|version| configuration.version > version);
+        let is_again = known == Some(configuration.version) && revision > state.revision;
+        if is_newer || is_again {
             state.current = Some(Rc::new(configuration));
             state.revision = revision;
         }
@@ -250,6 +252,12 @@
                 let fields = json!({ "version": version, "revision": revision, "routes": routes });
                 events.emit("configuration", fields);
             }
+            let in_force = active.get().map_or(0, |current| current.version);
+            if version < in_force {
+                let fields =
+                    json!({ "version": version, "revision": revision, "in_force": in_force });
+                events.emit("configuration_ignored", fields);
+            }
         }
         Err(error) => {
             let fields = json!({ "revision": revision, "why": error.to_string() });
--- a/crates/jackdawpier_entry/tests/client_accounts.rs
+++ b/crates/jackdawpier_entry/tests/client_accounts.rs
@@ -117,3 +117,16 @@
         assert_eq!(entry.status("POST", "/a/job", Some("cafe-key")).await, 200);
     });
 }
+
+/// The operators' document is written again as it was: the entry took that for a change that it couldn't take
+/// over, never proved a key again and refused all callers with keys.
+#[test]
+fn same_document_again() {
+    run(async {
+        let entry = start().await;
+        entry.fake.put(CONFIGURATION, DOCUMENT);
+        tokio::time::sleep(HOLDS_FOR).await;
+        assert_eq!(entry.status("POST", "/a/job", Some("shop-key")).await, 200);
+        assert_eq!(entry.status("GET", "/a/job", Some("shop-key")).await, 200);
+    });
+}
