Let one entry count the jobs that wait for all of them, where nobody owns the fleet

Callers saw 503 for nearly every question for a queue while there was no owner at 601 entries, questions for jobs took 190 ms instead of 7, and nobody took the fleet over for 22 s. Cause: an owner's note that is over two seconds old made each entry read all jobs and records each second, 60 MB in two seconds at 999 entries; that filled the store's link, behind which the lists of the next owner waited, so the note stayed old. An entry claims the note by a conditional write now, counts, and writes a new one that the others read; the next adds what has come since. Options: docs/design/questions.md.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -368,7 +368,7 @@
         }
         match self.pending.count(&self.platform, queue).await {
             Ok(count) => reply(StatusCode::OK, self.platform.pending(count)),
-            Err(_) => self.refuse(queue, "the store can't be reached"),
+            Err(_) => self.refuse(queue, "how many jobs wait can't be said now"),
         }
     }
 
--- a/crates/jackdawpier_entry/src/keys.rs
+++ b/crates/jackdawpier_entry/src/keys.rs
@@ -10,7 +10,7 @@
 pub const CANCELLATIONS: &str = "jobs/cancel/";
 /// Prefix of the progress of jobs, written by the owner alone.
 pub const RECORDS: &str = "records/";
-/// Jobs of each queue that haven't begun, written by the owner alone.
+/// Jobs of each queue that haven't begun, written by the owner, or without one by the entry that counts them.
 pub const PENDING: &str = "pending";
 /// Prefix of machines that were maintained for a wave, written by the owner alone.
 pub const WAVES: &str = "waves/";
--- a/crates/jackdawpier_entry/src/pending.rs
+++ b/crates/jackdawpier_entry/src/pending.rs
@@ -1,81 +1,223 @@
 //! How many jobs of a queue haven't begun, as any entry can tell.
 //!
 //! The owner knows and writes it down each second. While there is no owner, or none that reaches the
-//! store, the note grows old; then the jobs themselves are counted, for all who ask within a second
-//! at once: a day's records have a megabyte, and an entry that read them for each question filled
-//! its link and lost touch with the store.
+//! store, the note grows old; then the entries count the jobs themselves. One of them does it for all: it
+//! claims the note, reads the jobs and writes a new one, and the others read that. A day's records have a
+//! megabyte, and where each of hundreds of entries read them, the store's link carried nothing else: no
+//! entry could take the fleet over, so that all went on counting. See `docs/design/questions.md`.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap, HashSet},
+    rc::Rc,
     time::Duration,
 };
 
-use jackdawpier_fleet::{
-    record::JobRecord,
-    spec::{QueueName, Submission},
-};
-use jackdawpier_kernel::Now;
+use jackdawpier_fleet::{record::JobRecord, spec::QueueName};
+use jackdawpier_kernel::{Now, ids::Revision};
 use serde::{Deserialize, Serialize};
-use tokio::sync::Mutex;
+use tokio::{sync::Mutex, time::timeout};
 
 use crate::{
     clock, keys,
-    ports::{CallResult, Platform},
+    ports::{CallError, CallResult, Item, Listing, Platform, Transaction, TransactionEnd},
 };
 
-/// A note older than this is the word of an owner that is gone. Entries' times of day differ by
-/// little; where they jump by more, jobs are counted more often than needed.
+/// Callers may be told a count that is this old. Entries' times of day differ by little; where they jump by
+/// more, jobs are counted more often than needed.
 const FRESH_FOR: Duration = Duration::from_millis(2000);
-
-/// A count serves for this long; callers may be told one that is two seconds old.
+/// A count of this entry's own serves for this long.
 const COUNT_AGAIN: Duration = Duration::from_millis(1000);
+/// A claim without a count after this long was given up by whoever made it.
+const CLAIM_HOLDS: Duration = Duration::from_millis(2000);
+/// Pause before a count that failed is begun again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause before the note is read again while another entry counts.
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
+/// A caller waits this long for a count; then it may come back.
+const PATIENCE: Duration = Duration::from_millis(600);
 
 /// Jobs that haven't begun, by queue.
 pub type Counts = BTreeMap<QueueName, u64>;
 
-#[derive(Debug, Serialize, Deserialize)]
+/// What the entries tell each other of the jobs that wait.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct Note {
+    /// Time of day at which the counts held, in milliseconds since 1970.
     at_ms: u64,
     counts: Counts,
+    /// The counts hold all jobs up to this revision, and nothing has begun since; none in an owner's note.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    counted_to: Option<Revision>,
+    /// Time of day at which an entry set about counting anew.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    claimed_ms: Option<u64>,
+}
+
+impl Note {
+    fn read(item: Option<&Item>) -> Self {
+        item.and_then(|item| serde_json::from_slice(&item.value).ok()).unwrap_or_default()
+    }
+
+    fn is_fresh(&self) -> bool {
+        is_within(self.at_ms, FRESH_FOR)
+    }
+
+    fn is_claimed(&self) -> bool {
+        self.claimed_ms.is_some_and(|at_ms| is_within(at_ms, CLAIM_HOLDS))
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("names and numbers can be written as JSON")
+    }
+}
+
+fn is_within(at_ms: u64, time: Duration) -> bool {
+    clock::wall_ms().abs_diff(at_ms) < time.as_millis() as u64
 }
 
 /// The owner's note.
 pub(crate) fn encode(counts: &Counts) -> Vec<u8> {
-    let note = Note { at_ms: clock::wall_ms(), counts: counts.clone() };
-    serde_json::to_vec(&note).expect("names and numbers can be written as JSON")
+    Note { at_ms: clock::wall_ms(), counts: counts.clone(), ..Note::default() }.encode()
 }
 
 /// What this entry has counted itself.
 #[derive(Debug, Default)]
+struct Own {
+    /// When the jobs were read, and what was found.
+    counted: RefCell<Option<(Now, Counts)>>,
+    is_counting: Cell<bool>,
+}
+
+impl Own {
+    fn recent(&self) -> Option<Counts> {
+        let counted = self.counted.borrow();
+        let (at, counts) = counted.as_ref()?;
+        (clock::since(*at) < COUNT_AGAIN).then(|| counts.clone())
+    }
+}
+
+/// The counts, as this entry knows them.
+#[derive(Debug, Default)]
 pub struct Pending {
-    /// Held while somebody counts, so that the others wait for the same count.
-    counted: Mutex<Option<(Now, Counts)>>,
+    own: Rc<Own>,
+    /// Held while somebody waits for a new note, so that the others wait for the same.
+    waiting: Mutex<()>,
 }
 
 impl Pending {
-    /// Reads the note, or counts if it is old.
+    /// Reads the note; if it is old, waits for one that this or another entry counts.
+    ///
+    /// # Errors
+    ///
+    /// Where the store gives no answer, or there is no new count within [`PATIENCE`].
     pub async fn count<P: Platform>(&self, platform: &P, queue: &QueueName) -> CallResult<u64> {
-        let note = platform.get(keys::PENDING).await?;
-        let fresh = note
-            .and_then(|item| serde_json::from_slice::<Note>(&item.value).ok())
-            .filter(|note| clock::wall_ms().abs_diff(note.at_ms) < FRESH_FOR.as_millis() as u64);
-        if let Some(note) = fresh {
-            return Ok(note.counts.get(queue).copied().unwrap_or(0));
+        let of_queue = |counts: &Counts| counts.get(queue).copied().unwrap_or(0);
+        let note = Note::read(platform.get(keys::PENDING).await?.as_ref());
+        if note.is_fresh() {
+            return Ok(of_queue(&note.counts));
         }
-        let mut counted = self.counted.lock().await;
-        let is_old = |(at, _): &(Now, Counts)| clock::since(*at) >= COUNT_AGAIN;
-        if counted.as_ref().is_none_or(is_old) {
-            let asked_at = clock::now();
-            *counted = Some((asked_at, count_jobs(platform).await?));
+        let waiting = async {
+            let _waiting = self.waiting.lock().await;
+            self.wait_for_count(platform).await
+        };
+        let reason = "the jobs that wait are being counted".to_owned();
+        let counts = timeout(PATIENCE, waiting).await;
+        counts.unwrap_or(Err(CallError::NotDone { reason })).map(|counts| of_queue(&counts))
+    }
+
+    async fn wait_for_count<P: Platform>(&self, platform: &P) -> CallResult<Counts> {
+        loop {
+            if let Some(counts) = self.own.recent() {
+                return Ok(counts);
+            }
+            let held = platform.get(keys::PENDING).await?;
+            let note = Note::read(held.as_ref());
+            if note.is_fresh() {
+                return Ok(note.counts);
+            }
+            if !note.is_claimed() && !self.own.is_counting.replace(true) {
+                // It goes on although its caller may leave: the others wait for it.
+                let (own, platform) = (self.own.clone(), platform.clone());
+                tokio::task::spawn_local(async move {
+                    let revision = held.map_or(0, |item| item.revision);
+                    if count_for_all(&own, &platform, note, revision).await.is_err() {
+                        tokio::time::sleep(REPEAT_PAUSE).await;
+                    }
+                    own.is_counting.set(false);
+                });
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
         }
-        let counts = counted.as_ref().map(|(_, counts)| counts);
-        Ok(counts.and_then(|counts| counts.get(queue)).copied().unwrap_or(0))
     }
 }
 
-async fn count_jobs<P: Platform>(platform: &P) -> CallResult<Counts> {
+/// Claims the note as it was at `revision`, counts, and writes a new one.
+async fn count_for_all<P: Platform>(
+    own: &Own,
+    platform: &P,
+    last: Note,
+    revision: Revision,
+) -> CallResult<()> {
+    let claim = Note { claimed_ms: Some(clock::wall_ms()), ..last.clone() };
+    let Some(claimed_at) = write(platform, &claim, revision).await? else { return Ok(()) };
+    let (asked_at, at_ms) = (clock::now(), clock::wall_ms());
     let intake = platform.list(keys::INTAKE).await?;
-    let records = platform.list(keys::RECORDS).await?;
+    let counts = match last.counted_to {
+        Some(counted_to) => count_since(&intake, counted_to, last.counts),
+        None => count_all(&intake, &platform.list(keys::RECORDS).await?),
+    };
+    own.counted.replace(Some((asked_at, counts.clone())));
+    let counted_to = Some(intake.revision);
+    // An owner that has written meanwhile knows better.
+    write(platform, &Note { at_ms, counts, counted_to, claimed_ms: None }, claimed_at).await?;
+    Ok(())
+}
+
+/// Writes a note over the one of a revision; returns its own, or none if there is another by now.
+async fn write<P: Platform>(
+    platform: &P,
+    note: &Note,
+    revision: Revision,
+) -> CallResult<Option<Revision>> {
+    let transaction = Transaction {
+        expect: vec![(keys::PENDING.to_owned(), revision)],
+        puts: vec![(keys::PENDING.to_owned(), note.encode(), None)],
+        removes: Vec::new(),
+    };
+    Ok(match platform.commit(&transaction).await? {
+        TransactionEnd::Committed(revision) => Some(revision),
+        TransactionEnd::Conflict(_) => None,
+    })
+}
+
+/// The queue of a job that was handed in; the rest of it isn't needed here.
+#[derive(Deserialize)]
+struct Submitted {
+    queue: QueueName,
+}
+
+/// Jobs that were handed in and not cancelled, with their ids and queues.
+fn submitted(intake: &Listing) -> impl Iterator<Item = (&Item, &str, QueueName)> {
+    let ids = intake.items.iter().filter_map(|item| item.key.strip_prefix(keys::CANCELLATIONS));
+    let cancelled: HashSet<&str> = ids.collect();
+    intake.items.iter().filter_map(move |item| {
+        let job = item.key.strip_prefix(keys::SUBMISSIONS)?;
+        let submitted = serde_json::from_slice::<Submitted>(&item.value).ok()?;
+        (!cancelled.contains(job)).then_some((item, job, submitted.queue))
+    })
+}
+
+/// Adds what has come after `counted_to` to earlier counts: nothing begins where nobody owns the fleet.
+fn count_since(intake: &Listing, counted_to: Revision, mut counts: Counts) -> Counts {
+    let is_new = |item: &Item| item.revision > counted_to && item.revision <= intake.revision;
+    for (_, _, queue) in submitted(intake).filter(|(item, _, _)| is_new(item)) {
+        *counts.entry(queue).or_default() += 1;
+    }
+    counts
+}
+
+fn count_all(intake: &Listing, records: &Listing) -> Counts {
     let records: HashMap<&str, &[u8]> = records
         .items
         .iter()
@@ -87,15 +229,11 @@
             .and_then(|value| serde_json::from_slice::<JobRecord>(value).ok())
             .is_some_and(|record| record.has_begun || record.outcome.is_some())
     };
-    let is_cancelled =
-        |job: &str| intake.items.iter().any(|item| item.key == keys::cancellation(job));
+    let is_new = |item: &Item| item.revision <= intake.revision;
     let mut counts = Counts::new();
-    for item in &intake.items {
-        let Some(job) = item.key.strip_prefix(keys::SUBMISSIONS) else { continue };
-        let Ok(submission) = serde_json::from_slice::<Submission>(&item.value) else { continue };
-        if !has_begun(job) && !is_cancelled(job) {
-            *counts.entry(submission.queue).or_default() += 1;
-        }
+    for (_, _, queue) in submitted(intake).filter(|(item, job, _)| is_new(item) && !has_begun(job))
+    {
+        *counts.entry(queue).or_default() += 1;
     }
-    Ok(counts)
+    counts
 }
--- a/crates/jackdawpier_entry/tests/queue_counts.rs
+++ b/crates/jackdawpier_entry/tests/queue_counts.rs
@@ -5,6 +5,7 @@
 use std::{rc::Rc, time::Duration};
 
 use jackdawpier_entry::{clock, keys, pending::Pending};
+use serde_json::json;
 use support::{Fake, QUEUE, put_job, run};
 
 const ENTRIES: usize = 40;
@@ -59,3 +60,60 @@
         assert!(times <= 4, "all jobs were read {times} times in 2.5 s");
     });
 }
+
+/// What has come since the last count is added to it.
+#[test]
+fn new_jobs() {
+    run(async {
+        let fake = Fake::default();
+        put_jobs(&fake);
+        assert_eq!(count(&fake).await, Some(JOBS));
+        let records = fake.reads();
+        put_job(&fake, "new-1");
+        put_job(&fake, "new-2");
+        put_job(&fake, "cancelled");
+        fake.put(&keys::cancellation("cancelled"), b"{}");
+        // The first count is good enough for two seconds.
+        tokio::time::sleep(Duration::from_millis(2100)).await;
+        assert_eq!(count(&fake).await, Some(JOBS + 2));
+        assert!(fake.reads() - records <= 4, "the records were read again");
+    });
+}
+
+/// A caller that leaves takes the count along that all others wait for.
+#[test]
+fn caller_gone() {
+    run(async {
+        let fake = Fake::default();
+        put_jobs(&fake);
+        fake.set_delay(Duration::from_millis(40));
+        let pending = Pending::default();
+        let queue = QUEUE.into();
+        let asking = pending.count(&fake, &queue);
+        let left = tokio::time::timeout(Duration::from_millis(150), asking);
+        assert!(left.await.is_err());
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        let listed = fake.listed_bytes();
+        assert_eq!(count(&fake).await, Some(JOBS));
+        assert_eq!(fake.listed_bytes(), listed, "it was counted again");
+    });
+}
+
+/// An entry that has set about counting is gone.
+#[test]
+fn lost_claim() {
+    run(async {
+        let fake = Fake::default();
+        put_jobs(&fake);
+        let claimed = json!({ "at_ms": 1000, "counts": {}, "claimed_ms": clock::wall_ms() });
+        fake.put(keys::PENDING, claimed.to_string().as_bytes());
+        assert_eq!(count(&fake).await, None, "nobody knows it yet");
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        assert_eq!(count(&fake).await, Some(JOBS));
+    });
+}
+
+/// Asks at an entry that knows nothing.
+async fn count(fake: &Fake) -> Option<u64> {
+    Pending::default().count(fake, &QUEUE.into()).await.ok()
+}
