Keep descriptors for the store and the callers from the talks with executors

Callers waited for jobs that nobody started and counts that nobody knew: at 999 entries and 10,000 executors no owner lasted for more than four seconds. An owner of more executors than places can't reach all of them; that isn't mended by this.

--- a/crates/jackdawpier_entry/src/http_client.rs
+++ b/crates/jackdawpier_entry/src/http_client.rs
@@ -1,6 +1,13 @@
-//! The one HTTP client of the process: kept-alive connections a host, a timeout for every call.
-
-use std::{cell::RefCell, collections::HashMap, io, rc::Rc, sync::Arc, time::Duration};
+//! HTTP clients: kept-alive connections a host, a timeout for every call, and a bound on connections.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -102,13 +109,28 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
-/// The client.
-#[derive(Debug, Clone, Default)]
+/// A client with connections of its own.
+#[derive(Debug, Clone)]
 pub struct HttpClient {
     idle: Rc<RefCell<HashMap<Arc<str>, Vec<Sender>>>>,
+    /// Connections that are open or about to be.
+    open: Rc<Cell<usize>>,
+    most_open: usize,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::bounded(usize::MAX)
+    }
 }
 
 impl HttpClient {
+    /// A client that opens no more connections than these at a time. A process that talks to thousands of
+    /// hosts keeps the rest of its descriptors for what it can't do without: its store and its callers.
+    pub fn bounded(most_open: usize) -> Self {
+        Self { idle: Rc::default(), open: Rc::default(), most_open }
+    }
+
     /// Sends a call and waits for its whole answer for at most `patience`. A connection on which
     /// that fails is never used again, nor are its idle neighbours: they may be as silent.
     pub async fn call(
@@ -140,12 +162,26 @@
                 }
             }
         }
-        let mut sender = connect(host).await?;
+        let mut sender = connect(host, self.take_place()?).await?;
         let answer = send(&mut sender, host, call).await?;
         self.keep(host, sender);
         Ok(answer)
     }
 
+    /// A place for one more connection. Where there is none, an idle one to a host that has others is closed,
+    /// so that there is one soon.
+    fn take_place(&self) -> Result<Place, NoAnswer> {
+        if self.open.get() >= self.most_open {
+            let mut idle = self.idle.borrow_mut();
+            if let Some(of_host) = idle.values_mut().find(|senders| senders.len() > 1) {
+                of_host.pop();
+            }
+            return Err(NoAnswer::NotSent(Obstacle::NoDescriptor));
+        }
+        self.open.set(self.open.get() + 1);
+        Ok(Place(self.open.clone()))
+    }
+
     fn take_idle(&self, host: &Arc<str>) -> Option<Sender> {
         self.idle.borrow_mut().get_mut(host)?.pop()
     }
@@ -167,7 +203,16 @@
     }
 }
 
-async fn connect(host: &str) -> Result<Sender, NoAnswer> {
+/// One of the connections that a client may have open.
+struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn connect(host: &str, place: Place) -> Result<Sender, NoAnswer> {
     let opening = timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await;
     let opened = opening.map_err(|_| NoAnswer::NotSent(Obstacle::Timeout))?;
     let stream = opened.map_err(|error| NoAnswer::NotSent(Obstacle::of(&error)))?;
@@ -176,7 +221,10 @@
     stream.set_nodelay(true).map_err(|_| failed)?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failed)?;
     // Its errors come back through the sender.
-    tokio::task::spawn_local(async move { drop(connection.await) });
+    tokio::task::spawn_local(async move {
+        drop(connection.await);
+        drop(place);
+    });
     Ok(sender)
 }
 
