Answer what has arrived before a caller's connection is closed; idle ones make room

Idle connections also kept newcomers waiting until their 15 s were over, at a full port and without free descriptors.

The port now keeps the times itself, in one ordered map a port. An idle connection asks the kernel for unread bytes before it ends, and stays 3 s longer than the limit that callers are told, as long as they wait for an answer: a request that was sent within the limit and arrives later has been given up. An answer that isn't taken ends after the idle time and its margin; it held its connection for ever.

--- a/crates/jackdawpier_entry/src/http_server.rs
+++ b/crates/jackdawpier_entry/src/http_server.rs
@@ -1,6 +1,14 @@
 //! The HTTP server that callers and the balancer reach.
 
-use std::{cell::Cell, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    future::{Future, poll_fn},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    task::Poll,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,16 +19,19 @@
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpListener, sync::watch};
+use nix::errno::Errno;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+use crate::{
+    connections::{Connection, ConnectionLimits, Connections},
+    watched_stream::{WatchedStream, is_readable},
+};
 
-/// Connections that one port holds; beyond it new ones wait. Half of the descriptors of the
-/// smallest machine.
-const MOST_CONNECTIONS: usize = 1500;
 /// Pause after a failed accept, most often for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Time for the next head to arrive on a connection, idle time included.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest head and buffer a connection, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -54,9 +65,7 @@
     }
 }
 
-/// Serves a port. Once `stopping` is true each connection ends with its next answer; idle ones stay
-/// open, since a request may be on its way, and new ones are taken, since the balancer may not have
-/// noticed yet.
+/// Serves a port within the usual limits, see [`serve_within`].
 pub async fn serve<H, F>(
     address: SocketAddr,
     handler: H,
@@ -66,62 +75,106 @@
 where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Reply> + 'static,
+{
+    let (connections, limits) = (Connections::default(), ConnectionLimits::default);
+    serve_within(address, connections, limits, handler, in_flight, stopping).await
+}
+
+/// Serves a port until its connections are closed. Once `stopping` is true each connection ends with its
+/// next answer; idle ones stay open, since a request may be on its way, and new ones are taken, since
+/// the balancer may not have noticed yet. See `docs/design/callers-port.md` for the limits.
+pub async fn serve_within<L, H, F>(
+    address: SocketAddr,
+    connections: Connections,
+    limits: L,
+    handler: H,
+    in_flight: InFlight,
+    stopping: watch::Receiver<bool>,
+) -> io::Result<()>
+where
+    L: Fn() -> ConnectionLimits,
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Reply> + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    let slots = Rc::new(tokio::sync::Semaphore::new(MOST_CONNECTIONS));
-    loop {
-        let slot = slots.clone().acquire_owned_rc().await;
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        // A failure shows when the connection is used.
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let in_flight = in_flight.clone();
-        let stopping = stopping.clone();
-        tokio::task::spawn_local(async move {
-            let _slot = slot;
-            let service = service_fn(move |request| {
-                let counted = Counted::new(in_flight.clone());
-                let reply = handler(request);
-                let stopping = stopping.clone();
-                async move {
-                    let mut reply = reply.await;
-                    if *stopping.borrow() {
-                        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                    }
-                    drop(counted);
-                    Ok::<_, std::convert::Infallible>(reply)
-                }
-            });
-            // A caller that breaks off is no event for us.
-            let _ = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_TIMEOUT)
-                .max_buf_size(BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+    let serve_stream = |stream| {
+        let (handler, in_flight) = (handler.clone(), in_flight.clone());
+        let serving =
+            serve_connection(stream, connections.open(), handler, in_flight, stopping.clone());
+        tokio::task::spawn_local(serving);
+    };
+    tokio::select! {
+        () = accept(&listener, &connections, &limits, serve_stream) => {}
+        () = connections.end_overdue(&limits) => {}
+        () = connections.closed() => {}
     }
+    Ok(())
 }
 
-/// A permit that may outlive the borrow of its semaphore, within one thread.
-struct Slot(Rc<tokio::sync::Semaphore>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.add_permits(1);
+/// Takes new connections in for ever; idle ones make room for them.
+async fn accept(
+    listener: &TcpListener,
+    connections: &Connections,
+    limits: impl Fn() -> ConnectionLimits,
+    serve_stream: impl Fn(TcpStream),
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                connections.make_room(limits().most).await;
+                serve_stream(stream);
+            }
+            Err(error) if is_out_of_descriptors(&error) && is_readable(listener) => {
+                connections.close_longest_idle(ACCEPT_PAUSE).await;
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
     }
 }
 
-trait AcquireRc {
-    async fn acquire_owned_rc(self) -> Slot;
+fn is_out_of_descriptors(error: &io::Error) -> bool {
+    let errno = error.raw_os_error().map(Errno::from_raw);
+    matches!(errno, Some(Errno::EMFILE | Errno::ENFILE))
 }
 
-impl AcquireRc for Rc<tokio::sync::Semaphore> {
-    async fn acquire_owned_rc(self) -> Slot {
-        self.acquire().await.expect("it is never closed").forget();
-        Slot(self)
-    }
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    connection: Connection,
+    handler: H,
+    in_flight: InFlight,
+    stopping: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Reply>,
+{
+    // A failure shows when the connection is used.
+    let _ = stream.set_nodelay(true);
+    let connection = Rc::new(connection);
+    poll_fn(|context| {
+        connection.set_waker(context.waker());
+        Poll::Ready(())
+    })
+    .await;
+    let stream = WatchedStream::new(stream, connection.clone());
+    let service = service_fn(move |request| {
+        connection.begin();
+        let counted = Counted::new(in_flight.clone());
+        let reply = handler(request);
+        let (connection, stopping) = (connection.clone(), stopping.clone());
+        async move {
+            let mut reply = reply.await;
+            if *stopping.borrow() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            connection.answer();
+            drop(counted);
+            Ok::<_, std::convert::Infallible>(reply)
+        }
+    });
+    // A caller that breaks off is no event for us.
+    let _ = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(stream, service)
+        .await;
 }
--- /dev/null
+++ b/crates/jackdawpier_entry/src/watched_stream.rs
@@ -0,0 +1,109 @@
+//! A caller's stream that tells what its connection waits for, and ends when it is told to.
+
+use std::{
+    io,
+    os::fd::AsFd,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
+use tokio::net::TcpStream;
+
+use crate::connections::{Close, Connection};
+
+/// Whether something can be read or accepted at once, also if the runtime hasn't heard of it yet.
+pub(crate) fn is_readable(socket: &impl AsFd) -> bool {
+    let mut sockets = [PollFd::new(socket.as_fd(), PollFlags::POLLIN)];
+    poll(&mut sockets, PollTimeout::ZERO).is_ok_and(|count| count > 0)
+}
+
+/// The stream of a connection.
+pub(crate) struct WatchedStream {
+    stream: TokioIo<TcpStream>,
+    connection: Rc<Connection>,
+}
+
+impl WatchedStream {
+    pub(crate) fn new(stream: TcpStream, connection: Rc<Connection>) -> Self {
+        Self { stream: TokioIo::new(stream), connection }
+    }
+
+    fn stream(&mut self) -> Pin<&mut TokioIo<TcpStream>> {
+        Pin::new(&mut self.stream)
+    }
+
+    /// Passes the outcome of a write on, or breaks off where the peer takes too long.
+    fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if written.is_pending() && self.connection.wait_for_peer() {
+            self.connection.close();
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        written
+    }
+}
+
+impl Read for WatchedStream {
+    /// A connection that is to end in order reads the end of its stream, as if its peer had closed it;
+    /// what has arrived comes first.
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Poll::Ready(read) = self.stream().poll_read(context, buffer) {
+            self.connection.received();
+            return Poll::Ready(read);
+        }
+        if !self.connection.wait_for_bytes() {
+            return Poll::Pending;
+        }
+        if is_readable(self.stream.inner()) {
+            // The runtime will hear of it and wake this task.
+            self.connection.go_on();
+            return Poll::Pending;
+        }
+        Poll::Ready(match self.connection.close() {
+            Close::InOrder => Ok(()),
+            Close::BreakOff => Err(io::ErrorKind::TimedOut.into()),
+        })
+    }
+}
+
+impl Write for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = self.stream().poll_write(context, bytes);
+        self.wrote(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = self.stream().poll_write_vectored(context, slices);
+        self.wrote(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// Is called when nothing is left to be written.
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.stream().poll_flush(context))?;
+        self.connection.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_shutdown(context)
+    }
+}
