Take the callers' header and idle timeouts from the configuration in force

headerTimeoutMs was read and not used, idleTimeoutMs wasn't read. A changed limit counts from the next look for overdue connections, that is within the shorter of the former limits. At the end of a stop the idle connections are closed in order. Open and closed connections are counted.

--- a/crates/jackdawpier_entry/src/metrics.rs
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -3,7 +3,12 @@
 //! Each log line counts here under its event and outcome, also where its rate kept it out of the
 //! log, so counts are whole while the log's volume is bounded.
 
-use std::{cell::RefCell, rc::Rc, sync::atomic::AtomicU64, time::Duration};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -16,12 +21,19 @@
     registry::{Registry, Unit},
 };
 
+use crate::connections::ConnectionCounts;
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EventLabels {
     event: &'static str,
     outcome: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClosedLabels {
+    why: &'static str,
+}
+
 /// What took how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Latency {
@@ -69,6 +81,8 @@
     latencies: Vec<Histogram>,
     is_owner: Gauge,
     proof_age: Gauge<f64, AtomicU64>,
+    open_connections: Gauge,
+    closed_connections: Family<ClosedLabels, Counter>,
 }
 
 /// The metrics of the process.
@@ -85,6 +99,12 @@
         let proof_age = Gauge::<f64, AtomicU64>::default();
         let help = "Time since the configuration was last known to be the newest, where keys are asked for";
         registry.register_with_unit("key_proof_age", help, Unit::Seconds, proof_age.clone());
+        let open_connections = Gauge::default();
+        let help = "Open connections of the callers' port";
+        registry.register("open_connections", help, open_connections.clone());
+        let closed_connections = Family::<ClosedLabels, Counter>::default();
+        let help = "Connections of the callers' port that this entry ended, by reason";
+        registry.register("closed_connections", help, closed_connections.clone());
         let latencies = Latency::ALL.map(|latency| {
             let histogram = Histogram::new(exponential_buckets(SHORTEST_S, 2.0, BUCKETS));
             let (name, help) = (latency.name(), latency.help());
@@ -92,7 +112,15 @@
             histogram
         });
         let latencies = latencies.into();
-        Self(Rc::new(RefCell::new(Inner { registry, events, latencies, is_owner, proof_age })))
+        Self(Rc::new(RefCell::new(Inner {
+            registry,
+            events,
+            latencies,
+            is_owner,
+            proof_age,
+            open_connections,
+            closed_connections,
+        })))
     }
 }
 
@@ -120,6 +148,21 @@
         self.0.borrow().proof_age.set(age.unwrap_or_default().as_secs_f64());
     }
 
+    /// Notes the connections of the callers' port.
+    pub fn set_connections(&self, counts: ConnectionCounts) {
+        let inner = self.0.borrow();
+        inner.open_connections.set(counts.open as i64);
+        let closed = [
+            ("idle", counts.idle_closed),
+            ("room", counts.closed_for_room),
+            ("broken_off", counts.broken_off),
+        ];
+        for (why, count) in closed {
+            let counter = inner.closed_connections.get_or_create(&ClosedLabels { why });
+            counter.inner().store(count, Ordering::Relaxed);
+        }
+    }
+
     /// All metrics in the text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/jackdawpier_entry/src/ports.rs
+++ b/crates/jackdawpier_entry/src/ports.rs
@@ -247,8 +247,10 @@
 pub struct CallerLimits {
     /// Largest body in bytes.
     pub body_bytes: usize,
-    /// Time for the head of a request to arrive.
+    /// Time for the head of a request to be whole after its first byte.
     pub header_timeout: Duration,
+    /// Time for which a connection may be idle.
+    pub idle_timeout: Duration,
 }
 
 /// A version of the configuration.
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -17,6 +17,7 @@
     callers::Callers,
     clock,
     configuration::{self, Active},
+    connections::{ConnectionLimits, Connections},
     events::Events,
     freshness,
     http_server::{self, InFlight},
@@ -77,8 +78,20 @@
         pending: Pending::default(),
         events: events.clone(),
     });
+    let connections = Connections::default();
+    let limits = {
+        let active = active.clone();
+        move || connection_limits(&active)
+    };
     let answer = move |request| callers.clone().answer(request);
-    let serving = http_server::serve(settings.callers, answer, in_flight.clone(), stopping.clone());
+    let serving = http_server::serve_within(
+        settings.callers,
+        connections.clone(),
+        limits,
+        answer,
+        in_flight.clone(),
+        stopping.clone(),
+    );
     tokio::task::spawn_local(report_failure("callers", serving, events.clone()));
     let ready = {
         let (active, stopping) = (active.clone(), stopping.clone());
@@ -94,9 +107,10 @@
 
     if let Some(address) = settings.metrics {
         let metrics = events.metrics();
-        let active = active.clone();
+        let (active, connections) = (active.clone(), connections.clone());
         let answer = move |_| {
             metrics.set_proof_age(active.proof_age());
+            metrics.set_connections(connections.counts());
             let text = metrics.text();
             async move { Response::new(Full::new(Bytes::from(text))) }
         };
@@ -114,9 +128,20 @@
     let end_by = asked_at + settings.grace.saturating_sub(END_MARGIN);
     let report = || events.emit("stopped", json!({ "in_flight": in_flight.count() }));
     drain(&in_flight, asked_at + BALANCER_LAG, end_by, report).await;
+    connections.close(end_by).await;
     Ok(())
 }
 
+/// Limits of the callers' port by the configuration in force.
+fn connection_limits(active: &Active) -> ConnectionLimits {
+    let usual = ConnectionLimits::default();
+    active.get().map_or(usual, |configuration| ConnectionLimits {
+        header_timeout: configuration.limits.header_timeout,
+        idle_timeout: configuration.limits.idle_timeout,
+        ..usual
+    })
+}
+
 /// Lets requests in flight end, those too that come on open connections while `report` is written. Nothing
 /// ends before `earliest`, nor after `end_by`.
 pub async fn drain(in_flight: &InFlight, earliest: Now, end_by: Now, report: impl FnOnce()) {
--- a/crates/jackdawpier_entry/tests/metrics.rs
+++ b/crates/jackdawpier_entry/tests/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawpier_entry::{events::Events, metrics::Latency};
+use jackdawpier_entry::{connections::ConnectionCounts, events::Events, metrics::Latency};
 use serde_json::json;
 
 #[test]
@@ -23,3 +23,16 @@
     let text = events.metrics().text();
     assert!(text.contains("jackdawpier_record_write_seconds_count 1"), "{text}");
 }
+
+#[test]
+fn connection_counts() {
+    let events = Events::new("entry");
+    let counts = ConnectionCounts { open: 3, idle_closed: 4, closed_for_room: 5, broken_off: 6 };
+    events.metrics().set_connections(counts);
+    let text = events.metrics().text();
+    assert!(text.contains("jackdawpier_open_connections 3"), "{text}");
+    for (why, count) in [("idle", 4), ("room", 5), ("broken_off", 6)] {
+        let line = format!("jackdawpier_closed_connections_total{{why=\"{why}\"}} {count}");
+        assert!(text.contains(&line), "{text}");
+    }
+}
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -543,6 +543,10 @@
         services: vec![Service { name: "service".into(), is_standby: false }],
         accounts: Vec::new(),
         keys: None,
-        limits: CallerLimits { body_bytes: 1000, header_timeout: Duration::from_secs(1) },
+        limits: CallerLimits {
+            body_bytes: 1000,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(15),
+        },
     }
 }
