Give up a body that doesn't arrive within its caller's time

A caller that sent a part of a body and no more held its connection for ever, one of the 1,500 that a port may have, and a planned stop until its end. Found while looking for what keeps a port from answering. half_sent_body: no answer within a second before (its caller says that it waits 0.6 s), 408 now; where a caller doesn't say, after 15 s.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use derive_more::Display;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Method, Request, Response, StatusCode,
@@ -20,6 +21,7 @@
 };
 use serde::de::DeserializeOwned;
 use serde_json::json;
+use tokio::time::timeout;
 
 use crate::{
     acceptance::{Acceptance, Intake},
@@ -38,6 +40,8 @@
 
 /// How long a caller is taken to wait if it doesn't say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
+/// How long the body of a request may take whose caller doesn't say how long it waits.
+const BODY_PATIENCE: Duration = Duration::from_secs(15);
 /// An answer has to leave this long before its caller gives up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// When a caller that was refused for the store's sake should come back, in seconds.
@@ -144,13 +148,15 @@
         }
     }
 
+    /// How long a caller says that it waits.
+    fn said_patience(&self, request: &Request<Incoming>) -> Option<Duration> {
+        let header = request.headers().get(self.platform.deadline_header())?;
+        header.to_str().ok()?.parse().ok().map(Duration::from_millis)
+    }
+
     fn patience(&self, request: &Request<Incoming>) -> Duration {
-        request
-            .headers()
-            .get(self.platform.deadline_header())
-            .and_then(|value| value.to_str().ok()?.parse().ok())
-            .map_or(DEFAULT_PATIENCE, Duration::from_millis)
-            .saturating_sub(ANSWER_MARGIN)
+        let patience = self.said_patience(request).unwrap_or(DEFAULT_PATIENCE);
+        patience.saturating_sub(ANSWER_MARGIN)
     }
 
     async fn submit(
@@ -161,18 +167,18 @@
         limits: CallerLimits,
         credentials: &Credentials,
     ) -> Reply {
-        let body = match Limited::new(request.into_body(), limits.body_bytes).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(_) => {
-                return self.problem(&id, StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-            }
+        let deadline = credentials.deadline;
+        let patience = self.said_patience(&request).unwrap_or(BODY_PATIENCE);
+        let read_by = credentials.arrived_at + patience;
+        let body = match read_body(request.into_body(), limits.body_bytes, read_by).await {
+            Ok(body) => body,
+            Err(error) => return self.problem(&id, error.status(), &error.to_string()),
         };
         // The key may have been taken away while the body arrived.
         let account = match self.admit(&id, route, credentials).await {
             Ok(account) => account,
             Err(reply) => return reply,
         };
-        let deadline = credentials.deadline;
         let spec = match self.platform.read_job(&body) {
             Ok(spec) => spec,
             Err(error) => return self.problem(&id, StatusCode::BAD_REQUEST, &error.to_string()),
@@ -401,6 +407,33 @@
     deadline: Now,
 }
 
+/// Why the body of a request can't be used; nothing was done.
+#[derive(Debug, Clone, Copy, Display)]
+enum BodyError {
+    /// Its caller's time was over before it was whole.
+    #[display("the body didn't arrive in time; nothing was done")]
+    Late,
+    /// It is larger than the configuration allows, or its caller broke off.
+    #[display("the body is too large")]
+    TooLarge,
+}
+
+impl BodyError {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        }
+    }
+}
+
+async fn read_body(body: Incoming, most_bytes: usize, read_by: Now) -> Result<Bytes, BodyError> {
+    let left = read_by.saturating_sub(clock::now());
+    let read = timeout(left, Limited::new(body, most_bytes).collect()).await;
+    let body = read.map_err(|_| BodyError::Late)?.map_err(|_| BodyError::TooLarge)?;
+    Ok(body.to_bytes())
+}
+
 /// A job's state and the client account that it belongs to.
 type KnownJob = (JobView, Option<AccountName>);
 
--- a/crates/jackdawpier_entry/tests/late_questions.rs
+++ b/crates/jackdawpier_entry/tests/late_questions.rs
@@ -7,6 +7,10 @@
 use hyper::Method;
 use jackdawpier_entry::http_client::{Call, HttpClient, NoAnswer, Obstacle};
 use support::{Entry, Fake, put_job, run};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 const PATIENCE: Duration = Duration::from_secs(1);
 
@@ -51,3 +55,18 @@
         assert_eq!(answer.err(), Some(NoAnswer::NotSent(Obstacle::Refused)));
     });
 }
+
+/// A caller that never sends the rest of a body held its connection, one of those that the port may have, and a
+/// planned stop, for ever.
+#[test]
+fn half_sent_body() {
+    run(async {
+        let entry = Entry::start(&Fake::default(), None).await;
+        let mut stream = TcpStream::connect(entry.address).await.expect("it is served");
+        let head = "POST /a/job HTTP/1.1\r\nhost: host\r\nx-deadline-ms: 600\r\nconnection: close\r\ncontent-length: 2\r\n\r\n{";
+        stream.write_all(head.as_bytes()).await.expect("it is open");
+        let mut answer = String::new();
+        let reading = tokio::time::timeout(PATIENCE, stream.read_to_string(&mut answer));
+        assert!(reading.await.is_ok() && answer.starts_with("HTTP/1.1 408"), "{answer}");
+    });
+}
