Ask a store that turns readings away at growing pauses

A question that the store refused was asked again every 60 ms for 0.6 s: 10 readings each (12 in the test, with two of the configuration; at most 5 and 3 now), just where the store is asked for more than it gives. Pauses double from 40 ms, and the last try still comes at the end of the 0.6 s.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -52,7 +52,7 @@
 /// takes as a rule.
 const PROOF_PATIENCE: Duration = Duration::from_millis(400);
 /// Pause before a store that gave no answer is asked again.
-const REPEAT_PAUSE: Duration = Duration::from_millis(60);
+const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 
 /// What answering callers needs.
 #[derive(Debug)]
@@ -248,16 +248,16 @@
         question: &mut Question,
     ) -> Reply {
         question.asks_store();
+        let mut pause = Backoff::default();
         loop {
             match self.look_in_store(id).await {
                 Ok(Some((view, owner))) => return self.show(id, view, owner.as_ref(), account),
                 Ok(None) => return self.problem(id, StatusCode::GONE, "no such job"),
                 Err(error) => question.failed(error),
             }
-            if clock::now() + REPEAT_PAUSE >= deadline {
+            if !pause.wait_until(deadline).await {
                 return self.refuse(id, "the store can't be reached");
             }
-            tokio::time::sleep(REPEAT_PAUSE).await;
         }
     }
 
@@ -308,6 +308,7 @@
 
     /// A cancellation is acknowledged once it is durable; the owner carries it out.
     async fn cancel(&self, id: &JobId, account: Option<&AccountName>, deadline: Now) -> Reply {
+        let mut pause = Backoff::default();
         loop {
             match self.cancel_once(id, account).await {
                 Ok(end) => {
@@ -319,9 +320,7 @@
                         Cancellation::Foreign => self.foreign(id),
                     };
                 }
-                Err(_) if clock::now() + REPEAT_PAUSE < deadline => {
-                    tokio::time::sleep(REPEAT_PAUSE).await;
-                }
+                Err(_) if pause.wait_until(deadline).await => {}
                 Err(_) => return self.refuse(id, "the store can't be reached"),
             }
         }
@@ -407,6 +406,29 @@
     deadline: Now,
 }
 
+/// Pauses between tries, each twice as long as the one before, so that a store that turns calls away isn't
+/// asked for more.
+struct Backoff(Duration);
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self(REPEAT_PAUSE)
+    }
+}
+
+impl Backoff {
+    /// Waits before the next try, the last of which begins at `deadline`; returns whether there is one.
+    async fn wait_until(&mut self, deadline: Now) -> bool {
+        let left = deadline.saturating_sub(clock::now());
+        if left.is_zero() {
+            return false;
+        }
+        tokio::time::sleep(self.0.min(left)).await;
+        self.0 *= 2;
+        true
+    }
+}
+
 /// Why the body of a request can't be used; nothing was done.
 #[derive(Debug, Clone, Copy, Display)]
 enum BodyError {
--- a/crates/jackdawpier_entry/tests/late_questions.rs
+++ b/crates/jackdawpier_entry/tests/late_questions.rs
@@ -70,3 +70,19 @@
         assert!(reading.await.is_ok() && answer.starts_with("HTTP/1.1 408"), "{answer}");
     });
 }
+
+/// A store that turns readings away, as one does that is asked for more than it gives, was asked ten times for
+/// each question.
+#[test]
+fn refused_readings() {
+    run(async {
+        let entry = Entry::start(&Fake::default(), None).await;
+        put_job(&entry.fake, "job");
+        entry.fake.set_down(true);
+        let reads = entry.fake.reads();
+        assert_eq!(entry.status("GET", "/a/job", None).await, 503);
+        let reads = entry.fake.reads() - reads;
+        // Those of the configuration come every quarter of a second.
+        assert!(reads <= 5 + 3, "{reads} readings for one question");
+    });
+}
