--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -24,7 +24,7 @@
 };
 use jackdawpier_kernel::{
     Now,
-    ids::{AccountName, ExecutorId},
+    ids::{AccountName, ExecutorId, Revision},
 };
 use serde_json::json;
 use tokio::sync::Notify;
@@ -116,7 +116,8 @@
     pub(crate) order_note: order_note::OrderNote,
     /// Whether the watch of the intake is to be doubted.
     pub(crate) intake_silence: RefCell<Silence>,
-    configured_version: Cell<u64>,
+    /// Revision of the store at which the configuration was written that the decisions go by.
+    configured_at: Cell<Option<Revision>>,
 }
 
 impl<P: Platform> Owner<P> {
@@ -159,7 +160,8 @@
 
     fn configure(&self) {
         let Some(current) = self.active.get() else { return };
-        if self.configured_version.replace(current.version) == current.version {
+        let revision = Some(self.active.revision());
+        if self.configured_at.replace(revision) == revision {
             return;
         }
         let queues = current.routes.iter().map(|route| route.queue.clone()).collect();
@@ -299,7 +301,7 @@
         sessions: RefCell::new(HashMap::new()),
         order_note: order_note::OrderNote::default(),
         intake_silence: RefCell::new(Silence::new(clock::now(), intake::LIST_INTERVAL)),
-        configured_version: Cell::new(0),
+        configured_at: Cell::new(None),
     });
     tokio::task::spawn_local(owner.clone().renew_loop());
     let Some(watch_from) = owner.take_over().await else { return };
--- a/crates/jackdawpier_entry/src/pending.rs
+++ b/crates/jackdawpier_entry/src/pending.rs
@@ -26,10 +26,11 @@
 /// Callers may be told a count that is this old. Entries' times of day differ by little; where they jump by
 /// more, jobs are counted more often than needed.
 const FRESH_FOR: Duration = Duration::from_millis(2000);
-/// A count of this entry's own serves for this long.
-const COUNT_AGAIN: Duration = Duration::from_millis(1000);
-/// A claim without a count after this long was given up by whoever made it.
-const CLAIM_HOLDS: Duration = Duration::from_millis(2000);
+/// A count that was made for want of an owner's is made anew at this age, so that there is a fresh one always.
+const RENEWED_AFTER: Duration = Duration::from_millis(1000);
+/// A claim that is this old was given up by whoever made it: one list of the jobs takes no longer over the
+/// link of a small instance.
+const CLAIM_HOLDS: Duration = Duration::from_millis(3000);
 /// Pause before a count that failed is begun again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(500);
 /// Pause before the note is read again while another entry counts.
@@ -63,6 +64,17 @@
         is_within(self.at_ms, FRESH_FOR)
     }
 
+    /// Whether nobody but an entry without the fleet will write the next one, and it is time to.
+    fn is_aging(&self) -> bool {
+        self.counted_to.is_some() && !is_within(self.at_ms, RENEWED_AFTER)
+    }
+
+    /// When the counts held, by this entry's clock.
+    fn held_at(&self) -> Now {
+        let age_ms = clock::wall_ms().abs_diff(self.at_ms);
+        clock::now().saturating_sub(Duration::from_millis(age_ms))
+    }
+
     fn is_claimed(&self) -> bool {
         self.claimed_ms.is_some_and(|at_ms| is_within(at_ms, CLAIM_HOLDS))
     }
@@ -81,10 +93,10 @@
     Note { at_ms: clock::wall_ms(), counts: counts.clone(), ..Note::default() }.encode()
 }
 
-/// What this entry has counted itself.
+/// What this entry has counted itself, or has waited for.
 #[derive(Debug, Default)]
 struct Own {
-    /// When the jobs were read, and what was found.
+    /// When the counts held.
     counted: RefCell<Option<(Now, Counts)>>,
     is_counting: Cell<bool>,
 }
@@ -93,7 +105,11 @@
     fn recent(&self) -> Option<Counts> {
         let counted = self.counted.borrow();
         let (at, counts) = counted.as_ref()?;
-        (clock::since(*at) < COUNT_AGAIN).then(|| counts.clone())
+        (clock::since(*at) < FRESH_FOR).then(|| counts.clone())
+    }
+
+    fn keep(&self, held_at: Now, counts: &Counts) {
+        self.counted.replace(Some((held_at, counts.clone())));
     }
 }
 
@@ -113,43 +129,59 @@
     /// Where the store gives no answer, or there is no new count within [`PATIENCE`].
     pub async fn count<P: Platform>(&self, platform: &P, queue: &QueueName) -> CallResult<u64> {
         let of_queue = |counts: &Counts| counts.get(queue).copied().unwrap_or(0);
-        let note = Note::read(platform.get(keys::PENDING).await?.as_ref());
+        let held = platform.get(keys::PENDING).await?;
+        let note = Note::read(held.as_ref());
         if note.is_fresh() {
+            if note.is_aging() {
+                self.begin_count(platform, &note, held.as_ref());
+            }
             return Ok(of_queue(&note.counts));
         }
         let waiting = async {
             let _waiting = self.waiting.lock().await;
-            self.wait_for_count(platform).await
+            self.wait_for_count(platform, held).await
         };
         let reason = "the jobs that wait are being counted".to_owned();
         let counts = timeout(PATIENCE, waiting).await;
         counts.unwrap_or(Err(CallError::NotDone { reason })).map(|counts| of_queue(&counts))
     }
 
-    async fn wait_for_count<P: Platform>(&self, platform: &P) -> CallResult<Counts> {
+    /// Sees to it that somebody counts, and waits for it. `held` is the note as it was found.
+    async fn wait_for_count<P: Platform>(
+        &self,
+        platform: &P,
+        mut held: Option<Item>,
+    ) -> CallResult<Counts> {
         loop {
             if let Some(counts) = self.own.recent() {
                 return Ok(counts);
             }
-            let held = platform.get(keys::PENDING).await?;
             let note = Note::read(held.as_ref());
             if note.is_fresh() {
+                self.own.keep(note.held_at(), &note.counts);
                 return Ok(note.counts);
             }
-            if !note.is_claimed() && !self.own.is_counting.replace(true) {
-                // It goes on although its caller may leave: the others wait for it.
-                let (own, platform) = (self.own.clone(), platform.clone());
-                tokio::task::spawn_local(async move {
-                    let revision = held.map_or(0, |item| item.revision);
-                    if count_for_all(&own, &platform, note, revision).await.is_err() {
-                        tokio::time::sleep(REPEAT_PAUSE).await;
-                    }
-                    own.is_counting.set(false);
-                });
-            }
+            self.begin_count(platform, &note, held.as_ref());
             tokio::time::sleep(LOOK_AGAIN).await;
+            held = platform.get(keys::PENDING).await?;
         }
     }
+
+    /// Counts in the background for all entries, unless this or another one does. The count goes on though the
+    /// caller that caused it may leave: others wait for it.
+    fn begin_count<P: Platform>(&self, platform: &P, note: &Note, held: Option<&Item>) {
+        if note.is_claimed() || self.own.is_counting.replace(true) {
+            return;
+        }
+        let (own, platform, note) = (self.own.clone(), platform.clone(), note.clone());
+        let revision = held.map_or(0, |item| item.revision);
+        tokio::task::spawn_local(async move {
+            if count_for_all(&own, &platform, note, revision).await.is_err() {
+                tokio::time::sleep(REPEAT_PAUSE).await;
+            }
+            own.is_counting.set(false);
+        });
+    }
 }
 
 /// Claims the note as it was at `revision`, counts, and writes a new one.
@@ -159,21 +191,32 @@
     last: Note,
     revision: Revision,
 ) -> CallResult<()> {
-    let claim = Note { claimed_ms: Some(clock::wall_ms()), ..last.clone() };
-    let Some(claimed_at) = write(platform, &claim, revision).await? else { return Ok(()) };
+    let Some(claimed_at) = claim(platform, &last, revision).await? else { return Ok(()) };
     let (asked_at, at_ms) = (clock::now(), clock::wall_ms());
     let intake = platform.list(keys::INTAKE).await?;
-    let counts = match last.counted_to {
-        Some(counted_to) => count_since(&intake, counted_to, last.counts),
-        None => count_all(&intake, &platform.list(keys::RECORDS).await?),
+    let (claimed_at, counts) = if let Some(counted_to) = last.counted_to {
+        (claimed_at, count_since(&intake, counted_to, last.counts))
+    } else {
+        // A claim lasts for one list.
+        let Some(claimed_at) = claim(platform, &last, claimed_at).await? else { return Ok(()) };
+        (claimed_at, count_all(&intake, &platform.list(keys::RECORDS).await?))
     };
-    own.counted.replace(Some((asked_at, counts.clone())));
+    own.keep(asked_at, &counts);
     let counted_to = Some(intake.revision);
     // An owner that has written meanwhile knows better.
     write(platform, &Note { at_ms, counts, counted_to, claimed_ms: None }, claimed_at).await?;
     Ok(())
 }
 
+/// Says that this entry counts, on the note as it was at `revision`; returns its new revision.
+async fn claim<P: Platform>(
+    platform: &P,
+    note: &Note,
+    revision: Revision,
+) -> CallResult<Option<Revision>> {
+    write(platform, &Note { claimed_ms: Some(clock::wall_ms()), ..note.clone() }, revision).await
+}
+
 /// Writes a note over the one of a revision; returns its own, or none if there is another by now.
 async fn write<P: Platform>(
     platform: &P,
@@ -185,10 +228,17 @@
         puts: vec![(keys::PENDING.to_owned(), note.encode(), None)],
         removes: Vec::new(),
     };
-    Ok(match platform.commit(&transaction).await? {
-        TransactionEnd::Committed(revision) => Some(revision),
-        TransactionEnd::Conflict(_) => None,
-    })
+    match platform.commit(&transaction).await {
+        Ok(TransactionEnd::Committed(revision)) => Ok(Some(revision)),
+        Ok(TransactionEnd::Conflict(_)) => Ok(None),
+        // The answer is lost: the note says whether the write was carried out.
+        Err(CallError::Unanswered { .. }) => {
+            let held = platform.get(keys::PENDING).await?;
+            let written = held.filter(|item| item.value == transaction.puts[0].1);
+            Ok(written.map(|item| item.revision))
+        }
+        Err(error) => Err(error),
+    }
 }
 
 /// The queue of a job that was handed in; the rest of it isn't needed here.
@@ -197,21 +247,24 @@
     queue: QueueName,
 }
 
-/// Jobs that were handed in and not cancelled, with their ids and queues.
-fn submitted(intake: &Listing) -> impl Iterator<Item = (&Item, &str, QueueName)> {
+/// Those of the jobs that were handed in and not cancelled, with their ids and queues.
+fn submitted(
+    intake: &Listing,
+    is_meant: impl Fn(&Item) -> bool,
+) -> impl Iterator<Item = (&str, QueueName)> {
     let ids = intake.items.iter().filter_map(|item| item.key.strip_prefix(keys::CANCELLATIONS));
     let cancelled: HashSet<&str> = ids.collect();
-    intake.items.iter().filter_map(move |item| {
+    intake.items.iter().filter(move |item| is_meant(item)).filter_map(move |item| {
         let job = item.key.strip_prefix(keys::SUBMISSIONS)?;
         let submitted = serde_json::from_slice::<Submitted>(&item.value).ok()?;
-        (!cancelled.contains(job)).then_some((item, job, submitted.queue))
+        (!cancelled.contains(job)).then_some((job, submitted.queue))
     })
 }
 
 /// Adds what has come after `counted_to` to earlier counts: nothing begins where nobody owns the fleet.
 fn count_since(intake: &Listing, counted_to: Revision, mut counts: Counts) -> Counts {
     let is_new = |item: &Item| item.revision > counted_to && item.revision <= intake.revision;
-    for (_, _, queue) in submitted(intake).filter(|(item, _, _)| is_new(item)) {
+    for (_, queue) in submitted(intake, is_new) {
         *counts.entry(queue).or_default() += 1;
     }
     counts
@@ -231,8 +284,7 @@
     };
     let is_new = |item: &Item| item.revision <= intake.revision;
     let mut counts = Counts::new();
-    for (_, _, queue) in submitted(intake).filter(|(item, job, _)| is_new(item) && !has_begun(job))
-    {
+    for (_, queue) in submitted(intake, is_new).filter(|(job, _)| !has_begun(job)) {
         *counts.entry(queue).or_default() += 1;
     }
     counts
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -81,6 +81,8 @@
     watches: usize,
     /// Time that a call of the store takes, half of it on the way there.
     delay: Duration,
+    /// Time that a listing takes besides.
+    list_delay: Duration,
     /// A wave of maintenance asks for the one machine.
     is_due: bool,
     /// Machines that were ordered, each with the note that the store held then.
@@ -147,6 +149,11 @@
         self.0.borrow_mut().delay = delay;
     }
 
+    /// Makes each listing take this long besides, as one with many items does.
+    pub fn set_list_delay(&self, delay: Duration) {
+        self.0.borrow_mut().list_delay = delay;
+    }
+
     /// Half of the time that a call takes.
     async fn travel(&self) {
         let delay = self.0.borrow().delay;
@@ -282,6 +289,8 @@
     async fn list(&self, prefix: &str) -> CallResult<Listing> {
         self.0.borrow_mut().reads += 1;
         self.travel().await;
+        let list_delay = self.0.borrow().list_delay;
+        tokio::time::sleep(list_delay).await;
         let listing = self.items_under(prefix)?;
         let bytes: usize = listing.items.iter().map(|item| item.value.len()).sum();
         self.0.borrow_mut().listed_bytes += bytes;
