Follow questions whose key can't be checked too

By a review: a question was followed from the moment at which its key stood, so that 503 for want of a proof left no line under the job's id. unproved_key: no line was counted before (the key's wait came before the question began).

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -87,11 +87,20 @@
         let key = request.headers().get(self.platform.key_header());
         let key = key.map(|value| ApiKey::new(value.as_bytes()));
         let credentials = Credentials { key, arrived_at, deadline };
-        let account = match self.admit(&path, &route, &credentials).await {
+        let id = path[route.prefix.len()..].to_owned();
+        let named = if id.is_empty() { &path } else { &id };
+        let mut question = Question::new(arrived_at);
+        let account = match self.admit(named, &route, &credentials).await {
             Ok(account) => account,
-            Err(reply) => return reply,
+            Err(reply) => {
+                if *request.method() == Method::GET {
+                    let proof_age = self.active.proof_age();
+                    question.answered(&self.events, named, reply.status(), proof_age);
+                }
+                return reply;
+            }
         };
-        let id = path[route.prefix.len()..].to_owned();
+        question.admit();
         if id.is_empty() && request.method() == Method::GET {
             return self.pending(&route.queue.name).await;
         }
@@ -105,7 +114,6 @@
                 self.submit(&route, id, request, configuration.limits, &credentials).await
             }
             Method::GET => {
-                let question = Question::admitted(arrived_at);
                 self.look(&id, account.as_ref(), store_deadline(deadline), question).await
             }
             Method::DELETE => self.cancel(&id, account.as_ref(), store_deadline(deadline)).await,
--- a/crates/jackdawpier_entry/src/question.rs
+++ b/crates/jackdawpier_entry/src/question.rs
@@ -26,8 +26,8 @@
 #[derive(Debug)]
 pub(crate) struct Question {
     arrived_at: Now,
-    /// When its key was found to stand.
-    admitted_at: Now,
+    /// When its key was found to stand; none before.
+    admitted_at: Option<Now>,
     source: Source,
     /// Tries to read the store that gave nothing.
     failures: u32,
@@ -36,10 +36,15 @@
 }
 
 impl Question {
-    /// Follows a question whose key stands now.
-    pub(crate) fn admitted(arrived_at: Now) -> Self {
-        let admitted_at = clock::now();
-        Self { arrived_at, admitted_at, source: Source::Memory, failures: 0, last_error: None }
+    /// Follows a question that arrived at this time.
+    pub(crate) fn new(arrived_at: Now) -> Self {
+        let source = Source::Memory;
+        Self { arrived_at, admitted_at: None, source, failures: 0, last_error: None }
+    }
+
+    /// Its key stands.
+    pub(crate) fn admit(&mut self) {
+        self.admitted_at = Some(clock::now());
     }
 
     /// The store is asked.
@@ -66,7 +71,7 @@
         if took < LATE && !status.is_server_error() {
             return;
         }
-        let key = self.admitted_at.saturating_sub(self.arrived_at);
+        let key = self.admitted_at.map_or(took, |at| at.saturating_sub(self.arrived_at));
         let fields = json!({
             "job": job,
             "status": status.as_u16(),
--- a/crates/jackdawpier_entry/tests/late_questions.rs
+++ b/crates/jackdawpier_entry/tests/late_questions.rs
@@ -6,7 +6,7 @@
 
 use hyper::Method;
 use jackdawpier_entry::http_client::{Call, HttpClient, NoAnswer, Obstacle};
-use support::{Entry, Fake, put_job, run};
+use support::{CONFIGURATION, Entry, Fake, put_job, run};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -43,6 +43,20 @@
     });
 }
 
+/// The line of a question whose key couldn't be checked was missing.
+#[test]
+fn unproved_key() {
+    run(async {
+        let fake = Fake::default();
+        fake.put(CONFIGURATION, b"1 shop-key:shop");
+        let entry = Entry::start(&fake, Some(Duration::from_millis(300))).await;
+        fake.set_down(true);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        assert_eq!(entry.status("GET", "/a/job", Some("shop-key")).await, 503);
+        assert!(counted(&entry, 503));
+    });
+}
+
 /// A host that turns connections away, a silent one and a want of descriptors were all "can't be reached".
 #[test]
 fn named_obstacle() {
