Don't read the whole registry again and again where reading it takes over a second

Found by a review as another way to fill the owner's link: the time since the watch last told of anything counted from the begin of the list, so that after one of over a second the watch was never asked. long_list: with lists of 1.1 s and renewals every 0.2 s the registry was read seven times in seven seconds, at most twice now. The watch begins where the list did, so nothing is missed.

--- a/crates/jackdawpier_entry/src/owner/registry.rs
+++ b/crates/jackdawpier_entry/src/owner/registry.rs
@@ -76,7 +76,8 @@
         let changes = self.registry.replace(entries.collect());
         self.revision = listing.revision;
         self.listed_at = Some(asked_at);
-        self.heard_at = asked_at;
+        // The next watch begins where the list did, so it tells of all that came meanwhile.
+        self.heard_at = clock::now();
         Ok(changes)
     }
 
--- a/crates/jackdawpier_entry/tests/registry.rs
+++ b/crates/jackdawpier_entry/tests/registry.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use jackdawpier_entry::clock;
 use jackdawpier_fleet::record::JobOutcome;
 use support::{Fake, UNREADABLE, outcome, put_job, run, start_owner, wait_until};
 
@@ -57,3 +58,22 @@
         assert_eq!(fake.starts().len(), 2, "it isn't used");
     });
 }
+
+/// Reading a registry of thousands takes over a second: the watch was taken for silent once that was done, and
+/// the whole was read again and again.
+#[test]
+fn long_list() {
+    run(async {
+        let fake = Fake::default();
+        fake.set_list_delay(Duration::from_millis(1100));
+        let (_cell, _owning) = start_owner(&fake, "a");
+        assert!(wait_until(|| fake.listings_of("executors/") > 0).await);
+        let until = clock::now() + Duration::from_secs(7);
+        while clock::now() < until {
+            fake.put(ENTRY, b"");
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let lists = fake.listings_of("executors/");
+        assert!(lists <= 2, "read {lists} times in seven seconds");
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -71,6 +71,8 @@
     reads: usize,
     /// Bytes of the values that listings have returned.
     listed_bytes: usize,
+    /// Listings of each prefix, without those that a watch makes here.
+    listings_of: BTreeMap<String, usize>,
     ended: Vec<EndedTask>,
     starts: Vec<(TaskKey, RunNumber)>,
     is_down: bool,
@@ -196,6 +198,11 @@
         self.0.borrow().listings
     }
 
+    /// Listings of a prefix, without those that a watch makes here.
+    pub fn listings_of(&self, prefix: &str) -> usize {
+        self.0.borrow().listings_of.get(prefix).copied().unwrap_or(0)
+    }
+
     /// Bytes of the values that listings have returned.
     pub fn listed_bytes(&self) -> usize {
         self.0.borrow().listed_bytes
@@ -288,6 +295,7 @@
 
     async fn list(&self, prefix: &str) -> CallResult<Listing> {
         self.0.borrow_mut().reads += 1;
+        *self.0.borrow_mut().listings_of.entry(prefix.to_owned()).or_default() += 1;
         self.travel().await;
         let list_delay = self.0.borrow().list_delay;
         tokio::time::sleep(list_delay).await;
