Repeat only the reading that the store refused

A question for a job that waits needs two readings, as such a job has no record, and a refused one began again at the record. What has been read is kept now. one_reading_in_two got 503 for each question before.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -257,8 +257,9 @@
     ) -> Reply {
         question.asks_store();
         let mut pause = Backoff::default();
+        let mut step = LookStep::Record;
         loop {
-            match self.look_in_store(id).await {
+            match self.look_in_store(id, &mut step).await {
                 Ok(Some((view, owner))) => return self.show(id, view, owner.as_ref(), account),
                 Ok(None) => return self.problem(id, StatusCode::GONE, "no such job"),
                 Err(error) => question.failed(error),
@@ -283,15 +284,25 @@
         reply(StatusCode::OK, self.platform.job_view(view))
     }
 
-    async fn look_in_store(&self, id: &JobId) -> Result<Option<KnownJob>, CallError> {
-        if let Some(known) = self.look_at_record(id).await? {
-            return Ok(Some(known));
+    /// Reads on from `step`, and notes how far it has come: a reading that is refused is repeated alone.
+    async fn look_in_store(
+        &self,
+        id: &JobId,
+        step: &mut LookStep,
+    ) -> Result<Option<KnownJob>, CallError> {
+        if *step == LookStep::Record {
+            if let Some(known) = self.look_at_record(id).await? {
+                return Ok(Some(known));
+            }
+            *step = LookStep::Submission;
         }
-        if let Some(item) = self.platform.get(&keys::submission(id)).await? {
-            let submission: Submission = self.parse(&item)?;
-            return Ok(Some((JobView::Queued, submission.account)));
+        if *step == LookStep::Submission {
+            if let Some(item) = self.platform.get(&keys::submission(id)).await? {
+                let submission: Submission = self.parse(&item)?;
+                return Ok(Some((JobView::Queued, submission.account)));
+            }
+            *step = LookStep::RecordAgain;
         }
-        // It may have ended between the two questions.
         self.look_at_record(id).await
     }
 
@@ -464,6 +475,16 @@
     Ok(body.to_bytes())
 }
 
+/// What is read next of a job. One that has only been handed in has no record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LookStep {
+    Record,
+    /// There was no record.
+    Submission,
+    /// There was neither: it may have ended between the two readings.
+    RecordAgain,
+}
+
 /// A job's state and the client account that it belongs to.
 type KnownJob = (JobView, Option<AccountName>);
 
--- a/crates/jackdawpier_entry/tests/late_questions.rs
+++ b/crates/jackdawpier_entry/tests/late_questions.rs
@@ -100,3 +100,17 @@
         assert!(reads <= 5 + 3, "{reads} readings for one question");
     });
 }
+
+/// A job that waits has no record, and a refused reading of what was handed in began again at the record: no two
+/// readings in a row are served here, so no question was answered, however often it was repeated.
+#[test]
+fn one_reading_in_two() {
+    run(async {
+        let entry = Entry::start(&Fake::default(), None).await;
+        put_job(&entry.fake, "job");
+        entry.fake.serve_one_in(2);
+        for _ in 0..4 {
+            assert_eq!(entry.status("GET", "/a/job", None).await, 200);
+        }
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -83,6 +83,8 @@
     watches: usize,
     /// Time that a call of the store takes, half of it on the way there.
     delay: Duration,
+    /// Every so-many-th reading of an item is served, the others are turned away; 0: all are served.
+    serves_one_in: usize,
     /// Time that a listing takes besides.
     list_delay: Duration,
     /// A wave of maintenance asks for the one machine.
@@ -270,6 +272,19 @@
         TransactionEnd::Committed(revision)
     }
 
+    /// Serves one reading of an item in so many and turns the others away, as a rate limit does.
+    pub fn serve_one_in(&self, readings: usize) {
+        self.0.borrow_mut().serves_one_in = readings;
+    }
+
+    fn check_rate(&self) -> CallResult<()> {
+        let state = self.0.borrow();
+        if state.serves_one_in > 1 && !state.reads.is_multiple_of(state.serves_one_in) {
+            return Err(CallError::NotDone { reason: "too many readings".to_owned() });
+        }
+        Ok(())
+    }
+
     fn check_up(&self) -> CallResult<()> {
         if self.0.borrow().is_down {
             return Err(CallError::NotDone { reason: "down".to_owned() });
@@ -283,6 +298,7 @@
         self.0.borrow_mut().reads += 1;
         self.travel().await;
         self.check_up()?;
+        self.check_rate()?;
         self.expire();
         let item = self.0.borrow().items.get(key).map(|held| Item {
             key: key.to_owned(),
