--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -52,7 +52,7 @@
 /// takes as a rule.
 const PROOF_PATIENCE: Duration = Duration::from_millis(400);
 /// Pause before a store that gave no answer is asked again.
-const REPEAT_PAUSE: Duration = Duration::from_millis(40);
+const REPEAT_PAUSE: Duration = Duration::from_millis(60);
 
 /// What answering callers needs.
 #[derive(Debug)]
@@ -256,7 +256,6 @@
         question: &mut Question,
     ) -> Reply {
         question.asks_store();
-        let mut pause = Backoff::default();
         let mut step = LookStep::Record;
         loop {
             match self.look_in_store(id, &mut step).await {
@@ -264,9 +263,10 @@
                 Ok(None) => return self.problem(id, StatusCode::GONE, "no such job"),
                 Err(error) => question.failed(error),
             }
-            if !pause.wait_until(deadline).await {
+            if clock::now() + REPEAT_PAUSE >= deadline {
                 return self.refuse(id, "the store can't be reached");
             }
+            tokio::time::sleep(REPEAT_PAUSE).await;
         }
     }
 
@@ -327,7 +327,6 @@
 
     /// A cancellation is acknowledged once it is durable; the owner carries it out.
     async fn cancel(&self, id: &JobId, account: Option<&AccountName>, deadline: Now) -> Reply {
-        let mut pause = Backoff::default();
         loop {
             match self.cancel_once(id, account).await {
                 Ok(end) => {
@@ -339,7 +338,9 @@
                         Cancellation::Foreign => self.foreign(id),
                     };
                 }
-                Err(_) if pause.wait_until(deadline).await => {}
+                Err(_) if clock::now() + REPEAT_PAUSE < deadline => {
+                    tokio::time::sleep(REPEAT_PAUSE).await;
+                }
                 Err(_) => return self.refuse(id, "the store can't be reached"),
             }
         }
@@ -425,29 +426,6 @@
     deadline: Now,
 }
 
-/// Pauses between tries, each twice as long as the one before, so that a store that turns calls away isn't
-/// asked for more.
-struct Backoff(Duration);
-
-impl Default for Backoff {
-    fn default() -> Self {
-        Self(REPEAT_PAUSE)
-    }
-}
-
-impl Backoff {
-    /// Waits before the next try, the last of which begins at `deadline`; returns whether there is one.
-    async fn wait_until(&mut self, deadline: Now) -> bool {
-        let left = deadline.saturating_sub(clock::now());
-        if left.is_zero() {
-            return false;
-        }
-        tokio::time::sleep(self.0.min(left)).await;
-        self.0 *= 2;
-        true
-    }
-}
-
 /// Why the body of a request can't be used; nothing was done.
 #[derive(Debug, Clone, Copy, Display)]
 enum BodyError {
