Say "no such job" only where the owner of the shard says so

Cause: the asked owner's answer was an optional text, and so was the search for it: no owner in the view, an owner that still loads or that lost the shard, a call that failed and a job that doesn't exist were all `None`, and 404 at the callers' port, 404 at the operators' port, exit status 2 of `jackdawpier job`. Callers took accepted jobs for lost.

Now an entry answers "not the owner", the job, or "no such job". The last one only with its cell open and its ownership standing under a lease that holds after the look, since a successor may have accepted the job while the process stood still. The asking entry tries twice; then it says 503 "not run: no_owner" with Retry-After. An action (cancel, retry, discard) whose answer is lost isn't repeated and is 504 "unknown" with Retry-After, as for requests: 503 would claim that nothing was done. An owner that releases its shard refuses actions, as it refuses new jobs. The answer is encoded so that an earlier version's `None` reads as "not the owner": old entries never cause a false 404 in new ones.

--- a/crates/jackdawpier/src/commands/job.rs
+++ b/crates/jackdawpier/src/commands/job.rs
@@ -15,6 +15,14 @@
     id: &str,
 ) -> Result<ExitStatus, Failure> {
     let answer = client.post(&format!("/v1/jobs/{class}/{id}/{}", action.name()), &())?;
+    if answer.status == 503 {
+        eprintln!("{}next: try again in a few seconds", render::cell(&answer.body));
+        return Ok(ExitStatus::Unavailable);
+    }
+    if answer.status == 504 {
+        eprintln!("{}next: `jackdawpier job show` says how it stands", render::cell(&answer.body));
+        return Ok(ExitStatus::Unknown);
+    }
     if answer.status != 200 {
         let findings = format!(
             "{}next: `jackdawpier status` lists the parked jobs",
--- a/crates/jackdawpierd/src/callers.rs
+++ b/crates/jackdawpierd/src/callers.rs
@@ -7,23 +7,28 @@
 
 use jackdawpier_http::{Handler, IncomingRequest, Reply};
 use jackdawpier_kernel::{
-    headers,
+    Now, headers,
     ids::{JobId, ServiceName},
     outcome::{Outcome, RefusalReason},
     trace::TraceContext,
 };
+use jackdawpier_peer::PeerError;
 use jackdawpier_settings::declaration::{Class, Kind};
 
 use crate::{
     entry::Entry,
-    messages::{JobAction, PeerAnswer, PeerRequest, WorkRequest},
+    messages::{JobAction, JobAnswer, PeerAnswer, PeerRequest, WorkRequest},
     router,
+    service::OWNER_RETRY_AFTER,
 };
 
 /// Longest customer name or key; longer ones are refused.
 const MAX_NAME_BYTES: usize = 256;
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
-const JOB_CALL_LIMIT: Duration = Duration::from_secs(2);
+/// Longest wait for the answer on a job, over all tries; connecting to its owner has limits of its own.
+const JOB_LIMIT: Duration = Duration::from_secs(2);
+const JOB_TRIES: u32 = 2;
+const JOB_TRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Part of the path between a class and a job's id.
 const JOBS_SEGMENT: &str = "jobs";
 
@@ -135,34 +140,70 @@
         if class.kind != Kind::Refresh {
             return None;
         }
-        let shown = find_job(&self.entry, &class.service, &id.into(), action).await;
-        Some(match shown {
-            Some(text) => Reply::new(200, "application/json", text),
-            None => Reply::new(404, "text/plain", "no such job, or its owner can't be reached\n"),
+        let found = find_job(&self.entry, &class.service, &id.into(), action).await;
+        Some(match found {
+            Ok(Some(text)) => Reply::new(200, "application/json", text),
+            Ok(None) => Reply::new(404, "text/plain", "no such job\n"),
+            Err(outcome @ Outcome::Unknown { .. }) => {
+                let retry_after = self.entry.settings.timing.member_lease;
+                reply(outcome).with_header(headers::RETRY_AFTER, whole_seconds(retry_after))
+            }
+            Err(outcome) => reply(outcome),
         })
     }
 }
 
-/// Shows a job or acts on it at the entry that owns its shard.
+/// Shows a job or acts on it at the entry that owns its shard; `None` if that entry says that there
+/// is no such job. The error is "not run" where no owner could say, and "unknown" where the owner
+/// may have acted and its answer was lost.
 pub(crate) async fn find_job(
     entry: &Arc<Entry>,
     service: &ServiceName,
     job: &JobId,
     action: JobAction,
-) -> Option<String> {
+) -> Result<Option<String>, Outcome> {
+    let deadline = entry.now() + JOB_LIMIT;
+    let mut retry_after = OWNER_RETRY_AFTER;
+    for tries_left in (0..JOB_TRIES).rev() {
+        match ask_owner(entry, service, job, action, deadline).await {
+            Ok(JobAnswer::Shown(text)) => return Ok(Some(text)),
+            Ok(JobAnswer::NoSuchJob) => return Ok(None),
+            Ok(JobAnswer::NotOwner) => retry_after = OWNER_RETRY_AFTER,
+            Err(PeerError::Lost { detail, .. }) if action != JobAction::Show => {
+                let detail = format!("this may have been done, look at the job again: {detail}");
+                return Err(Outcome::Unknown { detail });
+            }
+            Err(_) => retry_after = entry.settings.timing.member_lease,
+        }
+        if tries_left == 0 || entry.now() + JOB_TRY_INTERVAL >= deadline {
+            break;
+        }
+        tokio::time::sleep(JOB_TRY_INTERVAL).await;
+    }
+    Err(Outcome::NotRun { reason: RefusalReason::NoOwner, retry_after })
+}
+
+async fn ask_owner(
+    entry: &Arc<Entry>,
+    service: &ServiceName,
+    job: &JobId,
+    action: JobAction,
+    deadline: Now,
+) -> Result<JobAnswer, PeerError> {
     let owner = {
         let coordination = entry.coordination();
-        let owner = coordination.view.owner(service)?.entry.clone();
-        coordination.view.member(&owner).cloned()?
+        let owner = coordination.view.owner(service);
+        owner.and_then(|owner| coordination.view.member(&owner.entry)).cloned()
     };
+    let Some(owner) = owner else { return Ok(JobAnswer::NotOwner) };
     if owner.entry == *entry.name() {
-        return entry.service(service).job(job, action);
+        return Ok(entry.service(service).job(job, action));
     }
+    let Ok(address) = owner.peer_address.parse() else { return Ok(JobAnswer::NotOwner) };
     let request = PeerRequest::Job { service: service.clone(), job: job.clone(), action };
-    let address = owner.peer_address.parse().ok()?;
-    match entry.endpoint.call(address, &request, JOB_CALL_LIMIT).await {
-        Ok(PeerAnswer::Job(shown)) => shown,
-        _ => None,
+    match entry.endpoint.call(address, &request, deadline.saturating_sub(entry.now())).await? {
+        PeerAnswer::Job(answer) => Ok(answer),
+        _ => Err(PeerError::Lost { address, detail: "an answer of another kind".to_owned() }),
     }
 }
 
@@ -175,6 +216,11 @@
     (!class.is_empty() && path.starts_with('/')).then_some((class, path))
 }
 
+/// Seconds for a header that has no smaller unit, rounded up.
+pub(crate) fn whole_seconds(time: Duration) -> u128 {
+    time.as_millis().div_ceil(1000)
+}
+
 fn status_of(reason: RefusalReason) -> u16 {
     match reason {
         RefusalReason::UnknownClass => 404,
@@ -189,7 +235,7 @@
     let reply = match outcome {
         Outcome::Answered(answer) => Reply::new(answer.status, &answer.content_type, answer.body),
         Outcome::NotRun { reason, retry_after } => {
-            let retry_after_s = retry_after.as_millis().div_ceil(1000);
+            let retry_after_s = whole_seconds(retry_after);
             Reply::new(status_of(reason), "text/plain", format!("not run: {reason}\n"))
                 .with_header(headers::REASON, reason)
                 .with_header(headers::RETRY_AFTER, retry_after_s)
--- a/crates/jackdawpierd/src/messages.rs
+++ b/crates/jackdawpierd/src/messages.rs
@@ -56,6 +56,19 @@
     Discard,
 }
 
+/// What the asked entry says of a job. Its first two variants are encoded as an optional text is,
+/// the answer of earlier versions, in which nothing could also mean that another entry owns the
+/// shard.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum JobAnswer {
+    /// The entry doesn't own the shard, or hasn't loaded it yet; nothing was done.
+    NotOwner,
+    /// State of the job as JSON.
+    Shown(String),
+    /// The entry owns the shard, and there is no such job.
+    NoSuchJob,
+}
+
 /// Requests between entries.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum PeerRequest {
@@ -89,8 +102,7 @@
         heartbeat: Heartbeat,
         newer: Vec<Document>,
     },
-    /// State of a job as JSON, if it is known.
-    Job(Option<String>),
+    Job(JobAnswer),
     /// State of a key as JSON, if the entry remembers it.
     Recalled(Option<String>),
     /// JSON of the capacity role's holder, or nothing where the peer is not the holder.
--- a/crates/jackdawpierd/src/operators.rs
+++ b/crates/jackdawpierd/src/operators.rs
@@ -6,13 +6,14 @@
 use std::{io::Read, sync::Arc, time::Duration};
 
 use jackdawpier_coord::configuration::{Apply, ApplyOutcome, ApplyOutput, WriterId};
+use jackdawpier_kernel::outcome::Outcome;
 use jackdawpier_settings::loader::{MAX_FILE_BYTES, load_declaration};
 use serde::{Deserialize, Serialize};
 use tiny_http::{Header, Method, Request, Response, Server};
 use tokio::runtime::Handle;
 
 use crate::{
-    callers::find_job,
+    callers::{find_job, whole_seconds},
     capacity::{self, WaveAction},
     entry::Entry,
     messages::{JobAction, PeerAnswer, PeerRequest},
@@ -40,15 +41,21 @@
     status: u16,
     content_type: &'static str,
     body: String,
+    /// When to come back, where that is known.
+    retry_after: Option<Duration>,
 }
 
 fn json(status: u16, value: &impl Serialize) -> Answer {
-    let body = serde_json::to_string(value).expect("answers are plain data");
-    Answer { status, content_type: "application/json", body }
+    json_text(status, serde_json::to_string(value).expect("answers are plain data"))
+}
+
+fn json_text(status: u16, body: String) -> Answer {
+    Answer { status, content_type: "application/json", body, retry_after: None }
 }
 
 fn text(status: u16, body: impl Into<String>) -> Answer {
-    Answer { status, content_type: "text/plain; charset=utf-8", body: body.into() }
+    let content_type = "text/plain; charset=utf-8";
+    Answer { status, content_type, body: body.into(), retry_after: None }
 }
 
 /// Starts to answer operators.
@@ -73,12 +80,15 @@
         Err(error) => text(400, format!("{error}\n")),
     };
     let header = |name: &str, value: &str| {
-        Header::from_bytes(name, value).expect("names and values are constants")
+        Header::from_bytes(name, value).expect("names are constants, values too or numbers")
     };
-    let response = Response::from_string(answer.body)
+    let mut response = Response::from_string(answer.body)
         .with_status_code(answer.status)
         .with_header(header("Content-Type", answer.content_type))
         .with_header(header("Connection", "close"));
+    if let Some(retry_after) = answer.retry_after {
+        response.add_header(header("Retry-After", &whole_seconds(retry_after).to_string()));
+    }
     let _ = request.respond(response);
 }
 
@@ -135,7 +145,7 @@
     let Some(body) = shown else { return text(503, NO_HOLDER) };
     let is_accepted = serde_json::from_str::<serde_json::Value>(&body)
         .is_ok_and(|value| value["accepted"] == true);
-    Answer { status: if is_accepted { 200 } else { 409 }, content_type: "application/json", body }
+    json_text(if is_accepted { 200 } else { 409 }, body)
 }
 
 /// `POST /v1/jobs/CLASS/ID/ACTION`, with `show`, `cancel`, `retry` or `discard`.
@@ -154,8 +164,19 @@
         entry.coordination().configuration.class(class).map(|class| class.service.clone());
     let Some(service) = service else { return text(404, "no such class\n") };
     match find_job(entry, &service, &id.into(), action).await {
-        Some(body) => Answer { status: 200, content_type: "application/json", body },
-        None => text(404, "no such job, or its owner can't be reached\n"),
+        Ok(Some(body)) => json_text(200, body),
+        Ok(None) => text(404, "no such job\n"),
+        Err(Outcome::NotRun { reason, retry_after }) => {
+            Answer { retry_after: Some(retry_after), ..text(503, format!("not run: {reason}\n")) }
+        }
+        Err(outcome) => {
+            let retry_after = Some(entry.settings.timing.member_lease);
+            let detail = match outcome {
+                Outcome::Unknown { detail } => detail,
+                other => other.name().to_owned(),
+            };
+            Answer { retry_after, ..text(504, format!("unknown: {detail}\n")) }
+        }
     }
 }
 
@@ -174,7 +195,7 @@
         None => ask_holder(entry, request).await,
     };
     match shown {
-        Some(body) => Answer { status: 200, content_type: "application/json", body },
+        Some(body) => json_text(200, body),
         None => text(503, NO_HOLDER),
     }
 }
--- a/crates/jackdawpierd/src/service_jobs.rs
+++ b/crates/jackdawpierd/src/service_jobs.rs
@@ -17,7 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    messages::{JobAction, WorkRequest},
+    messages::{JobAction, JobAnswer, WorkRequest},
     service::{Action, CellState, Service, ServiceState, accepted_answer},
 };
 
@@ -100,22 +100,38 @@
         });
     }
 
-    /// Shows a job or acts on it; the answer is JSON, if the job is known here.
-    pub(crate) fn job(self: &Arc<Self>, id: &JobId, action: JobAction) -> Option<String> {
-        self.act(|state, now| {
-            let Some(owned) = &mut state.owned else { return (None, Vec::new()) };
+    /// Shows a job or acts on it, where this entry owns the shard and has loaded it.
+    pub(crate) fn job(self: &Arc<Self>, id: &JobId, action: JobAction) -> JobAnswer {
+        let answer = self.act(|state, now| {
+            let is_reading = action == JobAction::Show;
+            let owned = state.owned.as_mut().filter(|owned| owned.cell.is_open());
+            let Some(owned) = owned.filter(|owned| is_reading || !owned.is_releasing) else {
+                return (JobAnswer::NotOwner, Vec::new());
+            };
             let commands = match action {
                 JobAction::Show => Vec::new(),
                 JobAction::Cancel => owned.jobs.cancel(id).1,
                 JobAction::Retry => owned.jobs.unpark(id, true).1,
                 JobAction::Discard => owned.jobs.unpark(id, false).1,
             };
-            let shown = owned
-                .jobs
-                .job(id)
-                .map(|job| serde_json::to_string(job).expect("jobs are plain data"));
-            (shown, state.follow_jobs(now, commands))
-        })
+            let answer = owned.jobs.job(id).map_or(JobAnswer::NoSuchJob, |job| {
+                JobAnswer::Shown(serde_json::to_string(job).expect("jobs are plain data"))
+            });
+            (answer, state.follow_jobs(now, commands))
+        });
+        match answer {
+            // A successor may have accepted the job while this process stood still.
+            JobAnswer::NoSuchJob if !self.is_owner_still() => JobAnswer::NotOwner,
+            answer => answer,
+        }
+    }
+
+    /// Whether the shard has been owned here without a break up to now.
+    fn is_owner_still(&self) -> bool {
+        let Some(entry) = self.entry.upgrade() else { return false };
+        let coordination = entry.coordination();
+        let lease = coordination.membership.lease(entry.now());
+        coordination.ownership.owns(&self.name) && coordination.ownership.stands_under(lease)
     }
 
     /// Jobs that need an operator, as (id, reason).
--- a/crates/jackdawpierd/tests/command_line.rs
+++ b/crates/jackdawpierd/tests/command_line.rs
@@ -97,3 +97,18 @@
     assert_eq!(output.status.code(), Some(4));
     assert!(text(&output.stderr).contains("next:"), "{}", text(&output.stderr));
 }
+
+/// Status 4 says that nothing was done; 2 would say that the job's id is wrong.
+#[test]
+fn unowned_job() {
+    let deployment = Deployment::new("tool-unowned-job", 0, 0);
+    let daemons = deployment.start_all(2);
+    let (owners, others): (Vec<_>, Vec<_>) =
+        daemons.iter().partition(|daemon| daemon.owned().contains(&"refresh".to_owned()));
+    let job = ["job", "show", "ledger", "ledger~none~none"];
+    assert_eq!(run(owners[0], &job).status.code(), Some(2));
+    owners[0].signal("KILL");
+    let refused = run(others[0], &job);
+    assert_eq!(refused.status.code(), Some(4), "{}", text(&refused.stderr));
+    assert!(text(&refused.stderr).contains("next: try again"), "{}", text(&refused.stderr));
+}
--- /dev/null
+++ b/crates/jackdawpierd/tests/job_answers.rs
@@ -0,0 +1,144 @@
+//! What callers and operators hear of an accepted job while the owner of its shard can't say.
+
+mod support;
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use serde_json::json;
+use support::{Daemon, Deployment, http, http_full, set_faults, wait_for, work};
+
+const JOB: &str = "/ledger/jobs/ledger~none~key-1";
+const SHOWN_TO_OPERATORS: &str = "/v1/jobs/ledger/ledger~none~key-1/show";
+
+/// Lets `daemon` accept a job that outlasts the test.
+fn accept(daemon: &Daemon) {
+    let headers = [("idempotency-key", "key-1")];
+    let accepted = http("POST", daemon.callers, "/ledger/x", &headers, &work(1, 60_000_000));
+    assert_eq!(accepted.expect("it answers").0, 202);
+}
+
+/// Splits the owner of the service `refresh` from the other entry.
+fn owner_of_refresh(mut daemons: Vec<Daemon>) -> (Daemon, Daemon) {
+    let at = daemons
+        .iter()
+        .position(|daemon| daemon.owned().contains(&"refresh".to_owned()))
+        .expect("every cell is open");
+    let owner = daemons.remove(at);
+    (owner, daemons.remove(0))
+}
+
+/// Asks and returns the status; whoever is told to come back is told when, and that nothing was
+/// done.
+fn status(method: &str, address: SocketAddr, path: &str) -> u16 {
+    let (status, headers, body) =
+        http_full(method, address, path, &[], b"").expect("it is answered");
+    let body = String::from_utf8_lossy(&body);
+    if status == 503 {
+        let retry_after_s = headers.get("retry-after").expect("it says when to come back");
+        let retry_after_s: u64 =
+            retry_after_s.to_str().expect("it is text").parse().expect("it is a number");
+        assert!(retry_after_s > 0);
+        assert!(body.contains("not run"), "{body}");
+    }
+    assert!([200, 503].contains(&status), "an accepted job is never unknown: {status} {body}");
+    status
+}
+
+/// Asks at both ports until both show the job; returns how many answers were 503.
+fn refusals_until_shown(daemon: &Daemon) -> u32 {
+    let mut refusals = 0;
+    wait_for("the job to be shown", || {
+        let at_callers = status("GET", daemon.callers, JOB);
+        let at_operators = status("POST", daemon.operators, SHOWN_TO_OPERATORS);
+        refusals += u32::from(at_callers == 503) + u32::from(at_operators == 503);
+        at_callers == 200 && at_operators == 200
+    });
+    refusals
+}
+
+/// The lease outlasts the connection to the owner, so the cancellation can't be sent any more.
+#[test]
+fn killed_owner() {
+    let deployment = Deployment::new("job-killed-owner", 1, 1);
+    let (owner, other) = owner_of_refresh(deployment.start_all(2));
+    accept(&other);
+    owner.signal("KILL");
+    assert_eq!(status("GET", other.callers, JOB), 503);
+    assert_eq!(status("DELETE", other.callers, JOB), 503);
+    assert!(refusals_until_shown(&other) > 0);
+    let shown = http("GET", other.callers, JOB, &[], b"").expect("it answers").1;
+    assert_ne!(shown["state"]["state"], "cancelled", "the refused cancellation was not kept");
+}
+
+/// The only entry starts again over a slow store: it serves before it owns the shard, and owns the
+/// shard before it has loaded the jobs.
+#[test]
+fn loading_owner() {
+    let deployment = Deployment::new("job-loading-owner", 1, 1).with_default_timing();
+    let daemons = deployment.start_all(1);
+    accept(&daemons[0]);
+    drop(daemons);
+    set_faults(deployment.store, &json!({ "slow_ms": 300 }));
+    let restarted = deployment.start("a", "");
+    wait_for("the entry to serve", || restarted.is_ready());
+    assert!(refusals_until_shown(&restarted) > 0);
+}
+
+/// The owner freezes with the cancellation on its way, so it may carry it out when it thaws.
+#[test]
+fn lost_cancellation() {
+    let deployment = Deployment::new("job-lost-cancellation", 1, 1).with_default_timing();
+    let (owner, other) = owner_of_refresh(deployment.start_all(2));
+    accept(&other);
+    owner.signal("STOP");
+    let (status, headers, body) =
+        http_full("DELETE", other.callers, JOB, &[], b"").expect("it is answered");
+    let body = String::from_utf8_lossy(&body);
+    assert_eq!(status, 504, "{body}");
+    assert_eq!(headers["x-outcome"], "unknown");
+    assert!(headers.contains_key("retry-after"));
+    assert!(!body.contains("not run"), "{body}");
+    refusals_until_shown(&other);
+    owner.signal("CONT");
+    wait_for("the repeat to cancel the job", || {
+        http("DELETE", other.callers, JOB, &[], b"").expect("it answers");
+        let shown = http("GET", other.callers, JOB, &[], b"").expect("it answers").1;
+        shown["state"]["state"] == "cancelled"
+    });
+}
+
+#[test]
+fn unknown_job() {
+    let deployment = Deployment::new("job-unknown", 1, 1);
+    for daemon in &deployment.start_all(2) {
+        wait_for("the owner to be known", || {
+            http("GET", daemon.callers, JOB, &[], b"").expect("it answers").0 != 503
+        });
+        for method in ["GET", "DELETE"] {
+            let answer = http(method, daemon.callers, "/ledger/jobs/ledger~none~none", &[], b"");
+            assert_eq!(answer, Some((404, json!("no such job\n"))));
+        }
+        let answer = http("POST", daemon.operators, "/v1/jobs/ledger/none/show", &[], b"");
+        assert_eq!(answer, Some((404, json!("no such job\n"))));
+    }
+}
+
+/// The owner stands still while another takes over and accepts the job, and is asked as it thaws.
+#[test]
+fn thawed_owner() {
+    let deployment = Deployment::new("job-thawed-owner", 1, 1).with_default_timing();
+    let (owner, other) = owner_of_refresh(deployment.start_all(2));
+    owner.signal("STOP");
+    wait_for("the other entry to take over", || other.owned().contains(&"refresh".to_owned()));
+    accept(&other);
+    thread::scope(|scope| {
+        let ask = || status("GET", owner.callers, JOB);
+        let asked: Vec<_> = (0..32).map(|_| scope.spawn(ask)).collect();
+        // The questions wait at the frozen process.
+        thread::sleep(Duration::from_millis(300));
+        owner.signal("CONT");
+        asked.into_iter().for_each(|answer| {
+            answer.join().expect("an accepted job is never unknown");
+        });
+    });
+}
