--- a/crates/jackdawpier_entry/src/http_client.rs
+++ b/crates/jackdawpier_entry/src/http_client.rs
@@ -90,7 +90,8 @@
 }
 
 impl Obstacle {
-    fn of(error: &io::Error) -> Self {
+    /// What an error of a socket comes to.
+    pub(crate) fn of(error: &io::Error) -> Self {
         let errno = error.raw_os_error().map(Errno::from_raw);
         match errno {
             Some(Errno::EMFILE | Errno::ENFILE) => Self::NoDescriptor,
--- a/crates/jackdawpier_entry/src/http_server.rs
+++ b/crates/jackdawpier_entry/src/http_server.rs
@@ -19,7 +19,6 @@
     server::conn::http1,
     service::service_fn,
 };
-use nix::errno::Errno;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -27,6 +26,7 @@
 
 use crate::{
     connections::{Connection, ConnectionLimits, Connections},
+    http_client::Obstacle,
     watched_stream::{WatchedStream, is_readable},
 };
 
@@ -124,7 +124,9 @@
                 connections.make_room(limits().most).await;
                 serve_stream(stream);
             }
-            Err(error) if is_out_of_descriptors(&error) && is_readable(listener) => {
+            Err(error)
+                if Obstacle::of(&error) == Obstacle::NoDescriptor && is_readable(listener) =>
+            {
                 connections.close_longest_idle(ACCEPT_PAUSE).await;
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -132,11 +134,6 @@
     }
 }
 
-fn is_out_of_descriptors(error: &io::Error) -> bool {
-    let errno = error.raw_os_error().map(Errno::from_raw);
-    matches!(errno, Some(Errno::EMFILE | Errno::ENFILE))
-}
-
 async fn serve_connection<H, F>(
     stream: TcpStream,
     connection: Connection,
