Ask the store for a job whose end is on its way there

A caller was told that a job had completed, and then by the owner's entry that it runs: the write of the end was carried out and its answer lost or late, so that the store, and with it all other entries, knew more than the owner's memory. Where the store can't be had the owner's memory still answers.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -241,13 +241,26 @@
         mut question: Question,
     ) -> Reply {
         let reply = match self.owner.job(id) {
-            Some((view, owner)) => self.show(id, view, owner.as_ref(), account),
+            Some(known) => {
+                let (view, owner) = self.with_end(id, known, &mut question).await;
+                self.show(id, view, owner.as_ref(), account)
+            }
             None => self.look_until(id, account, deadline, &mut question).await,
         };
         question.answered(&self.events, id, reply.status(), self.active.proof_age());
         reply
     }
 
+    /// What is told of a job that this entry owns. Where its end is on its way to the store, other entries may
+    /// tell of it already, so the store has the last word if it can be had.
+    async fn with_end(&self, id: &JobId, known: KnownJob, question: &mut Question) -> KnownJob {
+        if !self.owner.is_ending(id) {
+            return known;
+        }
+        question.asks_store();
+        self.look_at_record(id).await.ok().flatten().unwrap_or(known)
+    }
+
     async fn look_until(
         &self,
         id: &JobId,
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -75,6 +75,11 @@
         self.with(read).flatten()
     }
 
+    /// Whether the end of a job is on its way to the store.
+    pub fn is_ending(&self, id: &str) -> bool {
+        self.with(|fleet| fleet.is_ending(id)).unwrap_or(false)
+    }
+
     /// Jobs of a queue that haven't begun; none if this entry doesn't own the fleet.
     pub fn pending(&self, queue: &QueueName) -> Option<u64> {
         self.with(|fleet| fleet.pending().get(queue).copied().unwrap_or(0))
--- a/crates/jackdawpier_entry/tests/ended_jobs.rs
+++ b/crates/jackdawpier_entry/tests/ended_jobs.rs
@@ -9,7 +9,7 @@
     clock, keys,
 };
 use jackdawpier_fleet::{fleet::JobView, record::JobOutcome};
-use support::{Fake, outcome, run, start_intake, start_owner, submission, wait_until};
+use support::{Entry, Fake, outcome, run, start_intake, start_owner, submission, wait_until};
 
 async fn submit(intake: &Intake) -> Acceptance {
     let deadline = clock::now() + Duration::from_secs(1);
@@ -63,3 +63,26 @@
         assert_eq!(second.view("job"), Some(JobView::Over(JobOutcome::Completed)));
     });
 }
+
+/// The store held the end already, so that other entries told of it, while the owner went on saying that the job
+/// runs until the answer to its write came.
+#[test]
+fn end_on_its_way() {
+    run(async {
+        let fake = Fake::default();
+        let intake = start_intake(&fake);
+        let (cell, _owning) = start_owner(&fake, "a");
+        assert!(wait_until(|| fake.value(keys::OWNER).is_some()).await);
+        assert_eq!(submit(&intake).await, Acceptance::Accepted);
+        let entry = Entry::start_beside(&fake, None, cell).await;
+        fake.set_delay(Duration::from_millis(300));
+        assert!(wait_until(|| outcome_of(&fake) == Some(JobOutcome::Completed)).await);
+        let answer = entry.ask("GET", "/a/job", None).await;
+        assert!(answer.contains("Over(Completed)"), "{answer}");
+    });
+}
+
+/// The durable outcome of the job, if there is a record of it yet.
+fn outcome_of(fake: &Fake) -> Option<JobOutcome> {
+    fake.value(&keys::record("job")).and_then(|_| outcome(fake, "job"))
+}
--- a/crates/jackdawpier_entry/tests/support/entry.rs
+++ b/crates/jackdawpier_entry/tests/support/entry.rs
@@ -35,6 +35,11 @@
     /// Starts one whose keys have to be proved that often, and waits until it has a configuration, which
     /// is a plain one if the store holds none.
     pub async fn start(fake: &Fake, holds_for: Option<Duration>) -> Self {
+        Self::start_beside(fake, holds_for, OwnerCell::default()).await
+    }
+
+    /// The same with the fleet, while it owns it.
+    pub async fn start_beside(fake: &Fake, holds_for: Option<Duration>, owner: OwnerCell) -> Self {
         if fake.value(CONFIGURATION).is_none() {
             fake.put(CONFIGURATION, b"1");
         }
@@ -46,7 +51,7 @@
             platform: fake.clone(),
             active: active.clone(),
             intake: start_intake(fake),
-            owner: OwnerCell::default(),
+            owner,
             pending: Pending::default(),
             events: events.clone(),
         });
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -425,6 +425,11 @@
         })
     }
 
+    /// Whether a job is over and it isn't known yet that this is durable: others may be told of its end already.
+    pub fn is_ending(&self, id: &str) -> bool {
+        self.jobs.get(id).is_some_and(|job| job.is_over() && job.shown.is_none())
+    }
+
     /// The client account that a job belongs to; none if the job isn't known here.
     pub fn account_of(&self, id: &str) -> Option<Option<&AccountName>> {
         let of_open = self.jobs.get(id).map(|job| job.account.as_ref());
