Let a seed play one history: no decision hangs on the order of a hash map

Cause: executors that lapse or are gone, tasks that are cleared and machines were gone through in the order of a hash map, which hangs on a random seed; so were the jobs that the model hands to a new owner.

Maps are ordered now; the three that are read by key many thousand times a second are tables, read by hash and listed by key.

--- a/crates/jackdawpier_fleet/src/account.rs
+++ b/crates/jackdawpier_fleet/src/account.rs
@@ -3,7 +3,7 @@
 //! The cap is a promise to all other accounts, so whatever may be running counts: placements whose order
 //! hasn't left, orders without an answer, runs that are being stopped. See `docs/design/accounts.md`.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use jackdawpier_kernel::{Now, ids::AccountName};
 
@@ -44,8 +44,8 @@
 /// What each account may have running and has.
 #[derive(Debug, Default)]
 pub(crate) struct Accounts {
-    settings: HashMap<AccountName, Account>,
-    used: HashMap<AccountName, Resources>,
+    settings: BTreeMap<AccountName, Account>,
+    used: BTreeMap<AccountName, Resources>,
     /// What is counted for a time only, since nobody will say when it has ended.
     remains: Vec<(Now, AccountName, Resources)>,
 }
@@ -110,7 +110,7 @@
 
     /// How much more each account may start.
     pub(crate) fn headroom(&self) -> Headroom<'_> {
-        Headroom { accounts: self, left_millicores: HashMap::new() }
+        Headroom { accounts: self, left_millicores: BTreeMap::new() }
     }
 
     /// Processor that an account may still start, in thousandths of a core.
@@ -127,7 +127,7 @@
 #[derive(Debug)]
 pub(crate) struct Headroom<'a> {
     accounts: &'a Accounts,
-    left_millicores: HashMap<&'a AccountName, u64>,
+    left_millicores: BTreeMap<&'a AccountName, u64>,
 }
 
 impl<'a> Headroom<'a> {
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -27,7 +27,7 @@
 mod waits;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -58,6 +58,7 @@
     policy::Policy,
     record::{JobOutcome, JobRecord},
     spec::{JobSpec, Label, Queue, QueueName, RunNumber, Service, Submission, TaskKey},
+    table::Table,
 };
 
 /// Entries' times of day differ by no more than this, also while they are set right.
@@ -186,7 +187,7 @@
 struct Advice {
     asked_at: Now,
     valid_until: Now,
-    tickets: HashMap<ExecutorId, Arc<str>>,
+    tickets: BTreeMap<ExecutorId, Arc<str>>,
 }
 
 /// The owner's state.
@@ -194,22 +195,22 @@
 pub struct Fleet {
     settings: FleetSettings,
     started_at: Now,
-    queues: HashMap<QueueName, Queue>,
-    services: HashMap<ServiceName, Service>,
+    queues: BTreeMap<QueueName, Queue>,
+    services: BTreeMap<ServiceName, Service>,
     accounts: Accounts,
-    jobs: HashMap<JobId, Job>,
+    jobs: Table<JobId, Job>,
     /// Jobs that aren't over, by queue.
     open: BTreeMap<QueueName, BTreeSet<JobId>>,
     /// Repeated jobs with occurrences to come.
     scheduled: BTreeSet<JobId>,
-    executors: HashMap<ExecutorId, Executor>,
-    by_service: HashMap<ServiceName, Vec<ExecutorId>>,
+    executors: Table<ExecutorId, Executor>,
+    by_service: BTreeMap<ServiceName, Vec<ExecutorId>>,
     dirty: VecDeque<JobId>,
     /// Jobs that are over, with the time since when.
     over: VecDeque<(JobId, Now)>,
     /// Those that an earlier owner ended.
-    ended_before: HashMap<JobId, EndedBefore>,
-    advice: HashMap<(JobId, usize), Advice>,
+    ended_before: BTreeMap<JobId, EndedBefore>,
+    advice: BTreeMap<(JobId, usize), Advice>,
     commands: Vec<Command>,
     finished: Vec<FinishedJob>,
     losses: Vec<Loss>,
@@ -225,7 +226,7 @@
     shortages: Vec<Shortage>,
     /// Since when pools lack machines with a label.
     label_lacks_since: BTreeMap<(PoolName, Label), Now>,
-    arrivals: HashMap<ServiceName, Arrivals>,
+    arrivals: BTreeMap<ServiceName, Arrivals>,
     /// Labels that jobs have asked for in this term.
     asked_labels: BTreeSet<Label>,
     next_batch: u64,
@@ -241,18 +242,18 @@
             machines: Machines::new(now + settings.order_lease),
             settings,
             started_at: now,
-            queues: HashMap::new(),
-            services: HashMap::new(),
+            queues: BTreeMap::new(),
+            services: BTreeMap::new(),
             accounts: Accounts::default(),
-            jobs: HashMap::new(),
+            jobs: Table::default(),
             open: BTreeMap::new(),
             scheduled: BTreeSet::new(),
-            executors: HashMap::new(),
-            by_service: HashMap::new(),
+            executors: Table::default(),
+            by_service: BTreeMap::new(),
             dirty: VecDeque::new(),
             over: VecDeque::new(),
-            ended_before: HashMap::new(),
-            advice: HashMap::new(),
+            ended_before: BTreeMap::new(),
+            advice: BTreeMap::new(),
             commands: Vec::new(),
             finished: Vec::new(),
             losses: Vec::new(),
@@ -265,7 +266,7 @@
             expired_at: Now::ZERO,
             shortages: Vec::new(),
             label_lacks_since: BTreeMap::new(),
-            arrivals: HashMap::new(),
+            arrivals: BTreeMap::new(),
             asked_labels: BTreeSet::new(),
             next_batch: 0,
             executors_tried: 0,
@@ -394,8 +395,7 @@
             let is_suspect = self.is_suspect(job, index);
             let executor = self
                 .executors
-                .entry(id.clone())
-                .or_insert_with(|| Executor::new(self.started_at, doubt_until));
+                .get_or_insert_with(id.clone(), || Executor::new(self.started_at, doubt_until));
             book(executor, &mut self.accounts, job, index);
             if is_suspect {
                 executor.watch = Some(Watch { task: (job.id.clone(), index), until: None });
--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -1,6 +1,6 @@
 //! Which executors there are, and when what ran on one has certainly ended.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use jackdawpier_kernel::{
     Now,
@@ -24,7 +24,7 @@
         let doubt_until = self.started_at + self.settings.doubt;
         let id = info.id.clone();
         let executor =
-            self.executors.entry(id.clone()).or_insert_with(|| Executor::new(now, doubt_until));
+            self.executors.get_or_insert_with(id.clone(), || Executor::new(now, doubt_until));
         let former = executor.info.as_ref().filter(|_| executor.is_listed);
         let moved_from = former.map(|one| one.service.clone()).filter(|name| *name != info.service);
         let is_new = former.is_none() || moved_from.is_some();
@@ -62,7 +62,7 @@
 
     /// Takes in all executors that are registered, in place of those that were.
     pub fn list_executors(&mut self, now: Now, listed: Vec<ExecutorInfo>) {
-        let ids: HashSet<ExecutorId> = listed.iter().map(|info| info.id.clone()).collect();
+        let ids: BTreeSet<ExecutorId> = listed.iter().map(|info| info.id.clone()).collect();
         let gone: Vec<ExecutorId> = self
             .executors
             .iter()
--- a/crates/jackdawpier_fleet/src/fleet/freed_labels.rs
+++ b/crates/jackdawpier_fleet/src/fleet/freed_labels.rs
@@ -7,7 +7,7 @@
 //! label).
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -95,7 +95,7 @@
         &self,
         info: &MachineInfo,
         wanted: Option<&Label>,
-        openings: &HashMap<ServiceName, Openings>,
+        openings: &BTreeMap<ServiceName, Openings>,
     ) -> bool {
         let Some(executor) = info.executor.as_ref().and_then(|id| self.executors.get(id)) else {
             return false;
--- a/crates/jackdawpier_fleet/src/fleet/held_room.rs
+++ b/crates/jackdawpier_fleet/src/fleet/held_room.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -49,7 +49,7 @@
         &mut self,
         now: Now,
         waiting: &[(Rank, JobId)],
-        openings: &mut HashMap<ServiceName, Openings>,
+        openings: &mut BTreeMap<ServiceName, Openings>,
     ) {
         let starved: BTreeSet<(Now, JobId)> = waiting
             .iter()
--- a/crates/jackdawpier_fleet/src/fleet/lives.rs
+++ b/crates/jackdawpier_fleet/src/fleet/lives.rs
@@ -3,7 +3,7 @@
 //! A later life holds nothing of the former one, and its clock and its ends count anew. See
 //! `docs/design/lives.md`.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
@@ -42,7 +42,7 @@
     ) {
         let is_taken = self.machines.was_taken(id, None);
         let evidence = if is_taken { LossEvidence::Taken } else { LossEvidence::Restarted };
-        let here: HashSet<TaskRef> = report
+        let here: BTreeSet<TaskRef> = report
             .running
             .iter()
             .filter_map(|run| {
--- a/crates/jackdawpier_fleet/src/fleet/openings.rs
+++ b/crates/jackdawpier_fleet/src/fleet/openings.rs
@@ -5,7 +5,7 @@
 //! larger one: `jackdawpier_bench owner` takes 0.21 ms a round on the mean at 350 executors, 0.60 without.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -18,6 +18,7 @@
 use crate::{
     executor::Executor,
     spec::{Label, Resources, StepSpec},
+    table::Table,
 };
 
 /// An executor that hasn't answered for this long gets no new work: one long poll and its timeout.
@@ -31,7 +32,7 @@
     /// The smallest needs that fitted none of them, with the label that they asked for.
     refused: Vec<(Option<Label>, Resources)>,
     /// Executors with labels that few have and some jobs ask for, with those labels.
-    scarce: HashMap<ExecutorId, Vec<Label>>,
+    scarce: Table<ExecutorId, Vec<Label>>,
     /// Room is held for a job already, see [`super::held_room`].
     pub(super) has_held: bool,
     /// Starved jobs that were tried and found no room.
@@ -67,8 +68,8 @@
 }
 
 impl Fleet {
-    pub(super) fn openings(&self, now: Now) -> HashMap<ServiceName, Openings> {
-        let vacating: HashSet<&ExecutorId> = self.machines.vacating().collect();
+    pub(super) fn openings(&self, now: Now) -> BTreeMap<ServiceName, Openings> {
+        let vacating: BTreeSet<&ExecutorId> = self.machines.vacating().collect();
         let takes_work = |id: &&ExecutorId| {
             let executor = self.executors.get(*id);
             executor.is_some_and(|one| one.takes_work(now)) && !vacating.contains(id)
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -300,7 +300,7 @@
             return false;
         }
         let task = job.key(index);
-        let tickets = std::collections::HashMap::new();
+        let tickets = std::collections::BTreeMap::new();
         let asked = Advice { asked_at: now, valid_until: Now::ZERO, tickets };
         self.advice.insert(place, asked);
         self.commands.push(Command::Advise { task, executors });
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -1,6 +1,6 @@
 //! What executors report: runs, ends, and that nothing of an earlier owner can start any more.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
@@ -221,7 +221,7 @@
         report: &HoldReport,
         is_whole: bool,
     ) {
-        let mut present: HashMap<TaskRef, RunNumber> = HashMap::new();
+        let mut present: BTreeMap<TaskRef, RunNumber> = BTreeMap::new();
         for running in &report.running {
             let known = self.jobs.get_mut(&running.task.job).and_then(|job| {
                 let index = job.index(&running.task)?;
@@ -280,7 +280,7 @@
         now: Now,
         sent_at: Now,
         id: &ExecutorId,
-        present: &HashMap<TaskRef, RunNumber>,
+        present: &BTreeMap<TaskRef, RunNumber>,
     ) {
         let Some(executor) = self.executors.get(id) else { return };
         let life = executor.life;
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -4,7 +4,7 @@
 //! one where they are many, and only while they find room elsewhere: stopping the last one that suits
 //! no other machine would take it away for as long as the machine is kept free.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use jackdawpier_kernel::{
     Now,
@@ -136,7 +136,7 @@
         &mut self,
         now: Now,
         machine: &MachineId,
-        openings: &HashMap<ServiceName, Openings>,
+        openings: &BTreeMap<ServiceName, Openings>,
     ) {
         let is_vacating = matches!(self.machines.errands[machine].stage, Stage::Vacating { .. });
         if !is_vacating || !self.settings.policy.gives_away {
@@ -158,7 +158,7 @@
         &self,
         now: Now,
         machine: &MachineId,
-        openings: &HashMap<ServiceName, Openings>,
+        openings: &BTreeMap<ServiceName, Openings>,
     ) -> bool {
         self.may_lose(now, machine) || self.crowded_task(now, machine, openings).is_some()
     }
@@ -167,7 +167,7 @@
     pub(super) fn has_room_elsewhere(
         &self,
         (id, index): &TaskRef,
-        openings: &HashMap<ServiceName, Openings>,
+        openings: &BTreeMap<ServiceName, Openings>,
     ) -> bool {
         let job = &self.jobs[id];
         let own = job.tasks[*index].phase.executor();
@@ -184,7 +184,7 @@
         &self,
         now: Now,
         machine: &MachineId,
-        openings: &HashMap<ServiceName, Openings>,
+        openings: &BTreeMap<ServiceName, Openings>,
     ) -> Option<TaskRef> {
         self.task_to_spare(now, machine, openings, |step, here| here > step.may_miss)
     }
@@ -195,7 +195,7 @@
         &self,
         now: Now,
         machine: &MachineId,
-        openings: &HashMap<ServiceName, Openings>,
+        openings: &BTreeMap<ServiceName, Openings>,
         suits: impl Fn(&StepSpec, u32) -> bool,
     ) -> Option<TaskRef> {
         let id = self.machines.listed.get(machine)?.executor.as_ref()?;
--- a/crates/jackdawpier_fleet/src/fleet/waits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/waits.rs
@@ -3,7 +3,7 @@
 //! Each executor of the job's service is counted under the first thing that keeps it from taking the
 //! task, in the order in which placing asks. See `docs/OPERATIONS.md`.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::BTreeSet, time::Duration};
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
@@ -61,7 +61,7 @@
             .filter(|(since, ..)| now.saturating_sub(*since) >= longer_than)
             .collect();
         waiting.sort_unstable_by_key(|(since, job, _)| (*since, job.id.clone()));
-        let vacating: HashSet<&ExecutorId> = self.machines.vacating().collect();
+        let vacating: BTreeSet<&ExecutorId> = self.machines.vacating().collect();
         let shown = waiting.into_iter().take(most);
         shown
             .map(|(since, job, index)| Wait {
@@ -78,7 +78,7 @@
         now: Now,
         job: &Job,
         index: TaskIndex,
-        vacating: &HashSet<&ExecutorId>,
+        vacating: &BTreeSet<&ExecutorId>,
     ) -> Obstacles {
         let mut obstacles = Obstacles::default();
         let service = self.queues.get(&job.queue).map(|queue| &queue.service);
--- a/crates/jackdawpier_fleet/src/lib.rs
+++ b/crates/jackdawpier_fleet/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod policy;
 pub mod record;
 pub mod spec;
+mod table;
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -1,7 +1,7 @@
 //! Machines: which pool they are in, what is being done with them, and waves of maintenance.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -11,7 +11,7 @@
     ids::{ExecutorId, PoolName},
 };
 
-use crate::spec::Label;
+use crate::{spec::Label, table::Table};
 
 /// Name of a machine, which it keeps over the lives of its executors.
 pub type MachineId = Arc<str>;
@@ -170,7 +170,7 @@
     pub(crate) waves: BTreeMap<WaveNumber, WaveProgress>,
     /// Pools that don't take a machine, since they are of other machines.
     pub(crate) refused_moves: BTreeSet<(MachineId, PoolName)>,
-    machine_of: HashMap<ExecutorId, MachineId>,
+    machine_of: Table<ExecutorId, MachineId>,
     /// Machines whose executor's life was over after the last list: another one may be there by now.
     reoccupied: BTreeSet<MachineId>,
 }
@@ -185,7 +185,7 @@
             errands: BTreeMap::new(),
             waves: BTreeMap::new(),
             refused_moves: BTreeSet::new(),
-            machine_of: HashMap::new(),
+            machine_of: Table::default(),
             reoccupied: BTreeSet::new(),
         }
     }
@@ -223,7 +223,7 @@
     }
 
     /// Takes in a listing, and returns on which machines executors lived by the one before.
-    pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) -> HashMap<ExecutorId, MachineId> {
+    pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) -> Table<ExecutorId, MachineId> {
         let former = std::mem::take(&mut self.machine_of);
         self.machine_of = machines
             .iter()
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -48,6 +48,22 @@
 const LASTING_BEFORE: [(u64, &str); 1] =
     [(241, "a machine was taken by a list that was older than the executor on it")];
 
+/// Seeds with a lasting task that is no cause and wasn't back.
+const HELD_BACK_BEFORE: [u64; 20] = [
+    74, 104, 190, 260, 301, 500, 525, 586, 605, 784, 861, 889, 976, 999, 1284, 1347, 1421, 1466,
+    1483, 1499,
+];
+/// Seeds with a cause that was started three times after its third crash, at once ...
+const STARTED_AGAIN_BEFORE: [u64; 2] = [1799, 1936];
+/// ... or minutes later.
+const STARTED_LATER_BEFORE: [u64; 3] = [21, 30, 81];
+/// Longer than any pause before a task is tried again.
+const LONG_AFTER: Duration = Duration::from_secs(700);
+/// Seeds with a job that was given up after a single crash, without lasting work ...
+const GIVEN_UP_BEFORE: [u64; 4] = [319, 864, 1800, 9270];
+/// ... and beside it.
+const GIVEN_UP_BESIDE_BEFORE: [u64; 1] = [1017];
+
 fn random_job(random: &mut ChaCha8Rng) -> JobSpec {
     let mut steps: Vec<StepSpec> = Vec::new();
     for number in 0..random.random_range(1..4_usize) {
@@ -170,6 +186,12 @@
 
 /// Plays a history in which this part of the jobs have a task that crashes its executors.
 fn play_with(seed: u64, crashing: f64, kind: Kind) {
+    let afterwards = Duration::from_secs(number("AFTERWARDS_S").unwrap_or(0));
+    play_until(seed, crashing, kind, afterwards);
+}
+
+/// The same, and goes on for a while once all is over.
+fn play_until(seed: u64, crashing: f64, kind: Kind, afterwards: Duration) {
     let is_capped = kind == Kind::Capped;
     let has_lasting = matches!(kind, Kind::Lasting | Kind::Returning);
     let mut lasting_random = ChaCha8Rng::seed_from_u64(seed ^ 4);
@@ -232,6 +254,10 @@
             || world.cancelled.iter().any(|cancelled| **cancelled == ***id)
     };
     assert!(jobs.iter().all(|id| is_true(&id)), "seed {seed}");
+    world.run_for(afterwards);
+    if std::env::var("STATISTICS").is_ok() {
+        print_statistics(&world, seed, &jobs, &lasting);
+    }
     for id in &jobs {
         let is_failed = world.fleet.view(id) == Some(JobView::Over(JobOutcome::Failed));
         let crashes = world.crashes.most_under(id);
@@ -249,8 +275,46 @@
     LASTING_BEFORE.iter().for_each(|(seed, _)| play_with(*seed, CRASHING, Kind::Lasting));
 }
 
+/// Lasting work that isn't the cause was held back.
+#[test]
+fn innocent_held_back() {
+    HELD_BACK_BEFORE.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Returning));
+}
+
+/// A cause was started again and again, with ever longer pauses.
+#[test]
+fn cause_started_again() {
+    STARTED_AGAIN_BEFORE.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Lasting));
+    let play_on = |seed: &u64| play_until(*seed, CRASHING, Kind::Returning, LONG_AFTER);
+    STARTED_LATER_BEFORE.iter().for_each(play_on);
+}
+
+/// A job was failed for one crash.
+#[test]
+fn failed_for_one() {
+    GIVEN_UP_BEFORE.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Plain));
+    GIVEN_UP_BESIDE_BEFORE.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Lasting));
+}
+
+/// An option of the histories, from the environment.
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok().and_then(|text| text.parse().ok())
+}
+
+/// What a history cost: executors that crashed, what else was given up, and how long lasting tasks were away.
+fn print_statistics(world: &World, seed: u64, jobs: &[String], lasting: &[String]) {
+    let is_cause = |id: &&String| world.crashes.jobs.iter().any(|job| **job == ***id);
+    let is_failed = |id: &&String| world.fleet.view(id) == Some(JobView::Over(JobOutcome::Failed));
+    let innocents = jobs.iter().filter(is_failed).filter(|id| !is_cause(id)).count();
+    let gaps = world.lasting.gaps.iter().filter(|(task, _)| !world.crashes.is_cause(task));
+    let gaps_ms: Vec<u128> = gaps.map(|(_, gap)| gap.as_millis()).collect();
+    let (crashed, lasting) = (world.crashes.executors, lasting.len());
+    println!(
+        "seed {seed}: crashed {crashed}, given up {innocents}, lasting jobs {lasting}, away {gaps_ms:?} ms"
+    );
+}
+
 fn seeds() -> std::ops::Range<u64> {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     let first = number("FIRST").unwrap_or(0);
     first..first + number("HISTORIES").unwrap_or(HISTORIES)
 }
--- a/crates/jackdawpier_fleet/tests/world/accounts.rs
+++ b/crates/jackdawpier_fleet/tests/world/accounts.rs
@@ -1,7 +1,7 @@
 //! Client accounts of the model, and the bound on what each has running.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -23,7 +23,7 @@
     former: Vec<(Duration, Arc<str>, Cap)>,
     /// A cap that has fallen may count for this long: until then an older configuration may be in force.
     pub former_counts_for: Duration,
-    of_job: HashMap<Arc<str>, Arc<str>>,
+    of_job: BTreeMap<Arc<str>, Arc<str>>,
     /// Accounts of which a task has started in this step.
     started: BTreeSet<Arc<str>>,
 }
@@ -34,7 +34,7 @@
             caps: BTreeMap::new(),
             former: Vec::new(),
             former_counts_for: Duration::from_secs(3),
-            of_job: HashMap::new(),
+            of_job: BTreeMap::new(),
             started: BTreeSet::new(),
         }
     }
--- a/crates/jackdawpier_fleet/tests/world/crashes.rs
+++ b/crates/jackdawpier_fleet/tests/world/crashes.rs
@@ -1,10 +1,6 @@
 //! Tasks that crash each executor that starts them, and the bound on how often they may be started.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jackdawpier_fleet::spec::TaskKey;
 
@@ -25,6 +21,8 @@
     pub after: Duration,
     /// The machine comes back after this time.
     pub back_after: Duration,
+    /// Executors that have crashed, whatever the cause.
+    pub executors: usize,
     /// When executors crashed under each task, whatever the cause.
     under: BTreeMap<TaskKey, Vec<Duration>>,
 }
@@ -35,6 +33,7 @@
             jobs: Vec::new(),
             after: Duration::from_millis(10),
             back_after: Duration::from_secs(2),
+            executors: 0,
             under: BTreeMap::new(),
         }
     }
@@ -43,6 +42,7 @@
 impl Crashes {
     pub(super) fn note<'a>(&mut self, now: Duration, tasks: impl Iterator<Item = &'a TaskKey>) {
         let tasks: Vec<&TaskKey> = tasks.collect();
+        self.executors += 1;
         if std::env::var("TRACE").is_ok() {
             println!("{now:?} crash under {tasks:?}");
         }
@@ -65,7 +65,7 @@
         self.most_under(job) >= FEWEST_CRASHES
     }
 
-    pub(super) fn check(&self, started: &HashMap<TaskKey, Vec<Duration>>) {
+    pub(super) fn check(&self, started: &BTreeMap<TaskKey, Vec<Duration>>) {
         for (task, crashes) in self.under.iter().filter(|(task, _)| self.is_cause(task)) {
             let Some(third) = crashes.get(CRASHES - 1) else { continue };
             let later = started.get(task).into_iter().flatten().filter(|at| *at > third).count();
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -1,9 +1,6 @@
 //! An executor that keeps the platform's rules and nothing else.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use jackdawpier_fleet::{
     executor::{EndKind, EndedTask, ExecutorInfo, HoldReport, RunningTask},
@@ -35,7 +32,7 @@
     pub hold_due: Duration,
     fence: u64,
     running: BTreeMap<TaskKey, Run>,
-    over: HashMap<TaskKey, u32>,
+    over: BTreeMap<TaskKey, u32>,
     ended: Vec<EndedTask>,
     ended_at: BTreeMap<u64, Duration>,
     lapsed_at: Option<Duration>,
@@ -55,7 +52,7 @@
     cut_at: Duration,
     /// Tail of the response times of what serves here, in milliseconds.
     pub tail_ms: u64,
-    paces: HashMap<TaskKey, u32>,
+    paces: BTreeMap<TaskKey, u32>,
     /// Each run ends in failure.
     pub fails_all: bool,
     /// It takes whatever it is told to start; then nobody may tell it too much.
@@ -71,7 +68,7 @@
             hold_due: Duration::ZERO,
             fence: 0,
             running: BTreeMap::new(),
-            over: HashMap::new(),
+            over: BTreeMap::new(),
             ended: Vec::new(),
             ended_at: BTreeMap::new(),
             lapsed_at: None,
@@ -86,7 +83,7 @@
             is_cut: false,
             cut_at: now,
             tail_ms: 0,
-            paces: HashMap::new(),
+            paces: BTreeMap::new(),
             fails_all: false,
             is_unguarded: false,
             former_room: None,
--- a/crates/jackdawpier_fleet/tests/world/lasting.rs
+++ b/crates/jackdawpier_fleet/tests/world/lasting.rs
@@ -1,7 +1,7 @@
 //! Work that lasts, and the bound on how much of a step orders may end at a time.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -16,9 +16,11 @@
 #[derive(Debug, Default)]
 pub struct Lasting {
     /// When each task was last at work.
-    at_work: HashMap<TaskKey, Duration>,
+    at_work: BTreeMap<TaskKey, Duration>,
     /// Tasks whose last run was ended by an order.
-    ordered_away: HashSet<TaskKey>,
+    ordered_away: BTreeSet<TaskKey>,
+    /// How long tasks weren't at work between two times at which they were.
+    pub gaps: Vec<(TaskKey, Duration)>,
 }
 
 impl World {
@@ -28,7 +30,9 @@
             if !self.submissions[&task.job].spec.steps[task.step as usize].is_long_running {
                 continue;
             }
-            self.lasting.at_work.insert(task.clone(), self.now);
+            let last = self.lasting.at_work.insert(task.clone(), self.now);
+            let gap = last.map(|at| self.now.saturating_sub(at)).filter(|gap| *gap > super::STEP);
+            self.lasting.gaps.extend(gap.map(|gap| (task.clone(), gap)));
             self.lasting.ordered_away.remove(task);
         }
     }
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -11,11 +11,7 @@
 mod machines;
 mod orders;
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use accounts::Accounts;
 use crashes::Crashes;
@@ -100,8 +96,8 @@
     pub executors: BTreeMap<Arc<str>, FakeExecutor>,
     pub machines: BTreeMap<Arc<str>, Machine>,
     /// The durable records, as a store would hold them.
-    pub store: HashMap<Arc<str>, (JobRecord, u64)>,
-    pub submissions: HashMap<Arc<str>, Submission>,
+    pub store: BTreeMap<Arc<str>, (JobRecord, u64)>,
+    pub submissions: BTreeMap<Arc<str>, Submission>,
     pub cancelled: Vec<Arc<str>>,
     pub revision: u64,
     /// Time that a write takes.
@@ -122,8 +118,8 @@
     pub loses_note: bool,
     pub commands: Vec<(Duration, Command)>,
     lives: u64,
-    started: HashMap<TaskKey, Vec<Duration>>,
-    done: HashMap<TaskKey, Duration>,
+    started: BTreeMap<TaskKey, Vec<Duration>>,
+    done: BTreeMap<TaskKey, Duration>,
     /// Whether the machines' interface takes orders.
     pub takes_machine_orders: bool,
     pub waves: Vec<Wave>,
@@ -162,8 +158,8 @@
             fence: 1,
             executors: BTreeMap::new(),
             machines: BTreeMap::new(),
-            store: HashMap::new(),
-            submissions: HashMap::new(),
+            store: BTreeMap::new(),
+            submissions: BTreeMap::new(),
             cancelled: Vec::new(),
             revision: 1,
             write_delay: Duration::from_millis(10),
@@ -182,8 +178,8 @@
             loses_note: false,
             commands: Vec::new(),
             lives: 0,
-            started: HashMap::new(),
-            done: HashMap::new(),
+            started: BTreeMap::new(),
+            done: BTreeMap::new(),
             takes_machine_orders: true,
             waves: Vec::new(),
             hides_machines: false,
@@ -488,7 +484,7 @@
         self.check_done();
         self.crashes.check(&self.started);
         self.check_caps();
-        let mut running: HashMap<&TaskKey, &Arc<str>> = HashMap::new();
+        let mut running: BTreeMap<&TaskKey, &Arc<str>> = BTreeMap::new();
         for (id, executor) in &self.executors {
             executor.check_room();
             for task in executor.running() {
