Give a lasting step as many machines as it has to be spread over

Callers missed a lasting task for good: its step allows one task a machine, its pool held fewer machines than the step has tasks, and nothing fetched another, though machines were idle elsewhere.

Cause: a pool's need was counted in cores; only the need for a label that few have knew of the spread. A step that lasts and of which some task waits counts for its machines now. pools::spread_step fails before: 2 of 3 at work.

--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -14,7 +14,7 @@
     job::{Job, Phase},
     machines::{MachineId, MachineState, MachineWork},
     order::rank,
-    spec::{Label, Resources},
+    spec::{Label, Resources, StepSpec},
 };
 
 /// A pool as planning sees it.
@@ -30,13 +30,16 @@
     machine: Resources,
     /// What runs, waits and arrives, in thousandths of a core.
     need_millicores: u64,
+    /// Machines over which a lasting step has to be spread of which some task waits: it allows so many a machine.
+    spread_over: usize,
     /// Machines and need by label, for the labels that open jobs ask for.
     labels: BTreeMap<Label, LabelNeed>,
 }
 
 impl Pool {
     pub(super) fn needed(&self) -> usize {
-        self.need_millicores.div_ceil(self.machine.cpu_millicores.max(1)) as usize
+        let for_need = self.need_millicores.div_ceil(self.machine.cpu_millicores.max(1)) as usize;
+        for_need.max(self.spread_over)
     }
 
     pub(super) fn holds(&self) -> usize {
@@ -207,6 +210,8 @@
                     least_millicores = least_millicores.max(least_room(job));
                     continue;
                 }
+                let spread = job.startable.iter().map(|&index| spread_over(job.step(index)));
+                pool.spread_over = pool.spread_over.max(spread.max().unwrap_or(0));
                 let waiting = job.startable.iter().map(|&index| job.step(index).booked());
                 let millicores = waiting.map(|need| need.cpu_millicores).sum::<u64>();
                 pool.need_millicores += headroom.take(job.account.as_ref(), millicores);
@@ -217,6 +222,12 @@
     }
 }
 
+/// Machines that a lasting step can't do without; none if it doesn't say.
+fn spread_over(step: &StepSpec) -> usize {
+    let is_bounded = step.is_long_running && step.max_per_executor > 0;
+    if is_bounded { step.count.div_ceil(step.max_per_executor) as usize } else { 0 }
+}
+
 /// The room without which the next task of a job, or its gang, can't ever start.
 fn least_room(job: &Job) -> u64 {
     job.startable.front().map_or(0, |&index| {
--- a/crates/jackdawpier_fleet/tests/pools.rs
+++ b/crates/jackdawpier_fleet/tests/pools.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use jackdawpier_fleet::{machines::MachineWork, record::JobOutcome};
+use jackdawpier_fleet::{machines::MachineWork, record::JobOutcome, spec::StepSpec};
 use world::{World, job, step};
 
 fn burst(world: &mut World, jobs: usize) {
@@ -110,3 +110,13 @@
         }
     }
 }
+
+/// A lasting step that allows one task a machine waited for good where its pool held fewer machines than it has tasks.
+#[test]
+fn spread_step() {
+    let mut world = World::new(&["view", "off"], 2);
+    let lasting = StepSpec { is_long_running: true, may_miss: 1, ..step(3, 1, 0) };
+    world.submit("lasting", "q-view", job(vec![StepSpec { max_per_executor: 1, ..lasting }]));
+    world.run_for(Duration::from_secs(8));
+    assert_eq!(world.at_work_of("lasting"), 3);
+}
