Write a crash down at once, also under a task that is being stopped

A later owner started a task as if an executor hadn't crashed under it, so that a cause got one start more than it may. Cause: a crash was noted in memory, and the record was marked as changed only once the run was over. For a task that is being stopped that is later, and an owner in between never learns of it. Noting a crash marks the record.

--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -134,6 +134,8 @@
             return;
         }
         let (run, crashes) = (task.run, task.crashes().len());
+        // The run may not be over for this owner yet, and the next one has to know.
+        self.touch(&task_ref.0);
         self.blames.push(Blame { task: task_key, run, executor: id.clone(), crash, crashes });
     }
 
