Don't take a machine as idle while an executor isn't on the list of machines yet

An owner moved or maintained a machine on which tasks had just begun: they were cut short, lasting ones beside others of their step that were away (AVAIL), and the executor counted as one that had crashed under them, so that jobs were failed for it. Cause: the list of machines was seconds old, named nobody on the machine, and the executor there had registered since. An idle machine is taken only if the list names every executor that is registered.

--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -29,12 +29,15 @@
         let moved_from = former.map(|one| one.service.clone()).filter(|name| *name != info.service);
         let is_new = former.is_none() || moved_from.is_some();
         executor.is_listed = true;
+        let was_over = executor.is_over;
         executor.note_registered(now, &info);
+        let is_back = was_over && !executor.is_over;
         let service = info.service.clone();
         executor.info = Some(info);
         if let Some(former) = moved_from {
             self.leave_service(&former, &id);
         }
+        self.machines.may_be_occupied |= is_new || is_back;
         if is_new {
             let of_service = self.by_service.entry(service).or_default();
             if let Err(place) = of_service.binary_search(&id) {
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -6,6 +6,7 @@
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
 use super::{Command, Fleet, losses::LossEvidence};
+use crate::executor::Executor;
 use crate::machines::{
     MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork, Stage, Wave,
     WaveNumber, WaveProgress, WaveState,
@@ -52,6 +53,10 @@
             let evidence = if is_taken { LossEvidence::Taken } else { LossEvidence::Unlisted };
             self.executor_ended(now, executor, evidence);
         }
+        let is_unnamed = |(id, executor): (&ExecutorId, &Executor)| {
+            executor.is_listed && !executor.is_over && !self.machines.has_executor(id)
+        };
+        self.machines.may_be_occupied = self.executors.iter().any(is_unnamed);
         self.end_errands(asked_at);
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -64,9 +64,13 @@
 
     /// Whether all long-running steps with tasks on a machine can spare those now.
     pub(super) fn may_lose(&self, now: Now, machine: &MachineId) -> bool {
-        let executor = self.machines.listed.get(machine).and_then(|info| info.executor.as_ref());
+        let info = self.machines.listed.get(machine);
+        let executor = info.and_then(|info| info.executor.as_ref());
         self.machines.knows_executor(machine)
-            && executor.is_none_or(|id| self.may_lose_executor(now, id))
+            && match executor.and_then(|id| self.executors.get(id)).filter(|one| !one.is_over) {
+                Some(_) => executor.is_none_or(|id| self.may_lose_executor(now, id)),
+                None => !self.machines.may_be_occupied,
+            }
     }
 
     fn may_lose_executor(&self, now: Now, id: &ExecutorId) -> bool {
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -171,6 +171,8 @@
     /// Pools that don't take a machine, since they are of other machines.
     pub(crate) refused_moves: BTreeSet<(MachineId, PoolName)>,
     machine_of: Table<ExecutorId, MachineId>,
+    /// The list doesn't name all executors yet: one of them may live on any machine that seems idle.
+    pub(crate) may_be_occupied: bool,
     /// Machines whose executor's life was over after the last list: another one may be there by now.
     reoccupied: BTreeSet<MachineId>,
 }
@@ -186,6 +188,7 @@
             waves: BTreeMap::new(),
             refused_moves: BTreeSet::new(),
             machine_of: Table::default(),
+            may_be_occupied: false,
             reoccupied: BTreeSet::new(),
         }
     }
