Count executors without putting them in order

Counts and maxima over all executors went through them by key, with a lookup each, several times a round. They don't hang on the order and take any now; what is listed is put in order once it is found.

--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -66,12 +66,7 @@
     /// Takes in all executors that are registered, in place of those that were.
     pub fn list_executors(&mut self, now: Now, listed: Vec<ExecutorInfo>) {
         let ids: BTreeSet<ExecutorId> = listed.iter().map(|info| info.id.clone()).collect();
-        let gone: Vec<ExecutorId> = self
-            .executors
-            .iter()
-            .filter(|(id, one)| one.is_listed && !ids.contains(*id))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let gone = self.executors.keys_of(|id, one| one.is_listed && !ids.contains(id));
         gone.iter().for_each(|id| self.unregister_executor(id));
         listed.into_iter().for_each(|info| self.register_executor(now, info));
         self.expire_executors(now);
@@ -87,23 +82,18 @@
 
     /// Ends the executors that can't run anything any more.
     pub fn expire_executors(&mut self, now: Now) {
-        let lapsed: Vec<ExecutorId> = self
-            .executors
-            .iter()
-            .filter(|(id, executor)| {
-                let is_idle = executor.tasks.is_empty();
-                let is_silent = !executor.is_synced
-                    || executor
-                        .heard_at()
-                        .is_none_or(|at| now.saturating_sub(at) > self.settings.lease / 2);
-                let is_given_up = !executor.is_listed || is_silent;
-                is_given_up
-                    && !is_idle
-                    && !self.may_answer(now, id, executor)
-                    && executor.has_lapsed(now)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
+        let lapsed = self.executors.keys_of(|id, executor| {
+            let is_idle = executor.tasks.is_empty();
+            let is_silent = !executor.is_synced
+                || executor
+                    .heard_at()
+                    .is_none_or(|at| now.saturating_sub(at) > self.settings.lease / 2);
+            let is_given_up = !executor.is_listed || is_silent;
+            is_given_up
+                && !is_idle
+                && !self.may_answer(now, id, executor)
+                && executor.has_lapsed(now)
+        });
         lapsed.iter().for_each(|id| self.lose(now, id, LossEvidence::Lapsed));
         let lease = self.settings.lease;
         self.executors.retain(|_, executor| {
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -3,10 +3,9 @@
 
 use std::time::Duration;
 
-use jackdawpier_kernel::{Now, ids::ExecutorId};
+use jackdawpier_kernel::Now;
 
 use super::{Command, Fleet};
-use crate::executor::Executor;
 use crate::machines::{
     MachineId, MachineInfo, MachineOrder, MachineOrderEnd, MachineState, MachineWork, Stage, Wave,
     WaveNumber, WaveProgress, WaveState,
@@ -40,22 +39,17 @@
                 executor.named_at = asked_at;
             }
         }
-        let ended: Vec<ExecutorId> = self
-            .executors
-            .iter()
-            .filter(|(id, executor)| {
-                !self.machines.has_executor(id) && asked_at > executor.known_at + LISTING_LAG
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
+        let ended = self.executors.keys_of(|id, executor| {
+            !self.machines.has_executor(id) && asked_at > executor.known_at + LISTING_LAG
+        });
         for executor in &ended {
             let evidence = self.machines.why_gone(executor, former.get(executor));
             self.executor_ended(now, executor, evidence);
         }
-        let is_unnamed = |(id, executor): (&ExecutorId, &Executor)| {
+        let unnamed = self.executors.keys_of(|id, executor| {
             executor.is_listed && !executor.is_over && !self.machines.has_executor(id)
-        };
-        self.machines.may_be_occupied = self.executors.iter().any(is_unnamed);
+        });
+        self.machines.may_be_occupied = !unnamed.is_empty();
         self.end_errands(asked_at);
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/openings.rs
+++ b/crates/jackdawpier_fleet/src/fleet/openings.rs
@@ -91,7 +91,7 @@
 
     /// The labels that jobs ask for and fewer than half of all executors have.
     pub(super) fn scarce_labels(&self) -> Vec<&Label> {
-        let infos = || self.executors.values().filter_map(|executor| executor.info.as_ref());
+        let infos = || self.executors.unordered().filter_map(|executor| executor.info.as_ref());
         let is_scarce = |label: &&Label| {
             infos().filter(|info| info.labels.contains(label)).count() * 2 < infos().count()
         };
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -151,7 +151,7 @@
     /// fleet's largest.
     fn size_machines(&self, pools: &mut BTreeMap<PoolName, Pool>) {
         let mut largest = Resources { cpu_millicores: 1, ..Resources::default() };
-        for info in self.executors.values().filter_map(|executor| executor.info.as_ref()) {
+        for info in self.executors.unordered().filter_map(|executor| executor.info.as_ref()) {
             largest.raise_to(&info.capacity);
             if let Some(pool) = pools.get_mut(&info.service) {
                 pool.machine.raise_to(&info.capacity);
--- a/crates/jackdawpier_fleet/src/table.rs
+++ b/crates/jackdawpier_fleet/src/table.rs
@@ -75,18 +75,31 @@
         self.rows.remove(key)
     }
 
-    /// Keeps the rows that `is_kept` says, asked in the order of their keys.
-    pub(crate) fn retain(&mut self, mut is_kept: impl FnMut(&K, &mut V) -> bool) {
-        let rows = &mut self.rows;
-        self.order.retain(|key| {
-            let stays = rows.get_mut(key).is_some_and(|row| is_kept(key, row));
+    /// Keeps the rows that `is_kept` says, asked in any order.
+    pub(crate) fn retain(&mut self, mut is_kept: impl FnMut(&K, &V) -> bool) {
+        let order = &mut self.order;
+        self.rows.retain(|key, row| {
+            let stays = is_kept(key, row);
             if !stays {
-                rows.remove(key);
+                order.remove(key);
             }
             stays
         });
     }
 
+    /// The keys of the rows that are `wanted`, in order.
+    pub(crate) fn keys_of(&self, wanted: impl Fn(&K, &V) -> bool) -> Vec<K> {
+        let found = self.rows.iter().filter(|(key, row)| wanted(key, row));
+        let mut keys: Vec<K> = found.map(|(key, _)| key.clone()).collect();
+        keys.sort_unstable();
+        keys
+    }
+
+    /// All rows in any order, for counts and maxima, which don't hang on it.
+    pub(crate) fn unordered(&self) -> impl Iterator<Item = &V> {
+        self.rows.values()
+    }
+
     /// All rows, in the order of their keys.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
         self.order.iter().filter_map(|key| Some((key, self.rows.get(key)?)))
@@ -96,11 +109,6 @@
     pub(crate) fn keys(&self) -> impl Iterator<Item = &K> {
         self.order.iter()
     }
-
-    /// All rows, in the order of their keys.
-    pub(crate) fn values(&self) -> impl Iterator<Item = &V> {
-        self.iter().map(|(_, row)| row)
-    }
 }
 
 impl<K: Clone + Eq + Hash + Ord, V> FromIterator<(K, V)> for Table<K, V> {
