--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -69,6 +69,10 @@
 const GANG_UNCONFIRMED: [u64; 1] = [60294];
 /// A seed with a gang for which there is never room at once beside lasting work.
 const GANG_BESIDE_LASTING: [u64; 1] = [54739];
+/// A seed with a job of which three of four starts went without a sure answer.
+const UNCONFIRMED_STARTS: [u64; 1] = [3496];
+/// A seed with a run that was reported as stopped in the moment in which its executor crashed.
+const STOPPED_BEFORE_CRASH: [u64; 1] = [310];
 
 fn random_job(random: &mut ChaCha8Rng) -> JobSpec {
     let mut steps: Vec<StepSpec> = Vec::new();
@@ -323,6 +327,18 @@
     GANG_BESIDE_LASTING.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Returning));
 }
 
+/// A job was given up after one crash, since executors crashed before they had confirmed its starts.
+#[test]
+fn unconfirmed_starts() {
+    UNCONFIRMED_STARTS.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Plain));
+}
+
+/// A cause was started three times after three crashes, one of which came as its run had just been stopped.
+#[test]
+fn stopped_before_crash() {
+    STOPPED_BEFORE_CRASH.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Plain));
+}
+
 /// An option of the histories, from the environment.
 fn number(name: &str) -> Option<u64> {
     std::env::var(name).ok().and_then(|text| text.parse().ok())
