Split the owner's state: what it wants done, how jobs come in, how runs end

Commands, the intake of jobs and the end of runs are modules of their own; the state, the views and the tick stay.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 //! nothing in it has to outlive the process. Orders leave only for placements that are durable.
 
 mod blame;
+mod command;
 mod commits;
 mod crash_scenes;
 mod executors;
@@ -11,6 +12,7 @@
 mod gangs;
 mod held_back;
 mod held_room;
+mod intake;
 mod label_need;
 mod label_shares;
 mod lives;
@@ -22,6 +24,7 @@
 mod pool_view;
 mod pools;
 mod reports;
+mod runs;
 mod starts;
 mod vacating;
 mod waits;
@@ -34,10 +37,11 @@
 
 use jackdawpier_kernel::{
     Now,
-    ids::{AccountName, ExecutorId, JobId, PoolName, Revision, ServiceName},
+    ids::{AccountName, ExecutorId, JobId, PoolName, ServiceName},
 };
 
 pub use blame::{Blame, GivenUp};
+pub use command::{Command, StopReason};
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use held_back::Pause;
 pub use losses::{Loss, LossEvidence, LostRun};
@@ -48,25 +52,20 @@
 
 use crash_scenes::CrashScenes;
 use held_back::HeldBack;
+use intake::EndedBefore;
 
 use crate::{
     account::{Account, Accounts},
-    crash::Retry,
     demand::Arrivals,
-    executor::{Executor, TaskRef, Watch},
-    job::{Job, Phase, TaskIndex},
-    machines::{MachineId, Machines},
+    executor::Executor,
+    job::{Job, Phase},
+    machines::Machines,
     policy::Policy,
-    record::{JobOutcome, JobRecord},
-    spec::{JobSpec, Label, Queue, QueueName, RunNumber, Service, Submission, TaskKey},
+    record::JobOutcome,
+    spec::{Label, Queue, QueueName, RunNumber, Service, TaskKey},
     table::Table,
 };
 
-/// Entries' times of day differ by no more than this, also while they are set right.
-const CLOCK_DIFFERENCE: Duration = Duration::from_secs(5);
-/// Labels that are remembered: callers may make up any number.
-const MAX_ASKED_LABELS: usize = 64;
-
 /// What the owner's decisions are bounded by.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -89,80 +88,6 @@
     pub policy: Policy,
 }
 
-/// What the owner wants done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Command {
-    /// Start a task; report by [`Fleet::start_ended`].
-    Start {
-        /// The executor.
-        executor: ExecutorId,
-        /// The task.
-        task: TaskKey,
-        /// Number of the start.
-        run: RunNumber,
-        /// What the job's caller gave for its tasks.
-        payload: Arc<str>,
-        /// Checkpoint to go on from; empty if there is none.
-        checkpoint: Box<str>,
-        /// Permission of the placement advisor, where the queue needs one.
-        ticket: Option<Arc<str>>,
-    },
-    /// Stop a task; report by [`Fleet::stop_ended`].
-    Stop {
-        /// The executor.
-        executor: ExecutorId,
-        /// The task.
-        task: TaskKey,
-        /// Number of the start.
-        run: RunNumber,
-        /// Why, for the log.
-        reason: StopReason,
-    },
-    /// Let a task work at this share of its speed.
-    Pace {
-        /// The executor.
-        executor: ExecutorId,
-        /// The task.
-        task: TaskKey,
-        /// Number of the start.
-        run: RunNumber,
-        /// The share in percent.
-        percent: u32,
-    },
-    /// Ask which of these executors may run a step; report by [`Fleet::advised`].
-    Advise {
-        /// A task of the step.
-        task: TaskKey,
-        /// The executors.
-        executors: Vec<ExecutorId>,
-    },
-    /// An order about a machine; report by [`Fleet::machine_order_ended`].
-    Machine(crate::machines::MachineOrder),
-    /// The state of a wave of maintenance, for the operators.
-    Wave(crate::machines::WaveState),
-}
-
-/// Why a run is stopped. What ends work of callers has to be found in the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StopReason {
-    /// Its job is over, by this outcome.
-    JobOver(JobOutcome),
-    /// Another member of its gang doesn't run.
-    GangBroken,
-    /// It runs elsewhere from now on, so that its machine can be taken.
-    MachineTaken,
-    /// The order to start it went without a sure answer.
-    StartUnsure,
-    /// Its executor had confirmed it and doesn't list it.
-    Unlisted,
-    /// Its executor has started again while the order to start it was on its way.
-    ExecutorRestarted,
-    /// It is of a job that is over or unknown, or was followed by a later run.
-    Superseded,
-    /// The order to stop it went without an answer before.
-    Repeated,
-}
-
 /// What a caller is told of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobView {
@@ -174,15 +99,6 @@
     Over(JobOutcome),
 }
 
-/// What is left of a job that an earlier owner ended.
-#[derive(Debug)]
-struct EndedBefore {
-    outcome: JobOutcome,
-    account: Option<AccountName>,
-    /// Some task of it was ordered more than once.
-    has_rerun: bool,
-}
-
 /// Permissions of the placement advisor for one step.
 #[derive(Debug)]
 struct Advice {
@@ -290,120 +206,6 @@
         self.services = services.into_iter().map(|one| (one.name.clone(), one)).collect();
     }
 
-    /// Takes in an accepted job that arrived at `arrived_at`. A job that is known already stays as it is.
-    pub fn add_job(
-        &mut self,
-        now: Now,
-        arrived_at: Now,
-        wall_ms: u64,
-        id: JobId,
-        submission: Submission,
-    ) {
-        if let Some(queue) = self.queues.get(&submission.queue)
-            && !self.jobs.contains_key(&id)
-        {
-            let arrivals = self.arrivals.entry(queue.service.clone()).or_default();
-            // What a cap keeps from running within a second needs no machines.
-            let most = self.accounts.left_millicores(submission.account.as_ref());
-            arrivals.add(now, arrived_at, submission.spec.core_ms().min(most));
-        }
-        self.recover_job(now, wall_ms, id, submission, None);
-    }
-
-    /// Takes in a job with what an earlier owner wrote of it.
-    pub fn recover_job(
-        &mut self,
-        now: Now,
-        wall_ms: u64,
-        id: JobId,
-        submission: Submission,
-        written: Option<(JobRecord, Revision)>,
-    ) {
-        if self.jobs.contains_key(&id) {
-            return;
-        }
-        if let Some(settings) = &submission.settings {
-            let known = self.queues.entry(submission.queue.clone());
-            known.or_insert_with(|| settings.clone());
-        }
-        self.note_labels(&submission.spec);
-        let age = Duration::from_millis(wall_ms.saturating_sub(submission.accepted_ms));
-        let mut job = Job::new(id.clone(), submission, now.saturating_sub(age));
-        if let Some((record, revision)) = &written {
-            job.restore(record, *revision);
-        }
-        if job.is_over() {
-            if let Some((record, _)) = &written {
-                self.count_remains(now, wall_ms, record);
-            }
-            self.over.push_back((id.clone(), now));
-        } else {
-            self.open.entry(job.queue.clone()).or_default().insert(id.clone());
-            if job.spec.schedule.is_some() {
-                self.scheduled.insert(id.clone());
-            }
-            self.place_doubtful(&job);
-            job.open_steps(now, wall_ms);
-        }
-        self.jobs.insert(id.clone(), job);
-        self.hold_back_again(now, &id);
-    }
-
-    /// Remembers the labels that a job asks for: others like it will come.
-    fn note_labels(&mut self, spec: &JobSpec) {
-        for label in spec.steps.iter().filter_map(|step| step.required_label.as_ref()) {
-            if self.asked_labels.len() < MAX_ASKED_LABELS {
-                self.asked_labels.insert(label.clone());
-            }
-        }
-    }
-
-    /// Takes in a job that an earlier owner ended, of which the store only has the record.
-    pub fn recover_over(&mut self, now: Now, wall_ms: u64, id: JobId, record: &JobRecord) {
-        let Some(outcome) = record.outcome else { return };
-        if self.jobs.contains_key(&id) {
-            return;
-        }
-        self.count_remains(now, wall_ms, record);
-        let account = record.account.clone();
-        let ended = EndedBefore { outcome, account, has_rerun: record.has_rerun };
-        self.ended_before.insert(id.clone(), ended);
-        self.over.push_back((id, now));
-    }
-
-    /// An earlier owner has noted which machines it ordered lately, before each order left, and how
-    /// long before its last note that was. Those are left alone until its orders must have arrived;
-    /// all others may be ordered at once.
-    pub fn recover_orders(&mut self, now: Now, machines: Vec<(MachineId, Duration)>) {
-        self.machines.hold(now, machines);
-    }
-
-    /// Counts what a job that an earlier owner ended may still have running, until it must have ended.
-    fn count_remains(&mut self, now: Now, wall_ms: u64, record: &JobRecord) {
-        let (Some(account), Some(remains)) = (&record.account, record.remains) else { return };
-        let age = Duration::from_millis(wall_ms.saturating_sub(remains.ended_ms));
-        if age < self.settings.doubt + CLOCK_DIFFERENCE {
-            let until = self.started_at.max(now) + self.settings.doubt;
-            self.accounts.book_until(until, account, &remains.amount);
-        }
-    }
-
-    /// Books the room of the tasks that an earlier owner placed.
-    fn place_doubtful(&mut self, job: &Job) {
-        let doubt_until = self.started_at + self.settings.doubt;
-        for (index, task) in job.tasks.iter().enumerate() {
-            let Some(id) = task.phase.executor() else { continue };
-            let is_suspect = self.is_suspect(job, index);
-            let executor = self
-                .executors
-                .get_or_insert_with(id.clone(), || Executor::new(self.started_at, doubt_until));
-            book(executor, &mut self.accounts, job, index);
-            if is_suspect {
-                executor.watch = Some(Watch { task: (job.id.clone(), index), until: None });
-            }
-        }
-    }
-
     /// Its caller has cancelled a job, durably.
     pub fn cancel(&mut self, now: Now, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -489,43 +291,6 @@
         });
     }
 
-    /// Ends a job: nothing of it starts any more and what runs is stopped.
-    fn finish(&mut self, now: Now, id: &JobId, outcome: JobOutcome) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        job.outcome = Some(outcome);
-        job.ended_ms = self.wall_ms;
-        job.startable.clear();
-        if let Some(open) = self.open.get_mut(&job.queue) {
-            open.remove(id);
-        }
-        self.over.push_back((id.clone(), now));
-        for index in 0..job.tasks.len() {
-            self.stop_task(now, &(id.clone(), index), StopReason::JobOver(outcome));
-        }
-        self.touch(id);
-    }
-
-    /// Orders the end of a task that may run; one whose order hasn't left is simply dropped.
-    fn stop_task(&mut self, now: Now, task_ref: &TaskRef, reason: StopReason) {
-        let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
-        let task = &mut job.tasks[task_ref.1];
-        // It is away from now on, though it takes a moment to end.
-        task.at_work_since = None;
-        match &task.phase {
-            Phase::Waiting | Phase::Done | Phase::Stopping { .. } => {}
-            Phase::Planned { .. } => self.run_over(now, task_ref, None),
-            Phase::Starting { executor }
-            | Phase::Running { executor, .. }
-            | Phase::Doubt { executor } => {
-                let executor = executor.clone();
-                task.phase = Phase::Stopping { executor: executor.clone(), confirmed_at: None };
-                let run = task.run;
-                let task = job.key(task_ref.1);
-                self.commands.push(Command::Stop { executor, task, run, reason });
-            }
-        }
-    }
-
     /// Marks a job's durable state as changed.
     fn touch(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -536,64 +301,6 @@
         }
     }
 
-    /// A run is over for certain. `ended_as` is how; none if it never began or was cut short.
-    fn run_over(&mut self, now: Now, task_ref: &TaskRef, ended_as: Option<TaskEnd>) {
-        let (id, index) = (&task_ref.0, task_ref.1);
-        let is_done_by_gang = ended_as.is_none() && self.gang_is_done(task_ref);
-        let ended_as = if is_done_by_gang { Some(TaskEnd::Done) } else { ended_as };
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        if let Some(executor) = job.tasks[index].phase.executor().cloned()
-            && let Some(executor) = self.executors.get_mut(&executor)
-        {
-            unbook(executor, &mut self.accounts, job, index);
-        }
-        let slot = job.slot(index);
-        let is_gang = job.step(index).is_gang;
-        let task = &mut job.tasks[index];
-        task.at_work_since = None;
-        task.phase = if ended_as == Some(TaskEnd::Done) { Phase::Done } else { Phase::Waiting };
-        if task.phase == Phase::Done {
-            job.progress[slot].remaining -= 1;
-            if is_gang {
-                job.finish_waiting(slot);
-            }
-            if job.progress[slot].remaining == 0 {
-                job.open_steps(now, self.wall_ms);
-            }
-        } else if ended_as == Some(TaskEnd::Failed) {
-            task.note_failure(task.run);
-        }
-        if job.is_over() {
-            return;
-        }
-        let is_waiting = job.tasks[index].phase == Phase::Waiting;
-        let is_done = job.progress.iter().all(|slot| slot.remaining == 0);
-        self.touch(id);
-        if is_done {
-            self.finish(now, id, JobOutcome::Completed);
-        } else if is_waiting {
-            self.wait_again(now, task_ref);
-        }
-    }
-
-    /// A task whose run is over without success waits for its next start, unless it is given up.
-    fn wait_again(&mut self, now: Now, task_ref: &TaskRef) {
-        self.give_up(now, task_ref);
-        let Some(job) = self.jobs.get_mut(&task_ref.0).filter(|job| !job.is_over()) else { return };
-        let slot = job.slot(task_ref.1);
-        let is_open = job.progress[slot].is_open;
-        match job.retry(task_ref.1) {
-            Retry::AtOnce if is_open => job.wait(now, task_ref.1),
-            Retry::AtOnce => {}
-            Retry::After(pause) => self.hold_back(now, task_ref, Some(pause)),
-            Retry::Never => self.hold_back(now, task_ref, None),
-        }
-        let Some(job) = self.jobs.get(&task_ref.0) else { return };
-        if job.step(task_ref.1).is_gang {
-            self.stop_gang(now, &task_ref.0, slot);
-        }
-    }
-
     /// Forgets jobs that ended over `retention` ago and returns them, for the store to follow.
     pub fn forget_jobs(&mut self, now: Now, retention: Duration) -> Vec<JobId> {
         let mut forgotten = Vec::new();
@@ -609,44 +316,3 @@
         forgotten
     }
 }
-
-/// How a run ended, as far as its task cares.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum TaskEnd {
-    Done,
-    Failed,
-}
-
-fn book(executor: &mut Executor, accounts: &mut Accounts, job: &Job, index: TaskIndex) {
-    let step = job.step(index);
-    if !executor.tasks.insert((job.id.clone(), index)) {
-        return;
-    }
-    accounts.book(job.account.as_ref(), &step.need);
-    executor.booked.add(&step.booked());
-    *executor.per_slot.entry((job.id.clone(), job.slot(index))).or_default() += 1;
-    executor.serving += u32::from(step.tail_target.is_some());
-    executor.fillers += u32::from(step.is_filler);
-}
-
-fn unbook(executor: &mut Executor, accounts: &mut Accounts, job: &Job, index: TaskIndex) {
-    let step = job.step(index);
-    if !executor.tasks.remove(&(job.id.clone(), index)) {
-        return;
-    }
-    accounts.unbook(job.account.as_ref(), &step.need);
-    executor.booked.subtract(&step.booked());
-    let is_watched = |watch: &Watch| watch.task.0 == job.id && watch.task.1 == index;
-    if executor.watch.as_ref().is_some_and(is_watched) {
-        executor.watch = None;
-    }
-    let slot = (job.id.clone(), job.slot(index));
-    if let Some(count) = executor.per_slot.get_mut(&slot) {
-        *count -= 1;
-        if *count == 0 {
-            executor.per_slot.remove(&slot);
-        }
-    }
-    executor.serving -= u32::from(step.tail_target.is_some());
-    executor.fillers -= u32::from(step.is_filler);
-}
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -2,7 +2,11 @@
 
 use jackdawpier_kernel::{Now, ids::JobId};
 
-use super::{Fleet, StopReason, book, openings::Openings, unbook};
+use super::{
+    Fleet, StopReason,
+    openings::Openings,
+    runs::{book, unbook},
+};
 use crate::{
     executor::TaskRef,
     job::{Phase, Task, TaskIndex},
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -7,7 +7,7 @@
     ids::{ExecutorId, JobId, ServiceName},
 };
 
-use super::{Advice, Command, Fleet, book, openings::Openings};
+use super::{Advice, Command, Fleet, openings::Openings, runs::book};
 use crate::{
     executor::Executor,
     job::{Job, Phase, TaskIndex},
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -4,7 +4,7 @@
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
-use super::{Command, Fleet, FleetSettings, StopReason, TaskEnd, lives::Life};
+use super::{Command, Fleet, FleetSettings, StopReason, lives::Life, runs::TaskEnd};
 use crate::{
     executor::{EndKind, EndedTask, HoldReport, LastSigns, MAX_ENDS_PER_REPORT, TaskRef},
     job::Phase,
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/runs.rs
@@ -0,0 +1,155 @@
+//! The end of runs and of jobs: what is stopped, what becomes of a task whose run is over, and the room that it gives back.
+
+use jackdawpier_kernel::{Now, ids::JobId};
+
+use super::{Command, Fleet, StopReason};
+use crate::{
+    account::Accounts,
+    crash::Retry,
+    executor::{Executor, TaskRef, Watch},
+    job::{Job, Phase, TaskIndex},
+    record::JobOutcome,
+};
+
+/// How a run ended, as far as its task cares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TaskEnd {
+    Done,
+    Failed,
+}
+
+impl Fleet {
+    /// Ends a job: nothing of it starts any more and what runs is stopped.
+    pub(super) fn finish(&mut self, now: Now, id: &JobId, outcome: JobOutcome) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.outcome = Some(outcome);
+        job.ended_ms = self.wall_ms;
+        job.startable.clear();
+        if let Some(open) = self.open.get_mut(&job.queue) {
+            open.remove(id);
+        }
+        self.over.push_back((id.clone(), now));
+        for index in 0..job.tasks.len() {
+            self.stop_task(now, &(id.clone(), index), StopReason::JobOver(outcome));
+        }
+        self.touch(id);
+    }
+
+    /// Orders the end of a task that may run; one whose order hasn't left is simply dropped.
+    pub(super) fn stop_task(&mut self, now: Now, task_ref: &TaskRef, reason: StopReason) {
+        let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
+        let task = &mut job.tasks[task_ref.1];
+        // It is away from now on, though it takes a moment to end.
+        task.at_work_since = None;
+        match &task.phase {
+            Phase::Waiting | Phase::Done | Phase::Stopping { .. } => {}
+            Phase::Planned { .. } => self.run_over(now, task_ref, None),
+            Phase::Starting { executor }
+            | Phase::Running { executor, .. }
+            | Phase::Doubt { executor } => {
+                let executor = executor.clone();
+                task.phase = Phase::Stopping { executor: executor.clone(), confirmed_at: None };
+                let run = task.run;
+                let task = job.key(task_ref.1);
+                self.commands.push(Command::Stop { executor, task, run, reason });
+            }
+        }
+    }
+
+    /// A run is over for certain. `ended_as` is how; none if it never began or was cut short.
+    pub(super) fn run_over(&mut self, now: Now, task_ref: &TaskRef, ended_as: Option<TaskEnd>) {
+        let (id, index) = (&task_ref.0, task_ref.1);
+        let is_done_by_gang = ended_as.is_none() && self.gang_is_done(task_ref);
+        let ended_as = if is_done_by_gang { Some(TaskEnd::Done) } else { ended_as };
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if let Some(executor) = job.tasks[index].phase.executor().cloned()
+            && let Some(executor) = self.executors.get_mut(&executor)
+        {
+            unbook(executor, &mut self.accounts, job, index);
+        }
+        let slot = job.slot(index);
+        let is_gang = job.step(index).is_gang;
+        let task = &mut job.tasks[index];
+        task.at_work_since = None;
+        task.phase = if ended_as == Some(TaskEnd::Done) { Phase::Done } else { Phase::Waiting };
+        if task.phase == Phase::Done {
+            job.progress[slot].remaining -= 1;
+            if is_gang {
+                job.finish_waiting(slot);
+            }
+            if job.progress[slot].remaining == 0 {
+                job.open_steps(now, self.wall_ms);
+            }
+        } else if ended_as == Some(TaskEnd::Failed) {
+            task.note_failure(task.run);
+        }
+        if job.is_over() {
+            return;
+        }
+        let is_waiting = job.tasks[index].phase == Phase::Waiting;
+        let is_done = job.progress.iter().all(|slot| slot.remaining == 0);
+        self.touch(id);
+        if is_done {
+            self.finish(now, id, JobOutcome::Completed);
+        } else if is_waiting {
+            self.wait_again(now, task_ref);
+        }
+    }
+
+    /// A task whose run is over without success waits for its next start, unless it is given up.
+    pub(super) fn wait_again(&mut self, now: Now, task_ref: &TaskRef) {
+        self.give_up(now, task_ref);
+        let Some(job) = self.jobs.get_mut(&task_ref.0).filter(|job| !job.is_over()) else { return };
+        let slot = job.slot(task_ref.1);
+        let is_open = job.progress[slot].is_open;
+        match job.retry(task_ref.1) {
+            Retry::AtOnce if is_open => job.wait(now, task_ref.1),
+            Retry::AtOnce => {}
+            Retry::After(pause) => self.hold_back(now, task_ref, Some(pause)),
+            Retry::Never => self.hold_back(now, task_ref, None),
+        }
+        let Some(job) = self.jobs.get(&task_ref.0) else { return };
+        if job.step(task_ref.1).is_gang {
+            self.stop_gang(now, &task_ref.0, slot);
+        }
+    }
+}
+
+pub(super) fn book(executor: &mut Executor, accounts: &mut Accounts, job: &Job, index: TaskIndex) {
+    let step = job.step(index);
+    if !executor.tasks.insert((job.id.clone(), index)) {
+        return;
+    }
+    accounts.book(job.account.as_ref(), &step.need);
+    executor.booked.add(&step.booked());
+    *executor.per_slot.entry((job.id.clone(), job.slot(index))).or_default() += 1;
+    executor.serving += u32::from(step.tail_target.is_some());
+    executor.fillers += u32::from(step.is_filler);
+}
+
+pub(super) fn unbook(
+    executor: &mut Executor,
+    accounts: &mut Accounts,
+    job: &Job,
+    index: TaskIndex,
+) {
+    let step = job.step(index);
+    if !executor.tasks.remove(&(job.id.clone(), index)) {
+        return;
+    }
+    accounts.unbook(job.account.as_ref(), &step.need);
+    executor.booked.subtract(&step.booked());
+    let is_watched = |watch: &Watch| watch.task.0 == job.id && watch.task.1 == index;
+    if executor.watch.as_ref().is_some_and(is_watched) {
+        executor.watch = None;
+    }
+    let slot = (job.id.clone(), job.slot(index));
+    if let Some(count) = executor.per_slot.get_mut(&slot) {
+        *count -= 1;
+        if *count == 0 {
+            executor.per_slot.remove(&slot);
+        }
+    }
+    executor.serving -= u32::from(step.tail_target.is_some());
+    executor.fillers -= u32::from(step.is_filler);
+}
