Ask at the end of a longer history again whether lasting work is back, and play lists of seeds by one function

With AFTERWARDS_S the histories went on, but only the starts of causes were checked then. The check after 20 s stays as it is and comes first; the same is asked once more at the end. BACK_WITHIN_S is for trials.

--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -104,7 +104,11 @@
 /// No lasting job is over but by its caller's word. If it has to return, all of its tasks are at work, but
 /// for one that crashes its executors.
 fn check_lasting(world: &mut World, seed: u64, lasting: &[String], kind: Kind) {
-    world.run_for(BACK_WITHIN);
+    world.run_for(number("BACK_WITHIN_S").map_or(BACK_WITHIN, Duration::from_secs));
+    assert_lasting(world, seed, lasting, kind);
+}
+
+fn assert_lasting(world: &World, seed: u64, lasting: &[String], kind: Kind) {
     for id in lasting.iter().filter(|id| !world.cancelled.iter().any(|one| **one == ***id)) {
         assert_eq!(world.fleet.view(id), Some(JobView::Running), "seed {seed}: {id}");
         let tasks = world.submissions[id.as_str()].spec.steps[0].count as usize;
@@ -197,6 +201,11 @@
     Returning,
 }
 
+/// Plays these seeds with tasks that crash their executors.
+fn play_all(seeds: &[u64], kind: Kind) {
+    seeds.iter().for_each(|seed| play_with(*seed, CRASHING, kind));
+}
+
 /// Plays a history in which this part of the jobs have a task that crashes its executors.
 fn play_with(seed: u64, crashing: f64, kind: Kind) {
     let afterwards = Duration::from_secs(number("AFTERWARDS_S").unwrap_or(0));
@@ -268,6 +277,7 @@
     };
     assert!(jobs.iter().all(|id| is_true(&id)), "seed {seed}");
     world.run_for(afterwards);
+    assert_lasting(&world, seed, &lasting, kind);
     if std::env::var("STATISTICS").is_ok() {
         print_statistics(&world, seed, &jobs, &lasting);
     }
@@ -291,13 +301,13 @@
 /// Lasting work that isn't the cause was held back.
 #[test]
 fn innocent_held_back() {
-    HELD_BACK_BEFORE.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Returning));
+    play_all(&HELD_BACK_BEFORE, Kind::Returning);
 }
 
 /// A cause was started again and again, with ever longer pauses.
 #[test]
 fn cause_started_again() {
-    STARTED_AGAIN_BEFORE.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Lasting));
+    play_all(&STARTED_AGAIN_BEFORE, Kind::Lasting);
     let play_on = |seed: &u64| play_until(*seed, CRASHING, Kind::Returning, LONG_AFTER);
     STARTED_LATER_BEFORE.iter().for_each(play_on);
 }
@@ -305,38 +315,38 @@
 /// A job was failed for one crash.
 #[test]
 fn failed_for_one() {
-    GIVEN_UP_BEFORE.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Plain));
-    GIVEN_UP_BESIDE_BEFORE.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Lasting));
+    play_all(&GIVEN_UP_BEFORE, Kind::Plain);
+    play_all(&GIVEN_UP_BESIDE_BEFORE, Kind::Lasting);
 }
 
 /// A lasting task was held back for a minute since its executor crashed by itself during its trial.
 #[test]
 fn accident_on_trial() {
-    ACCIDENT_ON_TRIAL.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Returning));
+    play_all(&ACCIDENT_ON_TRIAL, Kind::Returning);
 }
 
 /// A gang was given up after one crash, since its starts went without answers.
 #[test]
 fn gang_unconfirmed() {
-    GANG_UNCONFIRMED.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Returning));
+    play_all(&GANG_UNCONFIRMED, Kind::Returning);
 }
 
 /// A gang waited for ever for room on three executors at once.
 #[test]
 fn gang_beside_lasting() {
-    GANG_BESIDE_LASTING.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Returning));
+    play_all(&GANG_BESIDE_LASTING, Kind::Returning);
 }
 
 /// A job was given up after one crash, since executors crashed before they had confirmed its starts.
 #[test]
 fn unconfirmed_starts() {
-    UNCONFIRMED_STARTS.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Plain));
+    play_all(&UNCONFIRMED_STARTS, Kind::Plain);
 }
 
 /// A cause was started three times after three crashes, one of which came as its run had just been stopped.
 #[test]
 fn stopped_before_crash() {
-    STOPPED_BEFORE_CRASH.iter().for_each(|seed| play_with(*seed, CRASHING, Kind::Plain));
+    play_all(&STOPPED_BEFORE_CRASH, Kind::Plain);
 }
 
 /// An option of the histories, from the environment.
