Try a lasting task again soon where the crash on its trial came after a quite different time

A lasting task that is no cause was away for 60 s where its executor crashed by itself during the first trial, and no other accident had been seen within 20 s. A cause mostly crashes after the same time. The record keeps how long a run had lived, at least and at most; where these times can't be one, the second trial comes after 4 s. How often a cause may be started doesn't change.

--- a/crates/jackdawpier_fleet/src/crash.rs
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -31,6 +31,18 @@
     /// Another task turned out to be the cause.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_explained: bool,
+    /// How long the run had lived, at least and at most; none if this owner didn't see its start.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub lived: Option<Lived>,
+}
+
+/// How long a run had lived when its executor crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lived {
+    /// From the confirmation of its start to the last that was heard, in milliseconds.
+    pub least_ms: u64,
+    /// From the order to start it to the first sign of the crash, in milliseconds.
+    pub most_ms: u64,
 }
 
 impl Crash {
@@ -124,6 +136,15 @@
     crashes.iter().skip(MOST_CRASHES).any(Crash::is_alone)
 }
 
+/// Whether a task may have crashed its executors after the same time in each run. One that is only there when they
+/// crash hardly ever has.
+fn lives_agree(crashes: &[Crash]) -> bool {
+    let lives = || crashes.iter().filter_map(|crash| crash.lived);
+    let least = lives().map(|lived| lived.least_ms).max().unwrap_or(0);
+    let most = lives().map(|lived| lived.most_ms).min().unwrap_or(u64::MAX);
+    least <= most
+}
+
 /// When a task that lasts is started again after this run. One that isn't the cause would be missed until its job is
 /// cancelled, so it is tried again, as often as a cause may be started: a trial tells them apart.
 #[must_use]
@@ -136,7 +157,8 @@
         return Retry::AtOnce;
     }
     let at_once = crashes.iter().filter(|crash| crash.is_telling() && crash.is_sudden).count();
-    let is_plain = at_once >= ENOUGH_TELLING || has_failed_trial(crashes);
+    let has_failed_alike = has_failed_trial(crashes) && lives_agree(crashes);
+    let is_plain = at_once >= ENOUGH_TELLING || has_failed_alike;
     Retry::After(if is_plain { PAUSE_PLAIN } else { PAUSE_SUSPECT })
 }
 
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -11,7 +11,7 @@
 
 use super::{Fleet, crash_scenes::CrashScene, openings::Openings, placement::suits};
 use crate::{
-    crash::Crash,
+    crash::{Crash, Lived},
     executor::{Executor, LastSigns, TaskRef, Watch},
     job::{Job, Phase, Task, TaskIndex},
     record::JobOutcome,
@@ -326,7 +326,14 @@
     let is_stopping = matches!(task.phase, Phase::Stopping { .. });
     let is_confirmed = survived.is_some() && !is_stopping && signs.hold_until_end(now);
     let is_sudden = survived.is_none_or(|time| time <= SUDDEN);
-    Some(Crash { run: task.run, is_confirmed, is_sudden, ..Crash::default() })
+    let lived = is_confirmed.then(|| Lived {
+        least_ms: survived.unwrap_or_default().as_millis() as u64,
+        most_ms: signs.first_failure.unwrap_or(now).saturating_sub(task.ordered_at).as_millis()
+            as u64,
+    });
+    let is_seen = task.ordered_at > Now::ZERO;
+    let lived = lived.filter(|_| is_seen);
+    Some(Crash { run: task.run, is_confirmed, is_sudden, lived, ..Crash::default() })
 }
 
 impl LastSigns {
--- a/crates/jackdawpier_fleet/tests/crash_evidence.rs
+++ b/crates/jackdawpier_fleet/tests/crash_evidence.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jackdawpier_fleet::crash::{
-    Crash, Retry, Suspicion, is_given_up, retry, suspicion, watched_for,
+    Crash, Lived, Retry, Suspicion, is_given_up, retry, suspicion, watched_for,
 };
 
 fn crash(run: u32) -> Crash {
@@ -93,6 +93,23 @@
     assert_eq!(retry(&crashes[..3], 5, &[4]), Retry::After(first), "one never began");
 }
 
+/// A crash on trial after a quite different time than the ones before may be an accident.
+#[test]
+fn lives_differ() {
+    let lived = |least_ms, most_ms| Some(Lived { least_ms, most_ms });
+    let trial = Crash { is_watched: true, lived: lived(100, 300), ..crash(4) };
+    let after = |third: Option<Lived>| {
+        let third = Crash { lived: third, ..crash(3) };
+        let Retry::After(pause) = retry(&[shared(1), shared(2), third, trial.clone()], 4, &[])
+        else {
+            panic!("it has a second trial");
+        };
+        pause
+    };
+    assert_eq!(after(lived(200, 400)), after(None));
+    assert!(after(lived(900, 1_100)) < after(None) / 10);
+}
+
 /// Two crashes right after its starts leave little doubt of one that lasts.
 #[test]
 fn sudden_pause() {
