--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -4,19 +4,24 @@
 //! rate. Tasks that wait for a label are counted for themselves as well: machines with the label that
 //! are full of other work are none for them.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use jackdawpier_kernel::{Now, ids::PoolName};
+use jackdawpier_kernel::{
+    Now,
+    ids::{PoolName, ServiceName},
+};
 
 use super::{Fleet, label_need::LabelNeed, label_shares::ShareBounds};
 use crate::{
     executor::Executor,
-    job::{Job, Phase},
+    job::{Job, Phase, TaskIndex},
     machines::{MachineId, MachineState, MachineWork},
     order::rank,
     spec::{Label, Resources, StepSpec},
 };
 
+/// A job that has waited for this long may be one for which there never is room.
+const STUCK_AFTER: Duration = Duration::from_secs(5);
 /// A pool as planning sees it.
 #[derive(Debug, Default, Clone)]
 pub(super) struct Pool {
@@ -32,6 +37,8 @@
     need_millicores: u64,
     /// Machines over which a lasting step has to be spread of which some task waits: it allows so many a machine.
     spread_over: usize,
+    /// Machines without which a job that has waited for long never finds room beside lasting work.
+    missing: usize,
     /// Machines and need by label, for the labels that open jobs ask for.
     labels: BTreeMap<Label, LabelNeed>,
 }
@@ -52,7 +59,8 @@
     }
 
     pub(super) fn lacks(&self) -> usize {
-        self.needed().saturating_sub(self.holds())
+        let for_need = self.needed().saturating_sub(self.holds());
+        for_need.max(self.missing.saturating_sub(self.arriving))
     }
 
     /// Machines with each label that are missing.
@@ -139,6 +147,7 @@
             }
         }
         self.add_waiting(now, &mut pools);
+        self.add_missing(now, &mut pools);
         for (name, pool) in &mut pools {
             let policy = self.settings.policy;
             let arriving = self.arrivals.get_mut(name).map_or(0, |one| one.millicores(now, policy));
@@ -198,6 +207,57 @@
         need.pinned += usize::from(is_pinned);
     }
 
+    /// Counts the machines that the longest waiting job of a pool lacks where there will never be room for it: lasting
+    /// work may leave enough cores in all and on no executor enough for one of its tasks.
+    fn add_missing(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
+        for (queue, ids) in &self.open {
+            let Some(queue) = self.queues.get(queue) else { continue };
+            let Some(pool) = pools.get_mut(&queue.service) else { continue };
+            let stuck = ids.iter().filter_map(|id| self.jobs.get(id)).filter_map(|job| {
+                let index = *job.startable.front()?;
+                let since = job.tasks[index].waits_since;
+                (now.saturating_sub(since) >= STUCK_AFTER).then_some((since, job, index))
+            });
+            if let Some((_, job, index)) = stuck.min_by_key(|(since, job, _)| (*since, &job.id)) {
+                pool.missing = pool.missing.max(self.missing_for(job, index, &queue.service, pool));
+            }
+        }
+    }
+
+    /// Machines that a task, or its gang, lacks beside the lasting work of its service.
+    fn missing_for(
+        &self,
+        job: &Job,
+        index: TaskIndex,
+        service: &ServiceName,
+        pool: &Pool,
+    ) -> usize {
+        let step = job.step(index);
+        let need = step.booked();
+        let together = if step.is_gang { step.count as usize } else { 1 };
+        let of_service = self.by_service.get(service).into_iter().flatten();
+        let executors = of_service.filter_map(|id| self.executors.get(id));
+        let room = executors.map(|executor| self.room_beside_lasting(executor).count(&need));
+        let lacking = together.saturating_sub(room.fold(0, usize::saturating_add));
+        let per_machine = pool.machine.count(&need);
+        if per_machine == 0 { 0 } else { lacking.div_ceil(per_machine) }
+    }
+
+    /// Room that an executor has once all else than lasting work has ended.
+    fn room_beside_lasting(&self, executor: &Executor) -> Resources {
+        let Some(info) = executor.info.as_ref().filter(|info| !info.is_draining) else {
+            return Resources::default();
+        };
+        let mut booked = Resources::default();
+        for (id, index) in &executor.tasks {
+            let step = self.jobs.get(id).map(|job| job.step(*index));
+            step.filter(|step| step.is_long_running)
+                .iter()
+                .for_each(|step| booked.add(&step.booked()));
+        }
+        info.capacity.minus(&booked)
+    }
+
     /// Adds what waits and may still be of use, as far as the caps of the accounts let it run.
     fn add_waiting(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
         let mut headroom = self.accounts.headroom();
--- a/crates/jackdawpier_fleet/tests/pools.rs
+++ b/crates/jackdawpier_fleet/tests/pools.rs
@@ -120,3 +120,15 @@
     world.run_for(Duration::from_secs(8));
     assert_eq!(world.at_work_of("lasting"), 3);
 }
+
+/// A task waited for ever where lasting work left enough cores in all and on no executor enough for it.
+#[test]
+fn small_gaps() {
+    let mut world = World::new(&["view", "off"], 2);
+    let lasting = StepSpec { is_long_running: true, may_miss: 1, ..step(2, 5, 0) };
+    world.submit("lasting", "q-view", job(vec![StepSpec { max_per_executor: 1, ..lasting }]));
+    world.run_for(Duration::from_secs(3));
+    world.submit("large", "q-view", job(vec![step(1, 4, 500)]));
+    let outcome = world.run_until_over("large", Duration::from_secs(20));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
