Don't hold a start that was never confirmed against a task beside one that had just begun

Cause: a start without an answer counted as the one that began last, so that a confirmed newcomer was cleared for it. And a gang that is watched was stopped at the first order without an answer, which spent the starts of all members. A start that was never confirmed has a likelier cause wherever a confirmed newcomer is there. A watched gang's executor is asked, like that of a single task.

--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -98,25 +98,30 @@
             is_certain && tasks.iter().all(|task| self.seen_for(task, signs) >= LASTING_PROOF);
         let scene = CrashScene { at: now, service, is_watched, is_spontaneous, present };
         self.crash_scenes.note(scene);
-        let shortest = crashes.iter().map(|(task, _)| self.lived(task, signs)).min();
-        let shortest = shortest.unwrap_or_default();
+        let confirmed = crashes.iter().filter_map(|(task, _)| self.lived(task, signs));
+        let shortest = confirmed.min();
+        let has_newcomer = shortest.is_some_and(|lived| lived < LASTING_PROOF);
         for (task_ref, mut crash) in crashes {
             if self.lasts(task_ref) && self.seen_for(task_ref, signs) >= LASTING_PROOF {
                 self.clear_crashes(task_ref);
                 continue;
             }
-            let was_longer_there =
-                !crash.is_sudden && self.lived(task_ref, signs) > shortest + SUDDEN;
-            crash.is_shared |= was_longer_there && self.settings.policy.weighs_life;
+            let lived = self.lived(task_ref, signs);
+            // One whose start was never confirmed may not have begun at all.
+            let has_likelier_cause = match (lived, shortest) {
+                (Some(lived), Some(shortest)) => !crash.is_sudden && lived > shortest + SUDDEN,
+                _ => has_newcomer,
+            };
+            crash.is_shared |= has_likelier_cause && self.settings.policy.weighs_life;
             crash.is_watched = self.saw_start(task_ref)
                 && watched.as_ref().is_some_and(|one| self.start_together(one, task_ref));
             self.blame(id, task_ref, crash);
         }
     }
 
-    /// How long an executor was heard of after it had confirmed the start of a task; nothing if it never did.
-    fn lived(&self, task_ref: &TaskRef, signs: LastSigns) -> Duration {
-        self.task(task_ref).and_then(|task| survived(task, signs)).unwrap_or_default()
+    /// How long an executor was heard of after it had confirmed the start of a task; none if it never did.
+    fn lived(&self, task_ref: &TaskRef, signs: LastSigns) -> Option<Duration> {
+        self.task(task_ref).and_then(|task| survived(task, signs))
     }
 
     /// For how long this owner has seen a task alive.
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -21,6 +21,14 @@
         members.iter().for_each(|member| self.stop_task(now, member, StopReason::GangBroken));
     }
 
+    /// Stops the other members of a task's gang, if it has one.
+    pub(super) fn stop_members(&mut self, now: Now, task_ref: &TaskRef) {
+        let Some(job) = self.jobs.get(&task_ref.0) else { return };
+        if job.step(task_ref.1).is_gang {
+            self.stop_gang(now, &task_ref.0, job.slot(task_ref.1));
+        }
+    }
+
     /// Whether another member of the task's gang has ended well in the same run, which counts for
     /// all of them.
     pub(super) fn gang_is_done(&self, task_ref: &TaskRef) -> bool {
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -314,6 +314,7 @@
                 }
                 Phase::Starting { .. } if task.unanswered_at.is_some_and(|at| sent_at > at) => {
                     self.stop_task(now, &task_ref, StopReason::StartUnsure);
+                    self.stop_members(now, &task_ref);
                 }
                 // Confirmed before the question left, and neither running nor ended: make sure.
                 Phase::Running { since, .. } if sent_at > *since => {
--- a/crates/jackdawpier_fleet/src/fleet/runs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/runs.rs
@@ -108,10 +108,7 @@
             Retry::After(pause) => self.hold_back(now, task_ref, Some(pause)),
             Retry::Never => self.hold_back(now, task_ref, None),
         }
-        let Some(job) = self.jobs.get(&task_ref.0) else { return };
-        if job.step(task_ref.1).is_gang {
-            self.stop_gang(now, &task_ref.0, slot);
-        }
+        self.stop_members(now, task_ref);
     }
 }
 
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -122,7 +122,7 @@
         }
         let gang = job.step(index).is_gang.then(|| job.slot(index));
         let task = &mut job.tasks[index];
-        if end == StartEnd::Unanswered && watched_for.is_some() && gang.is_none() {
+        if end == StartEnd::Unanswered && watched_for.is_some() {
             // A stop would spend a start of a suspect without telling anything of it.
             task.unanswered_at = Some(now);
             return;
