Don't take a machine by the silence of an executor that may not live there any more

Cause: an executor that is named and not known to be over counted as the one that lives there. It has to have answered lately now; or else no executor may be registered that the list doesn't name.

--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -23,6 +23,8 @@
 const WAVE_RESERVE: Duration = Duration::from_secs(7);
 /// A new executor may be in the registry this long before it is in the list of machines.
 const LISTING_LAG: Duration = Duration::from_secs(1);
+/// A registered executor that no list names and that hasn't answered for this long isn't on any machine.
+const UNNAMED_FOR: Duration = Duration::from_secs(3);
 /// An order shows in the list of machines at once; this is for the list's way.
 const ORDER_LAG: Duration = Duration::from_millis(400);
 
@@ -47,7 +49,9 @@
             self.executor_ended(now, executor, evidence);
         }
         let unnamed = self.executors.keys_of(|id, executor| {
-            executor.is_listed && !executor.is_over && !self.machines.has_executor(id)
+            let is_there = executor.is_heard(now) || now < executor.known_at + UNNAMED_FOR;
+            let is_registered = executor.is_listed && !executor.is_over;
+            is_registered && is_there && !self.machines.has_executor(id)
         });
         self.machines.may_be_occupied = !unnamed.is_empty();
         self.end_errands(asked_at);
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -67,10 +67,13 @@
         let info = self.machines.listed.get(machine);
         let executor = info.and_then(|info| info.executor.as_ref());
         self.machines.knows_executor(machine)
-            && match executor.and_then(|id| self.executors.get(id)).filter(|one| !one.is_over) {
-                Some(_) => executor.is_none_or(|id| self.may_lose_executor(now, id)),
-                None => !self.machines.may_be_occupied,
-            }
+            && executor.is_none_or(|id| self.may_lose_executor(now, id))
+            && (executor.is_some_and(|id| self.lives(now, id)) || !self.machines.may_be_occupied)
+    }
+
+    /// Whether an executor has answered lately, so that it is the one that lives on its machine.
+    fn lives(&self, now: Now, id: &ExecutorId) -> bool {
+        self.executors.get(id).is_some_and(|executor| !executor.is_over && executor.is_heard(now))
     }
 
     fn may_lose_executor(&self, now: Now, id: &ExecutorId) -> bool {
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -73,6 +73,8 @@
 const UNCONFIRMED_STARTS: [u64; 1] = [3496];
 /// A seed with a run that was reported as stopped in the moment in which its executor crashed.
 const STOPPED_BEFORE_CRASH: [u64; 1] = [310];
+/// Seeds with a machine that was taken by an old list, with lasting work on it.
+const TAKEN_BEFORE: [u64; 4] = [50_313, 102_585, 104_788, 106_746];
 
 fn random_job(random: &mut ChaCha8Rng) -> JobSpec {
     let mut steps: Vec<StepSpec> = Vec::new();
@@ -319,6 +321,12 @@
     play_all(&GIVEN_UP_BESIDE_BEFORE, Kind::Lasting);
 }
 
+/// A machine with lasting work was taken for one on which nothing lived.
+#[test]
+fn taken_unseen() {
+    play_all(&TAKEN_BEFORE, Kind::Lasting);
+}
+
 /// A lasting task was held back for a minute since its executor crashed by itself during its trial.
 #[test]
 fn accident_on_trial() {
