Count a start under which the executor may have crashed, though it isn't found there later

A task was started three times after three crashes: lasting_returns. Run 5 crashes its executor at 114.09 before the start is confirmed; the executor is back under its id, doesn't list the run, and the run was noted as one that never began, though the crash under it had been noted.

--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -143,9 +143,10 @@
         is_news
     }
 
-    /// Its present run was refused, so it is no start that counts.
+    /// Its present run was refused, so it is no start that counts; unless its executor may have crashed under it.
     pub(crate) fn note_refused(&mut self) {
-        if !self.crashes.is_empty() && !self.refused_runs.contains(&self.run) {
+        let is_open = self.crashes.iter().all(|crash| crash.run != self.run);
+        if is_open && !self.crashes.is_empty() && !self.refused_runs.contains(&self.run) {
             self.refused_runs.push(self.run);
         }
     }
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -54,7 +54,9 @@
     1483, 1499,
 ];
 /// Seeds with a cause that was started three times after its third crash, at once ...
-const STARTED_AGAIN_BEFORE: [u64; 2] = [1799, 1936];
+const STARTED_AGAIN_BEFORE: [u64; 3] = [1799, 1936, 104_047];
+/// The same without lasting work.
+const ENDING_STARTED_AGAIN_BEFORE: [u64; 6] = [5, 118, 198, 519, 724, 100_686];
 /// ... or minutes later.
 const STARTED_LATER_BEFORE: [u64; 3] = [21, 30, 81];
 /// Longer than any pause before a task is tried again.
@@ -310,6 +312,7 @@
 #[test]
 fn cause_started_again() {
     play_all(&STARTED_AGAIN_BEFORE, Kind::Lasting);
+    play_all(&ENDING_STARTED_AGAIN_BEFORE, Kind::Plain);
     let play_on = |seed: &u64| play_until(*seed, CRASHING, Kind::Returning, LONG_AFTER);
     STARTED_LATER_BEFORE.iter().for_each(play_on);
 }
