Don't take a crash for certain where no list of machines was seen for seconds

Each has an executor that was cut off or taken while lists of machines stayed away for two seconds and more, and that the first list after them doesn't name: its runs counted as certainly crashed, at once after their starts.

--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -140,6 +140,8 @@
     pub(crate) first_failure: Option<Now>,
     /// When a list of machines last named it.
     pub(crate) last_listing: Now,
+    /// For how long no list of machines was seen before the one that shows the loss, or until now.
+    pub(crate) unlisted_for: Duration,
 }
 
 /// A task that may be what earlier executors crashed of, in its first moments here.
@@ -237,6 +239,7 @@
             last_answer: self.answered_at,
             first_failure: self.failed_at,
             last_listing: self.named_at,
+            unlisted_for: Duration::ZERO,
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -27,6 +27,8 @@
 /// An executor that a list of machines names this long after it fell silent was cut off: what it ran may have ended
 /// unheard.
 const LIVED_ON: Duration = Duration::from_millis(300);
+/// Where no list of machines was seen for this long an executor may have been cut off or taken before it was missed.
+const LISTS_MISSED: Duration = Duration::from_secs(2);
 /// An order without an answer tells something only of an executor that was heard of this shortly before
 /// the order left; another one may have been gone by then.
 const ALIVE_BEFORE_ORDER: Duration = Duration::from_millis(300);
@@ -85,6 +87,7 @@
         signs: LastSigns,
         tasks: &[TaskRef],
     ) {
+        let signs = LastSigns { unlisted_for: self.machines.unlisted_for(now), ..signs };
         let crashes: Vec<(&TaskRef, Crash)> = tasks
             .iter()
             .filter_map(|task| Some((task, crash_under(now, self.task(task)?, signs, is_certain)?)))
@@ -347,7 +350,8 @@
     fn hold_until_end(&self, now: Now) -> bool {
         let silent_from = self.first_failure.unwrap_or(now);
         let lived_on = self.last_listing > silent_from + LIVED_ON;
-        let is_prompt = now.saturating_sub(silent_from) <= KNOWN_FOR;
+        let is_prompt =
+            now.saturating_sub(silent_from) <= KNOWN_FOR && self.unlisted_for <= LISTS_MISSED;
         silent_from.saturating_sub(self.last_answer) <= KNOWN_FOR && is_prompt && !lived_on
     }
 }
--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -35,7 +35,7 @@
         if machines.is_empty() {
             return;
         }
-        let former = self.machines.list(machines);
+        let former = self.machines.list(asked_at, machines);
         for id in self.machines.executors() {
             if let Some(executor) = self.executors.get_mut(id) {
                 executor.named_at = asked_at;
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -166,6 +166,9 @@
     held: BTreeMap<MachineId, Now>,
     pub(crate) listed: BTreeMap<MachineId, MachineInfo>,
     pub(crate) has_listing: bool,
+    /// When the last list was asked for, and how long after the one before.
+    listed_at: Now,
+    list_gap: Duration,
     pub(crate) errands: BTreeMap<MachineId, Errand>,
     pub(crate) waves: BTreeMap<WaveNumber, WaveProgress>,
     /// Pools that don't take a machine, since they are of other machines.
@@ -184,6 +187,8 @@
             held: BTreeMap::new(),
             listed: BTreeMap::new(),
             has_listing: false,
+            listed_at: Now::ZERO,
+            list_gap: Duration::ZERO,
             errands: BTreeMap::new(),
             waves: BTreeMap::new(),
             refused_moves: BTreeSet::new(),
@@ -226,7 +231,11 @@
     }
 
     /// Takes in a listing, and returns on which machines executors lived by the one before.
-    pub(crate) fn list(&mut self, machines: Vec<MachineInfo>) -> Table<ExecutorId, MachineId> {
+    pub(crate) fn list(
+        &mut self,
+        asked_at: Now,
+        machines: Vec<MachineInfo>,
+    ) -> Table<ExecutorId, MachineId> {
         let former = std::mem::take(&mut self.machine_of);
         self.machine_of = machines
             .iter()
@@ -241,6 +250,10 @@
                 errand.executor.clone_from(&info.executor);
             }
         }
+        let is_first = !self.has_listing;
+        self.list_gap =
+            if is_first { Duration::ZERO } else { asked_at.saturating_sub(self.listed_at) };
+        self.listed_at = asked_at;
         self.has_listing = true;
         former
     }
@@ -269,6 +282,11 @@
         if is_ordered { LossEvidence::PerhapsTaken } else { LossEvidence::Unlisted }
     }
 
+    /// For how long no list was seen before the last one, or has been since.
+    pub(crate) fn unlisted_for(&self, now: Now) -> Duration {
+        self.list_gap.max(now.saturating_sub(self.listed_at))
+    }
+
     /// When an order about the machine of an executor left or was taken; none if this owner hasn't ordered it.
     pub(crate) fn ordered_at(&self, executor: &ExecutorId) -> Option<Now> {
         let of_executor = |errand: &&Errand| errand.executor.as_ref() == Some(executor);
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -62,9 +62,9 @@
 /// Longer than any pause before a task is tried again.
 const LONG_AFTER: Duration = Duration::from_secs(700);
 /// Seeds with a job that was given up after a single crash, without lasting work ...
-const GIVEN_UP_BEFORE: [u64; 4] = [319, 864, 1800, 9270];
+const GIVEN_UP_BEFORE: [u64; 8] = [319, 864, 1800, 9270, 50_355, 106_001, 106_567, 107_556];
 /// ... and beside it.
-const GIVEN_UP_BESIDE_BEFORE: [u64; 1] = [1017];
+const GIVEN_UP_BESIDE_BEFORE: [u64; 2] = [1017, 1424];
 /// Seeds with a lasting task whose first trial was hit by an accident: it is back after a minute only.
 const ACCIDENT_ON_TRIAL: [u64; 5] = [3351, 4050, 72231, 73043, 73922];
 /// A seed with a gang of which hardly a start was ever confirmed.
