--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -243,6 +243,11 @@
         }
     }
 
+    /// The service that it belongs to, as far as it is known.
+    pub(crate) fn service(&self) -> Option<ServiceName> {
+        self.info.as_ref().map(|info| info.service.clone())
+    }
+
     pub(crate) fn is_watching(&self, now: Now) -> bool {
         self.watch.as_ref().is_some_and(|watch| watch.until.is_none_or(|until| now < until))
     }
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -26,6 +26,7 @@
 mod reports;
 mod runs;
 mod starts;
+mod trials;
 mod vacating;
 mod waits;
 
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -92,15 +92,17 @@
             .iter()
             .filter_map(|task| Some((task, crash_under(now, self.task(task)?, signs, is_certain)?)))
             .collect();
-        let present = crashes.iter().map(|(task, crash)| ((*task).clone(), crash.run)).collect();
         let watched = self.watched_at(id, signs);
-        let info = self.executors.get(id).and_then(|executor| executor.info.as_ref());
-        let service = info.map(|info| info.service.clone());
-        let is_watched = watched.is_some();
+        let present = crashes.iter().map(|(task, crash)| ((*task).clone(), crash.run)).collect();
         let is_spontaneous =
             is_certain && tasks.iter().all(|task| self.seen_for(task, signs) >= LASTING_PROOF);
-        let scene = CrashScene { at: now, service, is_watched, is_spontaneous, present };
-        self.crash_scenes.note(scene);
+        self.crash_scenes.note(CrashScene {
+            at: now,
+            service: self.executors.get(id).and_then(Executor::service),
+            is_watched: watched.is_some(),
+            is_spontaneous,
+            present,
+        });
         let confirmed = crashes.iter().filter_map(|(task, _)| self.lived(task, signs));
         let shortest = confirmed.min();
         let has_newcomer = shortest.is_some_and(|lived| lived < LASTING_PROOF);
@@ -215,14 +217,6 @@
         is_fresh && may_try && self.newcomers(executor, job, index) == 0
     }
 
-    /// Whether the task that is watched on an executor is on trial.
-    pub(super) fn watches_trial(&self, executor: &Executor) -> bool {
-        executor.watch.as_ref().is_some_and(|watch| {
-            let job = self.jobs.get(&watch.task.0);
-            job.is_some_and(|job| job.is_on_trial(watch.task.1))
-        })
-    }
-
     /// Tasks on an executor that may yet crash of their start, other than members of a task's own gang.
     fn newcomers(&self, executor: &Executor, job: &Job, index: TaskIndex) -> usize {
         let is_gang = job.step(index).is_gang;
@@ -334,16 +328,17 @@
     let is_stopping = matches!(task.phase, Phase::Stopping { .. });
     let is_confirmed = survived.is_some() && !is_stopping && signs.hold_until_end(now);
     let is_sudden = survived.is_none_or(|time| time <= SUDDEN);
-    let lived = is_confirmed.then(|| Lived {
-        least_ms: survived.unwrap_or_default().as_millis() as u64,
-        most_ms: signs.first_failure.unwrap_or(now).saturating_sub(task.ordered_at).as_millis()
-            as u64,
-    });
-    let is_seen = task.ordered_at > Now::ZERO;
-    let lived = lived.filter(|_| is_seen);
+    let lived = lived_between(now, task, signs).filter(|_| is_confirmed);
     Some(Crash { run: task.run, is_confirmed, is_sudden, lived, ..Crash::default() })
 }
 
+/// How long a task had lived when its executor crashed; none if this owner hasn't ordered it.
+fn lived_between(now: Now, task: &Task, signs: LastSigns) -> Option<Lived> {
+    let least = survived(task, signs).filter(|_| task.ordered_at > Now::ZERO)?;
+    let most = signs.first_failure.unwrap_or(now).saturating_sub(task.ordered_at);
+    Some(Lived { least_ms: least.as_millis() as u64, most_ms: most.as_millis() as u64 })
+}
+
 impl LastSigns {
     /// Whether what the executor said of its runs holds until its crash: it had just answered when it first
     /// failed to, and nobody has seen it alive since.
--- /dev/null
+++ b/crates/jackdawpier_fleet/src/fleet/trials.rs
@@ -0,0 +1,52 @@
+//! When a lasting task that may crash its executors is tried again, so that a crash tells something of it.
+//!
+//! See `docs/design/lives.md`. It has two such starts in all; one that an accident hits is spent.
+
+use std::time::Duration;
+
+use jackdawpier_kernel::Now;
+
+use super::{Fleet, crash_scenes::CrashScene};
+use crate::{
+    crash::has_failed_trial,
+    executor::{Executor, TaskRef},
+    job::{Job, TaskIndex},
+};
+
+/// Time without a crash that may be an accident before a task is put on trial ...
+const CALM_FOR: Duration = Duration::from_secs(4);
+/// ... unless it has waited for that for so long.
+const CALM_AWAITED: Duration = Duration::from_secs(30);
+/// Executors have accidents now if one had one within this time.
+const ACCIDENTS_WITHIN: Duration = Duration::from_secs(20);
+
+impl Fleet {
+    /// Whether a task may be put on trial: no executor of its service has just had what may be an accident. A start
+    /// that one hits is spent for nothing.
+    pub(super) fn is_calm(&self, now: Now, job: &Job, index: TaskIndex) -> bool {
+        let service = self.service_of(&job.id);
+        let mut accidents = self.crash_scenes.accidents();
+        let last = accidents.find(|scene| scene.service.as_ref() == service);
+        let since = last.map_or(self.started_at, |scene| scene.at);
+        now >= since + CALM_FOR || now >= job.tasks[index].waits_since + CALM_AWAITED
+    }
+
+    /// Whether executors crash without a task as well, so that what hit it may have been an accident. After a failed
+    /// trial only crashes count that hardly were any task's.
+    pub(super) fn has_accidents_without(&self, now: Now, task_ref: &TaskRef) -> bool {
+        let Some(task) = self.task(task_ref) else { return false };
+        let has_failed_trial = has_failed_trial(task.crashes());
+        let is_recent = |scene: &&CrashScene| now.saturating_sub(scene.at) < ACCIDENTS_WITHIN;
+        let counts = |scene: &CrashScene| scene.is_spontaneous || !has_failed_trial;
+        let mut recent = self.crash_scenes.accidents().take_while(is_recent);
+        recent.any(|scene| counts(scene) && !scene.has(task_ref))
+    }
+
+    /// Whether the task that is watched on an executor is on trial.
+    pub(super) fn watches_trial(&self, executor: &Executor) -> bool {
+        executor.watch.as_ref().is_some_and(|watch| {
+            let job = self.jobs.get(&watch.task.0);
+            job.is_some_and(|job| job.is_on_trial(watch.task.1))
+        })
+    }
+}
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -65,6 +65,8 @@
 const GIVEN_UP_BEFORE: [u64; 8] = [319, 864, 1800, 9270, 50_355, 106_001, 106_567, 107_556];
 /// ... and beside it.
 const GIVEN_UP_BESIDE_BEFORE: [u64; 2] = [1017, 1424];
+/// Seeds with a machine that was taken by an old list, with lasting work on it.
+const TAKEN_BEFORE: [u64; 4] = [50_313, 102_585, 104_788, 106_746];
 /// Seeds with a lasting task whose first trial was hit by an accident: it is back after a minute only.
 const ACCIDENT_ON_TRIAL: [u64; 5] = [3351, 4050, 72231, 73043, 73922];
 /// A seed with a gang of which hardly a start was ever confirmed.
@@ -75,8 +77,6 @@
 const UNCONFIRMED_STARTS: [u64; 1] = [3496];
 /// A seed with a run that was reported as stopped in the moment in which its executor crashed.
 const STOPPED_BEFORE_CRASH: [u64; 1] = [310];
-/// Seeds with a machine that was taken by an old list, with lasting work on it.
-const TAKEN_BEFORE: [u64; 4] = [50_313, 102_585, 104_788, 106_746];
 
 fn random_job(random: &mut ChaCha8Rng) -> JobSpec {
     let mut steps: Vec<StepSpec> = Vec::new();
