Say how much of an answer had come when it was given up

A store that is silent and one that is sending at full rate both left "didn't answer" in the log; the hypotheses of the incident can't be told apart by that. The reason names the bytes now where there were any.

--- a/crates/jackdawpier_entry/src/http_client.rs
+++ b/crates/jackdawpier_entry/src/http_client.rs
@@ -9,11 +9,12 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Method, Request,
+    body::Incoming,
     client::conn::http1::{SendRequest, handshake},
     header::{CONTENT_TYPE, HOST},
 };
@@ -108,7 +109,10 @@
     /// The request didn't leave.
     NotSent(Obstacle),
     /// It may have arrived.
-    Lost,
+    Lost {
+        /// How much of the answer's body had come: none of a silent host, some of a slow one.
+        received_bytes: usize,
+    },
 }
 
 type Sender = SendRequest<Full<Bytes>>;
@@ -143,23 +147,29 @@
         call: &Call,
         patience: Duration,
     ) -> Result<Answer, NoAnswer> {
-        let ended = timeout(patience, self.exchange(host, call)).await;
-        let answer = ended.unwrap_or(Err(NoAnswer::Lost));
+        let received = Received::default();
+        let ended = timeout(patience, self.exchange(host, call, &received)).await;
+        let answer = ended.unwrap_or(Err(received.lost()));
         if answer.is_err() {
             self.idle.borrow_mut().remove(host);
         }
         answer
     }
 
-    async fn exchange(&self, host: &Arc<str>, call: &Call) -> Result<Answer, NoAnswer> {
+    async fn exchange(
+        &self,
+        host: &Arc<str>,
+        call: &Call,
+        received: &Received,
+    ) -> Result<Answer, NoAnswer> {
         while let Some(mut sender) = self.take_idle(host) {
             if sender.ready().await.is_err() {
                 continue;
             }
-            match send(&mut sender, host, call).await {
+            match send(&mut sender, host, call, received).await {
                 // The host had closed it: nothing left, so a new one may be tried.
                 Err(NoAnswer::NotSent(_)) => {}
-                Err(NoAnswer::Lost) => return Err(NoAnswer::Lost),
+                Err(lost @ NoAnswer::Lost { .. }) => return Err(lost),
                 Ok(answer) => {
                     self.keep(host, sender);
                     return Ok(answer);
@@ -167,7 +177,7 @@
             }
         }
         let mut sender = connect(host, self.take_place()?).await?;
-        let answer = send(&mut sender, host, call).await?;
+        let answer = send(&mut sender, host, call, received).await?;
         self.keep(host, sender);
         Ok(answer)
     }
@@ -246,7 +256,26 @@
     Ok(sender)
 }
 
-async fn send(sender: &mut Sender, host: &str, call: &Call) -> Result<Answer, NoAnswer> {
+/// How much of an answer's body has come.
+#[derive(Debug, Default)]
+struct Received(Cell<usize>);
+
+impl Received {
+    fn add(&self, bytes: usize) {
+        self.0.set(self.0.get() + bytes);
+    }
+
+    fn lost(&self) -> NoAnswer {
+        NoAnswer::Lost { received_bytes: self.0.get() }
+    }
+}
+
+async fn send(
+    sender: &mut Sender,
+    host: &str,
+    call: &Call,
+    received: &Received,
+) -> Result<Answer, NoAnswer> {
     let mut request = Request::builder().method(&call.method).uri(&call.path).header(HOST, host);
     if !call.body.is_empty() {
         request = request.header(CONTENT_TYPE, "application/json");
@@ -260,8 +289,20 @@
     let response = sender
         .send_request(request)
         .await
-        .map_err(|error| if error.is_canceled() { not_sent } else { NoAnswer::Lost })?;
+        .map_err(|error| if error.is_canceled() { not_sent } else { received.lost() })?;
     let status = response.status().as_u16();
-    let body = response.into_body().collect().await.map_err(|_| NoAnswer::Lost)?.to_bytes();
+    let body = read_body(response.into_body(), received).await?;
     Ok(Answer { status, body })
 }
+
+async fn read_body(mut body: Incoming, received: &Received) -> Result<Bytes, NoAnswer> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| received.lost())?;
+        if let Ok(part) = frame.into_data() {
+            received.add(part.len());
+            whole.extend_from_slice(&part);
+        }
+    }
+    Ok(whole.freeze())
+}
