Read an answer for as long as its parts come

Callers saw 503 for every key and no answer to questions for two accepted jobs; routes that were added answered 404. The operators' document takes 0.93 s over a link of 10 Mbit/s, and each call was given up 0.8 s after it had left, whole or not. So no reading of it could end; each began from nothing and kept the link full (1.1 MB a second at 33 of 39 entries for 56 s in the record, while the store answered all else).

A call's patience is for the beginning of its answer now, since only that tells of a silent host; how long the rest takes, its size and the link decide. 0.8 s without a part, or 30 s in all, still end it. While parts of an answer come the entry counts as in touch with the store: it failed its readiness check for seconds in the record.

--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     access::Proof,
+    arrivals::Arrivals,
     clock,
     events::Events,
     ports::{CallError, CallResult, Change, Configuration, Item, Platform, Route},
@@ -32,6 +33,8 @@
     revision: Revision,
     heard_at: Option<Now>,
     proof: Proof,
+    /// What of the store's answers is on its way.
+    arrivals: Arrivals,
 }
 
 /// The configuration in force.
@@ -62,11 +65,17 @@
         self.state.borrow().revision
     }
 
-    /// Whether the store has answered lately, so that the configuration is known to be current.
+    /// Whether the store has answered lately, so that the configuration is known to be current, or is answering.
     pub fn is_in_touch(&self, now: Now) -> bool {
         let state = self.state.borrow();
         let is_fresh = |at: Now| now.saturating_sub(at) < OUT_OF_TOUCH_AFTER;
-        state.current.is_some() && state.heard_at.is_some_and(is_fresh)
+        let last_sign = state.heard_at.max(state.arrivals.last_at());
+        state.current.is_some() && last_sign.is_some_and(is_fresh)
+    }
+
+    /// Has the store's answers noted while they come.
+    pub(crate) fn note(&self, arrivals: Arrivals) {
+        self.state.borrow_mut().arrivals = arrivals;
     }
 
     /// Whether the store has answered a question that was asked after `at`.
@@ -158,6 +167,7 @@
 
 /// Follows the configuration for as long as the process lives.
 pub async fn follow<P: Platform>(platform: P, active: Active, events: Events) {
+    active.note(platform.arrivals());
     let mut was_in_touch = false;
     let mut position = None;
     loop {
--- a/crates/jackdawpier_entry/src/http_client.rs
+++ b/crates/jackdawpier_entry/src/http_client.rs
@@ -1,4 +1,7 @@
 //! HTTP clients: kept-alive connections a host, a timeout for every call, and a bound on connections.
+//!
+//! How large an answer is, its sender decides, and how long it takes, the link. So the timeout of a call holds for the
+//! beginning of its answer; from then on an answer goes on for as long as its parts come.
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,7 +16,7 @@
 use derive_more::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Method, Request,
+    Method, Request, Response, StatusCode,
     body::Incoming,
     client::conn::http1::{SendRequest, handshake},
     header::{CONTENT_TYPE, HOST},
@@ -22,10 +25,17 @@
 use nix::errno::Errno;
 use tokio::{net::TcpStream, time::timeout};
 
+use crate::arrivals::{Arrival, Arrivals};
+
 /// Idle connections kept a host: a long poll, and a few orders at a time.
 const IDLE_PER_HOST: usize = 4;
 /// Time for a connection to open; beyond it the host is taken to be out of reach.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest pause between two parts of an answer; beyond it the host is taken to be silent.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Longest time for a whole answer, against a host that sends without end: several times what the largest value of the
+/// store takes over 2 Mbit/s.
+const LONGEST_ANSWER: Duration = Duration::from_secs(30);
 
 /// What to send.
 #[derive(Debug, Clone)]
@@ -38,12 +48,14 @@
     pub headers: Vec<(&'static str, String)>,
     /// Body as JSON; empty for none.
     pub body: Vec<u8>,
+    /// Where it is noted that an answer is on its way.
+    arrivals: Option<Arrivals>,
 }
 
 impl Call {
     /// A call without a body.
     pub fn new(method: Method, path: impl Into<String>) -> Self {
-        Self { method, path: path.into(), headers: Vec::new(), body: Vec::new() }
+        Self { method, path: path.into(), headers: Vec::new(), body: Vec::new(), arrivals: None }
     }
 
     /// Sets the body.
@@ -53,6 +65,13 @@
         self
     }
 
+    /// Notes the answer while it comes, unless the call is turned away.
+    #[must_use]
+    pub fn noting(mut self, arrivals: &Arrivals) -> Self {
+        self.arrivals = Some(arrivals.clone());
+        self
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
@@ -139,17 +158,16 @@
         Self { idle: Rc::default(), open: Rc::default(), most_open }
     }
 
-    /// Sends a call and waits for its whole answer for at most `patience`. A connection on which
-    /// that fails is never used again, nor are its idle neighbours: they may be as silent.
+    /// Sends a call and waits for its answer: at most `patience` for its beginning, and for the rest of it as long
+    /// as its parts come. A connection on which that fails is never used again, nor are its idle neighbours: they
+    /// may be as silent.
     pub async fn call(
         &self,
         host: &Arc<str>,
         call: &Call,
         patience: Duration,
     ) -> Result<Answer, NoAnswer> {
-        let received = Received::default();
-        let ended = timeout(patience, self.exchange(host, call, &received)).await;
-        let answer = ended.unwrap_or(Err(received.lost()));
+        let answer = self.exchange(host, call, patience).await;
         if answer.is_err() {
             self.idle.borrow_mut().remove(host);
         }
@@ -160,26 +178,35 @@
         &self,
         host: &Arc<str>,
         call: &Call,
-        received: &Received,
+        patience: Duration,
     ) -> Result<Answer, NoAnswer> {
+        let beginning = timeout(patience, self.begin(host, call)).await;
+        let (sender, response) = beginning.unwrap_or(Err(SILENT))?;
+        let answer = read_answer(response, call.arrivals.as_ref()).await?;
+        self.keep(host, sender);
+        Ok(answer)
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    async fn begin(
+        &self,
+        host: &Arc<str>,
+        call: &Call,
+    ) -> Result<(Sender, Response<Incoming>), NoAnswer> {
         while let Some(mut sender) = self.take_idle(host) {
             if sender.ready().await.is_err() {
                 continue;
             }
-            match send(&mut sender, host, call, received).await {
+            match send(&mut sender, host, call).await {
                 // The host had closed it: nothing left, so a new one may be tried.
                 Err(NoAnswer::NotSent(_)) => {}
                 Err(lost @ NoAnswer::Lost { .. }) => return Err(lost),
-                Ok(answer) => {
-                    self.keep(host, sender);
-                    return Ok(answer);
-                }
+                Ok(response) => return Ok((sender, response)),
             }
         }
         let mut sender = connect(host, self.take_place()?).await?;
-        let answer = send(&mut sender, host, call, received).await?;
-        self.keep(host, sender);
-        Ok(answer)
+        let response = send(&mut sender, host, call).await?;
+        Ok((sender, response))
     }
 
     /// A place for one more connection, if need be that of an idle one.
@@ -256,26 +283,14 @@
     Ok(sender)
 }
 
-/// How much of an answer's body has come.
-#[derive(Debug, Default)]
-struct Received(Cell<usize>);
-
-impl Received {
-    fn add(&self, bytes: usize) {
-        self.0.set(self.0.get() + bytes);
-    }
-
-    fn lost(&self) -> NoAnswer {
-        NoAnswer::Lost { received_bytes: self.0.get() }
-    }
-}
+/// Nothing came.
+const SILENT: NoAnswer = NoAnswer::Lost { received_bytes: 0 };
 
 async fn send(
     sender: &mut Sender,
     host: &str,
     call: &Call,
-    received: &Received,
-) -> Result<Answer, NoAnswer> {
+) -> Result<Response<Incoming>, NoAnswer> {
     let mut request = Request::builder().method(&call.method).uri(&call.path).header(HOST, host);
     if !call.body.is_empty() {
         request = request.header(CONTENT_TYPE, "application/json");
@@ -286,23 +301,38 @@
     let body = Full::new(Bytes::from(call.body.clone()));
     let not_sent = NoAnswer::NotSent(Obstacle::Failed);
     let request = request.body(body).map_err(|_| not_sent)?;
-    let response = sender
-        .send_request(request)
-        .await
-        .map_err(|error| if error.is_canceled() { not_sent } else { received.lost() })?;
-    let status = response.status().as_u16();
-    let body = read_body(response.into_body(), received).await?;
-    Ok(Answer { status, body })
+    let sending = sender.send_request(request).await;
+    sending.map_err(|error| if error.is_canceled() { not_sent } else { SILENT })
 }
 
-async fn read_body(mut body: Incoming, received: &Received) -> Result<Bytes, NoAnswer> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| received.lost())?;
-        if let Ok(part) = frame.into_data() {
-            received.add(part.len());
-            whole.extend_from_slice(&part);
+async fn read_answer(
+    response: Response<Incoming>,
+    arrivals: Option<&Arrivals>,
+) -> Result<Answer, NoAnswer> {
+    let status = response.status();
+    let is_served = status.is_success() || status == StatusCode::PRECONDITION_FAILED;
+    let arrival = arrivals.filter(|_| is_served).map(Arrivals::begin);
+    let mut body = BytesMut::new();
+    let reading = read_body(response.into_body(), &mut body, arrival.as_ref());
+    let is_whole = timeout(LONGEST_ANSWER, reading).await.unwrap_or(false);
+    if !is_whole {
+        return Err(NoAnswer::Lost { received_bytes: body.len() });
+    }
+    Ok(Answer { status: status.as_u16(), body: body.freeze() })
+}
+
+/// Reads on for as long as parts come; returns whether the end was reached.
+async fn read_body(mut incoming: Incoming, body: &mut BytesMut, arrival: Option<&Arrival>) -> bool {
+    loop {
+        match timeout(LONGEST_PAUSE, incoming.frame()).await {
+            Ok(None) => return true,
+            Ok(Some(Ok(frame))) => {
+                if let Ok(part) = frame.into_data() {
+                    body.extend_from_slice(&part);
+                }
+                arrival.inspect(|arrival| arrival.part());
+            }
+            Ok(Some(Err(_))) | Err(_) => return false,
         }
     }
-    Ok(whole.freeze())
 }
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod acceptance;
 pub mod access;
+pub mod arrivals;
 pub mod callers;
 pub mod clock;
 pub mod configuration;
--- a/crates/jackdawpier_entry/src/ports.rs
+++ b/crates/jackdawpier_entry/src/ports.rs
@@ -15,7 +15,7 @@
 };
 use jackdawpier_kernel::ids::{ExecutorId, Revision};
 
-use crate::access::ClientKeys;
+use crate::{access::ClientKeys, arrivals::Arrivals};
 
 /// Why a call gave no usable answer.
 #[derive(Debug, Clone, Display, Error, PartialEq, Eq)]
@@ -109,6 +109,8 @@
 
 /// The store.
 pub trait Store {
+    /// What of its answers is on its way.
+    fn arrivals(&self) -> Arrivals;
     /// Reads one item, not a stale one.
     fn get(&self, key: &str) -> impl Future<Output = CallResult<Option<Item>>>;
     /// Reads all items under a prefix, page by page.
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -12,6 +12,7 @@
 
 use jackdawpier_entry::{
     access::ApiKey,
+    arrivals::Arrivals,
     clock, keys,
     ports::{
         Advisor, Approval, CallError, CallResult, CallerLimits, Change, Changes, Configuration,
@@ -294,6 +295,10 @@
 }
 
 impl Store for Fake {
+    fn arrivals(&self) -> Arrivals {
+        Arrivals::default()
+    }
+
     async fn get(&self, key: &str) -> CallResult<Option<Item>> {
         self.0.borrow_mut().reads += 1;
         self.travel().await;
