Ask whether the configuration has changed instead of reading it

Each entry read the operators' document whole every ten seconds, and after each failure of its watch; and where it had changed, the watch and the proof of the keys brought a copy each at the same time over the same link. 1.2 MB every ten seconds is a tenth of a link of 10 Mbit/s, and of 39 entries 4.5 MB a second of the store's (worked out).

What proves the keys, a write of nothing under the condition that the document is unchanged, tells the same in 200 bytes; a proof of the last two seconds is as good as a check. Where the store loses the answers of writes the document is read as before. A proof waits while an answer of the store is coming, for as long as the last one has half of its time left. A watch goes on from what a proof has brought.

--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -11,6 +11,7 @@
     arrivals::Arrivals,
     clock,
     events::Events,
+    freshness,
     ports::{CallError, CallResult, Change, Configuration, Item, Platform, Route},
 };
 
@@ -20,8 +21,10 @@
 /// The same where keys are asked for: the proofs that they need bring what the watch misses, and tell whether
 /// the store answers.
 const PROVED_WATCH_WAIT: Duration = Duration::from_millis(5000);
-/// The configuration is read again after this long, whatever the watch hears.
-const READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Whether the configuration has changed is asked after this long, whatever the watch hears.
+const CHECK_INTERVAL: Duration = Duration::from_secs(10);
+/// A proof of the keys that is this young says as much as a check.
+const PROVED_LATELY: Duration = Duration::from_secs(2);
 /// Pause after the store didn't answer.
 const REPEAT_PAUSE: Duration = Duration::from_millis(250);
 /// The balancer is told that this entry is out of touch after this long without the store.
@@ -78,6 +81,11 @@
         self.state.borrow_mut().arrivals = arrivals;
     }
 
+    /// Whether an answer of the store has begun to come and isn't whole yet.
+    pub(crate) fn is_receiving(&self) -> bool {
+        self.state.borrow().arrivals.is_under_way()
+    }
+
     /// Whether the store has answered a question that was asked after `at`.
     pub fn is_heard_since(&self, at: Now) -> bool {
         self.state.borrow().heard_at.is_some_and(|heard_at| heard_at > at)
@@ -162,24 +170,34 @@
 #[derive(Debug, Clone, Copy)]
 struct Position {
     revision: Revision,
-    read_at: Now,
+    /// When it was last made sure that nothing was missed; none if it has to be now.
+    checked_at: Option<Now>,
+}
+
+impl Position {
+    fn is_checked(&self) -> bool {
+        self.checked_at.is_some_and(|at| clock::since(at) < CHECK_INTERVAL)
+    }
 }
 
-/// Follows the configuration for as long as the process lives.
+/// Follows the configuration for as long as the process lives. It is read whole only where nothing less tells
+/// whether it has changed: it may be large, and each instance of hundreds reads it over one link of the store.
 pub async fn follow<P: Platform>(platform: P, active: Active, events: Events) {
     active.note(platform.arrivals());
     let mut was_in_touch = false;
     let mut position = None;
     loop {
-        let current = position.filter(|at: &Position| clock::since(at.read_at) < READ_INTERVAL);
-        let step = match current {
-            Some(position) => watch(&platform, &active, &events, position).await,
+        let step = match position {
             None => read(&platform, &active, &events).await,
+            Some(position) if Position::is_checked(&position) => {
+                watch(&platform, &active, &events, position).await
+            }
+            Some(position) => check(&platform, &active, &events, position).await,
         };
         match step {
             Ok(reached) => position = Some(reached),
             Err(error) => {
-                position = None;
+                position = after_failure(position, &error);
                 if was_in_touch && error != CallError::HistoryGone {
                     let fields = json!({ "for": "configuration", "why": error.to_string() });
                     events.emit("store_missed", fields);
@@ -201,6 +219,30 @@
     }
 }
 
+/// Where to go on after a step has failed: a watch that failed is followed by a check, a check by a reading.
+fn after_failure(position: Option<Position>, error: &CallError) -> Option<Position> {
+    let was_watching = position.filter(Position::is_checked);
+    let is_known = *error != CallError::HistoryGone;
+    was_watching.filter(|_| is_known).map(|position| Position { checked_at: None, ..position })
+}
+
+/// Makes sure that nothing was missed, by what proves the keys if that was done lately.
+async fn check<P: Platform>(
+    platform: &P,
+    active: &Active,
+    events: &Events,
+    from: Position,
+) -> CallResult<Position> {
+    let asked_at = clock::now();
+    let proved_at = active.proof().asked_at.filter(|at| clock::since(*at) < PROVED_LATELY);
+    if proved_at.is_none() {
+        freshness::ask_for_change(platform, active, events).await?;
+        active.heard(asked_at);
+    }
+    let revision = from.revision.max(active.revision());
+    Ok(Position { revision, checked_at: Some(proved_at.unwrap_or(asked_at)) })
+}
+
 /// Reads the configuration as it is.
 async fn read<P: Platform>(platform: &P, active: &Active, events: &Events) -> CallResult<Position> {
     let read_at = clock::now();
@@ -211,7 +253,7 @@
     if listing.items.iter().any(|item| item.key == key && item.revision == active.revision()) {
         active.proved(read_at);
     }
-    Ok(Position { revision: listing.revision, read_at })
+    Ok(Position { revision: listing.revision, checked_at: Some(read_at) })
 }
 
 /// Waits a while for a change.
@@ -224,7 +266,9 @@
     let asked_at = clock::now();
     let key = platform.configuration_key();
     let wait = if active.asks_for_keys() { PROVED_WATCH_WAIT } else { WATCH_WAIT };
-    let news = platform.watch(key, from.revision, wait).await?;
+    // A proof may have brought what the watch hasn't told of yet.
+    let after = from.revision.max(active.revision());
+    let news = platform.watch(key, after, wait).await?;
     let took = clock::since(asked_at);
     // An answer without news left the store when the wait was over, and nothing had changed by then; one
     // that came sooner was cut short and says no more than that the store was asked.
--- a/crates/jackdawpier_entry/src/freshness.rs
+++ b/crates/jackdawpier_entry/src/freshness.rs
@@ -23,6 +23,8 @@
 const INTERVAL: Duration = Duration::from_millis(1200);
 /// Least time between two questions, however many callers show keys that aren't known.
 const LEAST_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two looks whether an answer is whole.
+const ARRIVAL_LOOK: Duration = Duration::from_millis(20);
 
 /// Proves the configuration for as long as the process lives, where keys are asked for.
 pub async fn prove<P: Platform>(platform: P, active: Active, events: Events) {
@@ -38,6 +40,7 @@
             tokio::time::sleep(LEAST_PAUSE).await;
             continue;
         }
+        wait_for_arrivals(&active).await;
         let asked_at = clock::now();
         let outcome = ask(question, &platform, &active, &events).await;
         question = if outcome.is_ok() { Question::Condition } else { question.other() };
@@ -59,6 +62,27 @@
     }
 }
 
+/// Waits while the store is sending something large, for as long as the last proof allows: it may be the changed
+/// configuration, and a second copy would halve the speed of the first.
+async fn wait_for_arrivals(active: &Active) {
+    while active.is_receiving() && active.proof().is_young(clock::now()) {
+        tokio::time::sleep(ARRIVAL_LOOK).await;
+    }
+}
+
+/// Asks once whether the configuration has changed, and takes a newer one over.
+pub(crate) async fn ask_for_change<P: Platform>(
+    platform: &P,
+    active: &Active,
+    events: &Events,
+) -> CallResult<()> {
+    let asked_at = clock::now();
+    if ask(Question::Condition, platform, active, events).await? {
+        active.proved(asked_at);
+    }
+    Ok(())
+}
+
 /// How the store is asked whether the configuration has changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Question {
