Ask again for a proof that the store turned away, instead of reading the document

At hundreds of entries the store turns proofs of the keys away for its limit on writes; each was followed by a reading of the whole document, and while callers with unknown keys wait that came several times a second at each entry.

A refused proof is asked for again after 0.3 s; the document is read only once the last proof has lost half of its time, so at most every 2.4 s where it holds for 4.9. A question without an answer is followed by the other as before.

--- a/crates/jackdawpier_entry/src/freshness.rs
+++ b/crates/jackdawpier_entry/src/freshness.rs
@@ -16,13 +16,15 @@
     clock,
     configuration::{Active, take_item},
     events::Events,
-    ports::{CallResult, Platform, Transaction, TransactionEnd},
+    ports::{CallError, CallResult, Platform, Transaction, TransactionEnd},
 };
 
 /// Time between two proofs where nobody asks for one: three may fail before a key can't be relied on.
 const INTERVAL: Duration = Duration::from_millis(1200);
 /// Least time between two questions, however many callers show keys that aren't known.
 const LEAST_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after the store has turned a question away, so that it isn't pressed.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 /// Pause between two looks whether an answer is whole.
 const ARRIVAL_LOOK: Duration = Duration::from_millis(20);
 
@@ -30,11 +32,12 @@
 pub async fn prove<P: Platform>(platform: P, active: Active, events: Events) {
     let mut was_proved = true;
     let mut question = Question::Condition;
+    let mut pause = INTERVAL;
     loop {
         // The other way of asking follows at once where the first has failed.
         if question == Question::Condition {
             // Whether it is time or a caller that waits makes no difference.
-            let _ = timeout(INTERVAL, active.proof_wanted()).await;
+            let _ = timeout(pause, active.proof_wanted()).await;
         }
         if !active.asks_for_keys() {
             tokio::time::sleep(LEAST_PAUSE).await;
@@ -43,7 +46,7 @@
         wait_for_arrivals(&active).await;
         let asked_at = clock::now();
         let outcome = ask(question, &platform, &active, &events).await;
-        question = if outcome.is_ok() { Question::Condition } else { question.other() };
+        question = question.after(&outcome, active.proof().is_young(clock::now()));
         if outcome.is_ok() {
             active.heard(asked_at);
         }
@@ -54,11 +57,13 @@
         if is_proved != was_proved {
             let event = if is_proved { "keys_proved" } else { "keys_unproved" };
             let age_ms = active.proof_age().map(|age| age.as_millis() as u64);
-            let why = outcome.err().map(|error| error.to_string());
+            let why = outcome.as_ref().err().map(ToString::to_string);
             events.emit(event, json!({ "age_ms": age_ms, "why": why }));
             was_proved = is_proved;
         }
-        tokio::time::sleep(LEAST_PAUSE).await;
+        pause = if outcome.is_ok() { INTERVAL } else { REFUSED_PAUSE };
+        let was_refused = matches!(outcome, Err(CallError::NotDone { .. }));
+        tokio::time::sleep(if was_refused { REFUSED_PAUSE } else { LEAST_PAUSE }).await;
     }
 }
 
@@ -93,6 +98,16 @@
 }
 
 impl Question {
+    /// How to ask next. A store that turned the condition away does so for its rate; the document may be large, so it
+    /// is read only once the last proof grows old.
+    fn after(self, outcome: &CallResult<bool>, is_proof_young: bool) -> Self {
+        match outcome {
+            Ok(_) => Self::Condition,
+            Err(CallError::NotDone { .. }) if is_proof_young => Self::Condition,
+            Err(_) => self.other(),
+        }
+    }
+
     fn other(self) -> Self {
         match self {
             Self::Condition => Self::Reading,
--- a/crates/jackdawpier_entry/tests/key_proof.rs
+++ b/crates/jackdawpier_entry/tests/key_proof.rs
@@ -85,6 +85,24 @@
     });
 }
 
+/// A proof that the store turned away for its rate was followed by a reading of the whole document at once, ten times
+/// a second while callers waited: with hundreds of entries that fills the store's link.
+#[test]
+fn turned_away() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1 standing:shop").await;
+        let before = fake.reads();
+        fake.next_writes(&[Fate::Refused; 200]);
+        for _ in 0..20 {
+            active.prove_since(clock::now(), Duration::from_millis(100)).await;
+            assert!(active.can_prove_keys(clock::now()));
+        }
+        let readings = fake.reads() - before;
+        assert!(readings <= 2, "{readings} readings of the document in two seconds");
+    });
+}
+
 /// A question that hangs proves what stood when it left, not when its answer came.
 #[test]
 fn hanging_question() {
