Take in no job whose record the store can't hold

A job of 16,384 tasks was taken in, but placed tasks take up to 97 bytes of its record and not 40, so the record has 1.59 MB of the 1 MiB that a value may have: its write would be turned away for good, and with it those of the jobs in the same batch.

At most 8,192 tasks a job, refused when it is handed in; 128 bytes each. record_size::largest_job failed before with 1,589,309 bytes, passes now.

--- /dev/null
+++ b/crates/jackdawpier_entry/tests/record_size.rs
@@ -0,0 +1,29 @@
+//! Whether what is written of a job fits into the store.
+
+use jackdawpier_fleet::{
+    record::{JobRecord, Standing, TaskRecord},
+    spec::{MAX_TASKS_PER_JOB, RunNumber},
+};
+
+/// Most bytes of a value in the store.
+const MOST_VALUE_BYTES: usize = 1_048_576;
+
+fn placed_task() -> TaskRecord {
+    TaskRecord {
+        standing: Standing::Placed("i-0123456789abcdef".into()),
+        placed_in: Some(1_796_331_053_676),
+        run: RunNumber::MAX,
+        failed_runs: vec![1],
+        checkpoint: "0123456789abcdef".into(),
+        ..TaskRecord::default()
+    }
+}
+
+/// A job was taken in whose record the store turns away for good, and with it the jobs in the same write.
+#[test]
+fn largest_job() {
+    let tasks = vec![placed_task(); MAX_TASKS_PER_JOB as usize];
+    let record = JobRecord { has_begun: true, tasks, ..JobRecord::default() };
+    let bytes = serde_json::to_vec(&record).expect("a record can be written as JSON").len();
+    assert!(bytes <= MOST_VALUE_BYTES, "{bytes} bytes");
+}
--- a/crates/jackdawpier_fleet/src/spec.rs
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -13,9 +13,9 @@
 /// Number of a start of a task; a later start has a higher one.
 pub type RunNumber = u32;
 
-/// Most tasks that one job may have over all its steps and occurrences: a record of that many
-/// tasks still fits into one value of the store (a megabyte at some 40 bytes a task).
-pub const MAX_TASKS_PER_JOB: u64 = 16_384;
+/// Most tasks that one job may have over all its steps and occurrences: a record of that many tasks still fits into
+/// one value of the store, a megabyte at up to 128 bytes a task.
+pub const MAX_TASKS_PER_JOB: u64 = 8_192;
 
 /// Longest time that a task may be said to take, a year: a chain of as many as a job may have can be added up
 /// and multiplied by any slack. Each owner in turn reads a job that was taken in, so one that can't be
