--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -237,7 +237,6 @@
     let proved_at = active.proof().asked_at.filter(|at| clock::since(*at) < PROVED_LATELY);
     if proved_at.is_none() {
         freshness::ask_for_change(platform, active, events).await?;
-        active.heard(asked_at);
     }
     let revision = from.revision.max(active.revision());
     Ok(Position { revision, checked_at: Some(proved_at.unwrap_or(asked_at)) })
--- a/crates/jackdawpier_entry/src/freshness.rs
+++ b/crates/jackdawpier_entry/src/freshness.rs
@@ -44,29 +44,34 @@
             continue;
         }
         wait_for_arrivals(&active).await;
-        let asked_at = clock::now();
-        let outcome = ask(question, &platform, &active, &events).await;
+        let outcome = ask_and_note(question, &platform, &active, &events).await;
         question = question.after(&outcome, active.proof().is_young(clock::now()));
-        if outcome.is_ok() {
-            active.heard(asked_at);
-        }
-        if matches!(outcome, Ok(true)) {
-            active.proved(asked_at);
-        }
+        pause = if outcome.is_ok() { INTERVAL } else { REFUSED_PAUSE };
         let is_proved = active.proof().holds(clock::now());
         if is_proved != was_proved {
-            let event = if is_proved { "keys_proved" } else { "keys_unproved" };
-            let age_ms = active.proof_age().map(|age| age.as_millis() as u64);
-            let why = outcome.as_ref().err().map(ToString::to_string);
-            events.emit(event, json!({ "age_ms": age_ms, "why": why }));
+            report(is_proved, &outcome, &active, &events);
             was_proved = is_proved;
         }
-        pause = if outcome.is_ok() { INTERVAL } else { REFUSED_PAUSE };
-        let was_refused = matches!(outcome, Err(CallError::NotDone { .. }));
-        tokio::time::sleep(if was_refused { REFUSED_PAUSE } else { LEAST_PAUSE }).await;
+        tokio::time::sleep(rest_after(&outcome)).await;
     }
 }
 
+/// Least pause before the next question, however many wait for it.
+fn rest_after(outcome: &CallResult<bool>) -> Duration {
+    match outcome {
+        Err(CallError::NotDone { .. }) => REFUSED_PAUSE,
+        Ok(_) | Err(_) => LEAST_PAUSE,
+    }
+}
+
+/// Keys can be vouched for from now on, or can't any more.
+fn report(is_proved: bool, outcome: &CallResult<bool>, active: &Active, events: &Events) {
+    let event = if is_proved { "keys_proved" } else { "keys_unproved" };
+    let age_ms = active.proof_age().map(|age| age.as_millis() as u64);
+    let why = outcome.as_ref().err().map(ToString::to_string);
+    events.emit(event, json!({ "age_ms": age_ms, "why": why }));
+}
+
 /// Waits while the store is sending something large, for as long as the last proof allows: it may be the changed
 /// configuration, and a second copy would halve the speed of the first.
 async fn wait_for_arrivals(active: &Active) {
@@ -80,12 +85,24 @@
     platform: &P,
     active: &Active,
     events: &Events,
-) -> CallResult<()> {
+) -> CallResult<bool> {
+    ask_and_note(Question::Condition, platform, active, events).await
+}
+
+/// Asks, and notes that the store has answered and what that proves.
+async fn ask_and_note<P: Platform>(
+    question: Question,
+    platform: &P,
+    active: &Active,
+    events: &Events,
+) -> CallResult<bool> {
     let asked_at = clock::now();
-    if ask(Question::Condition, platform, active, events).await? {
+    let is_newest = ask(question, platform, active, events).await?;
+    active.heard(asked_at);
+    if is_newest {
         active.proved(asked_at);
     }
-    Ok(())
+    Ok(is_newest)
 }
 
 /// How the store is asked whether the configuration has changed.
