Don't take a run for crashed that was due to end while its executor was cut off

Executors were cut off, runs due after 212 and 227 ms ended unheard, the executors crashed under other tasks 110 ms and 560 ms after the cut. A list had named them 60 and 190 ms after they first failed to answer; that counted only from 300 ms on, so the crash was held for confirmed and sudden, and one accident while watched gave the task up. A run that was due to end before the loss was known isn't confirmed now if a list has named its executor since it failed to answer.

--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -15,7 +15,7 @@
     executor::{Executor, LastSigns, TaskRef, Watch},
     job::{Job, Phase, Task, TaskIndex},
     record::JobOutcome,
-    spec::{RunNumber, TaskKey},
+    spec::{RunNumber, StepSpec, TaskKey},
 };
 
 /// An executor that answers this long after a start has survived it: some ten times what a task that
@@ -90,7 +90,11 @@
         let signs = LastSigns { unlisted_for: self.machines.unlisted_for(now), ..signs };
         let crashes: Vec<(&TaskRef, Crash)> = tasks
             .iter()
-            .filter_map(|task| Some((task, crash_under(now, self.task(task)?, signs, is_certain)?)))
+            .filter_map(|one| {
+                let job = self.jobs.get(&one.0)?;
+                let (task, step) = (&job.tasks[one.1], job.step(one.1));
+                Some((one, crash_under(now, task, step, signs, is_certain)?))
+            })
             .collect();
         let watched = self.watched_at(id, signs);
         let present = crashes.iter().map(|(task, crash)| ((*task).clone(), crash.run)).collect();
@@ -310,7 +314,13 @@
 
 /// What the crash of its executor says of a task; none if the task may not have been there at all. One that isn't
 /// certain, or of a task whose order left when the executor had fallen silent, only counts as one that may have been.
-fn crash_under(now: Now, task: &Task, signs: LastSigns, is_certain: bool) -> Option<Crash> {
+fn crash_under(
+    now: Now,
+    task: &Task,
+    step: &StepSpec,
+    signs: LastSigns,
+    is_certain: bool,
+) -> Option<Crash> {
     let survived = survived(task, signs);
     let may_have_begun = match task.phase {
         Phase::Planned { .. } => false,
@@ -326,12 +336,20 @@
         return Some(Crash { run: task.run, is_shared: true, ..Crash::default() });
     }
     let is_stopping = matches!(task.phase, Phase::Stopping { .. });
-    let is_confirmed = survived.is_some() && !is_stopping && signs.hold_until_end(now);
+    let was_there = survived.is_some() && !is_stopping && !may_have_ended(now, task, step, signs);
+    let is_confirmed = was_there && signs.hold_until_end(now);
     let is_sudden = survived.is_none_or(|time| time <= SUDDEN);
     let lived = lived_between(now, task, signs).filter(|_| is_confirmed);
     Some(Crash { run: task.run, is_confirmed, is_sudden, lived, ..Crash::default() })
 }
 
+/// Whether a run may have ended unheard before its executor crashed: a list of machines has named the executor since
+/// it failed to answer, so it was cut off, and the run was due to end by now.
+fn may_have_ended(now: Now, task: &Task, step: &StepSpec, signs: LastSigns) -> bool {
+    let was_cut_off = signs.first_failure.is_some_and(|at| signs.last_listing > at);
+    was_cut_off && !step.is_long_running && task.ordered_at + step.estimate <= now
+}
+
 /// How long a task had lived when its executor crashed; none if this owner hasn't ordered it.
 fn lived_between(now: Now, task: &Task, signs: LastSigns) -> Option<Lived> {
     let least = survived(task, signs).filter(|_| task.ordered_at > Now::ZERO)?;
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -65,6 +65,10 @@
 const GIVEN_UP_BEFORE: [u64; 8] = [319, 864, 1800, 9270, 50_355, 106_001, 106_567, 107_556];
 /// ... and beside it.
 const GIVEN_UP_BESIDE_BEFORE: [u64; 2] = [1017, 1424];
+/// Seeds with runs that ended in the moments between a cut and the crash of their executor, without lasting work ...
+const ENDED_BEHIND_CUT: [u64; 1] = [711_000];
+/// ... and beside it.
+const ENDED_BESIDE_CUT: [u64; 1] = [711_467];
 /// Seeds with a machine that was taken by an old list, with lasting work on it.
 const TAKEN_BEFORE: [u64; 4] = [50_313, 102_585, 104_788, 106_746];
 /// Seeds with a lasting task whose first trial was hit by an accident: it is back after a minute only.
@@ -324,6 +328,14 @@
     play_all(&GIVEN_UP_BESIDE_BEFORE, Kind::Lasting);
 }
 
+/// A job was failed for one crash, since a run that had ended behind a cut counted as one that had crashed.
+#[test]
+fn ended_behind_cut() {
+    play_all(&ENDED_BEHIND_CUT, Kind::Plain);
+    play_all(&ENDED_BESIDE_CUT, Kind::Lasting);
+    play_all(&ENDED_BESIDE_CUT, Kind::Returning);
+}
+
 /// A machine with lasting work was taken for one on which nothing lived.
 #[test]
 fn taken_unseen() {
