Watch a suspect only where the executor has answered since the former one's time

The next suspect is placed there once the executor has answered after the former one's time. All else starts there as before. crashing_tasks::watch_unanswered (three starts instead of two) and silent_after_watch fail before and pass.

--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -252,6 +252,13 @@
         self.watch.as_ref().is_some_and(|watch| watch.until.is_none_or(|until| now < until))
     }
 
+    /// Whether it has answered since the task that was watched here had its time, so that it isn't silent because of that
+    /// one.
+    pub(crate) fn has_survived_watch(&self) -> bool {
+        let until = self.watch.as_ref().and_then(|watch| watch.until);
+        until.is_none_or(|until| self.answered_at >= until)
+    }
+
     /// A task has begun; if it is watched, it is so for a while from now.
     pub(crate) fn has_begun(&mut self, now: Now, task: &TaskRef, watched_for: Option<Duration>) {
         // Its crashes may have been explained since it was placed.
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -218,7 +218,8 @@
     ) -> bool {
         let is_fresh = executor.answered_at + ALIVE_BEFORE_ORDER >= now;
         let may_try = !job.is_on_trial(index) || self.is_calm(now, job, index);
-        is_fresh && may_try && self.newcomers(executor, job, index) == 0
+        let may_watch = is_fresh && executor.has_survived_watch() && may_try;
+        may_watch && self.newcomers(executor, job, index) == 0
     }
 
     /// Tasks on an executor that may yet crash of their start, other than members of a task's own gang.
--- a/crates/jackdawpier_fleet/tests/crashing_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/crashing_tasks.rs
@@ -18,7 +18,7 @@
 
 use std::time::Duration;
 
-use jackdawpier_fleet::record::JobOutcome;
+use jackdawpier_fleet::{fleet::Command, record::JobOutcome};
 use world::{World, job, step};
 
 /// Long enough for ten runs that crash, each followed by the next listing of machines.
@@ -112,3 +112,22 @@
         assert_eq!(world.run_until_over(&id, LONG), Some(JobOutcome::Failed));
     }
 }
+
+/// A suspect was ordered to an executor that had fallen silent under the one that was watched there before.
+#[test]
+fn watch_unanswered() {
+    let mut world = World::new(&["view"], 1);
+    world.crashes.jobs.push("bad".into());
+    world.crashes.after = Duration::from_millis(250);
+    world.submit("bad", "q-view", job(vec![step(1, 1, 800)]));
+    world.submit("good", "q-view", job(vec![step(1, 1, 800)]));
+    world.run_for(Duration::from_millis(60));
+    world.crash("m-view-0", Some(Duration::from_millis(500)));
+    assert_eq!(world.run_until_over("bad", LONG), Some(JobOutcome::Failed));
+    assert_eq!(world.run_until_over("good", LONG), Some(JobOutcome::Completed));
+    let starts = world.commands.iter().filter(|(_, command)| match command {
+        Command::Start { task, .. } => &*task.job == "good",
+        _ => false,
+    });
+    assert_eq!(starts.count(), 2, "one under the accident, and the one that ends well");
+}
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -79,6 +79,8 @@
 const GANG_BESIDE_LASTING: [u64; 1] = [54739];
 /// A seed with a job of which three of four starts went without a sure answer.
 const UNCONFIRMED_STARTS: [u64; 1] = [3496];
+/// A seed with starts at executors that had fallen silent under what was watched there before.
+const SILENT_AFTER_WATCH: [u64; 1] = [931_148];
 /// A seed with a run that was reported as stopped in the moment in which its executor crashed.
 const STOPPED_BEFORE_CRASH: [u64; 1] = [310];
 
@@ -366,6 +368,12 @@
     play_all(&UNCONFIRMED_STARTS, Kind::Plain);
 }
 
+/// A job was given up after one crash, since it was ordered to executors that had crashed under what was watched there before.
+#[test]
+fn silent_after_watch() {
+    play_all(&SILENT_AFTER_WATCH, Kind::Plain);
+}
+
 /// A cause was started three times after three crashes, one of which came as its run had just been stopped.
 #[test]
 fn stopped_before_crash() {
