Don't count a crash under a run whose end the owner had been told of

The check was wrong. The model counted that crash under the task too: it took every end of the step for one of which nobody had heard, as its comment says, and didn't ask whether that was so. Now an end counts if it came in that step and no owner has been told of it.

--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -35,6 +35,8 @@
     over: BTreeMap<TaskKey, u32>,
     ended: Vec<EndedTask>,
     ended_at: BTreeMap<u64, Duration>,
+    /// Ends up to this position have been told to an owner.
+    told: u64,
     lapsed_at: Option<Duration>,
     /// Good ends that were acknowledged, with their times.
     pub acknowledged_done: Vec<(TaskKey, Duration)>,
@@ -71,6 +73,7 @@
             over: BTreeMap::new(),
             ended: Vec::new(),
             ended_at: BTreeMap::new(),
+            told: 0,
             lapsed_at: None,
             acknowledged_done: Vec::new(),
             starts: Vec::new(),
@@ -128,7 +131,8 @@
 
     /// What a crash takes along: what runs, and ends of this moment, of which nobody has heard.
     pub fn at_stake(&self) -> impl Iterator<Item = &TaskKey> {
-        let is_unheard = |end: &&EndedTask| self.ended_at[&end.sequence] == self.now;
+        let is_unheard =
+            |end: &&EndedTask| self.ended_at[&end.sequence] == self.now && end.sequence > self.told;
         let unheard = self.ended.iter().filter(is_unheard).map(|end| &end.task);
         self.running().chain(unheard)
     }
@@ -299,6 +303,7 @@
             let longest = self.clock(now) + super::LONGEST_LEASE;
             self.lease_until = self.lease_until.max(until.min(longest));
         }
+        self.told = self.told.max(self.next_end - 1);
         let running = self.running.iter().map(|(task, run)| RunningTask {
             task: task.clone(),
             run: run.number,
