Fetch machines for a gang that allows fewer members a machine than there is room for

A gang of three that allows one member a machine waited for ever in a pool of two, with idle machines elsewhere; so may one whose room was counted on an executor that takes no work for the rest of its life. Cause: what the longest waiting job lacks was counted by room alone. Neither the bound a machine nor what keeps an executor from running the step was asked, as placing asks it. Now both ask the same. Work that needs a label is left to the counting by label, since a machine without it would be fetched for nothing, again and again. pools::spread_gang fails before (not over after 20 s). The case of the executor that takes no work is read from the code, without a test.

--- a/crates/jackdawpier_fleet/src/fleet/openings.rs
+++ b/crates/jackdawpier_fleet/src/fleet/openings.rs
@@ -109,13 +109,13 @@
 
 impl Executor {
     fn takes_work(&self, now: Now) -> bool {
+        self.stays() && self.is_listed && now >= self.avoid_until && self.is_heard(now)
+    }
+
+    /// Whether it may take work again in this life.
+    pub(super) fn stays(&self) -> bool {
         let is_open = self.info.as_ref().is_some_and(|info| !info.is_draining);
-        is_open
-            && self.is_listed
-            && !self.is_over
-            && !self.is_frozen
-            && now >= self.avoid_until
-            && self.is_heard(now)
+        is_open && !self.is_over && !self.is_frozen
     }
 
     /// Whether it has answered under this ownership, and lately.
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -12,7 +12,7 @@
     executor::Executor,
     job::{Job, Phase, TaskIndex},
     order::{Rank, objective, rank},
-    spec::StepSpec,
+    spec::{Resources, StepSpec},
 };
 
 /// Advice is asked for again after this long without an answer.
@@ -355,6 +355,19 @@
     has_label && is_apart
 }
 
+/// Tasks of a step that an executor could run beside those of the step that it has, if it had this room.
+pub(super) fn fitting(executor: &Executor, job: &Job, index: TaskIndex, room: &Resources) -> usize {
+    if !may_run(executor, job, index) {
+        return 0;
+    }
+    let step = job.step(index);
+    let fits = room.count(&step.booked());
+    match step.max_per_executor {
+        0 => fits,
+        most => fits.min((most - tasks_here(executor, job, index)) as usize),
+    }
+}
+
 /// Tasks of the same step and occurrence on an executor.
 fn tasks_here(executor: &Executor, job: &Job, index: TaskIndex) -> u32 {
     executor.per_slot.get(&(job.id.clone(), job.slot(index))).copied().unwrap_or(0)
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -11,7 +11,7 @@
     ids::{PoolName, ServiceName},
 };
 
-use super::{Fleet, label_need::LabelNeed, label_shares::ShareBounds};
+use super::{Fleet, label_need::LabelNeed, label_shares::ShareBounds, placement::fitting};
 use crate::{
     executor::Executor,
     job::{Job, Phase, TaskIndex},
@@ -208,7 +208,8 @@
     }
 
     /// Counts the machines that the longest waiting job of a pool lacks where there will never be room for it: lasting
-    /// work may leave enough cores in all and on no executor enough for one of its tasks.
+    /// work may leave enough cores in all and on no executor enough for one of its tasks. Machines with a label are
+    /// counted by [`LabelNeed`].
     fn add_missing(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
         for (queue, ids) in &self.open {
             let Some(queue) = self.queues.get(queue) else { continue };
@@ -218,7 +219,9 @@
                 let since = job.tasks[index].waits_since;
                 (now.saturating_sub(since) >= STUCK_AFTER).then_some((since, job, index))
             });
-            if let Some((_, job, index)) = stuck.min_by_key(|(since, job, _)| (*since, &job.id)) {
+            if let Some((_, job, index)) = stuck.min_by_key(|(since, job, _)| (*since, &job.id))
+                && job.step(index).required_label.is_none()
+            {
                 pool.missing = pool.missing.max(self.missing_for(job, index, &queue.service, pool));
             }
         }
@@ -232,22 +235,23 @@
         service: &ServiceName,
         pool: &Pool,
     ) -> usize {
-        let step = job.step(index);
-        let need = step.booked();
-        let together = if step.is_gang { step.count as usize } else { 1 };
         let of_service = self.by_service.get(service).into_iter().flatten();
         let executors = of_service.filter_map(|id| self.executors.get(id));
-        let room = executors.map(|executor| self.room_beside_lasting(executor).count(&need));
-        let lacking = together.saturating_sub(room.fold(0, usize::saturating_add));
-        let per_machine = pool.machine.count(&need);
+        let staying = executors.filter(|executor| executor.stays());
+        let room = staying
+            .map(|executor| fitting(executor, job, index, &self.room_beside_lasting(executor)));
+        let step = job.step(index);
+        let lacking = together(step).saturating_sub(room.fold(0, usize::saturating_add));
+        let per_machine = match step.max_per_executor {
+            0 => pool.machine.count(&step.booked()),
+            most => pool.machine.count(&step.booked()).min(most as usize),
+        };
         if per_machine == 0 { 0 } else { lacking.div_ceil(per_machine) }
     }
 
     /// Room that an executor has once all else than lasting work has ended.
     fn room_beside_lasting(&self, executor: &Executor) -> Resources {
-        let Some(info) = executor.info.as_ref().filter(|info| !info.is_draining) else {
-            return Resources::default();
-        };
+        let Some(info) = &executor.info else { return Resources::default() };
         let mut booked = Resources::default();
         for (id, index) in &executor.tasks {
             let step = self.jobs.get(id).map(|job| job.step(*index));
@@ -288,11 +292,15 @@
     if is_bounded { step.count.div_ceil(step.max_per_executor) as usize } else { 0 }
 }
 
+/// Tasks of a step that start only together.
+fn together(step: &StepSpec) -> usize {
+    if step.is_gang { step.count as usize } else { 1 }
+}
+
 /// The room without which the next task of a job, or its gang, can't ever start.
 fn least_room(job: &Job) -> u64 {
     job.startable.front().map_or(0, |&index| {
         let step = job.step(index);
-        let together = if step.is_gang { u64::from(step.count) } else { 1 };
-        step.booked().cpu_millicores * together
+        step.booked().cpu_millicores * together(step) as u64
     })
 }
--- a/crates/jackdawpier_fleet/tests/pools.rs
+++ b/crates/jackdawpier_fleet/tests/pools.rs
@@ -132,3 +132,14 @@
     let outcome = world.run_until_over("large", Duration::from_secs(20));
     assert_eq!(outcome, Some(JobOutcome::Completed));
 }
+
+/// A gang that allows one member a machine waited for ever where its pool held fewer machines than it has members.
+#[test]
+fn spread_gang() {
+    let mut world = World::new(&["view", "off"], 2);
+    world.run_for(Duration::from_secs(4));
+    let gang = StepSpec { is_gang: true, max_per_executor: 1, ..step(3, 1, 500) };
+    world.submit("gang", "q-view", job(vec![gang]));
+    let outcome = world.run_until_over("gang", Duration::from_secs(20));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
