Don't order a machine again while an order about it is under way

Cause: an order about a machine was repeated 0.6 s after it left, whether it had ended or not. Where an owner's orders take longer than that, several were under way for one machine; the first was taken, a later one refused for the platform's limit on such orders, and that refusal was read as "nothing was done": the machine counted as there, and what had run on it as at work, until the next list of machines. Meanwhile the next machine of the same step was ordered.

Now an errand knows whether its order is under way, and is repeated only once that one has ended without an answer. Test: repeated_order, seen failing before ("is ended while 1 others of its step are away").

--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -242,7 +242,11 @@
                 }
                 self.machines.errands.remove(&order.machine);
             }
-            MachineOrderEnd::Unanswered => {}
+            MachineOrderEnd::Unanswered => {
+                if let Stage::Ordered { is_under_way, .. } = &mut errand.stage {
+                    *is_under_way = false;
+                }
+            }
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -123,7 +123,9 @@
             }
             let is_due = match errand.stage {
                 Stage::Vacating { since } => self.is_vacated(now, &machine, since),
-                Stage::Ordered { at } => now >= at + REPEAT_ORDER && self.may_lose(now, &machine),
+                Stage::Ordered { at, is_under_way } => {
+                    !is_under_way && now >= at + REPEAT_ORDER && self.may_lose(now, &machine)
+                }
                 Stage::Away { .. } => false,
             };
             if !is_due || !self.has_wave_slot(now, &machine) {
@@ -132,7 +134,7 @@
             }
             self.lose_long_running(&machine);
             let errand = self.machines.errands.get_mut(&machine).expect("it was read above");
-            errand.stage = Stage::Ordered { at: now };
+            errand.stage = Stage::Ordered { at: now, is_under_way: true };
             let work = errand.work.clone();
             self.commands.push(Command::Machine(MachineOrder { machine, work }));
         }
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -107,8 +107,9 @@
 pub(crate) enum Stage {
     /// No new work goes there; what runs may end.
     Vacating { since: Now },
-    /// The order has left.
-    Ordered { at: Now },
+    /// The order has left. While its end isn't known no other may leave: an answer tells of one order, and would be
+    /// taken for the end of all.
+    Ordered { at: Now, is_under_way: bool },
     /// The order was taken; the machine comes back with another executor.
     Away { since: Now },
 }
@@ -292,7 +293,7 @@
         let of_executor = |errand: &&Errand| errand.executor.as_ref() == Some(executor);
         self.errands.values().filter(of_executor).find_map(|errand| match errand.stage {
             Stage::Vacating { .. } => None,
-            Stage::Ordered { at } | Stage::Away { since: at } => Some(at),
+            Stage::Ordered { at, .. } | Stage::Away { since: at } => Some(at),
         })
     }
 
--- a/crates/jackdawpier_fleet/tests/spared_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/spared_tasks.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use jackdawpier_fleet::{
     machines::{MachineWork, Wave},
@@ -129,6 +129,36 @@
     assert!(world.machine_orders.len() >= 5);
 }
 
+/// A machine is taken while its order is thought to be unanswered: the refusal of a second order doesn't bring back what
+/// the first one has ended.
+#[test]
+fn repeated_order() {
+    let mut world = World::new(&["view"], 5);
+    world.submit("j", "q-view", job(vec![lasting(3)]));
+    world.run_for(Duration::from_secs(7));
+    let is_busy = |machine: &&Arc<str>| {
+        world.executors[&world.executor_of(machine)].running().next().is_some()
+    };
+    let busy: Vec<Arc<str>> = world.machines.keys().filter(is_busy).cloned().collect();
+    let busy: Vec<&str> = busy.iter().map(|machine| &**machine).collect();
+    assert_eq!(busy.len(), 3);
+    world.machine_order_delay = Duration::from_millis(1500);
+    world.waves.push(wave(&busy, 1));
+    while world.machine_orders.is_empty() {
+        world.run_for(world::STEP);
+    }
+    world.takes_machine_orders = false;
+    world.hides_machines = true;
+    world.machine_order_delay = Duration::ZERO;
+    world.run_for(Duration::from_millis(700));
+    world.takes_machine_orders = true;
+    world.run_for(Duration::from_millis(2000));
+    assert_eq!(world.machine_orders.len(), 1, "one is away already");
+    world.hides_machines = false;
+    world.run_for(Duration::from_secs(20));
+    assert_eq!(world.machine_orders.len(), 3);
+}
+
 /// A machine that is due holds tasks of a step that can spare one and of a step that can't any more:
 /// the former moves away meanwhile, so that the machine only waits for the latter.
 #[test]
