--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -15,7 +15,7 @@
 use crate::{
     executor::{Executor, TaskRef},
     job::{Job, Phase, Task, TaskIndex},
-    machines::{Errand, MachineId, MachineOrder, MachineWork, Stage},
+    machines::{Errand, MachineId, MachineOrder, MachineWork, Stage, WaveNumber},
     spec::StepSpec,
 };
 
@@ -116,6 +116,7 @@
             return;
         }
         let openings = self.openings(now);
+        let mut slots = self.wave_slots(now);
         for machine in machines {
             let errand = &self.machines.errands[&machine];
             if now < errand.not_before {
@@ -123,16 +124,18 @@
             }
             let is_due = match errand.stage {
                 Stage::Vacating { since } => self.is_vacated(now, &machine, since),
-                Stage::Ordered { at } => now >= at + REPEAT_ORDER && self.may_lose(now, &machine),
+                Stage::Ordered { at, is_under_way } => {
+                    !is_under_way && now >= at + REPEAT_ORDER && self.may_lose(now, &machine)
+                }
                 Stage::Away { .. } => false,
             };
-            if !is_due || !self.has_wave_slot(now, &machine) {
+            if !is_due || !take_slot(&mut slots, &self.machines.errands[&machine]) {
                 self.thin_out(now, &machine, &openings);
                 continue;
             }
             self.lose_long_running(&machine);
             let errand = self.machines.errands.get_mut(&machine).expect("it was read above");
-            errand.stage = Stage::Ordered { at: now };
+            errand.stage = Stage::Ordered { at: now, is_under_way: true };
             let work = errand.work.clone();
             self.commands.push(Command::Machine(MachineOrder { machine, work }));
         }
@@ -302,3 +305,15 @@
         }
     }
 }
+
+/// Whether the order about a machine may leave by the bound of its wave; it is counted if so. One that has left and
+/// wasn't answered counts as away already.
+fn take_slot(slots: &mut BTreeMap<WaveNumber, usize>, errand: &Errand) -> bool {
+    let MachineWork::Maintain(number) = errand.work else { return true };
+    if errand.is_away() {
+        return true;
+    }
+    let Some(left) = slots.get_mut(&number).filter(|left| **left > 0) else { return false };
+    *left -= 1;
+    true
+}
