Let one entry prove the keys for all of them

Each entry with keys asked the store every 1.2 s, by a write under the condition that the operators' document is unchanged, whether it still is: 768 writes a second at 999 entries (worked out), of 1,200 that the store allows to all, and a write that is turned away was followed by a reading of the whole document.

One entry writes a note now under that condition, every 1.2 s, and the others read the note. Who finds it changed between two of its readings knows that the document stood after the first of them had left; that reading's time is its proof's. So a write that is carried out late, an answer that hung and an entry that was suspended prove no more than they may. Whoever wrote last goes on writing, and any entry for which the note stands still takes over. An entry whose write is turned away goes by the note for one or two seconds, and reads the document only when its proof is half used up. Callers whose key can't be judged yet make their entry write at once, as before. A proof is up to 2.5 s old between two looks instead of 1.3, so what counts as proved lately is three seconds.

--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -23,8 +23,9 @@
 const PROVED_WATCH_WAIT: Duration = Duration::from_millis(5000);
 /// Whether the configuration has changed is asked after this long, whatever the watch hears.
 const CHECK_INTERVAL: Duration = Duration::from_secs(10);
-/// A proof of the keys that is this young says as much as a check.
-const PROVED_LATELY: Duration = Duration::from_secs(2);
+/// A proof of the keys that is this young says as much as a check. Between two looks at the proof that the entries share
+/// it grows to two and a half seconds.
+const PROVED_LATELY: Duration = Duration::from_secs(3);
 /// Pause after the store didn't answer.
 const REPEAT_PAUSE: Duration = Duration::from_millis(250);
 /// The balancer is told that this entry is out of touch after this long without the store.
--- a/crates/jackdawpier_entry/src/freshness.rs
+++ b/crates/jackdawpier_entry/src/freshness.rs
@@ -2,13 +2,13 @@
 //!
 //! Neither a watch without news proves that, since it may hear nothing, nor the time of an answer, since
 //! the answer may have hung. What proves it is the time at which a question left whose answer was made
-//! from the store's newest state. The question is a write of nothing under the condition that the
-//! configuration is unchanged: some 200 bytes, and the answer that it has changed brings the new one. A store that loses
-//! the answers of writes is read instead.
+//! from the store's newest state. One entry asks for all, by a small write under the condition that the configuration
+//! is unchanged, and the others read the note that it writes ([`shared_proof`]). An entry asks by itself
+//! where a caller waits, and where the note stands still. A store that leaves writes undone is read instead.
 
 use std::time::Duration;
 
-use jackdawpier_kernel::Now;
+use jackdawpier_kernel::{Now, ids::Revision};
 use serde_json::json;
 use tokio::time::timeout;
 
@@ -16,40 +16,41 @@
     clock,
     configuration::{Active, take_item},
     events::Events,
-    ports::{CallResult, Platform, Transaction, TransactionEnd},
+    ports::{CallResult, Item, Platform, Transaction, TransactionEnd},
+    shared_proof::{self, Reading, SharedProof},
 };
 
-/// Time between two proofs where nobody asks for one: three may fail before a key can't be relied on.
+/// Time between two looks at the note where nobody asks for a proof.
 const INTERVAL: Duration = Duration::from_millis(1200);
 /// Least time between two questions, however many callers show keys that aren't known.
 const LEAST_PAUSE: Duration = Duration::from_millis(100);
+/// Time until an entry that found the note unchanged looks again, and the spread of it over the entries: who writes
+/// late isn't gone, and of many that wait for it one has to be the first to write.
+const DOUBT_PAUSE: Duration = Duration::from_millis(200);
+const DOUBT_SPREAD: Duration = Duration::from_millis(400);
+/// Time for the watch to bring a configuration of which the note tells.
+const WATCH_PATIENCE: Duration = Duration::from_millis(600);
 /// Pause between two looks whether an answer is whole.
 const ARRIVAL_LOOK: Duration = Duration::from_millis(20);
+/// An entry whose write was turned away goes by the note for this long, and up to twice as long: hundreds of
+/// entries that try again at once are turned away again.
+const HOLD_BACK: Duration = Duration::from_millis(1000);
+/// Time between two looks for callers meanwhile.
+const HELD_BACK_PAUSE: Duration = Duration::from_millis(400);
 
 /// Proves the configuration for as long as the process lives, where keys are asked for.
 pub async fn prove<P: Platform>(platform: P, active: Active, events: Events) {
     let mut was_proved = true;
-    let mut question = Question::Condition;
+    let mut prover = Prover::new(platform, active.clone(), events.clone());
     loop {
-        // The other way of asking follows at once where the first has failed.
-        if question == Question::Condition {
-            // Whether it is time or a caller that waits makes no difference.
-            let _ = timeout(INTERVAL, active.proof_wanted()).await;
-        }
+        // Whether it is time or a caller that waits decides how to ask.
+        let is_wanted = timeout(prover.pause(), active.proof_wanted()).await.is_ok();
         if !active.asks_for_keys() {
             tokio::time::sleep(LEAST_PAUSE).await;
             continue;
         }
         wait_for_arrivals(&active).await;
-        let asked_at = clock::now();
-        let outcome = ask(question, &platform, &active, &events).await;
-        question = if outcome.is_ok() { Question::Condition } else { question.other() };
-        if outcome.is_ok() {
-            active.heard(asked_at);
-        }
-        if matches!(outcome, Ok(true)) {
-            active.proved(asked_at);
-        }
+        let outcome = prover.step(is_wanted).await;
         let is_proved = active.proof().holds(clock::now());
         if is_proved != was_proved {
             let event = if is_proved { "keys_proved" } else { "keys_unproved" };
@@ -77,53 +78,193 @@
     events: &Events,
 ) -> CallResult<()> {
     let asked_at = clock::now();
-    if ask(Question::Condition, platform, active, events).await? {
-        active.proved(asked_at);
+    let key = platform.configuration_key();
+    let expect = vec![(key.to_owned(), active.revision())];
+    let nothing = Transaction { expect, ..Transaction::default() };
+    if let TransactionEnd::Conflict(items) = platform.commit(&nothing).await? {
+        let Some(newest) = items.into_iter().find(|item| item.key == key) else { return Ok(()) };
+        take_item(platform, active, events, &newest);
+        if newest.revision != active.revision() {
+            return Ok(());
+        }
     }
+    active.proved(asked_at);
     Ok(())
 }
 
-/// How the store is asked whether the configuration has changed.
+/// What the next step is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Question {
-    /// By a write of nothing under the condition that it hasn't.
-    Condition,
-    /// By reading it.
-    Reading,
+enum Next {
+    /// A look at the note, when it is time.
+    Look,
+    /// A look soon, and a write if the note is still unchanged.
+    Doubt,
+    /// A look at once: the last write may have been carried out though its answer doesn't say so.
+    Check,
 }
 
-impl Question {
-    fn other(self) -> Self {
-        match self {
-            Self::Condition => Self::Reading,
-            Self::Reading => Self::Condition,
+/// What keeps proving at one entry.
+struct Prover<P> {
+    platform: P,
+    active: Active,
+    events: Events,
+    shared: SharedProof,
+    next: Next,
+    /// Writes are turned away until then.
+    held_back_until: Now,
+    /// Newest configuration that the note has told of.
+    told: Revision,
+    /// Since when that has been newer than the one in force here.
+    behind_since: Option<Now>,
+    /// When the whole was last read here.
+    read_at: Option<Now>,
+}
+
+impl<P: Platform> Prover<P> {
+    fn new(platform: P, active: Active, events: Events) -> Self {
+        Self {
+            platform,
+            active,
+            events,
+            shared: SharedProof::default(),
+            next: Next::Look,
+            held_back_until: Now::ZERO,
+            told: 0,
+            behind_since: None,
+            read_at: None,
         }
     }
-}
 
-/// Asks whether the configuration in force is the newest, takes a newer one over, and returns whether
-/// the newest is in force now.
-async fn ask<P: Platform>(
-    question: Question,
-    platform: &P,
-    active: &Active,
-    events: &Events,
-) -> CallResult<bool> {
-    let key = platform.configuration_key();
-    let newest = match question {
-        Question::Condition => {
-            let expect = vec![(key.to_owned(), active.revision())];
-            let nothing = Transaction { expect, ..Transaction::default() };
-            match platform.commit(&nothing).await? {
-                TransactionEnd::Committed(_) => return Ok(true),
-                TransactionEnd::Conflict(items) => items.into_iter().find(|item| item.key == key),
+    /// How long to wait for a caller before the next step.
+    fn pause(&self) -> Duration {
+        match self.next {
+            Next::Look => INTERVAL,
+            Next::Doubt => DOUBT_PAUSE + spread(DOUBT_SPREAD),
+            Next::Check => Duration::ZERO,
+        }
+    }
+
+    fn may_write(&self) -> bool {
+        clock::now() >= self.held_back_until
+    }
+
+    async fn step(&mut self, is_wanted: bool) -> CallResult<()> {
+        let step = std::mem::replace(&mut self.next, Next::Doubt);
+        if is_wanted && step != Next::Check {
+            if self.may_write() {
+                return self.write().await;
             }
+            tokio::time::sleep(HELD_BACK_PAUSE).await;
+        }
+        let is_own = self.shared.is_own();
+        let reading = self.look().await?;
+        if self.is_behind_for_long() {
+            return self.read().await;
         }
-        Question::Reading => platform.get(key).await?,
-    };
-    let Some(newest) = newest else { return Ok(false) };
-    take_item(platform, active, events, &newest);
-    Ok(newest.revision == active.revision())
+        if self.next == Next::Look {
+            return Ok(());
+        }
+        // The note tells of an older configuration than the one that is in force here already.
+        let is_ahead = self.told > 0 && self.told < self.active.revision();
+        let is_due = is_ahead || reading == Reading::Unchanged && (is_own || step == Next::Doubt);
+        match step {
+            Next::Check => self.after_failed_write().await,
+            Next::Look | Next::Doubt if !is_due => Ok(()),
+            Next::Look | Next::Doubt if self.may_write() => self.write().await,
+            Next::Look | Next::Doubt => self.read_if_due().await,
+        }
+    }
+
+    /// Whether the note has told of a newer configuration for longer than the watch needs to bring it.
+    fn is_behind_for_long(&mut self) -> bool {
+        if self.told <= self.active.revision() {
+            self.behind_since = None;
+            return false;
+        }
+        let since = *self.behind_since.get_or_insert_with(clock::now);
+        clock::since(since) >= WATCH_PATIENCE
+    }
+
+    /// Reads the note and takes in what it shows.
+    async fn look(&mut self) -> CallResult<Reading> {
+        let asked_at = clock::now();
+        let item = shared_proof::get(&self.platform).await?;
+        self.active.heard(asked_at);
+        let reading = self.shared.read(asked_at, item.as_ref());
+        if let Reading::Stood { document, at } = reading {
+            self.told = self.told.max(document);
+            if document == self.active.revision() {
+                self.active.proved(at);
+                self.next = Next::Look;
+            }
+        }
+        Ok(reading)
+    }
+
+    /// Asks by a write of the note, which proves the configuration here at once and elsewhere by the next look.
+    async fn write(&mut self) -> CallResult<()> {
+        let asked_at = clock::now();
+        let document = self.active.revision();
+        match shared_proof::put(&self.platform, document).await {
+            Ok(TransactionEnd::Committed(revision)) => {
+                self.shared.wrote(asked_at, revision);
+                self.told = self.told.max(document);
+                self.active.heard(asked_at);
+                self.active.proved(asked_at);
+                self.next = Next::Look;
+                Ok(())
+            }
+            Ok(TransactionEnd::Conflict(items)) => {
+                let key = self.platform.configuration_key();
+                let newest = items.into_iter().find(|item| item.key == key);
+                self.take(asked_at, newest.as_ref());
+                Ok(())
+            }
+            Err(error) => {
+                self.next = Next::Check;
+                Err(error)
+            }
+        }
+    }
+
+    /// The store answers, though not to the write or without carrying it out.
+    async fn after_failed_write(&mut self) -> CallResult<()> {
+        self.held_back_until = clock::now() + HOLD_BACK + spread(HOLD_BACK);
+        self.read_if_due().await
+    }
+
+    /// Reads the configuration where neither writes nor the note have proved it for too long.
+    async fn read_if_due(&mut self) -> CallResult<()> {
+        let proof = self.active.proof();
+        let patience = proof.holds_for.map_or(INTERVAL, |holds_for| holds_for / 2);
+        let is_old = proof.asked_at.is_none_or(|at| clock::since(at) >= patience);
+        let is_read = self.read_at.is_some_and(|at| clock::since(at) < INTERVAL);
+        if is_old && !is_read { self.read().await } else { Ok(()) }
+    }
+
+    async fn read(&mut self) -> CallResult<()> {
+        let asked_at = clock::now();
+        self.read_at = Some(asked_at);
+        let newest = self.platform.get(self.platform.configuration_key()).await?;
+        self.take(asked_at, newest.as_ref());
+        Ok(())
+    }
+
+    /// Takes over the newest configuration, as a question that left at `asked_at` has brought it.
+    fn take(&mut self, asked_at: Now, newest: Option<&Item>) {
+        self.active.heard(asked_at);
+        let Some(newest) = newest else { return };
+        take_item(&self.platform, &self.active, &self.events, newest);
+        if newest.revision == self.active.revision() {
+            self.active.proved(asked_at);
+            self.next = Next::Look;
+        }
+    }
+}
+
+/// A part of a time that differs from entry to entry and from call to call.
+fn spread(most: Duration) -> Duration {
+    most * (clock::now().subsec_micros() % 1000) / 1000
 }
 
 impl Active {
--- a/crates/jackdawpier_entry/src/keys.rs
+++ b/crates/jackdawpier_entry/src/keys.rs
@@ -12,6 +12,8 @@
 pub const RECORDS: &str = "records/";
 /// Jobs of each queue that haven't begun, written by the owner, or without one by the entry that counts them.
 pub const PENDING: &str = "pending";
+/// Which operators' document stood when an entry last looked, for all entries.
+pub const PROOF: &str = "proof";
 /// Prefix of machines that were maintained for a wave, written by the owner alone.
 pub const WAVES: &str = "waves/";
 
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod registry;
 pub mod run;
 pub mod settings;
+pub mod shared_proof;
 pub mod silence;
 pub mod speed;
 mod watched_stream;
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -2,7 +2,7 @@
 //! work at once. Everything of it can be told to fail.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
     future::Future,
     rc::Rc,
@@ -94,9 +94,9 @@
     machine_orders: Vec<(MachineId, Option<String>)>,
 }
 
-/// The platform.
+/// The platform, and whether the way to it is cut that this clone and its clones take.
 #[derive(Debug, Clone, Default)]
-pub struct Fake(Rc<RefCell<State>>);
+pub struct Fake(Rc<RefCell<State>>, Rc<Cell<bool>>);
 
 /// How long a call waits for an answer.
 const CALL_PATIENCE: Duration = Duration::from_millis(800);
@@ -122,6 +122,16 @@
         });
     }
 
+    /// The same platform over a way of its own.
+    pub fn apart(&self) -> Self {
+        Self(self.0.clone(), Rc::default())
+    }
+
+    /// Cuts this way to the platform for good.
+    pub fn cut(&self) {
+        self.1.set(true);
+    }
+
     pub fn set_down(&self, is_down: bool) {
         self.0.borrow_mut().is_down = is_down;
     }
@@ -287,7 +297,7 @@
     }
 
     fn check_up(&self) -> CallResult<()> {
-        if self.0.borrow().is_down {
+        if self.0.borrow().is_down || self.1.get() {
             return Err(CallError::NotDone { reason: "down".to_owned() });
         }
         Ok(())
