Don't write the note of machine orders for a term that is over

An owner that lost the fleet while hundreds of orders about machines waited for their turn to be noted went on: each order in turn read the note and wrote it anew, and each write met a conflict, since the ownership had gone.

Whoever waited looks at the term before it writes.

--- a/crates/jackdawpier_entry/src/owner/order_note.rs
+++ b/crates/jackdawpier_entry/src/owner/order_note.rs
@@ -141,6 +141,10 @@
         if note.written.get() >= place {
             return self.is_valid();
         }
+        // Hundreds may have waited, and none of them may leave any more.
+        if !self.is_valid() {
+            return false;
+        }
         match self.write_order_note(&mut revision).await {
             Ok(is_written) => is_written && self.is_valid(),
             Err(error) => {
--- a/crates/jackdawpier_entry/tests/order_note.rs
+++ b/crates/jackdawpier_entry/tests/order_note.rs
@@ -63,3 +63,22 @@
         assert!(wait_until(names_none).await);
     });
 }
+
+/// An owner that has lost the fleet while a hundred orders waited for the note asked the store for each of them.
+#[test]
+fn ended_term() {
+    run(async {
+        let fake = Fake::default();
+        let (_cell, _owning) = start_owner(&fake, "a");
+        assert!(wait_until(|| fake.value(keys::OWNER).is_some()).await);
+        // The first write of the note holds the others up, and the fleet is lost meanwhile.
+        fake.next_writes(&[Fate::Hangs; 4]);
+        fake.ask_for_maintenance_of(100);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        fake.remove(keys::OWNER);
+        let before = fake.reads();
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let reads = fake.reads() - before;
+        assert!(reads <= 10, "{reads} readings after the term");
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -88,8 +88,8 @@
     serves_one_in: usize,
     /// Time that a listing takes besides.
     list_delay: Duration,
-    /// A wave of maintenance asks for the one machine.
-    is_due: bool,
+    /// Machines for which a wave of maintenance asks.
+    due: usize,
     /// Machines that were ordered, each with the note that the store held then.
     machine_orders: Vec<(MachineId, Option<String>)>,
 }
@@ -107,7 +107,10 @@
 pub const QUEUE: &str = "queue";
 /// A value of the registry or of a wave that can't be read.
 pub const UNREADABLE: &[u8] = b"unreadable";
-const MACHINE: &str = "machine-1";
+
+fn machine(number: usize) -> MachineId {
+    format!("machine-{number}").as_str().into()
+}
 
 impl Fake {
     /// The next writes meet these fates; those after them succeed.
@@ -199,7 +202,12 @@
     }
 
     pub fn ask_for_maintenance(&self) {
-        self.0.borrow_mut().is_due = true;
+        self.ask_for_maintenance_of(1);
+    }
+
+    /// A wave asks for so many machines at once.
+    pub fn ask_for_maintenance_of(&self, machines: usize) {
+        self.0.borrow_mut().due = machines;
         self.put("wave/1", b"");
     }
 
@@ -462,16 +470,14 @@
 
 impl MachineControl for Fake {
     async fn machines(&self) -> CallResult<Vec<MachineInfo>> {
-        if !self.0.borrow().is_due {
-            return Ok(Vec::new());
-        }
-        Ok(vec![MachineInfo {
-            id: MACHINE.into(),
+        let info = |number| MachineInfo {
+            id: machine(number),
             pool: "service".into(),
             state: MachineState::Up,
-            executor: Some(EXECUTOR.into()),
+            executor: (number == 1).then(|| EXECUTOR.into()),
             labels: Vec::new(),
-        }])
+        };
+        Ok((1..=self.0.borrow().due).map(info).collect())
     }
 
     async fn order(&self, order: &MachineOrder, _holder: &str, _fence: u64) -> MachineOrderEnd {
@@ -521,9 +527,9 @@
         }
         Ok(Wave {
             number: 1,
-            machines: vec![MACHINE.into()],
+            machines: (1..=self.0.borrow().due.max(1)).map(machine).collect(),
             within: Duration::from_secs(20),
-            most_away: 1,
+            most_away: self.0.borrow().due.max(1),
         })
     }
 
