--- a/crates/jackdawpier_entry/src/freshness.rs
+++ b/crates/jackdawpier_entry/src/freshness.rs
@@ -16,7 +16,7 @@
     clock,
     configuration::{Active, take_item},
     events::Events,
-    ports::{CallResult, Item, Platform, Transaction, TransactionEnd},
+    ports::{CallError, CallResult, Item, Platform, Transaction, TransactionEnd},
     shared_proof::{self, Reading, SharedProof},
 };
 
@@ -24,12 +24,14 @@
 const INTERVAL: Duration = Duration::from_millis(1200);
 /// Least time between two questions, however many callers show keys that aren't known.
 const LEAST_PAUSE: Duration = Duration::from_millis(100);
+/// The same after the store has turned a question away, so that it isn't pressed.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 /// Time until an entry that found the note unchanged looks again, and the spread of it over the entries: who writes
 /// late isn't gone, and of many that wait for it one has to be the first to write.
 const DOUBT_PAUSE: Duration = Duration::from_millis(200);
 const DOUBT_SPREAD: Duration = Duration::from_millis(400);
-/// Time for the watch to bring a configuration of which the note tells.
-const WATCH_PATIENCE: Duration = Duration::from_millis(600);
+/// Time for the watch to begin to bring a configuration of which the note tells.
+const WATCH_PATIENCE: Duration = Duration::from_millis(200);
 /// Pause between two looks whether an answer is whole.
 const ARRIVAL_LOOK: Duration = Duration::from_millis(20);
 /// An entry whose write was turned away goes by the note for this long, and up to twice as long: hundreds of
@@ -53,16 +55,29 @@
         let outcome = prover.step(is_wanted).await;
         let is_proved = active.proof().holds(clock::now());
         if is_proved != was_proved {
-            let event = if is_proved { "keys_proved" } else { "keys_unproved" };
-            let age_ms = active.proof_age().map(|age| age.as_millis() as u64);
-            let why = outcome.err().map(|error| error.to_string());
-            events.emit(event, json!({ "age_ms": age_ms, "why": why }));
+            report(is_proved, &outcome, &active, &events);
             was_proved = is_proved;
         }
-        tokio::time::sleep(LEAST_PAUSE).await;
+        tokio::time::sleep(rest_after(&outcome)).await;
     }
 }
 
+/// Least pause before the next question, however many wait for it.
+fn rest_after(outcome: &CallResult<()>) -> Duration {
+    match outcome {
+        Err(CallError::NotDone { .. }) => REFUSED_PAUSE,
+        Ok(()) | Err(_) => LEAST_PAUSE,
+    }
+}
+
+/// Keys can be vouched for from now on, or can't any more.
+fn report(is_proved: bool, outcome: &CallResult<()>, active: &Active, events: &Events) {
+    let event = if is_proved { "keys_proved" } else { "keys_unproved" };
+    let age_ms = active.proof_age().map(|age| age.as_millis() as u64);
+    let why = outcome.as_ref().err().map(ToString::to_string);
+    events.emit(event, json!({ "age_ms": age_ms, "why": why }));
+}
+
 /// Waits while the store is sending something large, for as long as the last proof allows: it may be the changed
 /// configuration, and a second copy would halve the speed of the first.
 async fn wait_for_arrivals(active: &Active) {
@@ -81,7 +96,9 @@
     let key = platform.configuration_key();
     let expect = vec![(key.to_owned(), active.revision())];
     let nothing = Transaction { expect, ..Transaction::default() };
-    if let TransactionEnd::Conflict(items) = platform.commit(&nothing).await? {
+    let end = platform.commit(&nothing).await?;
+    active.heard(asked_at);
+    if let TransactionEnd::Conflict(items) = end {
         let Some(newest) = items.into_iter().find(|item| item.key == key) else { return Ok(()) };
         take_item(platform, active, events, &newest);
         if newest.revision != active.revision() {
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -70,6 +70,8 @@
     listings: usize,
     /// Readings of items or of listings, without those that a watch makes here.
     reads: usize,
+    /// Readings of each item.
+    reads_of: BTreeMap<String, usize>,
     /// Bytes of the values that listings have returned.
     listed_bytes: usize,
     /// Listings of each prefix, without those that a watch makes here.
@@ -229,6 +231,11 @@
         self.0.borrow().listed_bytes
     }
 
+    /// Readings of an item, without those that a watch makes here.
+    pub fn reads_of(&self, key: &str) -> usize {
+        self.0.borrow().reads_of.get(key).copied().unwrap_or(0)
+    }
+
     pub fn reads(&self) -> usize {
         self.0.borrow().reads
     }
@@ -319,6 +326,7 @@
 
     async fn get(&self, key: &str) -> CallResult<Option<Item>> {
         self.0.borrow_mut().reads += 1;
+        *self.0.borrow_mut().reads_of.entry(key.to_owned()).or_default() += 1;
         self.travel().await;
         self.check_up()?;
         self.check_rate()?;
