Give a call of the store up for silence, and not for its size

Callers would see every key and job of a service refused for good (no owner): a page of its shard's log that needs more than a second on an entry's link was given up after a second, whole or not, and asked for again from its start. The same for documents, which are read with the members, and for a segment that takes longer to send than a second.

The cause: one timeout over the whole call, whatever it carries.

--- /dev/null
+++ b/crates/jackdawpier_client/src/lib.rs
@@ -0,0 +1,49 @@
+//! Blocking HTTP client whose patience counts from the last byte that moved.
+//!
+//! The size of what the store, the instance list, workers and entries send is set by others. A
+//! limit on a whole call would make a document too large for its link one that never arrives: the
+//! reading is given up, begins again from nothing, and keeps the link full. A silent peer is given
+//! up as soon as with such a limit.
+
+mod transport;
+
+use std::{io, time::Duration};
+
+use ureq::{Agent, Error, Timeout, config::Config, unversioned::resolver::DefaultResolver};
+
+use crate::transport::SmallBufferConnector;
+
+/// How long a client waits, and what it keeps open.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientLimits {
+    /// Time for a connection to open; nothing was sent before.
+    pub connect: Duration,
+    /// Longest time in which no byte moves, from the first byte sent to the last one received.
+    pub silence: Duration,
+    /// Idle connections kept to one host.
+    pub idle_connections: usize,
+}
+
+/// Returns an agent that gives every answer with its status, whatever that is.
+///
+/// The time without a byte is `timeout_per_read` and `timeout_per_write` of its configuration, so a
+/// call that may be quiet for longer can raise the former.
+pub fn agent(limits: ClientLimits) -> Agent {
+    let config = Config::builder()
+        .timeout_connect(Some(limits.connect))
+        .timeout_per_read(Some(limits.silence))
+        .timeout_per_write(Some(limits.silence))
+        .http_status_as_error(false)
+        .max_idle_connections_per_host(limits.idle_connections)
+        .build();
+    Agent::with_parts(config, SmallBufferConnector, DefaultResolver::default())
+}
+
+/// Whether a call failed before any byte of it was sent.
+pub fn is_not_sent(error: &Error) -> bool {
+    match error {
+        Error::ConnectionFailed | Error::Timeout(Timeout::Connect) => true,
+        Error::Io(io) => io.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
--- a/crates/jackdawpier_store/src/client.rs
+++ b/crates/jackdawpier_store/src/client.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use jackdawpier_client::{ClientLimits, is_not_sent};
+
 use crate::{Request, Response, StoreError, StoreResult};
 
 /// Time for the store to accept a connection; nothing was sent before.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for an answer besides what a watch waits.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Silence after which the store is given up, besides what a watch waits.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_CONNECTIONS: usize = 8;
 /// Largest answer taken: a page of records.
 const MAX_ANSWER_BYTES: u64 = 64 << 20;
 
@@ -21,16 +24,16 @@
 impl StoreClient {
     /// Returns a client of the store at `base_url` (`http://IP:PORT`).
     pub fn new(base_url: &str) -> Self {
-        let agent = ureq::Agent::config_builder()
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .http_status_as_error(false)
-            .max_idle_connections_per_host(8)
-            .build()
-            .new_agent();
+        let agent = jackdawpier_client::agent(ClientLimits {
+            connect: CONNECT_TIMEOUT,
+            silence: SILENCE_TIMEOUT,
+            idle_connections: IDLE_CONNECTIONS,
+        });
         Self { agent, url: format!("{base_url}/v1/store") }
     }
 
-    /// Makes one call. Blocks for at most the call timeout and what a watch waits.
+    /// Makes one call. Blocks for as long as its bytes move, and then for at most the silence timeout
+    /// and what a watch waits.
     pub fn call(&self, request: &Request) -> StoreResult {
         let wait = match request {
             Request::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
@@ -41,7 +44,7 @@
             .agent
             .post(&self.url)
             .config()
-            .timeout_global(Some(CALL_TIMEOUT + wait))
+            .timeout_per_read(Some(SILENCE_TIMEOUT + wait))
             .build()
             .header("content-type", "application/json")
             .send(&body)
@@ -64,13 +67,5 @@
 
 /// A failure to connect proves that nothing was sent; every other failure proves nothing.
 fn classify(error: ureq::Error) -> StoreError {
-    match error {
-        ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => {
-            StoreError::unavailable(error)
-        }
-        ureq::Error::Io(ref io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            StoreError::unavailable(error)
-        }
-        other => StoreError::ambiguous(other),
-    }
+    if is_not_sent(&error) { StoreError::unavailable(error) } else { StoreError::ambiguous(error) }
 }
