Refuse a job that no record of the store can hold, and fill segments by what entries take there

Callers saw every later job and key of the service refused (503 store_unavailable) once one caller had handed in a large job, and that caller had no answer: 300,000 quotes as the payload, within the limit on bodies, and six jobs in the six seconds after it.

The cause: a state is JSON text within the JSON text of a segment, so quotes and line ends take up to four bytes each; lengths were counted before that. The store takes no value above 1 MiB, and the cell writes its one commit again until it is taken. Segments of many smaller states could come out too large in the same way: 1,051,554 bytes for states of 250 quotes.

A batch is now cut by escaped lengths, and a job whose record would be above 1,032,192 bytes gets 413 too_large with the bound.

--- a/crates/jackdawpier_coord/src/cell.rs
+++ b/crates/jackdawpier_coord/src/cell.rs
@@ -16,13 +16,19 @@
     Now,
     ids::{EntryId, Epoch},
 };
-use jackdawpier_store::{Condition, Record, Request, Response, StoreError, StoreResult};
+use jackdawpier_store::{
+    Condition, Record, Request, Response, StoreError, StoreResult, protocol::MAX_VALUE_BYTES,
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::keys;
 
-/// Most bytes of state in one segment, well below what the store takes for a value.
+/// Most bytes of entries in one segment, but for an entry that is larger by itself.
 pub const MAX_SEGMENT_BYTES: usize = 512 * 1024;
+/// Room in a segment for its writer, and for what a state grows by after it was accepted.
+const SPARE_BYTES: usize = 16 * 1024;
+/// Most bytes of one entry, as they stand in a segment.
+pub const MAX_ENTRY_BYTES: usize = MAX_VALUE_BYTES - SPARE_BYTES;
 /// Records read a page when a cell is opened.
 const PAGE_RECORDS: usize = 128;
 /// Segments are trimmed while the log holds more than this many entries for one that is live.
@@ -53,6 +59,31 @@
     entries: Vec<(Subject, Arc<str>)>,
 }
 
+/// Whether a segment can hold `state` of `subject`. One that it can't hold would be written again for
+/// ever and keep all others waiting, so whoever takes a state in asks first.
+pub fn fits<S: Serialize>(subject: &str, state: &S) -> bool {
+    entry_bytes(subject, &text_of(state)) <= MAX_ENTRY_BYTES
+}
+
+fn text_of<S: Serialize>(state: &S) -> String {
+    serde_json::to_string(state).expect("states are plain data with string keys")
+}
+
+/// Length of one entry in the text of a segment, with its brackets and commas.
+fn entry_bytes(subject: &str, text: &str) -> usize {
+    quoted_bytes(subject) + quoted_bytes(text) + "[,],".len()
+}
+
+/// Length of `text` as a JSON string: a state is JSON itself, so most of it may have to be escaped.
+fn quoted_bytes(text: &str) -> usize {
+    let escaped = |byte: u8| match byte {
+        b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
+        0x00..=0x1f => 6,
+        _ => 1,
+    };
+    text.bytes().map(escaped).sum::<usize>() + "\"\"".len()
+}
+
 /// What the cell wants done, or reports.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output<S> {
@@ -189,8 +220,7 @@
         if self.phase != Phase::Open {
             return None;
         }
-        let text = serde_json::to_string(state).expect("states are plain data with string keys");
-        self.pending.push_back((subject, text.into()));
+        self.pending.push_back((subject, text_of(state).into()));
         self.writes += 1;
         Some(self.writes)
     }
@@ -329,7 +359,7 @@
         let mut bytes = 0;
         let mut batch = Vec::new();
         while let Some((subject, text)) = self.pending.front() {
-            bytes += subject.len() + text.len();
+            bytes += entry_bytes(subject, text);
             if bytes > MAX_SEGMENT_BYTES && !batch.is_empty() {
                 break;
             }
--- a/crates/jackdawpier_kernel/src/outcome.rs
+++ b/crates/jackdawpier_kernel/src/outcome.rs
@@ -36,9 +36,12 @@
     /// The request names a class that no declaration has.
     #[display("unknown_class")]
     UnknownClass,
-    /// The request itself is malformed or too large.
+    /// The request itself is malformed.
     #[display("bad_request")]
     BadRequest,
+    /// No record of the store could hold the job.
+    #[display("too_large")]
+    TooLarge,
 }
 
 /// A whole answer of a back end.
--- a/crates/jackdawpier_standin/src/store_server.rs
+++ b/crates/jackdawpier_standin/src/store_server.rs
@@ -8,7 +8,7 @@
 };
 
 use jackdawpier_http::{Handler, IncomingRequest, Reply};
-use jackdawpier_store::{Request, Response};
+use jackdawpier_store::{Request, Response, protocol::MAX_VALUE_BYTES};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::watch;
@@ -91,6 +91,9 @@
         if let Request::Watch { wait_ms, .. } = request {
             return self.watch(&request, Duration::from_millis(wait_ms)).await;
         }
+        if request.value().is_some_and(|value| value.len() > MAX_VALUE_BYTES) {
+            return Reply::new(413, "text/plain", "the value is too large\n");
+        }
         let (response, is_lost) = self.with_state(|state, now| state.answer(now, &request));
         match response {
             None => Reply::new(503, "text/plain", "down\n"),
--- a/crates/jackdawpier_store/src/protocol.rs
+++ b/crates/jackdawpier_store/src/protocol.rs
@@ -170,6 +170,14 @@
         !matches!(self, Self::Get { .. } | Self::Range { .. } | Self::Watch { .. })
     }
 
+    /// The value that the call would store.
+    pub fn value(&self) -> Option<&str> {
+        match self {
+            Self::Put { value, .. } => Some(value),
+            _ => None,
+        }
+    }
+
     /// Stable name of the operation, for metrics and counts.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/jackdawpierd/src/callers.rs
+++ b/crates/jackdawpierd/src/callers.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use jackdawpier_coord::cell::MAX_ENTRY_BYTES;
 use jackdawpier_http::{Handler, IncomingRequest, Reply};
 use jackdawpier_kernel::{
     Now, headers,
@@ -225,18 +226,29 @@
     match reason {
         RefusalReason::UnknownClass => 404,
         RefusalReason::BadRequest => 400,
+        RefusalReason::TooLarge => 413,
         RefusalReason::QueueFull => 429,
         _ => 503,
     }
 }
 
+/// The reason for people; a bound that the request has to keep is named.
+fn explained(reason: RefusalReason) -> String {
+    match reason {
+        RefusalReason::TooLarge => {
+            format!("{reason}: a job may have at most {MAX_ENTRY_BYTES} bytes in the store")
+        }
+        other => other.to_string(),
+    }
+}
+
 fn reply(outcome: Outcome) -> Reply {
     let name = outcome.name();
     let reply = match outcome {
         Outcome::Answered(answer) => Reply::new(answer.status, &answer.content_type, answer.body),
         Outcome::NotRun { reason, retry_after } => {
             let retry_after_s = whole_seconds(retry_after);
-            Reply::new(status_of(reason), "text/plain", format!("not run: {reason}\n"))
+            Reply::new(status_of(reason), "text/plain", format!("not run: {}\n", explained(reason)))
                 .with_header(headers::REASON, reason)
                 .with_header(headers::RETRY_AFTER, retry_after_s)
                 .with_header(headers::RETRY_AFTER_MS, retry_after.as_millis())
--- a/crates/jackdawpierd/src/service_jobs.rs
+++ b/crates/jackdawpierd/src/service_jobs.rs
@@ -1,7 +1,8 @@
 //! The durable jobs of a service: submission, calls to workers, and what operators see.
 
-use std::{collections::HashSet, sync::Arc};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
+use jackdawpier_coord::cell;
 use jackdawpier_jobs::{
     job::{Job, JobState},
     queue::{Command, JobQueue, StartEnd},
@@ -11,14 +12,14 @@
     Now,
     ids::{JobId, ServiceName, WorkerId},
     instance::{Instance, Role, State as InstanceState},
-    outcome::Outcome,
+    outcome::{Outcome, RefusalReason},
     task::{Size, StartTask, TaskCommand, TaskReport},
 };
 use tokio::sync::oneshot;
 
 use crate::{
     messages::{JobAction, JobAnswer, WorkRequest},
-    service::{Action, CellState, Service, ServiceState, accepted_answer},
+    service::{Action, CellState, Service, ServiceState, accepted_answer, not_run},
 };
 
 /// Size assumed for a job: callers declare none in the request today.
@@ -155,7 +156,6 @@
         is_idempotent: bool,
         reply: oneshot::Sender<Outcome>,
     ) -> Vec<Action> {
-        let owned = self.owned.as_mut().expect("only an owner gets here");
         let id = job_id(work);
         let job = Job {
             id: id.clone(),
@@ -167,6 +167,12 @@
             attempts: 0,
             state: JobState::Queued,
         };
+        let state = CellState::Job(job.clone());
+        if !cell::fits(&job_subject(&id), &state) {
+            let _ = reply.send(not_run(RefusalReason::TooLarge, Duration::ZERO));
+            return Vec::new();
+        }
+        let owned = self.owned.as_mut().expect("only an owner gets here");
         owned.accepting.entry(id).or_default().push(reply);
         let commands = owned.jobs.submit(job);
         let mut actions = self.follow_jobs(now, commands);
