--- a/crates/jackdawpier_settings/src/settings.rs
+++ b/crates/jackdawpier_settings/src/settings.rs
@@ -55,7 +55,7 @@
 pub struct Limits {
     /// Open connections of callers.
     pub connections: usize,
-    /// Time to send a whole head or body.
+    /// Time to send a whole head, and longest pause within a body.
     pub read_timeout: Duration,
     /// Largest request body in bytes.
     pub body_bytes: usize,
@@ -103,7 +103,7 @@
 pub mod defaults {
     /// Open connections of callers.
     pub const CONNECTIONS: usize = 4096;
-    /// Milliseconds to send a whole head or body.
+    /// Milliseconds to send a whole head, and of the longest pause within a body.
     pub const READ_TIMEOUT_MS: u64 = 5_000;
     /// Bytes of a request body.
     pub const BODY_BYTES: usize = 1 << 20;
@@ -138,12 +138,13 @@
 impl LimitOptions {
     /// Fills every absent limit with its default.
     pub fn resolve(&self) -> Limits {
+        let given = |limit: &Option<Spanned<usize>>| limit.as_ref().map(|limit| limit.value);
         let read_timeout_ms = self.read_timeout_ms.unwrap_or(defaults::READ_TIMEOUT_MS);
         Limits {
             connections: self.connections.unwrap_or(defaults::CONNECTIONS),
             read_timeout: Duration::from_millis(read_timeout_ms),
-            body_bytes: self.body_bytes.unwrap_or(defaults::BODY_BYTES),
-            answer_bytes: self.answer_bytes.unwrap_or(defaults::ANSWER_BYTES),
+            body_bytes: given(&self.body_bytes).unwrap_or(defaults::BODY_BYTES),
+            answer_bytes: given(&self.answer_bytes).unwrap_or(defaults::ANSWER_BYTES),
             queue_per_customer: self.queue_per_customer.unwrap_or(defaults::QUEUE_PER_CUSTOMER),
         }
     }
--- a/crates/jackdawpierd/src/messages.rs
+++ b/crates/jackdawpierd/src/messages.rs
@@ -8,10 +8,16 @@
     outcome::Outcome,
     trace::TraceContext,
 };
+use jackdawpier_peer::MAX_MESSAGE_BYTES;
+use jackdawpier_settings::rules::settings::message_size::MAX_CARRIED_BYTES;
 use serde::{Deserialize, Serialize};
 
 use crate::{capacity::WaveAction, demand::DemandMilli};
 
+/// Room beside a body or an answer for its path, names, content type and trace.
+const HEAD_BYTES: usize = 64 * 1024;
+const _: () = assert!(MAX_CARRIED_BYTES + HEAD_BYTES <= MAX_MESSAGE_BYTES);
+
 /// A caller's request on its way to the entry that decides.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct WorkRequest {
@@ -91,13 +97,17 @@
         service: ServiceName,
         key: RequestKey,
     },
+    /// The documents that are newer than these revisions.
+    Documents {
+        known: BTreeMap<String, Revision>,
+    },
 }
 
 /// Answers between entries.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum PeerAnswer {
     Outcome(Outcome),
-    /// The answering entry's own heartbeat, with the documents that the asking one lacks.
+    /// The answering entry's own heartbeat, with small documents that the asking one lacks.
     Heartbeat {
         heartbeat: Heartbeat,
         newer: Vec<Document>,
@@ -107,4 +117,6 @@
     Recalled(Option<String>),
     /// JSON of the capacity role's holder, or nothing where the peer is not the holder.
     Capacity(Option<String>),
+    /// As many of the documents asked for as one answer holds.
+    Documents(Vec<Document>),
 }
