Look past work that no machine can run when asking what lacks a machine

A gang of three, one member a machine, waited for ever in a pool of two, with machines elsewhere, once a task larger than any machine had been handed in before it. Only the longest waiting job of a pool is asked what it lacks, and that one lacks nothing that a machine could bring; the same goes for one that its account's cap holds back. Such jobs aren't asked any more. pools::hidden_wait fails before (not over after 20 s). The case of the cap has no test.

--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -214,19 +214,27 @@
         for (queue, ids) in &self.open {
             let Some(queue) = self.queues.get(queue) else { continue };
             let Some(pool) = pools.get_mut(&queue.service) else { continue };
-            let stuck = ids.iter().filter_map(|id| self.jobs.get(id)).filter_map(|job| {
-                let index = *job.startable.front()?;
-                let since = job.tasks[index].waits_since;
-                (now.saturating_sub(since) >= STUCK_AFTER).then_some((since, job, index))
-            });
-            if let Some((_, job, index)) = stuck.min_by_key(|(since, job, _)| (*since, &job.id))
-                && job.step(index).required_label.is_none()
-            {
+            let waiting = ids.iter().filter_map(|id| self.jobs.get(id));
+            let stuck = waiting.filter_map(|job| Some((self.stuck_since(now, job, pool)?, job)));
+            let Some((_, job)) = stuck.min_by_key(|(since, job)| (*since, &job.id)) else {
+                continue;
+            };
+            let index = job.startable[0];
+            if job.step(index).required_label.is_none() {
                 pool.missing = pool.missing.max(self.missing_for(job, index, &queue.service, pool));
             }
         }
     }
 
+    /// Since when the next task of a job waits, if that is long and a machine of the pool could run it.
+    fn stuck_since(&self, now: Now, job: &Job, pool: &Pool) -> Option<Now> {
+        let index = *job.startable.front()?;
+        let since = job.tasks[index].waits_since;
+        let has_waited = now.saturating_sub(since) >= STUCK_AFTER;
+        let could_run = pool.machine.count(&job.step(index).booked()) > 0;
+        (has_waited && could_run && self.is_within_cap(job, index)).then_some(since)
+    }
+
     /// Machines that a task, or its gang, lacks beside the lasting work of its service.
     fn missing_for(
         &self,
--- a/crates/jackdawpier_fleet/tests/pools.rs
+++ b/crates/jackdawpier_fleet/tests/pools.rs
@@ -143,3 +143,16 @@
     let outcome = world.run_until_over("gang", Duration::from_secs(20));
     assert_eq!(outcome, Some(JobOutcome::Completed));
 }
+
+/// A task that is too large for any machine hid the ones behind it, which waited for ever.
+#[test]
+fn hidden_wait() {
+    let mut world = World::new(&["view", "off"], 2);
+    world.run_for(Duration::from_secs(4));
+    world.submit("too-large", "q-view", job(vec![step(1, 9, 500)]));
+    world.run_for(Duration::from_millis(300));
+    let gang = StepSpec { is_gang: true, max_per_executor: 1, ..step(3, 1, 500) };
+    world.submit("gang", "q-view", job(vec![gang]));
+    let outcome = world.run_until_over("gang", Duration::from_secs(20));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
