Move lasting work aside for work that else never finds room

Cause: lasting work doesn't end, room is held only where ending work makes it, and a machine may not be had. If the longest waiting job of a pool has waited for 5 s, doesn't fit beside the lasting work and its shortage finds no machine, lasting tasks move beside others. All moves are planned before the first (eight at most), so that none is made in vain; each waits until its step can spare the task, as for other orders, and until there is room where it goes; the executors are kept from all else meanwhile, 15 s at most. no_machine_left, gang_at_once, one_by_one, without_budget, busy_beside and faults_meanwhile fail before; nothing_in_vain passes before and after. Most moves at once, times and executors compared are bounds, not tuned.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -4,6 +4,8 @@
 //! nothing in it has to outlive the process. Orders leave only for placements that are durable.
 
 mod blame;
+mod clearing;
+mod clearing_plan;
 mod command;
 mod commits;
 mod crash_scenes;
@@ -51,6 +53,7 @@
 pub use starts::{StartEnd, StopEnd};
 pub use waits::{Obstacles, Wait};
 
+use clearing::Clearings;
 use crash_scenes::CrashScenes;
 use held_back::HeldBack;
 use intake::EndedBefore;
@@ -136,6 +139,7 @@
     given_up: Vec<GivenUp>,
     held_back: HeldBack,
     crash_scenes: CrashScenes,
+    clearings: Clearings,
     /// Executors of which more ends have become durable.
     settled: Vec<ExecutorId>,
     machines: Machines,
@@ -179,6 +183,7 @@
             given_up: Vec::new(),
             held_back: HeldBack::default(),
             crash_scenes: CrashScenes::default(),
+            clearings: Clearings::default(),
             settled: Vec::new(),
             machines_planned_at: Now::ZERO,
             expired_at: Now::ZERO,
--- a/crates/jackdawpier_fleet/src/fleet/command.rs
+++ b/crates/jackdawpier_fleet/src/fleet/command.rs
@@ -72,6 +72,8 @@
     GangBroken,
     /// It runs elsewhere from now on, so that its machine can be taken.
     MachineTaken,
+    /// It runs elsewhere from now on, so that other work finds room.
+    MakesRoom,
     /// The order to start it went without a sure answer.
     StartUnsure,
     /// Its executor had confirmed it and doesn't list it.
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -72,6 +72,7 @@
         }
         waiting.sort_unstable();
         let mut openings = self.openings(now);
+        self.go_on_clearing(now, &mut openings);
         self.place_starved(now, &waiting, &mut openings);
         for (_, id) in waiting {
             let openings = self.service_of(&id).and_then(|service| openings.get_mut(service));
@@ -169,7 +170,7 @@
         !needs_advice && step.data_rack.is_none() && step.max_per_executor == 0
     }
 
-    fn plan(&mut self, id: &JobId, index: TaskIndex, executor: ExecutorId) {
+    pub(super) fn plan(&mut self, id: &JobId, index: TaskIndex, executor: ExecutorId) {
         let job = self.jobs.get_mut(id).expect("the caller has just read it");
         let task = &mut job.tasks[index];
         task.run += 1;
@@ -369,6 +370,6 @@
 }
 
 /// Tasks of the same step and occurrence on an executor.
-fn tasks_here(executor: &Executor, job: &Job, index: TaskIndex) -> u32 {
+pub(super) fn tasks_here(executor: &Executor, job: &Job, index: TaskIndex) -> u32 {
     executor.per_slot.get(&(job.id.clone(), job.slot(index))).copied().unwrap_or(0)
 }
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -13,7 +13,7 @@
 
 use super::{Fleet, label_need::LabelNeed, label_shares::ShareBounds, placement::fitting};
 use crate::{
-    executor::Executor,
+    executor::{Executor, TaskRef},
     job::{Job, Phase, TaskIndex},
     machines::{MachineId, MachineState, MachineWork},
     order::rank,
@@ -22,6 +22,14 @@
 
 /// A job that has waited for this long may be one for which there never is room.
 const STUCK_AFTER: Duration = Duration::from_secs(5);
+
+/// A task, or its gang, for which there is never room beside the lasting work of its pool.
+#[derive(Debug, Clone)]
+pub(super) struct StuckTask {
+    since: Now,
+    pub(super) task: TaskRef,
+}
+
 /// A pool as planning sees it.
 #[derive(Debug, Default, Clone)]
 pub(super) struct Pool {
@@ -39,6 +47,8 @@
     spread_over: usize,
     /// Machines without which a job that has waited for long never finds room beside lasting work.
     missing: usize,
+    /// That job.
+    pub(super) stuck: Option<StuckTask>,
     /// Machines and need by label, for the labels that open jobs ask for.
     labels: BTreeMap<Label, LabelNeed>,
 }
@@ -207,21 +217,29 @@
         need.pinned += usize::from(is_pinned);
     }
 
-    /// Counts the machines that the longest waiting job of a pool lacks where there will never be room for it: lasting
-    /// work may leave enough cores in all and on no executor enough for one of its tasks. Machines with a label are
-    /// counted by [`LabelNeed`].
+    /// Notes the longest waiting job of each pool if there will never be room for it, and the machines that it lacks:
+    /// lasting work may leave enough cores in all and on no executor enough for one of its tasks. Machines with a
+    /// label are counted by [`LabelNeed`].
     fn add_missing(&self, now: Now, pools: &mut BTreeMap<PoolName, Pool>) {
         for (queue, ids) in &self.open {
             let Some(queue) = self.queues.get(queue) else { continue };
             let Some(pool) = pools.get_mut(&queue.service) else { continue };
             let waiting = ids.iter().filter_map(|id| self.jobs.get(id));
             let stuck = waiting.filter_map(|job| Some((self.stuck_since(now, job, pool)?, job)));
-            let Some((_, job)) = stuck.min_by_key(|(since, job)| (*since, &job.id)) else {
+            let Some((since, job)) = stuck.min_by_key(|(since, job)| (*since, &job.id)) else {
                 continue;
             };
             let index = job.startable[0];
+            let missing = self.missing_for(job, index, &queue.service, pool);
+            if missing == 0 {
+                continue;
+            }
             if job.step(index).required_label.is_none() {
-                pool.missing = pool.missing.max(self.missing_for(job, index, &queue.service, pool));
+                pool.missing = pool.missing.max(missing);
+            }
+            let stuck = StuckTask { since, task: (job.id.clone(), index) };
+            if pool.stuck.as_ref().is_none_or(|other| since < other.since) {
+                pool.stuck = Some(stuck);
             }
         }
     }
@@ -258,7 +276,7 @@
     }
 
     /// Room that an executor has once all else than lasting work has ended.
-    fn room_beside_lasting(&self, executor: &Executor) -> Resources {
+    pub(super) fn room_beside_lasting(&self, executor: &Executor) -> Resources {
         let Some(info) = &executor.info else { return Resources::default() };
         let mut booked = Resources::default();
         for (id, index) in &executor.tasks {
@@ -301,7 +319,7 @@
 }
 
 /// Tasks of a step that start only together.
-fn together(step: &StepSpec) -> usize {
+pub(super) fn together(step: &StepSpec) -> usize {
     if step.is_gang { step.count as usize } else { 1 }
 }
 
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -55,7 +55,10 @@
         for shortage in self.shortages.clone() {
             for _ in 0..shortage.lacks {
                 let found = self.find_machine(now, &shortage, &mut pools, &mut standby, share);
-                let Some(machine) = found else { break };
+                let Some(machine) = found else {
+                    self.begin_clearing(now, &shortage, &pools);
+                    break;
+                };
                 self.begin_errand(now, machine, MachineWork::Move(shortage.pool.clone()));
             }
         }
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -97,6 +97,12 @@
         })
     }
 
+    /// Tasks of a step that aren't settled at work.
+    pub(super) fn away_of(&self, now: Now, job: &Job, slot: usize) -> u32 {
+        let is_away = |index: &TaskIndex| !self.is_at_work(now, &job.tasks[*index]);
+        job.tasks_of(slot).filter(is_away).count() as u32
+    }
+
     /// Whether a task is settled at work, as far as its executor still answers.
     fn is_at_work(&self, now: Now, task: &Task) -> bool {
         let Some(id) = task.phase.executor() else { return false };
@@ -221,8 +227,7 @@
             if !is_bounded || !suits(step, here) || job.is_over() {
                 return None;
             }
-            let is_away = |index: &usize| !self.is_at_work(now, &job.tasks[*index]);
-            if indices.clone().filter(is_away).count() as u32 >= step.may_miss {
+            if self.away_of(now, job, *slot) >= step.may_miss {
                 return None;
             }
             let runs_here = |index: &usize| {
--- a/crates/jackdawpier_fleet/src/policy.rs
+++ b/crates/jackdawpier_fleet/src/policy.rs
@@ -31,6 +31,8 @@
     pub keeps_share: bool,
     /// A machine that is to be taken gives its long-running tasks away one by one.
     pub gives_away: bool,
+    /// Lasting tasks move beside others for work that else never finds room.
+    pub makes_room: bool,
 }
 
 impl Default for Policy {
@@ -49,6 +51,7 @@
             follows_trend: true,
             keeps_share: true,
             gives_away: true,
+            makes_room: true,
         }
     }
 }
--- a/crates/jackdawpier_fleet/src/spec.rs
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -42,6 +42,9 @@
 }
 
 impl Resources {
+    /// More than anything asks for.
+    pub const MAX: Self = Self { cpu_millicores: u64::MAX, memory_mb: u64::MAX, gpus: u64::MAX };
+
     /// Whether this much fits into `room`.
     pub fn fits(&self, room: &Self) -> bool {
         self.cpu_millicores <= room.cpu_millicores
