Show by a test that a later holder of a shard counts a job's lost workers anew

A job that crashes each worker is started 13 times over 12 changes of the holder of its shard; under one holder it is parked after 3. Cause: the blame is kept in memory, and the durable record of a job carries its attempts only.

--- a/crates/jackdawpier_jobs/tests/lost_workers.rs
+++ b/crates/jackdawpier_jobs/tests/lost_workers.rs
@@ -8,6 +8,7 @@
 use jackdawpier_jobs::{
     job::{JobState, ParkReason},
     queue::{Command, JobQueue, StartEnd},
+    workers::WorkerInfo,
 };
 use jackdawpier_kernel::{
     Now,
@@ -23,6 +24,7 @@
 /// than of a harmless job.
 struct SilentWorkers {
     queue: JobQueue,
+    workers: usize,
     now: Now,
     writes: u64,
     starts: Vec<JobId>,
@@ -30,17 +32,20 @@
     silent: BTreeSet<WorkerId>,
 }
 
+/// One of the workers, every other in the second rack.
+fn rack_worker(number: usize) -> WorkerInfo {
+    worker(&format!("worker-{number}"), &format!("rack-{}", number % 2))
+}
+
 impl SilentWorkers {
     fn new(workers: usize) -> Self {
         let mut queue = JobQueue::new(LEASE, Duration::from_secs(60));
         for number in 0..workers {
-            queue.upsert_worker(worker(
-                &format!("worker-{number}"),
-                &format!("rack-{}", number % 2),
-            ));
+            queue.upsert_worker(rack_worker(number));
         }
         Self {
             queue,
+            workers,
             now: Now::ZERO,
             writes: 0,
             starts: Vec::new(),
@@ -55,6 +60,16 @@
         self.follow(commands);
     }
 
+    /// Another process holds the shard from now on; it knows what is durable.
+    fn change_holder(&mut self) {
+        let mut queue = JobQueue::new(LEASE, Duration::from_secs(60));
+        for number in 0..self.workers {
+            queue.upsert_worker(rack_worker(number));
+        }
+        self.queue.jobs().for_each(|job| queue.recover(self.now, job.clone()));
+        self.queue = queue;
+    }
+
     fn follow(&mut self, commands: Vec<Command>) {
         for command in commands {
             match command {
@@ -137,3 +152,18 @@
     let starts = world.starts.iter().filter(|id| **id == long).count();
     assert!(starts > 3, "it has lost three workers to the others: {starts} starts");
 }
+
+/// Each later holder of a shard counted anew, so a job lost workers without end.
+#[test]
+fn counted_anew() {
+    let id: JobId = "job".into();
+    let mut world = SilentWorkers::new(24);
+    world.submit(&id);
+    for _ in 0..12 {
+        world.run_for(LEASE * 2);
+        world.change_holder();
+    }
+    let state = world.queue.job(&id).expect("it is known").state.clone();
+    assert_eq!(world.starts.len(), 3);
+    assert_eq!(state, JobState::Parked { reason: ParkReason::NeverRuns });
+}
