Refuse a declaration that no record of the store can hold when it is handed in

An operator who applied a declaration of 450 KB, within the limit on files, heard after half a second and more that its outcome is unknown (504: the base still stands and the write may be under way), with no word on its size; plan had found nothing.

The cause: only the file's length was bounded. Defaults and aliases make the stored document up to three times as long, and the store takes no value above 1 MiB. The loader, which plan, apply and the entry share, now bounds the resolved declaration by 1,032,192 bytes and names the bound (JP001, 422). The operators' port cut changes above 1 MiB off and called them bad JSON; it takes twice the limit on files and 64 KiB, and answers 413 with its bound above that.

--- a/crates/jackdawpier_coord/src/configuration.rs
+++ b/crates/jackdawpier_coord/src/configuration.rs
@@ -14,8 +14,13 @@
     Now,
     ids::{ClassName, EntryId, Revision},
 };
-use jackdawpier_settings::declaration::{Class, Declaration};
-use jackdawpier_store::{Condition, Record, Request, Response, StoreError, StoreResult};
+use jackdawpier_settings::{
+    declaration::{Class, Declaration},
+    loader::MAX_RESOLVED_BYTES,
+};
+use jackdawpier_store::{
+    Condition, Record, Request, Response, StoreError, StoreResult, protocol::MAX_VALUE_BYTES,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{keys, membership::View};
@@ -23,6 +28,10 @@
 /// Time for which an entry that was a member or was heard counts as one that may live and serve.
 const MEMORY: Duration = Duration::from_secs(30);
 
+/// Room in a document's record for its revision and its writer.
+const WRITER_BYTES: usize = 1024;
+const _: () = assert!(MAX_RESOLVED_BYTES + WRITER_BYTES <= MAX_VALUE_BYTES);
+
 /// One configuration document as stored and passed between peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
--- a/crates/jackdawpier_settings/src/loader.rs
+++ b/crates/jackdawpier_settings/src/loader.rs
@@ -16,6 +16,8 @@
 const FORBIDDEN_WORDS: [&str; 5] = ["ip", "ips", "port", "ports", "instances"];
 /// Largest declaration or settings file, so that a hostile one costs bounded memory.
 pub const MAX_FILE_BYTES: usize = 512 * 1024;
+/// Largest declaration once resolved, as JSON, so that one record of the store holds it.
+pub const MAX_RESOLVED_BYTES: usize = 1008 * 1024;
 
 /// Parses and checks the daemon's settings; `file` is the name to show in findings.
 pub fn load_settings(file: &str, text: &str) -> Result<Settings, Vec<Diagnostic>> {
@@ -28,7 +30,26 @@
 pub fn load_declaration(file: &str, text: &str) -> Result<Declaration, Vec<Diagnostic>> {
     let options: DeclarationOptions = parse(file, text).map_err(|finding| vec![*finding])?;
     let findings = rules::check_declaration(file, &options);
-    if findings.is_empty() { Ok(options.resolve()) } else { Err(findings) }
+    if !findings.is_empty() {
+        return Err(findings);
+    }
+    let declaration = options.resolve();
+    check_resolved(file, &declaration).map_err(|finding| vec![*finding])?;
+    Ok(declaration)
+}
+
+/// Defaults and aliases make a declaration longer than its file. The store would refuse it only
+/// when it is written, and then nobody could say whether it is in force.
+fn check_resolved(file: &str, declaration: &Declaration) -> Result<(), Box<Diagnostic>> {
+    let length = serde_json::to_string(declaration).expect("declarations are plain data").len();
+    if length <= MAX_RESOLVED_BYTES {
+        return Ok(());
+    }
+    let message = format!("with its defaults and aliases the declaration has {length} bytes");
+    let suggestion =
+        format!("at most {MAX_RESOLVED_BYTES} bytes; split the classes over several deployments");
+    let at = Position::default();
+    Err(Box::new(SHAPE.finding(file, at, "classes".to_owned(), message, suggestion)))
 }
 
 fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Box<Diagnostic>> {
--- a/crates/jackdawpierd/src/operators.rs
+++ b/crates/jackdawpierd/src/operators.rs
@@ -22,6 +22,9 @@
 
 /// Threads that answer operators.
 const THREADS: usize = 4;
+/// Largest change taken: a file whose every byte is escaped, and room for the rest. Larger files get
+/// as far as the loader, which names its own bound.
+const MAX_CHANGE_BYTES: usize = 2 * MAX_FILE_BYTES + 64 * 1024;
 const HOLDER_LIMIT: Duration = Duration::from_secs(2);
 const JOBS_PATH: &str = "/v1/jobs/";
 const EXPLAIN_PATH: &str = "/v1/explain/";
@@ -74,8 +77,11 @@
 
 fn serve(entry: &Arc<Entry>, runtime: &Handle, mut request: Request) {
     let mut body = String::new();
-    let read = request.as_reader().take(2 * MAX_FILE_BYTES as u64).read_to_string(&mut body);
+    let read = request.as_reader().take(MAX_CHANGE_BYTES as u64 + 1).read_to_string(&mut body);
     let answer = match read {
+        Ok(count) if count > MAX_CHANGE_BYTES => {
+            text(413, format!("the change has more than {MAX_CHANGE_BYTES} bytes\n"))
+        }
         Ok(_) => answer(entry, runtime, &request.method().clone(), request.url(), &body),
         Err(error) => text(400, format!("{error}\n")),
     };
--- /dev/null
+++ b/crates/jackdawpierd/tests/large_declarations.rs
@@ -0,0 +1,44 @@
+//! What an operator hears who hands in more than can be carried or stored.
+
+mod support;
+
+use std::fmt::Write;
+
+use serde_json::Value;
+use support::{DECLARATION, Deployment, wait_for};
+
+/// A declaration that is below the limit on files and above the store's on records: each long name
+/// of a service is written once for eight classes.
+fn unstorable() -> String {
+    let mut text = "deployment: test\nclasses:\n".to_owned();
+    for class in 0..5_200 {
+        let group = class / 8;
+        let service = match class % 8 {
+            0 => format!("&s{group} {}{group}", "s".repeat(56)),
+            _ => format!("*s{group}"),
+        };
+        writeln!(
+            text,
+            "- {{name: c{class}, service: {service}, kind: quick, finish_within_ms: 1, capacity_instances: 1}}"
+        )
+        .expect("a string takes everything");
+    }
+    text
+}
+
+/// The answers were that the outcome is unknown, and that the text ended within a string.
+#[test]
+fn named_bounds() {
+    let deployment = Deployment::new("named-bounds", 1, 1);
+    let daemon = deployment.start("a", "");
+    wait_for("the declaration to be accepted", || daemon.apply(0, DECLARATION).0 == 200);
+    let (status, findings) = daemon.apply(1, &unstorable());
+    assert_eq!(status, 422, "{findings}");
+    assert!(findings.to_string().contains("1032192 bytes"), "the bound isn't named: {findings}");
+    let (status, text) = daemon.apply(1, &" ".repeat(3 << 20));
+    assert_eq!((status, text), (413, Value::from("the change has more than 1114112 bytes\n")));
+    let (status, findings) = daemon.apply(1, &"#\"".repeat(260 << 10));
+    assert_eq!(status, 422, "{findings}");
+    assert!(findings.to_string().contains("at most 524288 bytes"), "{findings}");
+    assert_eq!(daemon.revision(), 1);
+}
