Ask for half as many records after a page that was lost

Callers would see all keys and jobs of a service refused (no owner) once 128 segments of its log were above 64 MB together, the most that an answer of the store may have here: jobs with payloads of half a megabyte do.

The cause: pages are bounded by records, and a lost one was asked for again as it was, for ever; the reading of members and documents began again at its first page, too. Both now go on from the last page that arrived with half as many records, and with one more after each that does. An answer whose head names a length above the bound is given up before it is read.

--- a/crates/jackdawpier_coord/src/cell.rs
+++ b/crates/jackdawpier_coord/src/cell.rs
@@ -21,7 +21,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::keys;
+use crate::{keys, page_size::PageSize};
 
 /// Most bytes of entries in one segment, but for an entry that is larger by itself.
 pub const MAX_SEGMENT_BYTES: usize = 512 * 1024;
@@ -29,7 +29,7 @@
 const SPARE_BYTES: usize = 16 * 1024;
 /// Most bytes of one entry, as they stand in a segment.
 pub const MAX_ENTRY_BYTES: usize = MAX_VALUE_BYTES - SPARE_BYTES;
-/// Records read a page when a cell is opened.
+/// Most records read a page when a cell is opened.
 const PAGE_RECORDS: usize = 128;
 /// Segments are trimmed while the log holds more than this many entries for one that is live.
 const TRIM_RATIO: usize = 2;
@@ -150,6 +150,7 @@
     retry_at: Now,
     commits_saved: u32,
     next_saved_at: Now,
+    page_size: PageSize,
     is_stalled: bool,
     marker: std::marker::PhantomData<S>,
 }
@@ -176,6 +177,7 @@
             retry_at: Now::ZERO,
             commits_saved: COMMIT_BURST,
             next_saved_at: Now::ZERO,
+            page_size: PageSize::new(PAGE_RECORDS),
             is_stalled: false,
             marker: std::marker::PhantomData,
         }
@@ -263,14 +265,19 @@
             Some(last) => keys::segment(&self.name, last),
             None => String::new(),
         };
-        Request::Range { prefix: keys::cell(&self.name), after_key, limit: PAGE_RECORDS }
+        let limit = self.page_size.records();
+        Request::Range { prefix: keys::cell(&self.name), after_key, limit }
     }
 
     fn on_page(&mut self, now: Now, result: StoreResult) -> Vec<Output<S>> {
+        if matches!(result, Err(StoreError::Ambiguous { .. })) {
+            self.page_size.lost();
+        }
         let Ok(Response::Records { records, more, .. }) = result else {
             self.retry_at = now + RETRY_INTERVAL;
             return Vec::new();
         };
+        self.page_size.arrived();
         records.iter().for_each(|record| self.replay(record));
         if !more {
             self.start_claim();
--- a/crates/jackdawpier_coord/src/lib.rs
+++ b/crates/jackdawpier_coord/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod keys;
 pub mod membership;
 pub mod ownership;
+pub mod page_size;
--- a/crates/jackdawpier_store/src/client.rs
+++ b/crates/jackdawpier_store/src/client.rs
@@ -52,6 +52,10 @@
         if response.status().as_u16() == 503 {
             return Err(StoreError::unavailable("status 503"));
         }
+        if response.body().content_length().is_some_and(|length| length > MAX_ANSWER_BYTES) {
+            let detail = format!("an answer of more than {MAX_ANSWER_BYTES} bytes");
+            return Err(StoreError::ambiguous(detail));
+        }
         let text = response
             .body_mut()
             .with_config()
--- a/crates/jackdawpierd/src/view_sync.rs
+++ b/crates/jackdawpierd/src/view_sync.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jackdawpier_coord::keys;
+use jackdawpier_coord::{keys, page_size::PageSize};
 use jackdawpier_store::{Change, Record, Request, Response, StoreError};
 
 use crate::{
@@ -13,6 +13,7 @@
 /// Longest wait of one watch call; the store counts each waiting call as one.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Most records read at a time.
 const PAGE_RECORDS: usize = 256;
 
 /// Starts the loop.
@@ -51,13 +52,22 @@
 async fn read_all(entry: &Arc<Entry>) -> Result<(Vec<Record>, u64), StoreError> {
     let mut all: Vec<Record> = Vec::new();
     let mut first_revision = None;
+    let mut page_size = PageSize::new(PAGE_RECORDS);
     loop {
         let request = Request::Range {
             prefix: keys::COORDINATION.to_owned(),
             after_key: all.last().map(|record| record.key.clone()).unwrap_or_default(),
-            limit: PAGE_RECORDS,
+            limit: page_size.records(),
         };
-        let response = entry.call_store(request).await?;
+        let response = match entry.call_store(request).await {
+            Err(error @ StoreError::Ambiguous { .. }) if page_size.lost() => {
+                log::warn!(event = "store_page_lost"; "{error}");
+                tokio::time::sleep(RETRY_INTERVAL).await;
+                continue;
+            }
+            result => result?,
+        };
+        page_size.arrived();
         let Response::Records { records, more, store_revision } = response else {
             return Err(StoreError::unavailable("an answer of another kind"));
         };
