Read the list of instances for as long as it arrives

Callers would see every entry not ready for good (503 not_ready) on a fleet whose list needs more than a second on an entry's link: 32,000 instances of 200 bytes need five on one of 10 Mbit/s. The list was given up a second after the call left, and asked for again from its start. It is given up for a second's silence now, as the store's answers are.

--- a/crates/jackdawpierd/src/instance_reader.rs
+++ b/crates/jackdawpierd/src/instance_reader.rs
@@ -5,11 +5,17 @@
     time::Duration,
 };
 
+use jackdawpier_client::ClientLimits;
 use jackdawpier_kernel::instance::{InstanceList, LIST_PATH};
 
 use crate::entry::Entry;
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the platform may be silent. How long the list is depends on the fleet.
+const LIMITS: ClientLimits = ClientLimits {
+    connect: Duration::from_millis(500),
+    silence: Duration::from_secs(1),
+    idle_connections: 1,
+};
 const MAX_LIST_BYTES: u64 = 64 << 20;
 
 /// Starts the reader on a thread of its own.
@@ -18,8 +24,7 @@
     let runtime = tokio::runtime::Handle::current();
     std::thread::spawn(move || {
         let _context = runtime.enter();
-        let agent =
-            ureq::Agent::config_builder().timeout_global(Some(CALL_TIMEOUT)).build().new_agent();
+        let agent = jackdawpier_client::agent(LIMITS);
         let url = format!("{}{LIST_PATH}", entry.settings.instance_list_url);
         loop {
             match read(&agent, &url) {
@@ -33,6 +38,9 @@
 
 fn read(agent: &ureq::Agent, url: &str) -> Result<InstanceList, String> {
     let mut response = agent.get(url).call().map_err(|error| error.to_string())?;
+    if !response.status().is_success() {
+        return Err(format!("status {}", response.status()));
+    }
     let body = response
         .body_mut()
         .with_config()
