Send large documents between entries in an answer of their own, and wait for as long as it arrives

An entry that had no store, which gets its configuration from peers, would never serve, and would take its peers for unreachable, once the documents that it lacks need more than 0.8 s on its link: 1 MB on one of 10 Mbit/s.

The cause: the answer to each heartbeat carried all of them, whatever their size, and was given up after 0.8 s; the next heartbeat, half a second after the last, asked for all of them again, so that several were on the link at a time. Now a heartbeat carries 16 KB of them at the most, and an entry that still lacks one asks for it by itself, one peer at a time; the peer is given up after 0.8 s without a byte.

--- a/crates/jackdawpier_coord/src/configuration.rs
+++ b/crates/jackdawpier_coord/src/configuration.rs
@@ -237,9 +237,7 @@
 
     /// Whether everything that a peer has in force is in force here.
     fn has_all(&self, contact: &Contact) -> bool {
-        contact.in_force.iter().all(|(name, revision)| {
-            self.documents.get(name).is_some_and(|own| own.revision >= *revision)
-        })
+        !self.lacks(&contact.in_force)
     }
 
     /// Entries that have not reported `revision` of `deployment` yet: members with a live lease,
@@ -277,18 +275,36 @@
         self.documents.iter().map(|(name, document)| (name.clone(), document.revision)).collect()
     }
 
-    /// Documents that are newer than what a peer has.
-    pub fn newer_than(&self, theirs: &BTreeMap<String, Revision>) -> Vec<Document> {
+    /// Documents that are newer than what a peer has, as many as `most_bytes` hold as JSON.
+    pub fn newer_than(
+        &self,
+        theirs: &BTreeMap<String, Revision>,
+        most_bytes: usize,
+    ) -> Vec<Document> {
+        let mut left_bytes = most_bytes;
         self.documents
             .values()
             .filter(|document| {
                 let known = theirs.get(&document.declaration.deployment).copied().unwrap_or(0);
                 document.revision > known
             })
+            .filter(|document| {
+                let length = serde_json::to_string(document).expect("it is plain data").len();
+                let is_held = length <= left_bytes;
+                left_bytes -= if is_held { length } else { 0 };
+                is_held
+            })
             .cloned()
             .collect()
     }
 
+    /// Whether a peer has a newer document than is in force here.
+    pub fn lacks(&self, theirs: &BTreeMap<String, Revision>) -> bool {
+        theirs.iter().any(|(name, revision)| {
+            self.documents.get(name).is_none_or(|own| own.revision < *revision)
+        })
+    }
+
     /// One document.
     pub fn document(&self, deployment: &str) -> Option<&Document> {
         self.documents.get(deployment)
--- a/crates/jackdawpier_peer/src/lib.rs
+++ b/crates/jackdawpier_peer/src/lib.rs
@@ -15,13 +15,17 @@
 };
 
 use derive_more::{Display, Error};
-use quinn::{Connection, VarInt};
+use quinn::{Connection, RecvStream, SendStream, VarInt};
 use serde::{Serialize, de::DeserializeOwned};
 
 pub use crate::tls::{PEER_NAME, TlsFiles};
 
 /// Largest message in bytes: an answer's body and its head.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
+/// Most bytes of an answer that are taken at once while it arrives.
+const PIECE_BYTES: usize = 64 * 1024;
+/// What is said of a peer that was given up.
+const NO_ANSWER: &str = "no answer in time";
 /// Time for a handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Silence after which a connection is taken for dead.
@@ -133,6 +137,36 @@
         request: &Q,
         limit: Duration,
     ) -> Result<A, PeerError> {
+        let exchange = |send, receive, message| async move {
+            let answer = exchange(send, receive, message);
+            tokio::time::timeout(limit, answer).await.map_err(|_| NO_ANSWER.to_owned())?
+        };
+        self.call_by(address, request, exchange).await
+    }
+
+    /// Calls a peer and reads its answer for as long as it arrives: how long it is, the peer's
+    /// operators decide. The peer is given up after `silence` without a byte.
+    pub async fn fetch<Q: Serialize + Sync, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: &Q,
+        silence: Duration,
+    ) -> Result<A, PeerError> {
+        let exchange = |send, receive, message| fetch(send, receive, message, silence);
+        self.call_by(address, request, exchange).await
+    }
+
+    async fn call_by<Q, A, F>(
+        &self,
+        address: SocketAddr,
+        request: &Q,
+        exchange: impl FnOnce(SendStream, RecvStream, Vec<u8>) -> F,
+    ) -> Result<A, PeerError>
+    where
+        Q: Serialize + Sync,
+        A: DeserializeOwned,
+        F: Future<Output = Result<Vec<u8>, String>>,
+    {
         let not_sent = |detail: String| PeerError::NotSent { address, detail };
         let message = postcard::to_stdvec(request).map_err(|error| not_sent(error.to_string()))?;
         let connection = self.connection(address).await?;
@@ -145,17 +179,15 @@
             }
             Err(_) => return Err(not_sent("no stream is free".to_owned())),
         };
-        let exchange = exchange(send, receive, message);
-        match tokio::time::timeout(limit, exchange).await {
-            Ok(Ok(answer)) => postcard::from_bytes(&answer)
+        match exchange(send, receive, message).await {
+            Ok(answer) => postcard::from_bytes(&answer)
                 .map_err(|error| PeerError::Lost { address, detail: error.to_string() }),
-            Ok(Err(detail)) => {
+            Err(detail) => {
                 if connection.close_reason().is_some() {
                     self.forget(address, &connection);
                 }
                 Err(PeerError::Lost { address, detail })
             }
-            Err(_) => Err(PeerError::Lost { address, detail: "no answer in time".to_owned() }),
         }
     }
 
@@ -199,8 +231,8 @@
 }
 
 async fn exchange(
-    mut send: quinn::SendStream,
-    mut receive: quinn::RecvStream,
+    mut send: SendStream,
+    mut receive: RecvStream,
     message: Vec<u8>,
 ) -> Result<Vec<u8>, String> {
     send.write_all(&message).await.map_err(|error| error.to_string())?;
@@ -208,6 +240,28 @@
     receive.read_to_end(MAX_MESSAGE_BYTES).await.map_err(|error| error.to_string())
 }
 
+/// Reads an answer piece by piece; the request is small, so sending it counts as one piece.
+async fn fetch(
+    mut send: SendStream,
+    mut receive: RecvStream,
+    message: Vec<u8>,
+    silence: Duration,
+) -> Result<Vec<u8>, String> {
+    let sending = tokio::time::timeout(silence, send.write_all(&message));
+    sending.await.map_err(|_| NO_ANSWER)?.map_err(|error| error.to_string())?;
+    send.finish().map_err(|error| error.to_string())?;
+    let mut answer = Vec::new();
+    loop {
+        let reading = tokio::time::timeout(silence, receive.read_chunk(PIECE_BYTES, true));
+        let piece = reading.await.map_err(|_| NO_ANSWER)?.map_err(|error| error.to_string())?;
+        let Some(piece) = piece else { return Ok(answer) };
+        answer.extend_from_slice(&piece.bytes);
+        if answer.len() > MAX_MESSAGE_BYTES {
+            return Err(format!("an answer of more than {MAX_MESSAGE_BYTES} bytes"));
+        }
+    }
+}
+
 async fn serve_connection<S: PeerService>(connection: Connection, service: S) {
     while let Ok((send, receive)) = connection.accept_bi().await {
         let service = service.clone();
@@ -220,8 +274,8 @@
 }
 
 async fn serve_stream<S: PeerService>(
-    mut send: quinn::SendStream,
-    mut receive: quinn::RecvStream,
+    mut send: SendStream,
+    mut receive: RecvStream,
     service: S,
 ) -> Result<(), String> {
     let message =
--- a/crates/jackdawpier_standin/src/lib.rs
+++ b/crates/jackdawpier_standin/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod relay;
 pub mod store_model;
 pub mod store_server;
+pub mod udp_link;
 pub mod worker;
--- a/crates/jackdawpierd/src/entry.rs
+++ b/crates/jackdawpierd/src/entry.rs
@@ -60,6 +60,8 @@
     /// Whether the instance list was read at least once.
     pub(crate) is_list_loaded: AtomicBool,
     pub(crate) requests_in_flight: AtomicUsize,
+    /// Held while documents of a peer are on their way here.
+    pub(crate) fetching_documents: tokio::sync::Mutex<()>,
     started_at: Instant,
     next_request: AtomicU64,
     coordination: Mutex<Coordination>,
@@ -100,6 +102,7 @@
             is_stopping: AtomicBool::new(false),
             is_list_loaded: AtomicBool::new(false),
             requests_in_flight: AtomicUsize::new(0),
+            fetching_documents: tokio::sync::Mutex::default(),
             started_at: Instant::now(),
             next_request: AtomicU64::new(0),
             coordination: Mutex::new(coordination),
--- a/crates/jackdawpierd/src/heartbeats.rs
+++ b/crates/jackdawpierd/src/heartbeats.rs
@@ -1,8 +1,14 @@
 //! Heartbeats between entries: who is reachable, and which documents are in force.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use jackdawpier_coord::configuration::{Document, PeerReport};
+use jackdawpier_kernel::ids::Revision;
 
 use crate::{
     entry::{Entry, PeerContact},
@@ -10,6 +16,12 @@
 };
 
 const HEARTBEAT_LIMIT: Duration = Duration::from_millis(800);
+/// Silence after which a peer that sends documents is given up.
+const DOCUMENTS_SILENCE: Duration = Duration::from_millis(800);
+/// Most bytes of documents beside a heartbeat, which has to be back in time on a slow link too.
+const MOST_BESIDE_BYTES: usize = 16 * 1024;
+/// Most bytes of documents in an answer of their own; above the largest one.
+const MOST_ALONE_BYTES: usize = 4 * 1024 * 1024;
 
 /// Starts the heartbeats to all members, and to the seeds while no member is known.
 pub(crate) fn spawn(entry: &Arc<Entry>) {
@@ -56,21 +68,56 @@
     let answer = entry.endpoint.call(address, &request, HEARTBEAT_LIMIT).await;
     if let Ok(PeerAnswer::Heartbeat { heartbeat, newer }) = answer {
         take(entry, &heartbeat, newer);
+        if entry.coordination().configuration.lacks(&heartbeat.in_force) {
+            fetch_documents(entry, address).await;
+        }
+    }
+}
+
+/// Documents that the peer lacks and that are small enough to go beside a heartbeat.
+pub(crate) fn documents_beside(
+    entry: &Entry,
+    theirs: &BTreeMap<String, Revision>,
+) -> Vec<Document> {
+    entry.coordination().configuration.newer_than(theirs, MOST_BESIDE_BYTES)
+}
+
+/// Documents that the peer lacks and has asked for.
+pub(crate) fn documents_alone(entry: &Entry, theirs: &BTreeMap<String, Revision>) -> Vec<Document> {
+    entry.coordination().configuration.newer_than(theirs, MOST_ALONE_BYTES)
+}
+
+/// Asks the peer for the documents that are newer there. One peer is asked at a time, so that a
+/// document that fills the link isn't on its way twice.
+async fn fetch_documents(entry: &Arc<Entry>, address: SocketAddr) {
+    let Ok(_turn) = entry.fetching_documents.try_lock() else { return };
+    let known = entry.coordination().configuration.revisions();
+    let request = PeerRequest::Documents { known };
+    let answer = entry.endpoint.fetch(address, &request, DOCUMENTS_SILENCE).await;
+    if let Ok(PeerAnswer::Documents(newer)) = answer
+        && offer(entry, newer)
+    {
+        refresh_services(entry);
     }
 }
 
+/// Adopts documents that are newer than what is in force; returns whether one was.
+fn offer(entry: &Entry, documents: Vec<Document>) -> bool {
+    let mut coordination = entry.coordination();
+    documents
+        .into_iter()
+        .fold(false, |is_changed, document| coordination.configuration.offer(document) | is_changed)
+}
+
 /// Learns from a heartbeat, in either direction.
 pub(crate) fn take(entry: &Arc<Entry>, heartbeat: &Heartbeat, newer: Vec<Document>) {
     let now = entry.now();
     entry.demand().heard(&heartbeat.entry, heartbeat.demand_milli.clone());
-    let is_changed = {
+    let is_changed = offer(entry, newer);
+    {
         let mut coordination = entry.coordination();
         let contact = PeerContact { heard_at: now, is_ready: heartbeat.is_ready };
         coordination.contacts.insert(heartbeat.entry.clone(), contact);
-        let mut is_changed = false;
-        for document in newer {
-            is_changed |= coordination.configuration.offer(document);
-        }
         let report = PeerReport {
             peer: heartbeat.entry.clone(),
             is_ready: heartbeat.is_ready,
@@ -78,8 +125,7 @@
             in_force: heartbeat.in_force.clone(),
         };
         coordination.configuration.heard_peer(now, report);
-        is_changed
-    };
+    }
     if is_changed {
         refresh_services(entry);
     }
--- a/crates/jackdawpierd/src/messages.rs
+++ b/crates/jackdawpierd/src/messages.rs
@@ -91,13 +91,17 @@
         service: ServiceName,
         key: RequestKey,
     },
+    /// The documents that are newer than these revisions.
+    Documents {
+        known: BTreeMap<String, Revision>,
+    },
 }
 
 /// Answers between entries.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum PeerAnswer {
     Outcome(Outcome),
-    /// The answering entry's own heartbeat, with the documents that the asking one lacks.
+    /// The answering entry's own heartbeat, with small documents that the asking one lacks.
     Heartbeat {
         heartbeat: Heartbeat,
         newer: Vec<Document>,
@@ -107,4 +111,6 @@
     Recalled(Option<String>),
     /// JSON of the capacity role's holder, or nothing where the peer is not the holder.
     Capacity(Option<String>),
+    /// As many of the documents asked for as one answer holds.
+    Documents(Vec<Document>),
 }
--- a/crates/jackdawpierd/src/peers.rs
+++ b/crates/jackdawpierd/src/peers.rs
@@ -38,9 +38,12 @@
             }
             PeerRequest::Heartbeat(heartbeat) => {
                 heartbeats::take(entry, &heartbeat, Vec::new());
-                let newer = entry.coordination().configuration.newer_than(&heartbeat.in_force);
+                let newer = heartbeats::documents_beside(entry, &heartbeat.in_force);
                 PeerAnswer::Heartbeat { heartbeat: heartbeats::own_heartbeat(entry), newer }
             }
+            PeerRequest::Documents { known } => {
+                PeerAnswer::Documents(heartbeats::documents_alone(entry, &known))
+            }
             PeerRequest::Wave(action) => PeerAnswer::Capacity(entry.capacity.wave(entry, action)),
             PeerRequest::Days => PeerAnswer::Capacity(entry.capacity.days()),
             PeerRequest::Pools => PeerAnswer::Capacity(entry.capacity.pools()),
--- a/crates/jackdawpierd/tests/slow_links.rs
+++ b/crates/jackdawpierd/tests/slow_links.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::fmt::Write;
+
+use jackdawpier_standin::{relay::Cut, udp_link};
 use support::{DECLARATION, Deployment, wait_for};
 
 const LINK_BYTES_PER_S: u32 = 200_000;
@@ -14,3 +17,33 @@
     wait_for("the declaration to be accepted", || daemon.apply(0, DECLARATION).0 == 200);
     wait_for("the entry to be ready", || daemon.is_ready());
 }
+
+/// A declaration of this many classes, with long names.
+fn large_declaration(classes: usize) -> String {
+    let mut text = "deployment: test\nclasses:\n".to_owned();
+    for class in 0..classes {
+        writeln!(
+            text,
+            "  - {{name: {}{class}, service: {}, kind: quick, finish_within_ms: 1, capacity_instances: 1}}",
+            "n".repeat(50),
+            "s".repeat(60)
+        )
+        .expect("a string takes everything");
+    }
+    text
+}
+
+/// The document came with the answer to each heartbeat, which was given up after 0.8 s, and the peer
+/// wasn't heard either.
+#[test]
+fn large_document() {
+    let deployment = Deployment::new("large-document", 1, 0).with_store_relays();
+    let known = deployment.start("a", "");
+    wait_for("the declaration to be accepted", || {
+        known.apply(0, &large_declaration(2_600)).0 == 200
+    });
+    let link = udp_link::start(known.peers, LINK_BYTES_PER_S).expect("there is a free port");
+    deployment.cut_from_store("b", Cut::All);
+    let newcomer = deployment.start("b", &format!("seed_peers: [\"{link}\"]"));
+    wait_for("the document to arrive", || newcomer.revision() == 1);
+}
