Give a caller's body up for a pause, and not for its length

A caller on a line of 1 Mbit/s never got a body of 1 MiB, the limit, through: 408 after five seconds each time, and it began again from nothing. The cause: a body had the read timeout as a whole. It is the longest pause now, and a body has to come at 16 KiB a second on the whole besides, so that one byte now and then still holds no connection.

A body that is too long is refused with the bound in the text.

--- a/crates/jackdawpier_http/src/lib.rs
+++ b/crates/jackdawpier_http/src/lib.rs
@@ -6,7 +6,7 @@
 
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
@@ -19,6 +19,7 @@
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
     task::JoinSet,
+    time::Instant,
 };
 
 /// Wait after a failed accept, for example while no file descriptor is free.
@@ -28,12 +29,15 @@
 /// Most headers of a request.
 const MAX_HEADERS: usize = 64;
 
+/// A body that arrives more slowly is given up, so that a byte now and then holds no connection.
+const LEAST_BODY_BYTES_PER_S: f64 = 16_384.0;
+
 /// Limits on what a caller may hold.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
     /// Open connections.
     pub connections: usize,
-    /// Time to send a whole head, and again a whole body.
+    /// Time to send a whole head, and longest pause within a body.
     pub read_timeout: Duration,
     /// Largest body in bytes.
     pub body_bytes: usize,
@@ -171,14 +175,16 @@
     handler: H,
 ) -> Result<Response<CutBody>, Infallible> {
     let (parts, body) = request.into_parts();
-    let reading = Limited::new(body, limits.body_bytes).collect();
-    let reply = match tokio::time::timeout(limits.read_timeout, reading).await {
-        Err(_) => Reply::new(408, "text/plain", "the body did not arrive in time\n"),
-        Ok(Err(_)) => Reply::new(413, "text/plain", "the body is too long or was cut off\n"),
-        Ok(Ok(body)) => {
+    let reply = match read_body(body, limits).await {
+        Err(BodyError::Late) => Reply::new(408, "text/plain", "the body did not arrive in time\n"),
+        Err(BodyError::Broken) => {
+            let bound = limits.body_bytes;
+            let text = format!("the body has more than {bound} bytes or was cut off\n");
+            Reply::new(413, "text/plain", text)
+        }
+        Ok(body) => {
             let path =
                 parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string);
-            let body = body.to_bytes();
             let request =
                 IncomingRequest { method: parts.method, path, headers: parts.headers, body };
             handler.handle(request).await
@@ -187,6 +193,33 @@
     Ok(into_response(reply))
 }
 
+/// Why there is no whole body.
+enum BodyError {
+    /// The caller paused for too long, or sends too slowly.
+    Late,
+    /// It is too long, or the connection ended.
+    Broken,
+}
+
+/// Reads a body for as long as it arrives: how long it is, the caller decides.
+async fn read_body(body: Incoming, limits: ServerLimits) -> Result<Bytes, BodyError> {
+    let mut body = Limited::new(body, limits.body_bytes);
+    let mut received = BytesMut::new();
+    let started_at = Instant::now();
+    loop {
+        let earned = Duration::from_secs_f64(received.len() as f64 / LEAST_BODY_BYTES_PER_S);
+        let pause_ends_at = Instant::now() + limits.read_timeout;
+        let ends_at = pause_ends_at.min(started_at + limits.read_timeout + earned);
+        let frame = tokio::time::timeout_at(ends_at, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| BodyError::Late)? else {
+            return Ok(received.freeze());
+        };
+        if let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() {
+            received.extend_from_slice(&data);
+        }
+    }
+}
+
 /// A full body, or one that breaks off for a stand-in's truncated answer.
 type CutBody = http_body_util::combinators::BoxBody<Bytes, CutOff>;
 
--- a/crates/jackdawpier_settings/src/options.rs
+++ b/crates/jackdawpier_settings/src/options.rs
@@ -68,7 +68,7 @@
 pub struct LimitOptions {
     /// Open connections of callers.
     pub connections: Option<usize>,
-    /// Time for a caller to send a whole request head or body.
+    /// Time for a caller to send a whole request head, and longest pause within a body.
     pub read_timeout_ms: Option<u64>,
     /// Largest request body.
     pub body_bytes: Option<usize>,
--- a/crates/jackdawpier_settings/src/settings.rs
+++ b/crates/jackdawpier_settings/src/settings.rs
@@ -55,7 +55,7 @@
 pub struct Limits {
     /// Open connections of callers.
     pub connections: usize,
-    /// Time to send a whole head or body.
+    /// Time to send a whole head, and longest pause within a body.
     pub read_timeout: Duration,
     /// Largest request body in bytes.
     pub body_bytes: usize,
@@ -103,7 +103,7 @@
 pub mod defaults {
     /// Open connections of callers.
     pub const CONNECTIONS: usize = 4096;
-    /// Milliseconds to send a whole head or body.
+    /// Milliseconds to send a whole head, and of the longest pause within a body.
     pub const READ_TIMEOUT_MS: u64 = 5_000;
     /// Bytes of a request body.
     pub const BODY_BYTES: usize = 1 << 20;
