Don't tell an operator that nothing was changed when only the answer was lost

The tool left with status 4, by its page "nothing could be reached and nothing was changed", when an entry had taken a change and its answer was lost or came after fifteen seconds: a wave that had started, a declaration in force. Every failure of a call counted as an entry out of reach. Now only one before anything was sent does, for a change; after that the status is 5, and the text says that it may have been done and where to look.

--- a/crates/jackdawpier/src/client.rs
+++ b/crates/jackdawpier/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jackdawpier_client::is_not_sent;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -36,26 +37,29 @@
 
     pub(crate) fn get(&self, path: &str) -> Result<Answer, Failure> {
         let call = self.agent.get(format!("http://{}{path}", self.entry)).call();
-        self.read(call)
+        call.and_then(read).map_err(|error| self.no_entry(&error))
     }
 
+    /// Asks for a change. Once it was sent, only its answer can tell whether it was made.
     pub(crate) fn post(&self, path: &str, body: &impl Serialize) -> Result<Answer, Failure> {
         let text = serde_json::to_vec(body).expect("requests are plain data");
-        self.read(self.agent.post(format!("http://{}{path}", self.entry)).send(&text))
+        let call = self.agent.post(format!("http://{}{path}", self.entry)).send(&text);
+        call.and_then(read).map_err(|error| {
+            if is_not_sent(&error) {
+                return self.no_entry(&error);
+            }
+            Failure::LostAnswer { entry: self.entry.clone(), detail: error.to_string() }
+        })
     }
 
-    fn read(
-        &self,
-        call: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
-    ) -> Result<Answer, Failure> {
-        let no_entry = |error: ureq::Error| Failure::NoEntry {
-            entry: self.entry.clone(),
-            detail: error.to_string(),
-        };
-        let mut response = call.map_err(no_entry)?;
-        let status = response.status().as_u16();
-        let text = response.body_mut().read_to_string().map_err(no_entry)?;
-        let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
-        Ok(Answer { status, body })
+    fn no_entry(&self, error: &ureq::Error) -> Failure {
+        Failure::NoEntry { entry: self.entry.clone(), detail: error.to_string() }
     }
 }
+
+fn read(mut response: ureq::http::Response<ureq::Body>) -> Result<Answer, ureq::Error> {
+    let status = response.status().as_u16();
+    let text = response.body_mut().read_to_string()?;
+    let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    Ok(Answer { status, body })
+}
--- a/crates/jackdawpier/src/exit_status.rs
+++ b/crates/jackdawpier/src/exit_status.rs
@@ -53,6 +53,16 @@
         /// What failed.
         detail: String,
     },
+    /// The answer to a change was lost.
+    #[display(
+        "the answer of {entry} was lost: {detail}\nthis may have been done\nnext: look with `jackdawpier status` before doing it again"
+    )]
+    LostAnswer {
+        /// The entry.
+        entry: String,
+        /// What failed.
+        detail: String,
+    },
     /// The entry's answer could not be read.
     #[display(
         "the entry's answer can't be read: {detail}\nnext: check that the tool and the entries have the same version"
@@ -69,7 +79,7 @@
         match self {
             Self::BadInput { .. } => ExitStatus::BadInput,
             Self::NoEntry { .. } => ExitStatus::Unavailable,
-            Self::BadAnswer { .. } => ExitStatus::Unknown,
+            Self::LostAnswer { .. } | Self::BadAnswer { .. } => ExitStatus::Unknown,
         }
     }
 }
