Let the tool wait for an answer as long as it arrives

An operator on a slow line never got a large document shown or a large declaration applied: fifteen seconds for the whole call, and the next try began again from nothing. The fifteen seconds are those of an entry's silence now.

lost_answers::long_answer (seventeen seconds, a byte each) fails before: timeout: global.

--- a/crates/jackdawpier/src/client.rs
+++ b/crates/jackdawpier/src/client.rs
@@ -2,13 +2,20 @@
 
 use std::time::Duration;
 
-use jackdawpier_client::is_not_sent;
+use jackdawpier_client::{ClientLimits, is_not_sent};
 use serde::Serialize;
 use serde_json::Value;
 
 use crate::exit_status::Failure;
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long an entry may be silent. How long a document or a list of jobs is depends on the users.
+const LIMITS: ClientLimits = ClientLimits {
+    connect: Duration::from_secs(15),
+    silence: Duration::from_secs(15),
+    // A second answer on one connection waits 40 ms for an acknowledgement that the system delays:
+    // the port's server sends head and body apart.
+    idle_connections: 0,
+};
 
 /// A client of one entry.
 pub(crate) struct Client {
@@ -24,14 +31,7 @@
 
 impl Client {
     pub(crate) fn new(entry: &str) -> Self {
-        let agent = ureq::Agent::config_builder()
-            .timeout_global(Some(CALL_TIMEOUT))
-            .http_status_as_error(false)
-            // A second answer on one connection waits 40 ms for an acknowledgement that the system
-            // delays: the port's server sends head and body apart.
-            .max_idle_connections(0)
-            .build()
-            .new_agent();
+        let agent = jackdawpier_client::agent(LIMITS);
         Self { entry: entry.to_owned(), agent }
     }
 
--- a/crates/jackdawpier/tests/lost_answers.rs
+++ b/crates/jackdawpier/tests/lost_answers.rs
@@ -1,14 +1,18 @@
 //! What the tool says when an entry's answer is late or lost.
 
 use std::{
-    io::Read,
+    io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     process::{Command, Output},
     thread,
+    time::Duration,
 };
 
 const UNKNOWN: i32 = 5;
 const UNAVAILABLE: i32 = 4;
+const SECOND: Duration = Duration::from_secs(1);
+/// Above the tool's patience with a silent entry.
+const PIECES: usize = 17;
 
 /// An entry that reads the start of each call and does `act`.
 fn entry(act: fn(&mut TcpStream)) -> SocketAddr {
@@ -52,3 +56,18 @@
     let (status, _, errors) = run(address, &["wave", "start"]);
     assert_eq!(status, Some(UNAVAILABLE), "{errors}");
 }
+
+/// A document that takes long on the operator's line was given up and began again from its start.
+#[test]
+fn long_answer() {
+    let entry = entry(|caller| {
+        let _ = caller.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 19\r\n\r\n\"");
+        for _ in 0..PIECES {
+            thread::sleep(SECOND);
+            let _ = caller.write_all(b"x");
+        }
+        let _ = caller.write_all(b"\"");
+    });
+    let (status, shown, errors) = run(entry, &["get", "test"]);
+    assert_eq!((status, shown.trim()), (Some(0), "\"xxxxxxxxxxxxxxxxx\""), "{errors}");
+}
