Refuse settings that allow more than a message between entries carries

With body_bytes or answer_bytes above 16 MB a caller's request would be lost on its way to the entry that decides (504, or asked for again eight times), and that entry be taken for unreachable until its next heartbeat. The bound stood in the transport only. JP007 now names it when the settings are read, and the build fails if the two bounds part.

--- a/crates/jackdawpier_peer/src/lib.rs
+++ b/crates/jackdawpier_peer/src/lib.rs
@@ -21,7 +21,7 @@
 pub use crate::tls::{PEER_NAME, TlsFiles};
 
 /// Largest message in bytes: an answer's body and its head.
-const MAX_MESSAGE_BYTES: usize = 16 << 20;
+pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Most bytes of an answer that are taken at once while it arrives.
 const PIECE_BYTES: usize = 64 * 1024;
 /// What is said of a peer that was given up.
--- a/crates/jackdawpier_settings/src/options.rs
+++ b/crates/jackdawpier_settings/src/options.rs
@@ -71,9 +71,9 @@
     /// Time for a caller to send a whole request head, and longest pause within a body.
     pub read_timeout_ms: Option<u64>,
     /// Largest request body.
-    pub body_bytes: Option<usize>,
+    pub body_bytes: Option<Spanned<usize>>,
     /// Largest answer taken from an executor.
-    pub answer_bytes: Option<usize>,
+    pub answer_bytes: Option<Spanned<usize>>,
     /// Requests queued for one customer of one class.
     pub queue_per_customer: Option<usize>,
 }
--- a/crates/jackdawpier_settings/src/rules.rs
+++ b/crates/jackdawpier_settings/src/rules.rs
@@ -91,6 +91,7 @@
     ADDRESS = "JP004", "settings" / "address";
     EMPTY_NAME = "JP005", "settings" / "empty_name";
     LOG_LEVEL = "JP006", "settings" / "log_level";
+    MESSAGE_SIZE = "JP007", "settings" / "message_size";
     DUPLICATE_CLASS = "JP101", "declaration" / "duplicate_class";
     FORBIDDEN_KEY = "JP102", "declaration" / "forbidden_key";
     ZERO_TARGET = "JP103", "declaration" / "zero_target";
@@ -105,6 +106,7 @@
     settings::empty_name::check(options, &mut checker);
     settings::isolation_limit::check(options, &mut checker);
     settings::log_level::check(options, &mut checker);
+    settings::message_size::check(options, &mut checker);
     settings::same_address::check(options, &mut checker);
     checker.findings
 }
--- a/crates/jackdawpier_settings/src/settings.rs
+++ b/crates/jackdawpier_settings/src/settings.rs
@@ -138,12 +138,13 @@
 impl LimitOptions {
     /// Fills every absent limit with its default.
     pub fn resolve(&self) -> Limits {
+        let given = |limit: &Option<Spanned<usize>>| limit.as_ref().map(|limit| limit.value);
         let read_timeout_ms = self.read_timeout_ms.unwrap_or(defaults::READ_TIMEOUT_MS);
         Limits {
             connections: self.connections.unwrap_or(defaults::CONNECTIONS),
             read_timeout: Duration::from_millis(read_timeout_ms),
-            body_bytes: self.body_bytes.unwrap_or(defaults::BODY_BYTES),
-            answer_bytes: self.answer_bytes.unwrap_or(defaults::ANSWER_BYTES),
+            body_bytes: given(&self.body_bytes).unwrap_or(defaults::BODY_BYTES),
+            answer_bytes: given(&self.answer_bytes).unwrap_or(defaults::ANSWER_BYTES),
             queue_per_customer: self.queue_per_customer.unwrap_or(defaults::QUEUE_PER_CUSTOMER),
         }
     }
--- a/crates/jackdawpierd/src/messages.rs
+++ b/crates/jackdawpierd/src/messages.rs
@@ -8,10 +8,16 @@
     outcome::Outcome,
     trace::TraceContext,
 };
+use jackdawpier_peer::MAX_MESSAGE_BYTES;
+use jackdawpier_settings::rules::settings::message_size::MAX_CARRIED_BYTES;
 use serde::{Deserialize, Serialize};
 
 use crate::{capacity::WaveAction, demand::DemandMilli};
 
+/// Room beside a body or an answer for its path, names, content type and trace.
+const HEAD_BYTES: usize = 64 * 1024;
+const _: () = assert!(MAX_CARRIED_BYTES + HEAD_BYTES <= MAX_MESSAGE_BYTES);
+
 /// A caller's request on its way to the entry that decides.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct WorkRequest {
