--- a/crates/jackdawpier_coord/src/configuration.rs
+++ b/crates/jackdawpier_coord/src/configuration.rs
@@ -14,8 +14,13 @@
     Now,
     ids::{ClassName, EntryId, Revision},
 };
-use jackdawpier_settings::declaration::{Class, Declaration};
-use jackdawpier_store::{Condition, Record, Request, Response, StoreError, StoreResult};
+use jackdawpier_settings::{
+    declaration::{Class, Declaration},
+    loader::MAX_RESOLVED_BYTES,
+};
+use jackdawpier_store::{
+    Condition, Record, Request, Response, StoreError, StoreResult, protocol::MAX_VALUE_BYTES,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{keys, membership::View};
@@ -23,6 +28,10 @@
 /// Time for which an entry that was a member or was heard counts as one that may live and serve.
 const MEMORY: Duration = Duration::from_secs(30);
 
+/// Room in a document's record for its revision and its writer.
+const WRITER_BYTES: usize = 1024;
+const _: () = assert!(MAX_RESOLVED_BYTES + WRITER_BYTES <= MAX_VALUE_BYTES);
+
 /// One configuration document as stored and passed between peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
@@ -228,9 +237,7 @@
 
     /// Whether everything that a peer has in force is in force here.
     fn has_all(&self, contact: &Contact) -> bool {
-        contact.in_force.iter().all(|(name, revision)| {
-            self.documents.get(name).is_some_and(|own| own.revision >= *revision)
-        })
+        !self.lacks(&contact.in_force)
     }
 
     /// Entries that have not reported `revision` of `deployment` yet: members with a live lease,
@@ -268,18 +275,36 @@
         self.documents.iter().map(|(name, document)| (name.clone(), document.revision)).collect()
     }
 
-    /// Documents that are newer than what a peer has.
-    pub fn newer_than(&self, theirs: &BTreeMap<String, Revision>) -> Vec<Document> {
+    /// Documents that are newer than what a peer has, as many as `most_bytes` hold as JSON.
+    pub fn newer_than(
+        &self,
+        theirs: &BTreeMap<String, Revision>,
+        most_bytes: usize,
+    ) -> Vec<Document> {
+        let mut left_bytes = most_bytes;
         self.documents
             .values()
             .filter(|document| {
                 let known = theirs.get(&document.declaration.deployment).copied().unwrap_or(0);
                 document.revision > known
             })
+            .filter(|document| {
+                let length = serde_json::to_string(document).expect("it is plain data").len();
+                let is_held = length <= left_bytes;
+                left_bytes -= if is_held { length } else { 0 };
+                is_held
+            })
             .cloned()
             .collect()
     }
 
+    /// Whether a peer has a newer document than is in force here.
+    pub fn lacks(&self, theirs: &BTreeMap<String, Revision>) -> bool {
+        theirs.iter().any(|(name, revision)| {
+            self.documents.get(name).is_none_or(|own| own.revision < *revision)
+        })
+    }
+
     /// One document.
     pub fn document(&self, deployment: &str) -> Option<&Document> {
         self.documents.get(deployment)
