--- a/crates/jackdawpier_entry/src/acceptance.rs
+++ b/crates/jackdawpier_entry/src/acceptance.rs
@@ -30,6 +30,9 @@
 
 /// Jobs in one transaction: two conditions and a value each, of the 32 rows that it may have.
 const JOBS_PER_WRITE: usize = 10;
+/// Bytes of jobs in one transaction, but for a job that is larger by itself: a small job doesn't wait for large ones to
+/// leave over a slow link.
+const BYTES_PER_WRITE: usize = 64 * 1024;
 /// Writes under way at once to a store of which nothing is known; with four milliseconds each some
 /// 15,000 jobs a second.
 const WRITES_AT_ONCE: usize = 4;
@@ -106,6 +109,17 @@
     }
 }
 
+/// How a write ended, as far as it tells of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WriteEnd {
+    /// The store answered.
+    Answered,
+    /// It didn't.
+    Unanswered,
+    /// The time of the callers was over first.
+    Abandoned,
+}
+
 /// The jobs that wait to be written.
 #[derive(Debug, Clone, Default)]
 pub struct Intake {
@@ -150,12 +164,20 @@
         number
     }
 
-    fn write_ended(&self, number: u64, is_answered: bool) {
+    fn write_ended(&self, number: u64, end: WriteEnd) {
         let mut queue = self.queue.borrow_mut();
         let left_at = queue.under_way.remove(&number);
-        queue.unanswered_since = if is_answered { None } else { left_at };
-        if is_answered {
-            queue.answered_at = Some(clock::now());
+        match end {
+            WriteEnd::Answered => {
+                queue.unanswered_since = None;
+                queue.answered_at = Some(clock::now());
+            }
+            WriteEnd::Unanswered => queue.unanswered_since = left_at,
+            // It says nothing of the store how little time callers had.
+            WriteEnd::Abandoned => {
+                let is_old = |at: &Now| clock::since(*at) >= SILENT_AFTER;
+                queue.unanswered_since = left_at.filter(is_old).or(queue.unanswered_since);
+            }
         }
     }
 
@@ -180,7 +202,13 @@
     fn take(&self) -> Vec<Entry> {
         let mut queue = self.queue.borrow_mut();
         queue.unsettled += 1;
-        let count = queue.waiting.len().min(JOBS_PER_WRITE);
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            bytes += entry.value.len();
+            bytes <= BYTES_PER_WRITE
+        };
+        let count = queue.waiting.iter().take(JOBS_PER_WRITE).take_while(fits).count();
+        let count = count.max(1).min(queue.waiting.len());
         queue.waiting.drain(..count).collect()
     }
 }
@@ -204,15 +232,15 @@
 
 /// Writes a batch until each of its jobs has its fate.
 async fn settle<P: Platform>(platform: &P, intake: &Intake, mut batch: Vec<Entry>) {
-    let give_up_at = clock::now() + DOUBT_PATIENCE;
+    let bytes = batch.iter().map(|entry| entry.value.len()).sum();
+    let give_up_at = clock::now() + DOUBT_PATIENCE + platform.sending_time(bytes);
     for entry in &mut batch {
         entry.deadline = entry.deadline.min(give_up_at);
     }
     while !batch.is_empty() {
         let number = intake.write_left();
-        let end = commit(platform, &batch).await;
-        let is_answered = matches!(end, Ok(_) | Err(CallError::NotDone { .. }));
-        intake.write_ended(number, is_answered);
+        let (write_end, end) = commit(platform, &batch).await;
+        intake.write_ended(number, write_end);
         match end {
             Ok(TransactionEnd::Committed(_)) => {
                 answer_all(batch, Acceptance::Accepted);
@@ -273,13 +301,20 @@
 }
 
 /// Writes a batch once, for no longer than the most patient of its callers waits.
-async fn commit<P: Platform>(platform: &P, batch: &[Entry]) -> CallResult<TransactionEnd> {
+async fn commit<P: Platform>(
+    platform: &P,
+    batch: &[Entry],
+) -> (WriteEnd, CallResult<TransactionEnd>) {
     let patience = batch.iter().map(|entry| entry.deadline).max().unwrap_or_default();
     let patience = patience.saturating_sub(clock::now());
-    let unanswered = || CallError::Unanswered { reason: "its callers' time was over".to_owned() };
-    timeout(patience, platform.commit(&transaction(batch)))
-        .await
-        .unwrap_or_else(|_| Err(unanswered()))
+    match timeout(patience, platform.commit(&transaction(batch))).await {
+        Ok(end @ (Ok(_) | Err(CallError::NotDone { .. }))) => (WriteEnd::Answered, end),
+        Ok(end) => (WriteEnd::Unanswered, end),
+        Err(_) => {
+            let reason = "its callers' time was over".to_owned();
+            (WriteEnd::Abandoned, Err(CallError::Unanswered { reason }))
+        }
+    }
 }
 
 fn transaction(batch: &[Entry]) -> Transaction {
--- a/crates/jackdawpier_entry/src/ports.rs
+++ b/crates/jackdawpier_entry/src/ports.rs
@@ -109,8 +109,10 @@
 
 /// The store.
 pub trait Store {
-    /// What of its answers is on its way.
+    /// Answers with the operators' document that are on their way.
     fn arrivals(&self) -> Arrivals;
+    /// Time that values of so many bytes take to leave.
+    fn sending_time(&self, bytes: usize) -> Duration;
     /// Reads one item, not a stale one.
     fn get(&self, key: &str) -> impl Future<Output = CallResult<Option<Item>>>;
     /// Reads all items under a prefix, page by page.
--- a/crates/jackdawpier_entry/tests/acceptance.rs
+++ b/crates/jackdawpier_entry/tests/acceptance.rs
@@ -193,3 +193,16 @@
         assert!(active.is_heard_since(since));
     });
 }
+
+/// A caller whose time was over before a healthy store's answer made the entry refuse others, as if the store were silent.
+#[test]
+fn impatient_caller() {
+    run(async {
+        let fake = Fake::default();
+        fake.set_delay(Duration::from_millis(10));
+        let intake = start_intake(&fake);
+        let deadline = clock::now() + Duration::from_millis(5);
+        assert_eq!(intake.submit("job".into(), &submission(), deadline).await, Acceptance::Unknown);
+        assert!(intake.unanswered_since().is_none(), "the store is taken to be silent");
+    });
+}
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -324,6 +324,10 @@
         Arrivals::default()
     }
 
+    fn sending_time(&self, _bytes: usize) -> Duration {
+        Duration::ZERO
+    }
+
     async fn get(&self, key: &str) -> CallResult<Option<Item>> {
         self.0.borrow_mut().reads += 1;
         *self.0.borrow_mut().reads_of.entry(key.to_owned()).or_default() += 1;
