Don't ask for a second copy of a document that is on its way, nor again at once for one that can't be used

A proof waited for the document for half of its time only, and a note that told of a newer one had it read beside the watch: over 2 Mbit/s two copies (slow_transfers::one_copy, failed before). What is in force can't be proved any more once the changed one is on its way, so there is nothing to be gained by asking.

A newest document that can't be read came with each proof (key_proof::unreadable_document: 13 times in six seconds, at most six now).

--- a/crates/jackdawpier_entry/src/access.rs
+++ b/crates/jackdawpier_entry/src/access.rs
@@ -86,12 +86,6 @@
         self.asked_at.is_some_and(|asked_at| now < asked_at + usable)
     }
 
-    /// Whether more than half of the time is left for which it holds.
-    pub(crate) fn is_young(&self, now: Now) -> bool {
-        let half = self.holds_for.unwrap_or_default() / 2;
-        self.asked_at.is_some_and(|asked_at| now < asked_at + half)
-    }
-
     /// Whether the configuration is known to be no older than something that happened at `at`.
     fn is_since(&self, at: Now) -> bool {
         self.asked_at.is_some_and(|asked_at| asked_at >= at)
--- a/crates/jackdawpier_entry/src/configuration.rs
+++ b/crates/jackdawpier_entry/src/configuration.rs
@@ -37,7 +37,7 @@
     revision: Revision,
     heard_at: Option<Now>,
     proof: Proof,
-    /// What of the store's answers is on its way.
+    /// Answers with the document that are on their way.
     arrivals: Arrivals,
 }
 
@@ -77,12 +77,12 @@
         state.current.is_some() && last_sign.is_some_and(is_fresh)
     }
 
-    /// Has the store's answers noted while they come.
+    /// Has answers with the document noted while they come.
     pub(crate) fn note(&self, arrivals: Arrivals) {
         self.state.borrow_mut().arrivals = arrivals;
     }
 
-    /// Whether an answer of the store has begun to come and isn't whole yet.
+    /// Whether an answer with the document has begun to come and isn't whole yet.
     pub(crate) fn is_receiving(&self) -> bool {
         self.state.borrow().arrivals.is_under_way()
     }
--- a/crates/jackdawpier_entry/src/freshness.rs
+++ b/crates/jackdawpier_entry/src/freshness.rs
@@ -78,10 +78,10 @@
     events.emit(event, json!({ "age_ms": age_ms, "why": why }));
 }
 
-/// Waits while the store is sending something large, for as long as the last proof allows: it may be the changed
-/// configuration, and a second copy would halve the speed of the first.
+/// Waits while the changed configuration is on its way: what is in force can't be proved any more, and a second copy
+/// would halve the speed of the first.
 async fn wait_for_arrivals(active: &Active) {
-    while active.is_receiving() && active.proof().is_young(clock::now()) {
+    while active.is_receiving() {
         tokio::time::sleep(ARRIVAL_LOOK).await;
     }
 }
@@ -175,7 +175,7 @@
         }
         let is_own = self.shared.is_own();
         let reading = self.look().await?;
-        if self.is_behind_for_long() {
+        if self.is_behind_for_long() && !self.active.is_receiving() && !self.has_read_lately() {
             return self.read().await;
         }
         if self.next == Next::Look {
@@ -255,8 +255,11 @@
         let proof = self.active.proof();
         let patience = proof.holds_for.map_or(INTERVAL, |holds_for| holds_for / 2);
         let is_old = proof.asked_at.is_none_or(|at| clock::since(at) >= patience);
-        let is_read = self.read_at.is_some_and(|at| clock::since(at) < INTERVAL);
-        if is_old && !is_read { self.read().await } else { Ok(()) }
+        if is_old && !self.has_read_lately() { self.read().await } else { Ok(()) }
+    }
+
+    fn has_read_lately(&self) -> bool {
+        self.read_at.is_some_and(|at| clock::since(at) < INTERVAL)
     }
 
     async fn read(&mut self) -> CallResult<()> {
@@ -275,6 +278,10 @@
         if newest.revision == self.active.revision() {
             self.active.proved(asked_at);
             self.next = Next::Look;
+        } else {
+            // It can't be used, and each conflict would bring it again.
+            self.read_at = Some(clock::now());
+            self.held_back_until = clock::now() + 2 * HOLD_BACK;
         }
     }
 }
--- a/crates/jackdawpier_entry/tests/key_proof.rs
+++ b/crates/jackdawpier_entry/tests/key_proof.rs
@@ -152,3 +152,19 @@
         assert!(active.can_prove_keys(clock::now()));
     });
 }
+
+/// A newest document that can't be read was sent again by each proof.
+#[test]
+fn unreadable_document() {
+    run(async {
+        let fake = Fake::default();
+        let active = start(&fake, "1 standing:shop").await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fake.put(KEY, b"unreadable");
+        let before = fake.commits() + fake.reads_of(KEY) + fake.listings_of(KEY);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        let after = fake.commits() + fake.reads_of(KEY) + fake.listings_of(KEY) - before;
+        drop(active);
+        assert!(after <= 6, "{after} transfers of the document in six seconds");
+    });
+}
