Give an executor that has started again no longer lease than the next owner counts on

By the trace i-1 starts again under its id, answers at 111.13, and the owner takes its lease for the longest that an order to its former life may have left; it then gave that one itself, with the start at 111.25. The owner changes at 111.52, the executor is cut off at 111.77; the next owner counts on the usual length, takes all there for lapsed at 117.13 and starts the task elsewhere at 117.25, while the executor runs on. What may have been given is remembered for the judgement that all has lapsed, as before; what is given is of the usual length. For an executor that has been silent for too long it is counted from its last answer. lives::lease_of_former and long_lease fail before (a task runs on two executors) and pass.

--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -168,8 +168,10 @@
     /// It has answered under this ownership, so nothing of an earlier owner can start there.
     pub(crate) is_synced: bool,
     clock: Option<ClockReading>,
-    /// The longest lease that may have been given, by its clock.
+    /// The longest lease that may have been given, by this process or before, by its clock.
     lease_until: Option<Duration>,
+    /// The longest that this process has given.
+    granted_until: Option<Duration>,
     /// When everything of earlier owners has lapsed there, even if it never answers.
     pub(crate) doubt_until: Now,
     pub(crate) tasks: BTreeSet<TaskRef>,
@@ -214,6 +216,7 @@
             is_synced: false,
             clock: None,
             lease_until: None,
+            granted_until: None,
             doubt_until,
             tasks: BTreeSet::new(),
             per_slot: BTreeMap::new(),
@@ -319,12 +322,13 @@
     pub(crate) fn grant_lease(&mut self, now: Now, lease: Duration) -> Option<Duration> {
         let reading = self.clock?;
         let silent_for = now.saturating_sub(reading.at);
-        if silent_for > RAISE_WHILE_HEARD_WITHIN {
-            return self.lease_until;
-        }
-        let until = reading.executor_clock + silent_for + lease;
-        self.lease_until = Some(self.lease_until.map_or(until, |given| given.max(until)));
-        self.lease_until
+        let raised_by =
+            if silent_for > RAISE_WHILE_HEARD_WITHIN { Duration::ZERO } else { silent_for };
+        // What may have been given before isn't given again: a later owner counts on leases of the usual length.
+        let until = reading.executor_clock + raised_by + lease;
+        self.granted_until = self.granted_until.max(Some(until));
+        self.lease_until = self.lease_until.max(self.granted_until);
+        self.granted_until
     }
 
     /// Whether all that this process ever started here has lapsed.
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -73,6 +73,8 @@
 const TAKEN_BEFORE: [u64; 4] = [50_313, 102_585, 104_788, 106_746];
 /// Seeds with a lasting task whose first trial was hit by an accident: it is back after a minute only.
 const ACCIDENT_ON_TRIAL: [u64; 5] = [3351, 4050, 72231, 73043, 73922];
+/// A seed with a task that ran twice after its executor had started again under its id and the owner had changed.
+const LONG_LEASE: [u64; 1] = [961_816];
 /// A seed with a gang of which hardly a start was ever confirmed.
 const GANG_UNCONFIRMED: [u64; 1] = [60294];
 /// A seed with a gang for which there is never room at once beside lasting work.
@@ -344,6 +346,13 @@
     play_all(&TAKEN_BEFORE, Kind::Lasting);
 }
 
+/// An executor that had started again had a longer lease than the next owner counted on, so that a task ran twice.
+#[test]
+fn long_lease() {
+    play_all(&LONG_LEASE, Kind::Lasting);
+    play_all(&LONG_LEASE, Kind::Returning);
+}
+
 /// A lasting task was held back for a minute since its executor crashed by itself during its trial.
 #[test]
 fn accident_on_trial() {
--- a/crates/jackdawpier_fleet/tests/lives.rs
+++ b/crates/jackdawpier_fleet/tests/lives.rs
@@ -83,3 +83,27 @@
     assert_eq!(outcome, Some(JobOutcome::Failed));
     assert_eq!(world.crashes.most_under("bad"), 2);
 }
+
+/// The next owner counts on a lease of the usual length, also where the executor has started again under its id.
+#[test]
+fn lease_of_former() {
+    let mut world = world_of(2);
+    world.submit("other", "q-view", job(vec![step(1, 8, 4_000)]));
+    world.run_for(Duration::from_millis(500));
+    let is_other = world.machine_of_task("other").ends_with('0');
+    let machine = if is_other { "m-view-1" } else { "m-view-0" };
+    world.crash(machine, Some(Duration::from_millis(300)));
+    world.submit("j", "q-view", job(vec![step(1, 6, 20_000)]));
+    for _ in 0..100 {
+        if world.runs_of("j") == 0 {
+            world.run_for(world::STEP);
+        }
+    }
+    assert_eq!(world.runs_of("j"), 1);
+    world.take_over();
+    world.run_for(Duration::from_millis(50));
+    let cut = world.executor_of(machine);
+    world.executors.get_mut(&cut).expect("it lives").cut(true);
+    let outcome = world.run_until_over("j", Duration::from_secs(40));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
