--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -75,6 +75,8 @@
 const ACCIDENT_ON_TRIAL: [u64; 5] = [3351, 4050, 72231, 73043, 73922];
 /// A seed with a task that ran twice after its executor had started again under its id and the owner had changed.
 const LONG_LEASE: [u64; 1] = [961_816];
+/// A seed with a cause whose crashes were taken back for answers of its executor's next life.
+const CLEARED_BY_RETURN: [u64; 1] = [933_380];
 /// A seed with a gang of which hardly a start was ever confirmed.
 const GANG_UNCONFIRMED: [u64; 1] = [60294];
 /// A seed with a gang for which there is never room at once beside lasting work.
@@ -353,6 +355,12 @@
     play_all(&LONG_LEASE, Kind::Returning);
 }
 
+/// A cause was started three times after three crashes, since its executor had come back under its id.
+#[test]
+fn cleared_by_return() {
+    play_all(&CLEARED_BY_RETURN, Kind::Returning);
+}
+
 /// A lasting task was held back for a minute since its executor crashed by itself during its trial.
 #[test]
 fn accident_on_trial() {
