Don't count answers of an executor's next life as life of a run that it doesn't list

By the trace its run was being stopped when the executor crashed at 118.04 and came back under its id at 120.04; when that life was lost at 121.2 its answers counted as three seconds of life of the run, and three crashes were taken back. A run that the next life doesn't list isn't confirmed any more. cleared_by_return fails before and passes. lasting_histories and lasting_returns, 2,000 each from 980,000: none fails; the other kinds weren't run.

--- a/crates/jackdawpier_fleet/src/fleet/lives.rs
+++ b/crates/jackdawpier_fleet/src/fleet/lives.rs
@@ -75,7 +75,11 @@
             Phase::Starting { .. } => {
                 self.stop_task(now, task_ref, StopReason::ExecutorRestarted);
             }
-            Phase::Stopping { confirmed_at, .. } => *confirmed_at = None,
+            Phase::Stopping { confirmed_at, .. } => {
+                *confirmed_at = None;
+                // What the new life answers says nothing of this run.
+                task.confirmed_at = None;
+            }
             _ => {}
         }
     }
