Count a machine as away while an order about it that wasn't answered may still be carried out

What callers would see: tasks that serve ended while as many others of their step are away as may be.

Cause: an order that isn't answered is repeated. If the next one is refused, for the platform's limit or since the machine isn't up, that was read as "nothing was done" for the first one as well, which may be carried out seconds later.

Now such a machine counts as ordered for as long as a late order may take, the time for which those of an earlier owner are waited for. Test: late_order, seen failing before (another machine of the step was ordered).

--- a/crates/jackdawpier_fleet/src/fleet/maintenance.rs
+++ b/crates/jackdawpier_fleet/src/fleet/maintenance.rs
@@ -225,8 +225,12 @@
             }
             MachineOrderEnd::Busy | MachineOrderEnd::NotTaken => {
                 errand.not_before = now + BUSY_PAUSE;
-                // Nothing was done, so all conditions have to hold anew.
-                errand.stage = Stage::Vacating { since: now };
+                errand.stage = if now < errand.unsure_until {
+                    Stage::Ordered { at: now, is_under_way: false }
+                } else {
+                    // Nothing was done, so all conditions have to hold anew.
+                    Stage::Vacating { since: now }
+                };
             }
             MachineOrderEnd::Refused => {
                 match &order.work {
@@ -243,6 +247,7 @@
                 self.machines.errands.remove(&order.machine);
             }
             MachineOrderEnd::Unanswered => {
+                errand.unsure_until = now + self.settings.order_lease;
                 if let Stage::Ordered { is_under_way, .. } = &mut errand.stage {
                     *is_under_way = false;
                 }
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -42,7 +42,15 @@
         let not_before = self.machines.free_from(&machine);
         let (lasting, others) = self.load_of(&machine);
         let tasks = lasting + others;
-        let errand = Errand { work, stage, executor, not_before, tasks, progress_at: now };
+        let errand = Errand {
+            work,
+            stage,
+            executor,
+            not_before,
+            unsure_until: Now::ZERO,
+            tasks,
+            progress_at: now,
+        };
         self.machines.errands.insert(machine, errand);
     }
 
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -122,6 +122,8 @@
     pub(crate) executor: Option<ExecutorId>,
     /// Not to be ordered before this time, after a refusal.
     pub(crate) not_before: Now,
+    /// Until then an order that wasn't answered may still be carried out, whatever becomes of later ones.
+    pub(crate) unsure_until: Now,
     /// Tasks that ran there when it was last looked at.
     pub(crate) tasks: usize,
     /// When it began, or a task last left the machine.
--- a/crates/jackdawpier_fleet/tests/spared_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/spared_tasks.rs
@@ -3,10 +3,10 @@
 
 mod world;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use jackdawpier_fleet::{
-    machines::{MachineWork, Wave},
+    machines::{MachineOrderEnd, MachineWork, Wave},
     spec::StepSpec,
 };
 use world::{World, job, step};
@@ -136,10 +136,7 @@
     let mut world = World::new(&["view"], 5);
     world.submit("j", "q-view", job(vec![lasting(3)]));
     world.run_for(Duration::from_secs(7));
-    let is_busy = |machine: &&Arc<str>| {
-        world.executors[&world.executor_of(machine)].running().next().is_some()
-    };
-    let busy: Vec<Arc<str>> = world.machines.keys().filter(is_busy).cloned().collect();
+    let busy = world.busy_machines();
     let busy: Vec<&str> = busy.iter().map(|machine| &**machine).collect();
     assert_eq!(busy.len(), 3);
     world.machine_order_delay = Duration::from_millis(1500);
@@ -159,6 +156,30 @@
     assert_eq!(world.machine_orders.len(), 3);
 }
 
+/// An order that wasn't answered may still be carried out, also after the refusal of the next one about that machine.
+#[test]
+fn late_order() {
+    let mut world = World::new(&["view"], 5);
+    world.submit("j", "q-view", job(vec![lasting(3)]));
+    world.run_for(Duration::from_secs(7));
+    let busy = world.busy_machines();
+    let busy: Vec<&str> = busy.iter().map(|machine| &**machine).collect();
+    world.machine_order_delay = Duration::from_millis(2500);
+    world.waves.push(wave(&busy, 1));
+    let first = world.run_until_ordered();
+    world.machine_order_delay = Duration::ZERO;
+    world.takes_machine_orders = false;
+    world.run_for(Duration::from_millis(800));
+    world.fleet.machine_order_ended(world.now, &first, MachineOrderEnd::Unanswered);
+    world.run_for(Duration::from_millis(300));
+    world.takes_machine_orders = true;
+    world.run_for(Duration::from_millis(1000));
+    let of_others = world.machine_orders.iter().filter(|(_, order)| order.machine != first.machine);
+    assert_eq!(of_others.count(), 0, "one may be away already");
+    world.run_for(Duration::from_secs(20));
+    assert!(world.machine_orders.len() >= 3);
+}
+
 /// A machine that is due holds tasks of a step that can spare one and of a step that can't any more:
 /// the former moves away meanwhile, so that the machine only waits for the latter.
 #[test]
--- a/crates/jackdawpier_fleet/tests/world/machines.rs
+++ b/crates/jackdawpier_fleet/tests/world/machines.rs
@@ -4,7 +4,7 @@
 
 use jackdawpier_fleet::machines::{MachineOrder, MachineOrderEnd, MachineState, MachineWork};
 
-use super::{MAINTENANCE, MIGRATION, Machine, ORDER_LEASE, World};
+use super::{MAINTENANCE, MIGRATION, Machine, ORDER_LEASE, STEP, World};
 
 impl World {
     pub(super) fn state_of(&self, machine: &Machine) -> MachineState {
@@ -16,6 +16,24 @@
         }
     }
 
+    /// Machines on which something runs.
+    pub fn busy_machines(&self) -> Vec<Arc<str>> {
+        let is_busy = |machine: &&Arc<str>| {
+            self.executors[&self.executor_of(machine)].running().next().is_some()
+        };
+        self.machines.keys().filter(is_busy).cloned().collect()
+    }
+
+    /// Runs until an order about a machine is under way, and returns it.
+    pub fn run_until_ordered(&mut self) -> MachineOrder {
+        loop {
+            if let Some((.., order)) = self.machine_orders_under_way.first() {
+                return order.clone();
+            }
+            self.run_for(STEP);
+        }
+    }
+
     pub(super) fn return_machines(&mut self) {
         let due: Vec<(Arc<str>, Arc<str>)> = self
             .machines
