--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -64,7 +64,7 @@
 /// Seeds with a job that was given up after a single crash, without lasting work ...
 const GIVEN_UP_BEFORE: [u64; 8] = [319, 864, 1800, 9270, 50_355, 106_001, 106_567, 107_556];
 /// ... and beside it.
-const GIVEN_UP_BESIDE_BEFORE: [u64; 2] = [1017, 1424];
+const GIVEN_UP_BESIDE_BEFORE: [u64; 3] = [1017, 1424, 613_872];
 /// Seeds with runs that ended in the moments between a cut and the crash of their executor, without lasting work ...
 const ENDED_BEHIND_CUT: [u64; 1] = [711_000];
 /// ... and beside it.
