Wait for a large body by its size, instead of by a transport of our own

The own interface's client had a transport of its own, with a dyn reference that its trait asks for on the way of each call of the store, to keep the send buffer small, so that an upload under way doesn't look like a silent peer.

--- a/crates/jackdawpier_client/src/lib.rs
+++ b/crates/jackdawpier_client/src/lib.rs
@@ -5,13 +5,12 @@
 //! reading is given up, begins again from nothing, and keeps the link full. A silent peer is given
 //! up as soon as with such a limit.
 
-mod transport;
-
 use std::{io, time::Duration};
 
-use ureq::{Agent, Error, Timeout, config::Config, unversioned::resolver::DefaultResolver};
+use ureq::{Agent, Error, Timeout, config::Config};
 
-use crate::transport::SmallBufferConnector;
+/// Least rate at which the body of a call is taken to leave, in bytes a second.
+const LEAST_SENDING_BYTES_PER_S: f64 = 100_000.0;
 
 /// How long a client waits, and what it keeps open.
 #[derive(Debug, Clone, Copy)]
@@ -27,7 +26,7 @@
 /// Returns an agent that gives every answer with its status, whatever that is.
 ///
 /// The time without a byte is `timeout_per_read` and `timeout_per_write` of its configuration, so a
-/// call that may be quiet for longer can raise the former.
+/// call that may be quiet for longer, or has a large body ([`sending_time`]), can raise the former.
 pub fn agent(limits: ClientLimits) -> Agent {
     let config = Config::builder()
         .timeout_connect(Some(limits.connect))
@@ -36,7 +35,13 @@
         .http_status_as_error(false)
         .max_idle_connections_per_host(limits.idle_connections)
         .build();
-    Agent::with_parts(config, SmallBufferConnector, DefaultResolver::default())
+    config.new_agent()
+}
+
+/// Time for a body to leave after it was written: the system takes in megabytes at once, so the call seems to be sent
+/// long before it is, and the peer silent.
+pub fn sending_time(body_bytes: usize) -> Duration {
+    Duration::from_secs_f64(body_bytes as f64 / LEAST_SENDING_BYTES_PER_S)
 }
 
 /// Whether a call failed before any byte of it was sent.
--- a/crates/jackdawpier_store/src/client.rs
+++ b/crates/jackdawpier_store/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawpier_client::{ClientLimits, is_not_sent};
+use jackdawpier_client::{ClientLimits, is_not_sent, sending_time};
 
 use crate::{Request, Response, StoreError, StoreResult};
 
@@ -44,7 +44,7 @@
             .agent
             .post(&self.url)
             .config()
-            .timeout_per_read(Some(SILENCE_TIMEOUT + wait))
+            .timeout_per_read(Some(SILENCE_TIMEOUT + wait + sending_time(body.len())))
             .build()
             .header("content-type", "application/json")
             .send(&body)
