--- a/crates/jackdawpier_fleet/src/fleet/clearing.rs
+++ b/crates/jackdawpier_fleet/src/fleet/clearing.rs
@@ -1,6 +1,6 @@
 //! Lasting work that makes way for work that else never finds room.
 //!
-//! It may stand so that no executor has enough left for a task, or too few have for a gang, though there is room in all. Nothing that
+//! It may be spread so that no executor has enough left for a task, or too few have for a gang, though there is room in all. Nothing that
 //! ends makes room then. If no machine can be had either, some of it moves beside the rest, each task as its step allows, and the
 //! executors are kept meanwhile for what waits.
 
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    Fleet, Shortage, StopReason, clearing_plan::Shift, openings::Openings, pool_view::Pool,
+    Fleet, Shortage, StopReason, clearing_plan::Relocation, openings::Openings, pool_view::Pool,
 };
 use crate::{
     executor::{Executor, TaskRef},
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 struct Clearing {
     task: TaskRef,
-    shifts: Vec<Shift>,
+    relocations: Vec<Relocation>,
     kept: BTreeSet<ExecutorId>,
     until: Now,
 }
@@ -68,7 +68,7 @@
         let Some(openings) = openings.get(service) else { return };
         let Some(plan) = self.plan_clearing(now, &stuck.task, &openings.executors) else { return };
         let (task, until) = (stuck.task.clone(), now + KEPT_FOR);
-        let clearing = Clearing { task, shifts: plan.shifts, kept: plan.kept, until };
+        let clearing = Clearing { task, relocations: plan.relocations, kept: plan.kept, until };
         self.clearings.open.insert(service.clone(), clearing);
     }
 
@@ -83,8 +83,11 @@
             if !self.is_of_use(now, &clearing) {
                 continue;
             }
-            clearing.shifts.iter().for_each(|shift| self.go_on_shifting(now, shift, openings));
-            let is_placed = !self.is_shifting(&clearing)
+            clearing
+                .relocations
+                .iter()
+                .for_each(|relocation| self.go_on_relocating(now, relocation, openings));
+            let is_placed = !self.is_relocating(&clearing)
                 && self.place_job(now, &clearing.task.0, openings, 1)
                 && !self.waits(&clearing.task);
             if is_placed {
@@ -110,16 +113,16 @@
     }
 
     /// Whether a task that was stopped has yet to start where it goes.
-    fn is_shifting(&self, clearing: &Clearing) -> bool {
-        clearing.shifts.iter().any(|shift| self.waits(&shift.task))
+    fn is_relocating(&self, clearing: &Clearing) -> bool {
+        clearing.relocations.iter().any(|relocation| self.waits(&relocation.task))
     }
 
     /// Stops a task once its step can spare it and there is room where it goes, and starts it there.
-    fn go_on_shifting(&mut self, now: Now, shift: &Shift, openings: &Openings) {
-        let Shift { task, from, to } = shift;
+    fn go_on_relocating(&mut self, now: Now, relocation: &Relocation, openings: &Openings) {
+        let Relocation { task, from, to } = relocation;
         let Some(job) = self.jobs.get(&task.0) else { return };
         let Some(target) = self.executors.get(to) else { return };
-        if !openings.executors.contains(to) || !self.takes_shifted(now, task, target) {
+        if !openings.executors.contains(to) || !self.takes_relocated(now, task, target) {
             return;
         }
         let phase = &job.tasks[task.1].phase;
@@ -128,7 +131,7 @@
                 self.stop_task(now, task, StopReason::MakesRoom);
             }
         } else if self.waits(task) && !self.is_suspect(job, task.1) {
-            self.start_shifted(task, to);
+            self.start_relocated(task, to);
         }
     }
 
@@ -140,7 +143,7 @@
         !is_watching && self.away_of(now, job, job.slot(*index)) < may_miss
     }
 
-    fn start_shifted(&mut self, (id, index): &TaskRef, to: &ExecutorId) {
+    fn start_relocated(&mut self, (id, index): &TaskRef, to: &ExecutorId) {
         if !self.is_within_cap(&self.jobs[id], *index) {
             return;
         }
--- a/crates/jackdawpier_fleet/src/fleet/clearing_plan.rs
+++ b/crates/jackdawpier_fleet/src/fleet/clearing_plan.rs
@@ -1,4 +1,4 @@
-//! Which lasting tasks have to stand elsewhere so that a task, or its gang, finds room.
+//! Which lasting tasks have to run elsewhere so that a task, or its gang, finds room.
 //!
 //! All moves are known before the first: half of them would cost the moved work and help nobody.
 
@@ -18,13 +18,13 @@
 };
 
 /// Tasks that move for one: more take longer than work waits that something ends for.
-const MOST_SHIFTS: usize = 8;
+const MOST_RELOCATIONS: usize = 8;
 /// Executors that are compared for the next moves, those first that lose least.
 const MOST_COMPARED: usize = 16;
 
-/// A lasting task that is to stand elsewhere.
+/// A lasting task that is to run elsewhere.
 #[derive(Debug, Clone)]
-pub(super) struct Shift {
+pub(super) struct Relocation {
     pub(super) task: TaskRef,
     pub(super) from: ExecutorId,
     pub(super) to: ExecutorId,
@@ -33,16 +33,16 @@
 /// The moves that make room, and the executors that have it then.
 #[derive(Debug)]
 pub(super) struct ClearingPlan {
-    pub(super) shifts: Vec<Shift>,
+    pub(super) relocations: Vec<Relocation>,
     pub(super) kept: BTreeSet<ExecutorId>,
 }
 
 /// A task with the room that it takes.
 type SizedTask = (Resources, TaskRef);
 
-/// An executor beside what will have ended or moved.
+/// An executor that may be cleared, beside what will have ended or moved.
 #[derive(Debug)]
-struct Stand {
+struct Candidate {
     id: ExecutorId,
     /// Room beside its lasting work.
     room: Resources,
@@ -52,7 +52,7 @@
     movable: Vec<SizedTask>,
 }
 
-impl Stand {
+impl Candidate {
     fn fits(&self, need: &Resources) -> usize {
         self.room.count(need).min(self.most)
     }
@@ -96,34 +96,40 @@
         let job = self.jobs.get(id)?;
         let step = job.step(*index);
         let (need, wanted) = (step.booked(), together(step));
-        let mut stands: Vec<Stand> =
-            executors.iter().filter_map(|one| self.stand(now, one, job, *index)).collect();
-        let mut shifts = Vec::new();
-        let fits = |stands: &[Stand]| {
-            stands.iter().map(|one| one.fits(&need)).fold(0, usize::saturating_add)
+        let mut candidates: Vec<Candidate> =
+            executors.iter().filter_map(|one| self.candidate(now, one, job, *index)).collect();
+        let mut relocations = Vec::new();
+        let fits = |candidates: &[Candidate]| {
+            candidates.iter().map(|one| one.fits(&need)).fold(0, usize::saturating_add)
         };
-        while fits(&stands) < wanted {
-            let next = self.next_shifts(&stands, &need, &shifts)?;
-            next.iter().for_each(|shift| apply(shift, &mut stands));
-            shifts.extend(next);
-            if shifts.len() > MOST_SHIFTS {
+        while fits(&candidates) < wanted {
+            let next = self.next_relocations(&candidates, &need, &relocations)?;
+            next.iter().for_each(|relocation| apply(relocation, &mut candidates));
+            relocations.extend(next);
+            if relocations.len() > MOST_RELOCATIONS {
                 return None;
             }
         }
-        let kept = kept(&stands, &shifts, &need, wanted);
-        (!shifts.is_empty()).then_some(ClearingPlan { shifts, kept })
+        let kept = kept(&candidates, &relocations, &need, wanted);
+        (!relocations.is_empty()).then_some(ClearingPlan { relocations, kept })
     }
 
-    fn stand(&self, now: Now, id: &ExecutorId, job: &Job, index: TaskIndex) -> Option<Stand> {
+    fn candidate(
+        &self,
+        now: Now,
+        id: &ExecutorId,
+        job: &Job,
+        index: TaskIndex,
+    ) -> Option<Candidate> {
         let executor = self.executors.get(id)?;
         let mut movable: Vec<SizedTask> = executor
             .tasks
             .iter()
-            .filter(|task| !executor.is_watching(now) && self.may_shift(task))
+            .filter(|task| !executor.is_watching(now) && self.may_relocate(task))
             .map(|task| (self.jobs[&task.0].step(task.1).booked(), task.clone()))
             .collect();
         movable.sort_by_key(|(size, _)| size.cpu_millicores);
-        Some(Stand {
+        Some(Candidate {
             id: id.clone(),
             room: self.room_beside_lasting(executor),
             most: fitting(executor, job, index, &Resources::MAX),
@@ -132,7 +138,7 @@
     }
 
     /// Whether a lasting task can simply run elsewhere: by itself, without a suspicion, near no data.
-    fn may_shift(&self, (id, index): &TaskRef) -> bool {
+    fn may_relocate(&self, (id, index): &TaskRef) -> bool {
         let Some(job) = self.jobs.get(id).filter(|job| !job.is_over()) else { return false };
         let step = job.step(*index);
         let needs_advice = self.queues.get(&job.queue).is_none_or(|queue| queue.needs_advice);
@@ -145,106 +151,119 @@
     }
 
     /// The moves off one executor that bring most room, by the fewest tasks.
-    fn next_shifts(
+    fn next_relocations(
         &self,
-        stands: &[Stand],
+        candidates: &[Candidate],
         need: &Resources,
-        before: &[Shift],
-    ) -> Option<Vec<Shift>> {
-        let blocked = stands.iter().filter_map(|stand| Some((stand, stand.in_the_way(need)?)));
-        let mut blocked: Vec<(&Stand, Vec<SizedTask>)> = blocked.collect();
+        before: &[Relocation],
+    ) -> Option<Vec<Relocation>> {
+        let blocked = candidates
+            .iter()
+            .filter_map(|candidate| Some((candidate, candidate.in_the_way(need)?)));
+        let mut blocked: Vec<(&Candidate, Vec<SizedTask>)> = blocked.collect();
         blocked.sort_by_key(|(_, tasks)| {
             (tasks.len(), tasks.iter().map(|(size, _)| size.cpu_millicores).sum::<u64>())
         });
         let compared = blocked.into_iter().take(MOST_COMPARED);
         let found = compared.filter_map(|(from, tasks)| {
-            let (shifts, lost) = self.move_off(from, &tasks, stands, need, before)?;
+            let (relocations, lost) = self.move_off(from, &tasks, candidates, need, before)?;
             let mut room = from.room;
             tasks.iter().for_each(|(size, _)| room.add(size));
             let won = room.count(need).min(from.most) - from.fits(need);
-            (won > lost).then(|| (won - lost, Reverse(tasks.len()), shifts))
+            (won > lost).then(|| (won - lost, Reverse(tasks.len()), relocations))
         });
         let best = found.max_by_key(|(won, count, _)| (*won, *count));
-        best.map(|(.., shifts)| shifts)
+        best.map(|(.., relocations)| relocations)
     }
 
     /// Where tasks go from an executor, and how many of those that wait find no room there any more.
     fn move_off(
         &self,
-        from: &Stand,
+        from: &Candidate,
         tasks: &[SizedTask],
-        stands: &[Stand],
+        candidates: &[Candidate],
         need: &Resources,
-        before: &[Shift],
-    ) -> Option<(Vec<Shift>, usize)> {
-        let mut rooms: Vec<Resources> = stands.iter().map(|stand| stand.room).collect();
-        let mut shifts = before.to_vec();
+        before: &[Relocation],
+    ) -> Option<(Vec<Relocation>, usize)> {
+        let mut rooms: Vec<Resources> = candidates.iter().map(|candidate| candidate.room).collect();
+        let mut relocations = before.to_vec();
         let mut lost = 0;
         for (size, task) in tasks.iter().rev() {
-            let choices = stands.iter().enumerate().filter_map(|(place, stand)| {
-                let can_stand = stand.id != from.id
+            let choices = candidates.iter().enumerate().filter_map(|(place, candidate)| {
+                let can_stand = candidate.id != from.id
                     && size.fits(&rooms[place])
-                    && self.may_stand(task, &stand.id, &shifts);
+                    && self.may_stand(task, &candidate.id, &relocations);
                 let left = rooms[place].minus(size);
-                let fits = |room: &Resources| room.count(need).min(stand.most);
+                let fits = |room: &Resources| room.count(need).min(candidate.most);
                 let loses = fits(&rooms[place]) - fits(&left);
                 can_stand.then_some((loses, left.cpu_millicores, place))
             });
             let (loses, _, place) = choices.min()?;
             rooms[place].subtract(size);
             lost += loses;
-            let (from, to) = (from.id.clone(), stands[place].id.clone());
-            shifts.push(Shift { task: task.clone(), from, to });
+            let (from, to) = (from.id.clone(), candidates[place].id.clone());
+            relocations.push(Relocation { task: task.clone(), from, to });
         }
-        Some((shifts.split_off(before.len()), lost))
+        Some((relocations.split_off(before.len()), lost))
     }
 
-    /// Whether a task may stand on an executor once others have moved there.
-    fn may_stand(&self, (id, index): &TaskRef, to: &ExecutorId, shifts: &[Shift]) -> bool {
+    /// Whether a task may run on an executor once others have moved there.
+    fn may_stand(
+        &self,
+        (id, index): &TaskRef,
+        to: &ExecutorId,
+        relocations: &[Relocation],
+    ) -> bool {
         let Some(executor) = self.executors.get(to) else { return false };
         let job = &self.jobs[id];
         let slot = job.slot(*index);
-        let is_alike = |shift: &&Shift| {
-            let (other, place) = &shift.task;
-            shift.to == *to && other == id && job.slot(*place) == slot
+        let is_alike = |relocation: &&Relocation| {
+            let (other, place) = &relocation.task;
+            relocation.to == *to && other == id && job.slot(*place) == slot
         };
-        let coming = shifts.iter().filter(is_alike).count() as u32;
+        let coming = relocations.iter().filter(is_alike).count() as u32;
         let most = job.step(*index).max_per_executor;
         may_run(executor, job, *index)
             && (most == 0 || tasks_here(executor, job, *index) + coming < most)
     }
 
     /// Whether an executor has room for a task that is to move there now.
-    pub(super) fn takes_shifted(&self, now: Now, task: &TaskRef, to: &Executor) -> bool {
+    pub(super) fn takes_relocated(&self, now: Now, task: &TaskRef, to: &Executor) -> bool {
         let job = &self.jobs[&task.0];
         !to.is_watching(now) && super::placement::suits(to, job, task.1, None)
     }
 }
 
-fn apply(shift: &Shift, stands: &mut [Stand]) {
-    let Some(from) = stands.iter_mut().find(|stand| stand.id == shift.from) else { return };
-    let Some(place) = from.movable.iter().position(|(_, task)| *task == shift.task) else { return };
+fn apply(relocation: &Relocation, candidates: &mut [Candidate]) {
+    let Some(from) = candidates.iter_mut().find(|candidate| candidate.id == relocation.from) else {
+        return;
+    };
+    let Some(place) = from.movable.iter().position(|(_, task)| *task == relocation.task) else {
+        return;
+    };
     let (size, _) = from.movable.remove(place);
     from.room.add(&size);
-    if let Some(to) = stands.iter_mut().find(|stand| stand.id == shift.to) {
+    if let Some(to) = candidates.iter_mut().find(|candidate| candidate.id == relocation.to) {
         to.room.subtract(&size);
     }
 }
 
 /// The executors on which those that wait will fit, and all that a move touches.
 fn kept(
-    stands: &[Stand],
-    shifts: &[Shift],
+    candidates: &[Candidate],
+    relocations: &[Relocation],
     need: &Resources,
     wanted: usize,
 ) -> BTreeSet<ExecutorId> {
-    let mut kept: BTreeSet<ExecutorId> =
-        shifts.iter().flat_map(|shift| [shift.from.clone(), shift.to.clone()]).collect();
-    let is_touched = |stand: &&Stand| kept.contains(&stand.id);
-    let mut found: usize = stands.iter().filter(is_touched).map(|one| one.fits(need)).sum();
-    for stand in stands {
-        if found < wanted && stand.fits(need) > 0 && kept.insert(stand.id.clone()) {
-            found += stand.fits(need);
+    let mut kept: BTreeSet<ExecutorId> = relocations
+        .iter()
+        .flat_map(|relocation| [relocation.from.clone(), relocation.to.clone()])
+        .collect();
+    let is_touched = |candidate: &&Candidate| kept.contains(&candidate.id);
+    let mut found: usize = candidates.iter().filter(is_touched).map(|one| one.fits(need)).sum();
+    for candidate in candidates {
+        if found < wanted && candidate.fits(need) > 0 && kept.insert(candidate.id.clone()) {
+            found += candidate.fits(need);
         }
     }
     kept
