--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -409,9 +409,13 @@
     let innocents = jobs.iter().filter(is_failed).filter(|id| !is_cause(id)).count();
     let gaps = world.lasting.gaps.iter().filter(|(task, _)| !world.crashes.is_cause(task));
     let gaps_ms: Vec<u128> = gaps.map(|(_, gap)| gap.as_millis()).collect();
+    let pauses = world.lasting.pauses.iter().filter(|pause| !world.crashes.is_cause(&pause.task));
+    let pauses_s: Vec<Option<u64>> =
+        pauses.map(|pause| pause.lasts_for.map(|time| time.as_secs())).collect();
     let (crashed, lasting) = (world.crashes.executors, lasting.len());
     println!(
-        "seed {seed}: crashed {crashed}, given up {innocents}, lasting jobs {lasting}, away {gaps_ms:?} ms"
+        "seed {seed}: crashed {crashed}, given up {innocents}, lasting jobs {lasting}, away {gaps_ms:?} ms, \
+         held back {pauses_s:?} s"
     );
 }
 
--- a/crates/jackdawpier_fleet/tests/world/lasting.rs
+++ b/crates/jackdawpier_fleet/tests/world/lasting.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use jackdawpier_fleet::spec::{StepSpec, TaskKey};
+use jackdawpier_fleet::{
+    fleet::Pause,
+    spec::{StepSpec, TaskKey},
+};
 
 use super::{World, executor::FakeExecutor};
 
@@ -21,6 +24,8 @@
     ordered_away: BTreeSet<TaskKey>,
     /// How long tasks weren't at work between two times at which they were.
     pub gaps: Vec<(TaskKey, Duration)>,
+    /// Tasks that were held back.
+    pub pauses: Vec<Pause>,
 }
 
 impl World {
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -446,12 +446,14 @@
 
     fn carry_out(&mut self) {
         let blames = self.fleet.take_blames();
+        let pauses = self.fleet.take_pauses();
         if std::env::var("TRACE").is_ok() {
             blames.iter().for_each(|blame| println!("{:?} {blame:?}", self.now));
             self.fleet.take_losses().iter().for_each(|one| println!("{:?} {one:?}", self.now));
-            self.fleet.take_pauses().iter().for_each(|one| println!("{:?} {one:?}", self.now));
+            pauses.iter().for_each(|pause| println!("{:?} {pause:?}", self.now));
             self.fleet.take_given_up().iter().for_each(|one| println!("{:?} {one:?}", self.now));
         }
+        self.lasting.pauses.extend(pauses);
         for command in self.fleet.take_commands() {
             if std::env::var("TRACE").is_ok() {
                 println!("{:?} fence {}: {command:?}", self.now, self.fence);
