Count the time before an owner's first list of machines as one without lists

A job was failed after a single crash: lasting_returns and lasting_histories (job-6), in each of its plays.

Cause: where no list of machines was seen for two seconds a loss is no certain crash, since the executor may have been cut off first. The gap before an owner's first list counted as none. By the trace of the seed this owner began at 109.5 and had its first list at 112.8; job-6's run on i-16 was confirmed at 111.53, cut off at 111.65 and over before job-5 crashed i-16 at 112.2. The list showed i-16 gone, the crash counted as certain and sudden, and the next, under job-5 again, as the second telling one. The gap counts from the owner's begin now, so that the loss is unconfirmed, as in any other gap of that length.

crashing_tasks::ended_unlisted and histories::ended_unlisted (the seed, two kinds) were seen failing before.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -162,7 +162,7 @@
     /// Returns the state of an owner that has just taken over.
     pub fn new(settings: FleetSettings, now: Now) -> Self {
         Self {
-            machines: Machines::new(now + settings.order_lease),
+            machines: Machines::new(now, now + settings.order_lease),
             settings,
             started_at: now,
             queues: BTreeMap::new(),
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -169,7 +169,7 @@
     held: BTreeMap<MachineId, Now>,
     pub(crate) listed: BTreeMap<MachineId, MachineInfo>,
     pub(crate) has_listing: bool,
-    /// When the last list was asked for, and how long after the one before.
+    /// When the last list was asked for, or this owner began, and how long after the one before or that.
     listed_at: Now,
     list_gap: Duration,
     pub(crate) errands: BTreeMap<MachineId, Errand>,
@@ -184,13 +184,13 @@
 }
 
 impl Machines {
-    pub(crate) fn new(orders_from: Now) -> Self {
+    pub(crate) fn new(started_at: Now, orders_from: Now) -> Self {
         Self {
             orders_from,
             held: BTreeMap::new(),
             listed: BTreeMap::new(),
             has_listing: false,
-            listed_at: Now::ZERO,
+            listed_at: started_at,
             list_gap: Duration::ZERO,
             errands: BTreeMap::new(),
             waves: BTreeMap::new(),
@@ -253,9 +253,7 @@
                 errand.executor.clone_from(&info.executor);
             }
         }
-        let is_first = !self.has_listing;
-        self.list_gap =
-            if is_first { Duration::ZERO } else { asked_at.saturating_sub(self.listed_at) };
+        self.list_gap = asked_at.saturating_sub(self.listed_at);
         self.listed_at = asked_at;
         self.has_listing = true;
         former
--- a/crates/jackdawpier_fleet/tests/crashing_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/crashing_tasks.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use jackdawpier_fleet::{fleet::Command, record::JobOutcome};
-use world::{World, job, step};
+use world::{STEP, World, job, step};
 
 /// Long enough for ten runs that crash, each followed by the next listing of machines.
 const LONG: Duration = Duration::from_secs(30);
@@ -131,3 +131,33 @@
     });
     assert_eq!(starts.count(), 2, "one under the accident, and the one that ends well");
 }
+
+/// A run had ended behind a cut under an owner that had no list of machines yet, and its executor crashed later: that counted as a
+/// crash under it for certain, so that its job was failed with the next.
+#[test]
+fn ended_unlisted() {
+    let mut world = World::new(&["view"], 1);
+    world.hides_machines = true;
+    world.take_over();
+    world.run_for(Duration::from_secs(2));
+    world.submit("good", "q-view", job(vec![step(1, 1, 300)]));
+    run_until_started(&mut world, "good");
+    world.run_for(Duration::from_millis(50));
+    let executor = world.executor_of("m-view-0");
+    world.executors.get_mut(&executor).expect("it lives").cut(true);
+    world.run_for(Duration::from_millis(700));
+    world.crash("m-view-0", Some(Duration::from_secs(1)));
+    world.run_for(Duration::from_millis(200));
+    world.hides_machines = false;
+    run_until_started(&mut world, "good");
+    world.run_for(Duration::from_millis(150));
+    world.crash("m-view-0", Some(Duration::from_secs(1)));
+    assert_eq!(world.crashes.most_under("good"), 1);
+    assert_eq!(world.run_until_over("good", LONG), Some(JobOutcome::Completed));
+}
+
+fn run_until_started(world: &mut World, id: &str) {
+    while world.runs_of(id) == 0 {
+        world.run_for(STEP);
+    }
+}
--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -69,6 +69,8 @@
 const ENDED_BEHIND_CUT: [u64; 1] = [711_000];
 /// ... and beside it.
 const ENDED_BESIDE_CUT: [u64; 1] = [711_467];
+/// A seed with such a run under an owner that had no list of machines yet.
+const ENDED_UNLISTED: [u64; 1] = [1_306_565];
 /// Seeds with a machine that was taken by an old list, with lasting work on it.
 const TAKEN_BEFORE: [u64; 4] = [50_313, 102_585, 104_788, 106_746];
 /// Seeds with a lasting task whose first trial was hit by an accident: it is back after a minute only.
@@ -342,6 +344,13 @@
     play_all(&ENDED_BESIDE_CUT, Kind::Returning);
 }
 
+/// The same, under an owner that had no list of machines yet.
+#[test]
+fn ended_unlisted() {
+    play_all(&ENDED_UNLISTED, Kind::Lasting);
+    play_all(&ENDED_UNLISTED, Kind::Returning);
+}
+
 /// A machine with lasting work was taken for one on which nothing lived.
 #[test]
 fn taken_unseen() {
