List a job that was failed after one crash beside lasting work

Fresh histories of lasting_returns and lasting_histories fail (job-0). By its trace four of its starts were ordered 100, 10, 90 and 220 ms after their executors had crashed by themselves (100.73, 101.57, 104.49, 112.44); each counts as perhaps a crash, the run after next was hit by the crash of lasting-2 at 118.47, and as the second start after the third it was the last.

--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -85,6 +85,8 @@
 const GANG_BESIDE_LASTING: [u64; 1] = [54739];
 /// A seed with a job of which three of four starts went without a sure answer.
 const UNCONFIRMED_STARTS: [u64; 1] = [3496];
+/// A seed with four starts at executors that had crashed 10 to 220 ms before, beside lasting work.
+const UNCONFIRMED_BESIDE: [u64; 1] = [1_310_531];
 /// A seed with starts at executors that had fallen silent under what was watched there before.
 const SILENT_AFTER_WATCH: [u64; 1] = [931_148];
 /// A seed with a run that was reported as stopped in the moment in which its executor crashed.
@@ -394,6 +396,13 @@
     play_all(&UNCONFIRMED_STARTS, Kind::Plain);
 }
 
+/// The same beside lasting work, under which its executor crashed in the end.
+#[test]
+fn unconfirmed_beside() {
+    play_all(&UNCONFIRMED_BESIDE, Kind::Lasting);
+    play_all(&UNCONFIRMED_BESIDE, Kind::Returning);
+}
+
 /// A job was given up after one crash, since it was ordered to executors that had crashed under what was watched there before.
 #[test]
 fn silent_after_watch() {
