--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -169,8 +169,9 @@
     held: BTreeMap<MachineId, Now>,
     pub(crate) listed: BTreeMap<MachineId, MachineInfo>,
     pub(crate) has_listing: bool,
-    /// When the last list was asked for, or this owner began, and how long after the one before or that.
+    /// When the last list was asked for; before the first, when this owner began.
     listed_at: Now,
+    /// How long after the one before, or after this owner's begin, the last list was asked for.
     list_gap: Duration,
     pub(crate) errands: BTreeMap<MachineId, Errand>,
     pub(crate) waves: BTreeMap<WaveNumber, WaveProgress>,
