Wait for a job's first start by one function of the model

Three test files waited for it in loops of their own, one of them without a bound and one that went on where nothing had started: now all fail if nothing starts in twenty seconds, which is stricter. No other check changed.

--- a/crates/jackdawpier_fleet/tests/crashing_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/crashing_tasks.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use jackdawpier_fleet::{fleet::Command, record::JobOutcome};
-use world::{STEP, World, job, step};
+use world::{World, job, step};
 
 /// Long enough for ten runs that crash, each followed by the next listing of machines.
 const LONG: Duration = Duration::from_secs(30);
@@ -141,7 +141,7 @@
     world.take_over();
     world.run_for(Duration::from_secs(2));
     world.submit("good", "q-view", job(vec![step(1, 1, 300)]));
-    run_until_started(&mut world, "good");
+    world.run_until_started("good");
     world.run_for(Duration::from_millis(50));
     let executor = world.executor_of("m-view-0");
     world.executors.get_mut(&executor).expect("it lives").cut(true);
@@ -149,15 +149,9 @@
     world.crash("m-view-0", Some(Duration::from_secs(1)));
     world.run_for(Duration::from_millis(200));
     world.hides_machines = false;
-    run_until_started(&mut world, "good");
+    world.run_until_started("good");
     world.run_for(Duration::from_millis(150));
     world.crash("m-view-0", Some(Duration::from_secs(1)));
     assert_eq!(world.crashes.most_under("good"), 1);
     assert_eq!(world.run_until_over("good", LONG), Some(JobOutcome::Completed));
 }
-
-fn run_until_started(world: &mut World, id: &str) {
-    while world.runs_of(id) == 0 {
-        world.run_for(STEP);
-    }
-}
--- a/crates/jackdawpier_fleet/tests/heard_ends.rs
+++ b/crates/jackdawpier_fleet/tests/heard_ends.rs
@@ -11,9 +11,7 @@
 fn end_and_crash(is_heard: bool) -> World {
     let mut world = World::new(&["view"], 1);
     world.submit("j", "q-view", job(vec![step(1, 1, 500)]));
-    while world.runs_of("j") == 0 {
-        world.run_for(STEP);
-    }
+    world.run_until_started("j");
     if !is_heard {
         world.deaf_to = Some(world.executor_of("m-view-0"));
     }
--- a/crates/jackdawpier_fleet/tests/lasting_trials.rs
+++ b/crates/jackdawpier_fleet/tests/lasting_trials.rs
@@ -11,7 +11,6 @@
 
 /// A lasting task that may crash its executor is cleared by this much life.
 const PROOF: Duration = Duration::from_secs(2);
-const LIMIT: Duration = Duration::from_secs(20);
 
 fn lasting() -> StepSpec {
     StepSpec { is_long_running: true, may_miss: 1, ..step(1, 2, 0) }
@@ -23,16 +22,9 @@
     world
 }
 
-fn run_until_started(world: &mut World) {
-    let until = world.now + LIMIT;
-    while world.runs_of("lasting") == 0 && world.now < until {
-        world.run_for(STEP);
-    }
-}
-
 /// Its executor crashes without any task's doing, this long after its start.
 fn crash_after(world: &mut World, lived: Duration) {
-    run_until_started(world);
+    world.run_until_started("lasting");
     world.run_for(lived);
     let machine = world.machine_of_task("lasting");
     world.crash(&machine, Some(Duration::from_secs(2)));
@@ -52,7 +44,7 @@
 fn cleared_alive() {
     let mut world = world_with_lasting(3);
     for _ in 0..6 {
-        run_until_started(&mut world);
+        world.run_until_started("lasting");
         world.run_for(PROOF * 2);
         world.take_over();
         crash_after(&mut world, Duration::from_millis(500));
@@ -73,14 +65,14 @@
     world.submit("lasting", "q-view", job(vec![lasting()]));
     let bad = StepSpec { required_label: Some("gpu".into()), ..step(1, 2, 2_400) };
     world.submit("bad", "q-view", job(vec![bad]));
-    run_until_started(&mut world);
+    world.run_until_started("lasting");
     world.run_for(Duration::from_millis(50));
     assert_eq!(&*world.machine_of_task("lasting"), "m-view-0");
     world.crash("m-view-0", None);
     world.run_for(Duration::from_millis(1_500));
     assert_eq!(world.crashes.most_under("bad"), 1);
     assert_eq!(world.crashes.most_under("lasting"), 1);
-    assert_eq!(world.run_until_over("bad", LIMIT), Some(JobOutcome::Failed));
+    assert_eq!(world.run_until_over("bad", Duration::from_secs(20)), Some(JobOutcome::Failed));
     world.run_for(Duration::from_secs(4));
     assert_eq!(world.at_work_of("lasting"), 1);
 }
@@ -102,7 +94,7 @@
 #[test]
 fn spared_trial() {
     let mut world = held_back(3);
-    run_until_started(&mut world);
+    world.run_until_started("lasting");
     let machine: Arc<str> = world.machine_of_task("lasting");
     let within = Duration::from_millis(100);
     world.waves.push(Wave { number: 1, machines: vec![machine], within, most_away: 1 });
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -40,6 +40,8 @@
 const NOTED_FOR: Duration = Duration::from_millis(3500);
 /// An executor waits this long for an end before it answers a hold.
 const HOLD_WAIT: Duration = Duration::from_millis(200);
+/// Longer than the pause after which a lasting task that may crash its executor is tried again.
+const STARTED_WITHIN: Duration = Duration::from_secs(20);
 
 pub fn settings() -> FleetSettings {
     FleetSettings {
@@ -359,6 +361,15 @@
         None
     }
 
+    /// Runs until something of a job runs, which has to come within [`STARTED_WITHIN`].
+    pub fn run_until_started(&mut self, id: &str) {
+        let until = self.now + STARTED_WITHIN;
+        while self.runs_of(id) == 0 {
+            assert!(self.now < until, "nothing of {id} starts");
+            self.run_for(STEP);
+        }
+    }
+
     fn advance(&mut self) {
         let now = self.now;
         self.executors.values_mut().for_each(|executor| executor.advance(now));
