Say in the log what is known of a run when an order to stop it leaves

A stop of a lasting task tells, at each try, how long ago its executor last listed the run and at which speed, and how many others of its step are away. That tells a repeat that nobody decided on anew (the run is listed at work, others are away) from a wrong count (none is said to be away) and from an order that was held up (it left in time).

--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use jackdawpier_fleet::{
-    fleet::{Command, StartEnd, StopEnd, StopReason},
+    fleet::{Command, StartEnd, StopEnd, StopReason, StopSigns},
     spec::{RunNumber, TaskKey},
 };
 use jackdawpier_kernel::ids::ExecutorId;
@@ -294,8 +294,12 @@
             if !self.is_valid() {
                 return;
             }
+            let signs = self.fleet.borrow().stop_signs(clock::now(), &task, run);
             let end = self.platform.stop(&target, &task, run).await;
-            let fields = json!({ "executor": *executor, "task": task.to_string(), "run": run, "why": format!("{reason:?}"), "end": format!("{end:?}") });
+            let mut fields = json!({ "executor": *executor, "task": task.to_string(), "run": run, "why": format!("{reason:?}"), "end": format!("{end:?}") });
+            if let Some(signs) = signs {
+                add_signs(&mut fields, signs);
+            }
             self.events.emit("task_stopped", fields);
             if end == StopEnd::Taken {
                 self.fleet.borrow_mut().stop_ended(clock::now(), &task, run, end);
@@ -326,6 +330,14 @@
     }
 }
 
+/// Says what was known of a run of a long-running step when the order to stop it left.
+fn add_signs(fields: &mut serde_json::Value, signs: StopSigns) {
+    fields["listed_ago_ms"] = json!(signs.listed_ago.map(|ago| ago.as_millis()));
+    fields["percent"] = json!(signs.percent);
+    fields["others_away"] = json!(signs.others_away);
+    fields["may_miss"] = json!(signs.may_miss);
+}
+
 /// What the loop and the orders of one executor share.
 pub(crate) struct Session {
     /// Orders to start that may be under way at it.
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -28,6 +28,7 @@
 mod reports;
 mod runs;
 mod starts;
+mod stops;
 mod trials;
 mod vacating;
 mod waits;
@@ -51,6 +52,7 @@
 pub use pools::Shortage;
 pub use reports::HoldOrder;
 pub use starts::{StartEnd, StopEnd};
+pub use stops::StopSigns;
 pub use waits::{Obstacles, Wait};
 
 use clearing::Clearings;
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -239,6 +239,7 @@
             if !running.checkpoint.is_empty() {
                 task.checkpoint.clone_from(&running.checkpoint);
             }
+            task.listed_at = Some(now);
             task.percent = running.percent;
             let is_kept = !matches!(task.phase, Phase::Stopping { .. });
             let is_at_work = running.percent >= 100 && is_kept;
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -111,6 +111,12 @@
         job.tasks_of(slot).filter(is_away).count() as u32
     }
 
+    /// The same, without one of its tasks.
+    pub(super) fn others_away(&self, now: Now, job: &Job, index: TaskIndex) -> u32 {
+        let itself = u32::from(!self.is_at_work(now, &job.tasks[index]));
+        self.away_of(now, job, job.slot(index)) - itself
+    }
+
     /// Whether a task is settled at work, as far as its executor still answers.
     fn is_at_work(&self, now: Now, task: &Task) -> bool {
         let Some(id) = task.phase.executor() else { return false };
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -71,6 +71,8 @@
     /// When the executor confirmed the present run; [`Now::ZERO`] if to an earlier owner.
     pub(crate) confirmed_at: Option<Now>,
     pub(crate) checkpoint: Box<str>,
+    /// When the executor last reported that the present run is there.
+    pub(crate) listed_at: Option<Now>,
     /// Last share of its full speed that the executor reported, in percent.
     pub(crate) percent: u32,
     /// Share of its full speed that was last ordered, in percent.
@@ -97,6 +99,7 @@
             unanswered_at: None,
             confirmed_at: None,
             checkpoint: "".into(),
+            listed_at: None,
             percent: 100,
             pace_percent: 100,
             at_work_since: None,
