--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -73,6 +73,8 @@
 const ENDED_UNLISTED: [u64; 1] = [1_306_565];
 /// Seeds with a machine that was taken by an old list, with lasting work on it.
 const TAKEN_BEFORE: [u64; 4] = [50_313, 102_585, 104_788, 106_746];
+/// Seeds with a lasting task that was stopped by an order repeated seconds after the decision.
+const STOPPED_AGAIN: [u64; 2] = [1_401_008, 1_401_782];
 /// Seeds with a lasting task whose first trial was hit by an accident: it is back after a minute only.
 const ACCIDENT_ON_TRIAL: [u64; 5] = [3351, 4050, 72231, 73043, 73922];
 /// A seed with a task that ran twice after its executor had started again under its id and the owner had changed.
@@ -372,6 +374,13 @@
     play_all(&CLEARED_BY_RETURN, Kind::Returning);
 }
 
+/// A lasting task was stopped by an order from seconds before, while another one of its step was away.
+#[test]
+fn stopped_again() {
+    play_all(&STOPPED_AGAIN, Kind::Lasting);
+    play_all(&STOPPED_AGAIN, Kind::Returning);
+}
+
 /// A lasting task was held back for a minute since its executor crashed by itself during its trial.
 #[test]
 fn accident_on_trial() {
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/repeated_stops.rs
@@ -0,0 +1,91 @@
+//! Orders to stop a long-running task that weren't taken: what made them right may not hold when they are repeated.
+
+mod world;
+
+use std::{sync::Arc, time::Duration};
+
+use jackdawpier_fleet::{fleet::Command, machines::Wave, spec::StepSpec};
+use world::{Delivery, World, job, step};
+
+/// Longer than any test runs.
+const NEVER: Delivery = Delivery::Late(Duration::from_secs(1000));
+/// What hasn't been at work for this long counts as away.
+const NOTICED: Duration = Duration::from_millis(4600);
+
+fn lasting(count: u32) -> StepSpec {
+    StepSpec { is_long_running: true, may_miss: 1, max_per_executor: 1, ..step(count, 6, 0) }
+}
+
+/// Three tasks at work, of which one has just been started again by an order whose answer was lost; returns the
+/// machines of the others.
+fn with_unsure_start(world: &mut World) -> Vec<Arc<str>> {
+    world.submit("j", "q-view", job(vec![lasting(3)]));
+    world.run_for(Duration::from_secs(7));
+    let busy = world.busy_machines();
+    world.run_for(Duration::from_millis(10));
+    let mut orders = 0;
+    world.delivery = Box::new(move |_| {
+        orders += 1;
+        if orders == 1 { Delivery::AnswerLost } else { NEVER }
+    });
+    world.crash(&busy[0], None);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.runs_of("j"), 3, "the start was carried out");
+    busy[1..].to_vec()
+}
+
+/// The machine of one more task fails, and no list of machines shows it.
+fn lose_unseen(world: &mut World, machine: &str) {
+    world.hides_machines = true;
+    world.crash(machine, None);
+}
+
+fn starts(world: &World) -> usize {
+    world.commands.iter().filter(|(_, command)| matches!(command, Command::Start { .. })).count()
+}
+
+/// A start without an answer had begun after all: the task was at work for seconds when it was stopped, and another one was away.
+#[test]
+fn unsure_start() {
+    let mut world = World::new(&["view"], 5);
+    let others = with_unsure_start(&mut world);
+    lose_unseen(&mut world, &others[0]);
+    world.run_for(NOTICED);
+    let started = starts(&world);
+    world.delivery = Box::new(|_| Delivery::Answered);
+    world.run_for(Duration::from_millis(400));
+    assert_eq!(world.at_work_of("j"), 2, "one may be missed");
+    assert_eq!(starts(&world), started);
+}
+
+/// A task had been told to leave its machine while its step could spare it; the order came seconds later, when another one was away.
+#[test]
+fn spared_before() {
+    let mut world = World::new(&["view"], 3);
+    let cut: Vec<_> =
+        ["m-view-1", "m-view-2"].iter().map(|machine| world.executor_of(machine)).collect();
+    cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(true));
+    world.run_for(Duration::from_secs(2));
+    let small = StepSpec { max_per_executor: 2, need: step(1, 2, 0).need, ..lasting(3) };
+    world.submit("j", "q-view", job(vec![small]));
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.runs_of("j"), 2);
+    cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(false));
+    world.run_for(Duration::from_secs(5));
+    assert_eq!(world.at_work_of("j"), 3);
+    let crowded = "m-view-0";
+    let other = world.busy_machines().into_iter().find(|one| **one != *crowded);
+    world.delivery = Box::new(|_| NEVER);
+    let machines = vec![crowded.into()];
+    let within = Duration::from_secs(20);
+    world.waves.push(Wave { number: 1, machines, within, most_away: 1 });
+    let is_stop = |(_, command): &(Duration, Command)| matches!(command, Command::Stop { .. });
+    while !world.commands.iter().any(is_stop) {
+        world.run_for(world::STEP);
+    }
+    lose_unseen(&mut world, &other.expect("a task runs on another machine"));
+    world.run_for(NOTICED);
+    world.delivery = Box::new(|_| Delivery::Answered);
+    world.run_for(Duration::from_millis(400));
+    assert_eq!(world.at_work_of("j"), 2, "one may be missed");
+}
