Decide each try of a stop anew, and let a run go on that is seen alive

Cause: a stop was decided once and repeated with each report for as long as it took. It was right when it first left: the start had no answer, or the step could spare the task. Seconds later the executor listed the run at work, the owner counted others as away, and the repeat asked for neither. The class: an order whose reasons are checked when it is chosen and not when it leaves.

Now each try asks before it leaves whether the step can spare the task; a run that its executor lists though no try was taken goes on; an unsure start of a lasting task is asked for first, as for those that are watched, and stopped if the next report doesn't show it.

--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -132,7 +132,7 @@
                         let fields = json!({ "executor": *id, "task": end.task.to_string(), "run": end.run, "how": format!("{:?}", end.how) });
                         self.events.emit("task_ended", fields);
                     }
-                    let stops = self.fleet.borrow().unconfirmed_stops(&id);
+                    let stops = self.fleet.borrow_mut().unconfirmed_stops(now, &id);
                     stops.into_iter().for_each(|stop| self.clone().order_executor(stop));
                     self.pump();
                     self.changed.notify_one();
@@ -289,23 +289,25 @@
     ) {
         let session = self.session(&executor);
         let _permit = session.stops.acquire().await.expect("it is never closed");
+        let mut end = StopEnd::NotTaken;
         for _ in 0..STOP_TRIES {
-            let Some(target) = self.target(&executor) else { return };
             if !self.is_valid() {
                 return;
             }
+            let may_leave = self.fleet.borrow().may_stop(clock::now(), &executor, &task, run);
+            let Some(target) = self.target(&executor).filter(|_| may_leave) else { break };
             let signs = self.fleet.borrow().stop_signs(clock::now(), &task, run);
-            let end = self.platform.stop(&target, &task, run).await;
+            end = self.platform.stop(&target, &task, run).await;
             let mut fields = json!({ "executor": *executor, "task": task.to_string(), "run": run, "why": format!("{reason:?}"), "end": format!("{end:?}") });
             if let Some(signs) = signs {
                 add_signs(&mut fields, signs);
             }
             self.events.emit("task_stopped", fields);
             if end == StopEnd::Taken {
-                self.fleet.borrow_mut().stop_ended(clock::now(), &task, run, end);
-                return;
+                break;
             }
         }
+        self.fleet.borrow_mut().stop_ended(clock::now(), &task, run, end);
     }
 
     pub(super) async fn advise(self: Rc<Self>, task: TaskKey, executors: Vec<ExecutorId>) {
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -51,8 +51,8 @@
 pub use losses::{Loss, LossEvidence, LostRun};
 pub use pools::Shortage;
 pub use reports::HoldOrder;
-pub use starts::{StartEnd, StopEnd};
-pub use stops::StopSigns;
+pub use starts::StartEnd;
+pub use stops::{StopEnd, StopSigns};
 pub use waits::{Obstacles, Wait};
 
 use clearing::Clearings;
--- a/crates/jackdawpier_fleet/src/fleet/lives.rs
+++ b/crates/jackdawpier_fleet/src/fleet/lives.rs
@@ -10,7 +10,7 @@
 use super::{Fleet, StopReason, losses::LossEvidence};
 use crate::{
     executor::{Executor, ExecutorInfo, HoldReport, LifeId, TaskRef},
-    job::Phase,
+    job::{Phase, StopOrder},
 };
 
 /// What a report says of the life that it comes from.
@@ -75,8 +75,10 @@
             Phase::Starting { .. } => {
                 self.stop_task(now, task_ref, StopReason::ExecutorRestarted);
             }
-            Phase::Stopping { confirmed_at, .. } => {
-                *confirmed_at = None;
+            Phase::Stopping { order, .. } => {
+                if matches!(order, StopOrder::Taken { .. }) {
+                    *order = StopOrder::Unanswered;
+                }
                 // What the new life answers says nothing of this run.
                 task.confirmed_at = None;
             }
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -7,7 +7,7 @@
 use super::{Command, Fleet, FleetSettings, StopReason, lives::Life, runs::TaskEnd};
 use crate::{
     executor::{EndKind, EndedTask, HoldReport, LastSigns, MAX_ENDS_PER_REPORT, TaskRef},
-    job::Phase,
+    job::{Phase, StopOrder},
     record::JobOutcome,
     spec::RunNumber,
 };
@@ -234,6 +234,7 @@
                 continue;
             };
             let lasts = job.step(index).is_long_running;
+            let may_go_on = job.may_go_on(index);
             let task = &mut job.tasks[index];
             present.insert((job.id.clone(), index), running.run);
             if !running.checkpoint.is_empty() {
@@ -241,6 +242,9 @@
             }
             task.listed_at = Some(now);
             task.percent = running.percent;
+            if may_go_on {
+                task.take_stop_back(now, self.settings.order_lease);
+            }
             let is_kept = !matches!(task.phase, Phase::Stopping { .. });
             let is_at_work = running.percent >= 100 && is_kept;
             task.at_work_since = if is_at_work { task.at_work_since.or(Some(now)) } else { None };
@@ -306,7 +310,9 @@
                     }
                     self.run_over(now, &task_ref, None);
                 }
-                Phase::Stopping { confirmed_at: Some(at), .. } if sent_at > *at + stop_bound => {
+                Phase::Stopping { order: StopOrder::Taken { at }, .. }
+                    if sent_at > *at + stop_bound =>
+                {
                     // Its end would have been listed before.
                     if task.confirmed_at.is_none() {
                         task.note_refused();
@@ -325,18 +331,4 @@
             }
         }
     }
-
-    /// Orders to stop that haven't been confirmed, to be repeated.
-    pub fn unconfirmed_stops(&self, id: &ExecutorId) -> Vec<Command> {
-        let Some(executor) = self.executors.get(id) else { return Vec::new() };
-        let pending = executor.tasks.iter().filter_map(|task_ref| {
-            let job = self.jobs.get(&task_ref.0)?;
-            let task = &job.tasks[task_ref.1];
-            matches!(&task.phase, Phase::Stopping { confirmed_at: None, .. }).then(|| {
-                let (executor, task, run) = (id.clone(), job.key(task_ref.1), task.run);
-                Command::Stop { executor, task, run, reason: StopReason::Repeated }
-            })
-        });
-        pending.collect()
-    }
 }
--- a/crates/jackdawpier_fleet/src/fleet/runs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/runs.rs
@@ -7,7 +7,7 @@
     account::Accounts,
     crash::Retry,
     executor::{Executor, TaskRef, Watch},
-    job::{Job, Phase, TaskIndex},
+    job::{Job, Phase, StopOrder, TaskIndex},
     record::JobOutcome,
 };
 
@@ -48,7 +48,8 @@
             | Phase::Running { executor, .. }
             | Phase::Doubt { executor } => {
                 let executor = executor.clone();
-                task.phase = Phase::Stopping { executor: executor.clone(), confirmed_at: None };
+                let order = StopOrder::UnderWay;
+                task.phase = Phase::Stopping { executor: executor.clone(), order };
                 let run = task.run;
                 let task = job.key(task_ref.1);
                 self.commands.push(Command::Stop { executor, task, run, reason });
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -45,15 +45,6 @@
     }
 }
 
-/// How an order to stop ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StopEnd {
-    /// The run can't begin there any more and ends within the time that executors have for it.
-    Taken,
-    /// Not taken; it has to be repeated.
-    NotTaken,
-}
-
 /// A refusing executor gets no placements for this long: about one report of its room.
 const AVOID_AFTER_REFUSAL: Duration = Duration::from_millis(400);
 /// Longer for one that doesn't answer or isn't healthy, so that few tasks wait on its timeouts.
@@ -121,9 +112,11 @@
             StartEnd::RunIsOver | StartEnd::TooLate | StartEnd::Withheld => {}
         }
         let gang = job.step(index).is_gang.then(|| job.slot(index));
+        let lasts_alone = job.step(index).is_long_running && gang.is_none();
         let task = &mut job.tasks[index];
-        if end == StartEnd::Unanswered && watched_for.is_some() {
-            // A stop would spend a start of a suspect without telling anything of it.
+        if end == StartEnd::Unanswered && (watched_for.is_some() || lasts_alone) {
+            // The next report tells whether it began. A stop would spend a start of a suspect, and may come when the task has
+            // been at work for long.
             task.unanswered_at = Some(now);
             return;
         }
@@ -137,17 +130,4 @@
             self.stop_gang(now, &key.job, slot);
         }
     }
-
-    /// An order to stop has ended.
-    pub fn stop_ended(&mut self, now: Now, key: &TaskKey, run: RunNumber, end: StopEnd) {
-        let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let Some(index) = job.index(key) else { return };
-        let task = &mut job.tasks[index];
-        if task.run != run || end == StopEnd::NotTaken {
-            return;
-        }
-        if let Phase::Stopping { confirmed_at, .. } = &mut task.phase {
-            confirmed_at.get_or_insert(now);
-        }
-    }
 }
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -30,12 +30,23 @@
     Running { executor: ExecutorId, since: Now },
     /// An earlier owner placed it; the executor hasn't spoken under this ownership yet.
     Doubt { executor: ExecutorId },
-    /// An order to stop is on its way; `confirmed_at` is set once the executor has taken it.
-    Stopping { executor: ExecutorId, confirmed_at: Option<Now> },
+    /// It has been ordered to stop.
+    Stopping { executor: ExecutorId, order: StopOrder },
     /// It has ended well.
     Done,
 }
 
+/// How far an order to stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StopOrder {
+    /// It is about to leave, or on its way.
+    UnderWay,
+    /// No try of it was taken; one may yet be carried out.
+    Unanswered,
+    /// The executor has taken it.
+    Taken { at: Now },
+}
+
 impl Phase {
     /// The executor on which the task takes room, if any.
     pub(crate) fn executor(&self) -> Option<&ExecutorId> {
@@ -71,6 +82,8 @@
     /// When the executor confirmed the present run; [`Now::ZERO`] if to an earlier owner.
     pub(crate) confirmed_at: Option<Now>,
     pub(crate) checkpoint: Box<str>,
+    /// Until then an order to stop the present run may still be carried out, though it was taken back.
+    pub(crate) unsure_until: Now,
     /// When the executor last reported that the present run is there.
     pub(crate) listed_at: Option<Now>,
     /// Last share of its full speed that the executor reported, in percent.
@@ -99,6 +112,7 @@
             unanswered_at: None,
             confirmed_at: None,
             checkpoint: "".into(),
+            unsure_until: Now::ZERO,
             listed_at: None,
             percent: 100,
             pace_percent: 100,
@@ -108,6 +122,15 @@
         }
     }
 
+    /// Its executor lists it though it was ordered to stop, and no try of that was taken: it goes on. One of them may
+    /// still be carried out within `late`.
+    pub(crate) fn take_stop_back(&mut self, now: Now, late: Duration) {
+        if let Phase::Stopping { executor, order: StopOrder::Unanswered } = &self.phase {
+            self.phase = Phase::Running { executor: executor.clone(), since: now };
+            self.unsure_until = now + late;
+        }
+    }
+
     /// Counts a run that ended in failure, once however often it is reported.
     pub(crate) fn note_failure(&mut self, run: RunNumber) {
         if !self.failed_runs.contains(&run) {
@@ -476,6 +499,13 @@
         }
     }
 
+    /// Whether a task that was ordered to stop may as well go on: what its order was for can wait until its step can spare
+    /// it, or hasn't come true.
+    pub(crate) fn may_go_on(&self, index: TaskIndex) -> bool {
+        let step = self.step(index);
+        step.is_long_running && !step.is_gang && !self.is_over()
+    }
+
     /// Whether some of its tasks run until it is cancelled.
     pub(crate) fn lasts(&self) -> bool {
         self.spec.steps.iter().any(|step| step.is_long_running)
