Ask again whether an order about a machine may leave once it is noted

What callers would see: a machine is taken with lasting work that its step couldn't spare any more, or with an executor that had been registered meanwhile.

An order about a machine is chosen, then waits for the note in the store; a note without an answer takes 0.8 s, and the next order in the queue begins one of its own. Nothing was asked when it left.

Evidence: occupied_meanwhile, seen failing before (machine-2 and machine-3 were ordered 0.2 s after an executor had been registered that may live on one of them); held_up_order asks the decision itself. The orders are asked right before they leave, and those that may not are chosen anew.

--- a/crates/jackdawpier_entry/src/owner/machines.rs
+++ b/crates/jackdawpier_entry/src/owner/machines.rs
@@ -85,15 +85,18 @@
     }
 
     /// Sends an order about a machine, once it is noted and the store has confirmed the ownership:
-    /// nothing else keeps a former owner's order from mixing with a later one's.
+    /// nothing else keeps a former owner's order from mixing with a later one's. That may take seconds, after which it is
+    /// asked again whether the order may leave.
     pub(super) async fn order_machine(self: Rc<Self>, order: MachineOrder) {
-        let end = if self.note_order(&order.machine).await {
+        let is_noted = self.note_order(&order.machine).await;
+        let may_leave = is_noted && self.fleet.borrow().may_order(clock::now(), &order);
+        let end = if may_leave {
             self.platform.order(&order, &self.settings.entry, self.term.fence).await
         } else {
             MachineOrderEnd::NotTaken
         };
         self.order_note.over(clock::now(), &order.machine);
-        let fields = json!({ "machine": *order.machine, "work": format!("{:?}", order.work), "end": format!("{end:?}") });
+        let fields = json!({ "machine": *order.machine, "work": format!("{:?}", order.work), "end": format!("{end:?}"), "left": may_leave });
         self.events.emit("machine_ordered", fields);
         if self.is_valid() {
             self.fleet.borrow_mut().machine_order_ended(clock::now(), &order, end);
--- a/crates/jackdawpier_entry/tests/order_note.rs
+++ b/crates/jackdawpier_entry/tests/order_note.rs
@@ -35,6 +35,26 @@
     });
 }
 
+/// An executor is registered while orders wait for the note, and may live on a machine that seemed idle: it would be taken with
+/// all that runs there.
+#[test]
+fn occupied_meanwhile() {
+    run(async {
+        let fake = Fake::default();
+        let (_cell, _owning) = start_owner(&fake, "a");
+        assert!(wait_until(|| fake.value(keys::OWNER).is_some()).await);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fake.next_writes(&[Fate::Hangs; 2]);
+        fake.ask_for_maintenance_of(3);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        fake.put("executors/executor-2", b"");
+        // A list of machines that doesn't name it counts as its end only later.
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        let orders = fake.machine_orders();
+        assert!(orders.is_empty(), "{orders:?}");
+    });
+}
+
 /// The next owner leaves a noted machine alone, whose order may still be under way.
 #[test]
 fn next_owner() {
--- a/crates/jackdawpier_entry/tests/support/fake/outside.rs
+++ b/crates/jackdawpier_entry/tests/support/fake/outside.rs
@@ -124,12 +124,12 @@
         })
     }
 
-    fn read_executor(&self, _key: &str, value: &[u8]) -> Result<ExecutorInfo, Malformed> {
+    fn read_executor(&self, key: &str, value: &[u8]) -> Result<ExecutorInfo, Malformed> {
         if value == UNREADABLE {
             return Err(Malformed { reason: "unreadable".to_owned() });
         }
         Ok(ExecutorInfo {
-            id: EXECUTOR.into(),
+            id: key.trim_start_matches(self.executor_prefix()).into(),
             life: None,
             service: "service".into(),
             address: "127.0.0.1:1".into(),
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -162,6 +162,16 @@
         }
     }
 
+    /// Whether an order about a machine may leave now, asked right before: it may have been held up since it was chosen.
+    pub fn may_order(&self, now: Now, order: &MachineOrder) -> bool {
+        let errand = self.machines.errands.get(&order.machine);
+        let is_wanted = errand.is_some_and(|errand| {
+            let is_under_way = matches!(errand.stage, Stage::Ordered { is_under_way: true, .. });
+            errand.work == order.work && is_under_way
+        });
+        is_wanted && self.may_lose(now, &order.machine)
+    }
+
     /// Stops one long-running task on a machine that can't be taken yet, so that it can be later: one
     /// of a step of which more run there than it may miss, or, once nothing else runs there, any that
     /// its step can spare. A machine holds tasks of many steps, which seldom can all spare one at the
--- a/crates/jackdawpier_fleet/tests/spared_tasks.rs
+++ b/crates/jackdawpier_fleet/tests/spared_tasks.rs
@@ -156,6 +156,23 @@
     assert_eq!(world.machine_orders.len(), 3);
 }
 
+/// An order about a machine that was held up on its way out doesn't leave once another task is away.
+#[test]
+fn held_up_order() {
+    let mut world = World::new(&["view"], 5);
+    world.submit("j", "q-view", job(vec![lasting(3)]));
+    world.run_for(Duration::from_secs(7));
+    let busy = world.busy_machines();
+    world.machine_order_delay = Duration::from_secs(60);
+    world.waves.push(wave(&[&busy[0]], 1));
+    let order = world.run_until_ordered();
+    assert!(world.fleet.may_order(world.now, &order));
+    world.hides_machines = true;
+    world.crash(&busy[1], None);
+    world.run_for(Duration::from_secs(2));
+    assert!(!world.fleet.may_order(world.now, &order), "one is away already");
+}
+
 /// An order that wasn't answered may still be carried out, also after the refusal of the next one about that machine.
 #[test]
 fn late_order() {
