--- a/crates/jackdawpier_fleet/tests/repeated_stops.rs
+++ b/crates/jackdawpier_fleet/tests/repeated_stops.rs
@@ -4,7 +4,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jackdawpier_fleet::{fleet::Command, machines::Wave, spec::StepSpec};
+use jackdawpier_fleet::{
+    fleet::Command,
+    machines::Wave,
+    spec::{StepSpec, TaskKey},
+};
 use world::{Delivery, World, job, step};
 
 /// Longer than any test runs.
@@ -12,6 +16,9 @@
 /// What hasn't been at work for this long counts as away.
 const NOTICED: Duration = Duration::from_millis(4600);
 
+/// A machine that two tasks of a step share.
+const CROWDED: &str = "m-view-0";
+
 fn lasting(count: u32) -> StepSpec {
     StepSpec { is_long_running: true, may_miss: 1, max_per_executor: 1, ..step(count, 6, 0) }
 }
@@ -58,10 +65,8 @@
     assert_eq!(starts(&world), started);
 }
 
-/// A task had been told to leave its machine while its step could spare it; the order came seconds later, when another one was away.
-#[test]
-fn spared_before() {
-    let mut world = World::new(&["view"], 3);
+/// A step of which two tasks run on one machine, more than it may miss; returns the machine of the third.
+fn with_crowded_machine(world: &mut World) -> Arc<str> {
     let cut: Vec<_> =
         ["m-view-1", "m-view-2"].iter().map(|machine| world.executor_of(machine)).collect();
     cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(true));
@@ -73,19 +78,87 @@
     cut.iter().for_each(|id| world.executors.get_mut(id).expect("it lives").cut(false));
     world.run_for(Duration::from_secs(5));
     assert_eq!(world.at_work_of("j"), 3);
-    let crowded = "m-view-0";
-    let other = world.busy_machines().into_iter().find(|one| **one != *crowded);
-    world.delivery = Box::new(|_| NEVER);
-    let machines = vec![crowded.into()];
+    let other = world.busy_machines().into_iter().find(|one| **one != *CROWDED);
+    other.expect("a task runs on another machine")
+}
+
+fn wave(number: u64, machine: &str) -> Wave {
     let within = Duration::from_secs(20);
-    world.waves.push(Wave { number: 1, machines, within, most_away: 1 });
-    let is_stop = |(_, command): &(Duration, Command)| matches!(command, Command::Stop { .. });
-    while !world.commands.iter().any(is_stop) {
+    Wave { number, machines: vec![machine.into()], within, most_away: 1 }
+}
+
+/// Runs until a task is told to stop.
+fn run_until_stop(world: &mut World) -> (Arc<str>, TaskKey, u32) {
+    loop {
         world.run_for(world::STEP);
+        let stop = world.commands.iter().find_map(|(_, command)| match command {
+            Command::Stop { executor, task, run, .. } => {
+                Some((executor.clone(), task.clone(), *run))
+            }
+            _ => None,
+        });
+        if let Some(stop) = stop {
+            return stop;
+        }
     }
-    lose_unseen(&mut world, &other.expect("a task runs on another machine"));
+}
+
+/// A task had been told to leave its machine while its step could spare it; the order came seconds later, when another one was away.
+#[test]
+fn spared_before() {
+    let mut world = World::new(&["view"], 3);
+    let other = with_crowded_machine(&mut world);
+    world.delivery = Box::new(|_| NEVER);
+    world.waves.push(wave(1, CROWDED));
+    run_until_stop(&mut world);
+    lose_unseen(&mut world, &other);
     world.run_for(NOTICED);
     world.delivery = Box::new(|_| Delivery::Answered);
     world.run_for(Duration::from_millis(400));
     assert_eq!(world.at_work_of("j"), 2, "one may be missed");
 }
+
+/// A try of a stop that had waited behind others left though another task was away by then.
+#[test]
+fn held_up_try() {
+    let mut world = World::new(&["view"], 3);
+    let other = with_crowded_machine(&mut world);
+    world.delivery = Box::new(|_| NEVER);
+    world.waves.push(wave(1, CROWDED));
+    let (executor, task, run) = run_until_stop(&mut world);
+    assert!(world.fleet.may_stop(world.now, &executor, &task, run));
+    world.executors.get_mut(&executor).expect("it lives").cut(true);
+    lose_unseen(&mut world, &other);
+    world.run_for(Duration::from_secs(2));
+    assert!(!world.fleet.may_stop(world.now, &executor, &task, run), "one is away already");
+}
+
+/// A stop that was taken back is carried out after all: until then its task counts as away.
+#[test]
+fn taken_back_late() {
+    let mut world = World::new(&["view"], 5);
+    world.submit("j", "q-view", job(vec![lasting(3)]));
+    world.run_for(Duration::from_secs(7));
+    let busy = world.busy_machines();
+    let mut orders = 0;
+    world.delivery = Box::new(move |_| {
+        orders += 1;
+        match orders {
+            1 => Delivery::Late(Duration::from_millis(500)),
+            2 => Delivery::Late(Duration::from_millis(2200)),
+            _ => Delivery::Answered,
+        }
+    });
+    world.crash(&busy[0], None);
+    run_until_stop(&mut world);
+    world.waves.push(wave(1, &busy[1]));
+    while world.at_work_of("j") < 3 {
+        world.run_for(world::STEP);
+    }
+    for _ in 0..1000 {
+        world.run_for(world::STEP);
+        assert!(world.at_work_of("j") >= 2, "one may be missed");
+    }
+    assert_eq!(world.machine_orders.len(), 1);
+    assert_eq!(world.runs_of("j"), 3);
+}
