--- a/crates/jackdawpier_fleet/tests/repeated_stops.rs
+++ b/crates/jackdawpier_fleet/tests/repeated_stops.rs
@@ -146,6 +146,7 @@
         match orders {
             1 => Delivery::Late(Duration::from_millis(500)),
             2 => Delivery::Late(Duration::from_millis(2200)),
+            3 => NEVER,
             _ => Delivery::Answered,
         }
     });
