--- a/crates/jackdawpier_fleet/tests/histories.rs
+++ b/crates/jackdawpier_fleet/tests/histories.rs
@@ -85,6 +85,8 @@
 const GANG_UNCONFIRMED: [u64; 1] = [60294];
 /// A seed with a gang for which there is never room at once beside lasting work.
 const GANG_BESIDE_LASTING: [u64; 1] = [54739];
+/// A seed with a gang beside which another task had just begun at each of its crashes.
+const GANG_BESIDE_NEWCOMERS: [u64; 1] = [21_936];
 /// A seed with a job of which three of four starts went without a sure answer.
 const UNCONFIRMED_STARTS: [u64; 1] = [3496];
 /// A seed with four starts at executors that had crashed 10 to 220 ms before, beside lasting work.
@@ -399,6 +401,13 @@
     play_all(&GANG_BESIDE_LASTING, Kind::Returning);
 }
 
+/// A cause was started three times after three crashes, for each of which another task was the likelier one.
+#[test]
+fn gang_beside_newcomers() {
+    play_all(&GANG_BESIDE_NEWCOMERS, Kind::Lasting);
+    play_all(&GANG_BESIDE_NEWCOMERS, Kind::Returning);
+}
+
 /// A job was given up after one crash, since executors crashed before they had confirmed its starts.
 #[test]
 fn unconfirmed_starts() {
