Count a task as away for as long as a stop that was taken back may be carried out

What callers would see: one task of a lasting service is ended by an order from up to twelve seconds before, and another by an order about its machine, which left since the first counted as at work.

Cause: a task whose stop was taken back counted as at work after 3.5 s, the time for orders about machines; executors that hang carry orders out 2 to 12 s late.

Evidence: taken_back_hanging, seen failing before.

--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -35,6 +35,8 @@
 const MAX_LEAVE_OUT: Duration = Duration::from_secs(4);
 /// A stop counts as carried out this long after the executor's own bound on it.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
+/// An order to an executor that wasn't answered may be carried out this much later: longer than executors hang.
+const LATEST_STOP: Duration = Duration::from_secs(12);
 
 impl Fleet {
     /// What the next hold has to say; none if the executor is forgotten or its life is over.
@@ -243,7 +245,7 @@
             task.listed_at = Some(now);
             task.percent = running.percent;
             if may_go_on {
-                task.take_stop_back(now, self.settings.order_lease);
+                task.take_stop_back(now, LATEST_STOP);
             }
             let is_kept = !matches!(task.phase, Phase::Stopping { .. });
             let is_at_work = running.percent >= 100 && is_kept;
--- a/crates/jackdawpier_fleet/tests/repeated_stops.rs
+++ b/crates/jackdawpier_fleet/tests/repeated_stops.rs
@@ -133,9 +133,8 @@
     assert!(!world.fleet.may_stop(world.now, &executor, &task, run), "one is away already");
 }
 
-/// A stop that was taken back is carried out after all: until then its task counts as away.
-#[test]
-fn taken_back_late() {
+/// A stop that was taken back is carried out after all, `late`; a machine with another task is asked for `asked_after` it was ordered.
+fn carried_out(late: Duration, asked_after: Duration) {
     let mut world = World::new(&["view"], 5);
     world.submit("j", "q-view", job(vec![lasting(3)]));
     world.run_for(Duration::from_secs(7));
@@ -145,21 +144,34 @@
         orders += 1;
         match orders {
             1 => Delivery::Late(Duration::from_millis(500)),
-            2 => Delivery::Late(Duration::from_millis(2200)),
+            2 => Delivery::Late(late),
             3 => NEVER,
             _ => Delivery::Answered,
         }
     });
     world.crash(&busy[0], None);
     run_until_stop(&mut world);
+    world.run_for(asked_after);
     world.waves.push(wave(1, &busy[1]));
     while world.at_work_of("j") < 3 {
         world.run_for(world::STEP);
     }
-    for _ in 0..1000 {
+    for _ in 0..2000 {
         world.run_for(world::STEP);
         assert!(world.at_work_of("j") >= 2, "one may be missed");
     }
     assert_eq!(world.machine_orders.len(), 1);
     assert_eq!(world.runs_of("j"), 3);
 }
+
+/// Until a stop that was taken back can't be carried out any more its task counts as away.
+#[test]
+fn taken_back_late() {
+    carried_out(Duration::from_millis(2200), Duration::ZERO);
+}
+
+/// Executors carry orders out up to twelve seconds late.
+#[test]
+fn taken_back_hanging() {
+    carried_out(Duration::from_secs(9), Duration::from_millis(8400));
+}
