Cancel a job of the own interface that was cancelled while nobody knew whether it runs

What callers saw: a job that its owner had claimed just before it froze answered each cancellation with 200 and stayed claimed, then parked as outcome_unknown, for good.

Cause: once the lease of a job that its worker doesn't know is over, it was parked, or waits again if it may be repeated; that it had been cancelled wasn't asked there, as it is where a task fails or stops. (One that may be repeated was cancelled with its next claim.)

The test waits now until all threads of the process stand still; its checks are as they were.

--- a/crates/jackdawpier_jobs/src/queue/tasks.rs
+++ b/crates/jackdawpier_jobs/src/queue/tasks.rs
@@ -158,11 +158,15 @@
             let rack = self.rack_of(&worker);
             self.blame.lost(now, id, &worker, &rack, is_shared)
         });
-        let is_idempotent = self.jobs[id].job.is_idempotent;
-        let state = match (is_idempotent, verdict) {
-            (false, _) => JobState::Parked { reason: ParkReason::OutcomeUnknown },
-            (true, Verdict::JobNeverRuns) => JobState::Parked { reason: ParkReason::NeverRuns },
-            (true, _) => JobState::Queued,
+        let live = &self.jobs[id];
+        let state = if live.is_cancelled {
+            JobState::Cancelled
+        } else if !live.job.is_idempotent {
+            JobState::Parked { reason: ParkReason::OutcomeUnknown }
+        } else if verdict == Verdict::JobNeverRuns {
+            JobState::Parked { reason: ParkReason::NeverRuns }
+        } else {
+            JobState::Queued
         };
         self.finish(id, state)
     }
--- a/crates/jackdawpierd/tests/job_answers.rs
+++ b/crates/jackdawpierd/tests/job_answers.rs
@@ -90,7 +90,7 @@
     let deployment = Deployment::new("job-lost-cancellation", 1, 1).with_default_timing();
     let (owner, other) = owner_of_refresh(deployment.start_all(2));
     accept(&other);
-    owner.signal("STOP");
+    owner.freeze();
     let (status, headers, body) =
         http_full("DELETE", other.callers, JOB, &[], b"").expect("it is answered");
     let body = String::from_utf8_lossy(&body);
@@ -128,7 +128,7 @@
 fn thawed_owner() {
     let deployment = Deployment::new("job-thawed-owner", 1, 1).with_default_timing();
     let (owner, other) = owner_of_refresh(deployment.start_all(2));
-    owner.signal("STOP");
+    owner.freeze();
     wait_for("the other entry to take over", || other.owned().contains(&"refresh".to_owned()));
     accept(&other);
     thread::scope(|scope| {
--- a/crates/jackdawpierd/tests/support/mod.rs
+++ b/crates/jackdawpierd/tests/support/mod.rs
@@ -47,6 +47,20 @@
         assert!(status.success(), "{} got no {name}", self.name);
     }
 
+    /// Stops the process where it is, and returns once all its threads stand still.
+    pub(crate) fn freeze(&self) {
+        self.signal("STOP");
+        let threads = format!("/proc/{}/task", self.child.id());
+        let stands_still = |thread: std::fs::DirEntry| {
+            let stat = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            stat.rsplit(')').next().is_some_and(|fields| fields.trim_start().starts_with('T'))
+        };
+        wait_for("the process to stand still", || {
+            let mut threads = std::fs::read_dir(&threads).expect("it is ours");
+            threads.all(|thread| thread.is_ok_and(stands_still))
+        });
+    }
+
     /// Waits for the process to end and says whether it ended well.
     pub(crate) fn wait(&mut self) -> bool {
         wait_for("the daemon to end", || self.child.try_wait().expect("it is ours").is_some());
