Name what changes something by a verb, and put what is written twice in one place

A newcomer's reading of the stops' change: repeat_stops (it marks the orders as under way, so it is no question), may_stop_until (another unsure_until is that of machine orders), the twelve seconds beside the other rules on stops; what becomes of a job whose task ended without success stood three times in the queue, the set-up of two tests twice. No bound, check or assertion is changed.

--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -132,7 +132,7 @@
                         let fields = json!({ "executor": *id, "task": end.task.to_string(), "run": end.run, "how": format!("{:?}", end.how) });
                         self.events.emit("task_ended", fields);
                     }
-                    let stops = self.fleet.borrow_mut().unconfirmed_stops(now, &id);
+                    let stops = self.fleet.borrow_mut().repeat_stops(now, &id);
                     stops.into_iter().for_each(|stop| self.clone().order_executor(stop));
                     self.pump();
                     self.changed.notify_one();
--- a/crates/jackdawpier_fleet/src/fleet/blame.rs
+++ b/crates/jackdawpier_fleet/src/fleet/blame.rs
@@ -336,7 +336,7 @@
     if was_silent || !is_certain {
         return Some(Crash { run: task.run, is_shared: true, ..Crash::default() });
     }
-    let may_be_stopped = signs.last_answer < task.unsure_until;
+    let may_be_stopped = signs.last_answer < task.may_stop_until;
     let is_stopping = may_be_stopped || matches!(task.phase, Phase::Stopping { .. });
     let was_there = survived.is_some() && !is_stopping && !may_have_ended(now, task, step, signs);
     let is_confirmed = was_there && signs.hold_until_end(now);
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -176,7 +176,7 @@
         task.run += 1;
         task.confirmed_at = None;
         task.unanswered_at = None;
-        task.unsure_until = Now::ZERO;
+        task.may_stop_until = Now::ZERO;
         task.listed_at = None;
         task.phase = Phase::Planned { executor: executor.clone() };
         let chosen = self.executors.get_mut(&executor).expect("just chosen");
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -4,7 +4,9 @@
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
-use super::{Command, Fleet, FleetSettings, StopReason, lives::Life, runs::TaskEnd};
+use super::{
+    Command, Fleet, FleetSettings, StopReason, lives::Life, runs::TaskEnd, stops::LATEST_STOP,
+};
 use crate::{
     executor::{EndKind, EndedTask, HoldReport, LastSigns, MAX_ENDS_PER_REPORT, TaskRef},
     job::{Phase, StopOrder},
@@ -35,8 +37,6 @@
 const MAX_LEAVE_OUT: Duration = Duration::from_secs(4);
 /// A stop counts as carried out this long after the executor's own bound on it.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
-/// An order to an executor that wasn't answered may be carried out this much later: longer than executors hang.
-const LATEST_STOP: Duration = Duration::from_secs(12);
 
 impl Fleet {
     /// What the next hold has to say; none if the executor is forgotten or its life is over.
--- a/crates/jackdawpier_fleet/src/fleet/stops.rs
+++ b/crates/jackdawpier_fleet/src/fleet/stops.rs
@@ -17,6 +17,8 @@
 /// What an executor didn't list this shortly before isn't at work yet, though it may have begun since: a start takes longer
 /// to be at full speed.
 const UNLISTED_LATELY: Duration = Duration::from_millis(400);
+/// An order to stop that wasn't answered may be carried out this much later: longer than executors hang.
+pub(super) const LATEST_STOP: Duration = Duration::from_secs(12);
 
 /// How an order to stop ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,8 +92,8 @@
         }
     }
 
-    /// Orders to stop that weren't taken and may be repeated, after a report of their executor.
-    pub fn unconfirmed_stops(&mut self, now: Now, id: &ExecutorId) -> Vec<Command> {
+    /// Repeats the orders to stop at an executor that weren't taken and may leave now; asked after each of its reports.
+    pub fn repeat_stops(&mut self, now: Now, id: &ExecutorId) -> Vec<Command> {
         let Some(executor) = self.executors.get(id) else { return Vec::new() };
         let is_due = |(job, index): &&TaskRef| {
             self.jobs.get(job).is_some_and(|job| {
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -124,7 +124,7 @@
         let is_heard = heard_at.is_some_and(|at| now.saturating_sub(at) < SILENT_AFTER);
         let since = task.at_work_since;
         is_heard
-            && now >= task.unsure_until
+            && now >= task.may_stop_until
             && !self.machines.is_leaving(id)
             && !self.machines.holds_executor(now, id)
             && since.is_some_and(|since| now.saturating_sub(since) >= SETTLED_AFTER)
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -83,7 +83,7 @@
     pub(crate) confirmed_at: Option<Now>,
     pub(crate) checkpoint: Box<str>,
     /// Until then an order to stop the present run may still be carried out, though it was taken back.
-    pub(crate) unsure_until: Now,
+    pub(crate) may_stop_until: Now,
     /// When the executor last reported that the present run is there.
     pub(crate) listed_at: Option<Now>,
     /// Last share of its full speed that the executor reported, in percent.
@@ -112,7 +112,7 @@
             unanswered_at: None,
             confirmed_at: None,
             checkpoint: "".into(),
-            unsure_until: Now::ZERO,
+            may_stop_until: Now::ZERO,
             listed_at: None,
             percent: 100,
             pace_percent: 100,
@@ -127,7 +127,7 @@
     pub(crate) fn take_stop_back(&mut self, now: Now, late: Duration) {
         if let Phase::Stopping { executor, order: StopOrder::Unanswered } = &self.phase {
             self.phase = Phase::Running { executor: executor.clone(), since: now };
-            self.unsure_until = now + late;
+            self.may_stop_until = now + late;
         }
     }
 
--- a/crates/jackdawpier_fleet/tests/repeated_stops.rs
+++ b/crates/jackdawpier_fleet/tests/repeated_stops.rs
@@ -19,6 +19,9 @@
 /// A machine that two tasks of a step share.
 const CROWDED: &str = "m-view-0";
 
+/// An order to stop a run: its executor, task and number.
+type Stop = (Arc<str>, TaskKey, u32);
+
 fn lasting(count: u32) -> StepSpec {
     StepSpec { is_long_running: true, may_miss: 1, max_per_executor: 1, ..step(count, 6, 0) }
 }
@@ -88,7 +91,7 @@
 }
 
 /// Runs until a task is told to stop.
-fn run_until_stop(world: &mut World) -> (Arc<str>, TaskKey, u32) {
+fn run_until_stop(world: &mut World) -> Stop {
     loop {
         world.run_for(world::STEP);
         let stop = world.commands.iter().find_map(|(_, command)| match command {
@@ -103,14 +106,19 @@
     }
 }
 
+/// A task that is told to leave the crowded machine, by an order that isn't taken; returns the machine of the third and the order.
+fn with_untaken_stop(world: &mut World) -> (Arc<str>, Stop) {
+    let other = with_crowded_machine(world);
+    world.delivery = Box::new(|_| NEVER);
+    world.waves.push(wave(1, CROWDED));
+    (other, run_until_stop(world))
+}
+
 /// A task had been told to leave its machine while its step could spare it; the order came seconds later, when another one was away.
 #[test]
 fn spared_before() {
     let mut world = World::new(&["view"], 3);
-    let other = with_crowded_machine(&mut world);
-    world.delivery = Box::new(|_| NEVER);
-    world.waves.push(wave(1, CROWDED));
-    run_until_stop(&mut world);
+    let (other, _) = with_untaken_stop(&mut world);
     lose_unseen(&mut world, &other);
     world.run_for(NOTICED);
     world.delivery = Box::new(|_| Delivery::Answered);
@@ -122,10 +130,7 @@
 #[test]
 fn held_up_try() {
     let mut world = World::new(&["view"], 3);
-    let other = with_crowded_machine(&mut world);
-    world.delivery = Box::new(|_| NEVER);
-    world.waves.push(wave(1, CROWDED));
-    let (executor, task, run) = run_until_stop(&mut world);
+    let (other, (executor, task, run)) = with_untaken_stop(&mut world);
     assert!(world.fleet.may_stop(world.now, &executor, &task, run));
     world.executors.get_mut(&executor).expect("it lives").cut(true);
     lose_unseen(&mut world, &other);
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -434,7 +434,7 @@
             let Some(report) = executor.hold(now, self.fence, &order) else { continue };
             executor.hold_due = now + HOLD_WAIT;
             self.fleet.hold_answered(now, asked_at, &id, &report);
-            for stop in self.fleet.unconfirmed_stops(now, &id) {
+            for stop in self.fleet.repeat_stops(now, &id) {
                 self.order(stop);
             }
         }
--- a/crates/jackdawpier_jobs/src/queue/tasks.rs
+++ b/crates/jackdawpier_jobs/src/queue/tasks.rs
@@ -117,31 +117,29 @@
         let rack = self.rack_of(worker);
         let verdict = self.blame.failed(now, id, worker, &rack);
         self.free_worker(id);
-        let live = &self.jobs[id];
-        let state = if live.is_cancelled {
-            JobState::Cancelled
-        } else if !live.job.is_idempotent {
-            JobState::Parked { reason: ParkReason::Failed }
-        } else if verdict == Verdict::JobNeverRuns {
-            JobState::Parked { reason: ParkReason::NeverRuns }
-        } else {
-            JobState::Queued
-        };
+        let state = self.state_after(id, ParkReason::Failed, verdict);
         self.finish(id, state)
     }
 
     /// The task stopped before its end, by our word or by the end of its lease.
     fn on_stopped(&mut self, id: &JobId) -> Vec<Command> {
         self.free_worker(id);
+        let state = self.state_after(id, ParkReason::OutcomeUnknown, Verdict::TryElsewhere);
+        self.finish(id, state)
+    }
+
+    /// What becomes of a job whose task has ended without success; `once` is why it is parked if it may not be repeated.
+    fn state_after(&self, id: &JobId, once: ParkReason, verdict: Verdict) -> JobState {
         let live = &self.jobs[id];
-        let state = if live.is_cancelled {
+        if live.is_cancelled {
             JobState::Cancelled
-        } else if live.job.is_idempotent {
-            JobState::Queued
+        } else if !live.job.is_idempotent {
+            JobState::Parked { reason: once }
+        } else if verdict == Verdict::JobNeverRuns {
+            JobState::Parked { reason: ParkReason::NeverRuns }
         } else {
-            JobState::Parked { reason: ParkReason::OutcomeUnknown }
-        };
-        self.finish(id, state)
+            JobState::Queued
+        }
     }
 
     /// The rack of a worker; one that isn't known stands alone.
@@ -158,16 +156,7 @@
             let rack = self.rack_of(&worker);
             self.blame.lost(now, id, &worker, &rack, is_shared)
         });
-        let live = &self.jobs[id];
-        let state = if live.is_cancelled {
-            JobState::Cancelled
-        } else if !live.job.is_idempotent {
-            JobState::Parked { reason: ParkReason::OutcomeUnknown }
-        } else if verdict == Verdict::JobNeverRuns {
-            JobState::Parked { reason: ParkReason::NeverRuns }
-        } else {
-            JobState::Queued
-        };
+        let state = self.state_after(id, ParkReason::OutcomeUnknown, verdict);
         self.finish(id, state)
     }
 
