Add the interfaces that the parts of overload handling share

Switches of the policy, the class of over-share jobs in a job's rank and the flag on a job. No job is over share yet, so nothing changes; the crate's tests pass unchanged.

--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -242,6 +242,8 @@
     pub(crate) ended_ms: u64,
     pub(crate) is_cancelled: bool,
     pub(crate) has_begun: bool,
+    /// Whether the job exceeded the share of its client account when this owner learned of it.
+    pub(crate) is_over_share: bool,
     /// Whether a previous owner ordered any task to start more than once.
     had_rerun: bool,
     /// Estimated time of the longest chain from each step to the end.
@@ -292,6 +294,7 @@
             ended_ms: 0,
             is_cancelled: false,
             has_begun: false,
+            is_over_share: false,
             had_rerun: false,
             remaining_chains: spec.remaining_chains(),
             first_task_of_step,
--- a/crates/jackdawpier_fleet/src/job_rank.rs
+++ b/crates/jackdawpier_fleet/src/job_rank.rs
@@ -2,7 +2,8 @@
 //!
 //! Under a burst that exceeds a pool's capacity several times some jobs must wait. A late job is worth a
 //! fraction, so jobs that can still meet their objective go first, by earliest deadline; those that can't
-//! follow in order of acceptance, which prevents starvation.
+//! follow in order of acceptance, which prevents starvation. Jobs beyond the share of their client account
+//! are placed between the two; see `docs/design/overload.md`.
 
 use std::time::Duration;
 
@@ -19,6 +20,17 @@
 }
 
 impl Rank {
+    /// Returns whether the job can no longer meet its objective.
+    pub(crate) fn is_late(&self) -> bool {
+        self.lateness >= Lateness::Late
+    }
+
+    /// Returns whether the job can meet its objective, or is long-running, and is within the share of its client
+    /// account. Only such jobs take machines from other pools.
+    pub(crate) fn is_primary(&self) -> bool {
+        self.lateness < Lateness::OverShare
+    }
+
     /// Returns whether the job is too late to have any value.
     pub(crate) fn is_expired(&self) -> bool {
         self.lateness == Lateness::Expired
@@ -30,6 +42,8 @@
     /// The job runs until it is cancelled, so each second of delay has a cost.
     LongRunning,
     OnTime,
+    /// The job can meet its objective but exceeds the share of its client account.
+    OverShare,
     Late,
     Expired,
 }
@@ -51,7 +65,7 @@
     let lateness = if job.has_long_running_tasks() {
         Lateness::LongRunning
     } else if ends_at <= due {
-        Lateness::OnTime
+        if job.is_over_share { Lateness::OverShare } else { Lateness::OnTime }
     } else if ends_at <= began_at + objective * EXPIRED_AFTER_OBJECTIVES {
         Lateness::Late
     } else {
--- a/crates/jackdawpier_fleet/src/policy.rs
+++ b/crates/jackdawpier_fleet/src/policy.rs
@@ -33,6 +33,18 @@
     pub migrates_long_running: bool,
     /// Relocates long-running tasks to make room for work that otherwise never fits.
     pub defragments: bool,
+    /// Puts jobs beyond the share of their client account behind other jobs.
+    pub enforces_shares: bool,
+    /// Limits how much room starved jobs get ahead of all others.
+    pub limits_starved_jobs: bool,
+    /// Moves busy machines from pools with late work to pools that lack machines for work that can be on time.
+    pub takes_busy_machines: bool,
+    /// Rejects a part of the jobs beyond the share of their client account while they can't end on time.
+    pub rejects_over_share: bool,
+    /// Lets more executors start suspect tasks in isolation while many of them wait.
+    pub widens_isolation: bool,
+    /// Keeps new tasks off executors that are observed to be slow.
+    pub avoids_slow_executors: bool,
 }
 
 impl Default for Policy {
@@ -52,6 +64,12 @@
             keeps_minimum_share: true,
             migrates_long_running: true,
             defragments: true,
+            enforces_shares: true,
+            limits_starved_jobs: true,
+            takes_busy_machines: true,
+            rejects_over_share: true,
+            widens_isolation: true,
+            avoids_slow_executors: true,
         }
     }
 }
