Split the demand of pools into primary and secondary demand

Cause: late jobs and jobs beyond the share of their client account counted like any others, so that the pool with the largest late backlog was the one with the largest shortage, and took the idle machines that on-time work of other pools needed.

Change: the demand of a pool is split. Primary demand has the running and waiting tasks of jobs that can be on time and are within their share, long-running tasks, arrivals, and the room for the largest expired job. Shortages for it are met first, by the priority of the waiting tasks and then by size, from machines beyond the primary demand of other pools. The rest is met from machines beyond the whole demand. Without secondary demand in any pool the requests and their order are the same as before.

Each job is ranked once per planning; only running jobs with secondary demand are kept by id. Running tasks count with the rest of their estimate, since otherwise a job that waited for most of its slack and ends in time would be late while it runs. Running gangs count as primary: stopping one task ends the work of all.

--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -3,21 +3,25 @@
 //! The demand of a pool is its running tasks, its waiting tasks that can still end in time, and
 //! arrivals at the current rate. Tasks that wait for a label are also counted separately, since
 //! machines with the label that are full of other tasks can't run them.
+//!
+//! Primary demand excludes late jobs and those beyond the share of their client account. Counted in
+//! full, the late backlog of one pool held 239 of 350 machines while on-time work of three others
+//! waited. See `docs/design/overload.md#3-machines-for-on-time-work`.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use jackdawpier_kernel::{
     Now,
-    ids::{PoolName, ServiceName},
+    ids::{JobId, PoolName, ServiceName},
 };
 
 use super::{Fleet, label_need::LabelNeed, label_shares::ShareBounds, placement::count_fitting};
 use crate::{
     executor::{Executor, TaskRef},
-    job::{Job, Phase, TaskIndex},
-    job_rank::rank,
+    job::{Job, Phase, Task, TaskIndex},
+    job_rank::{Rank, rank},
     machines::{MachineId, MachineState, MachineWork},
-    spec::{Label, Resources, StepSpec},
+    spec::{Label, Queue, Resources, StepSpec},
 };
 
 /// A job is checked for being stuck once it has waited for this long.
@@ -30,6 +34,30 @@
     pub(super) task: TaskRef,
 }
 
+/// Why the demand of a job is secondary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// It can end in time but exceeds the share of its client account.
+    OverShare,
+    Late,
+    Expired,
+}
+
+/// The jobs with running tasks whose demand is secondary. All other running jobs are primary. Kept
+/// for one planning, so that each job is ranked once and not for each of its tasks.
+pub(super) type SecondaryJobs = BTreeMap<JobId, Standing>;
+
+/// Demand of the jobs that can end in time and are within the share of their client account.
+#[derive(Debug, Default, Clone)]
+struct PrimaryDemand {
+    /// Demand of running, waiting and arriving tasks.
+    need_millicores: u64,
+    /// Additional machines that a stuck job needs beside long-running tasks.
+    missing_for_stuck: usize,
+    /// Highest priority of the waiting tasks, by required label.
+    urgency: BTreeMap<Option<Label>, u32>,
+}
+
 /// Supply and demand of one pool.
 #[derive(Debug, Default, Clone)]
 pub(super) struct PoolView {
@@ -43,6 +71,8 @@
     machine_capacity: Resources,
     /// Demand of running, waiting and arriving tasks.
     need_millicores: u64,
+    /// Part of the demand for which other pools give up machines.
+    primary: PrimaryDemand,
     /// Machines that the waiting long-running steps need under their limits on tasks per executor.
     min_machines: usize,
     /// Additional machines that a stuck job needs beside long-running tasks.
@@ -55,11 +85,29 @@
 
 impl PoolView {
     pub(super) fn needed_machines(&self) -> usize {
-        let for_demand =
-            self.need_millicores.div_ceil(self.machine_capacity.cpu_millicores.max(1)) as usize;
+        self.machines_for(self.need_millicores)
+    }
+
+    /// Returns the number of machines needed for primary demand.
+    pub(super) fn primary_machines(&self) -> usize {
+        self.machines_for(self.primary.need_millicores)
+    }
+
+    fn machines_for(&self, millicores: u64) -> usize {
+        let for_demand = millicores.div_ceil(self.machine_capacity.cpu_millicores.max(1)) as usize;
         for_demand.max(self.min_machines)
     }
 
+    /// Whether the pool has demand that isn't primary.
+    pub(super) fn has_secondary_demand(&self) -> bool {
+        self.need_millicores > self.primary.need_millicores
+    }
+
+    /// Returns the highest priority of the waiting primary tasks that require a label, or no label.
+    pub(super) fn urgency(&self, label: Option<&Label>) -> Option<u32> {
+        self.primary.urgency.get(&label.cloned()).copied()
+    }
+
     pub(super) fn total_machines(&self) -> usize {
         self.up_machines + self.arriving_machines
     }
@@ -77,6 +125,12 @@
         for_demand.max(self.missing_for_stuck.saturating_sub(self.arriving_machines))
     }
 
+    /// Returns the number of machines missing for primary demand.
+    pub(super) fn missing_for_primary(&self) -> usize {
+        let for_demand = self.primary_machines().saturating_sub(self.total_machines());
+        for_demand.max(self.primary.missing_for_stuck.saturating_sub(self.arriving_machines))
+    }
+
     /// Returns the number of missing machines for each label.
     pub(super) fn missing_by_label(&self) -> impl Iterator<Item = (&Label, usize)> {
         self.labels
@@ -131,7 +185,8 @@
 }
 
 impl Fleet {
-    pub(super) fn pool_views(&mut self, now: Now) -> BTreeMap<PoolName, PoolView> {
+    /// Returns the supply and demand of each pool, and the running jobs whose demand is secondary.
+    pub(super) fn pool_views(&mut self, now: Now) -> (BTreeMap<PoolName, PoolView>, SecondaryJobs) {
         let mut pools: BTreeMap<PoolName, PoolView> = self
             .queues
             .values()
@@ -140,6 +195,7 @@
         self.set_machine_capacities(&mut pools);
         let scarce = self.scarce_labels();
         self.add_label_needs(&mut pools, &scarce);
+        let secondary_jobs = self.add_waiting(now, &mut pools);
         for info in self.machines.listed.values() {
             let operation = self.machines.operations.get(&info.id);
             if let Some(MachineWork::Move(to)) = operation.map(|operation| &operation.work) {
@@ -154,7 +210,10 @@
                 continue;
             };
             let Some(known) = &executor.info else { continue };
-            pool.need_millicores += executor.allocated.cpu_millicores;
+            let allocated_millicores = executor.allocated.cpu_millicores;
+            pool.need_millicores += allocated_millicores;
+            pool.primary.need_millicores += allocated_millicores
+                .saturating_sub(self.secondary_millicores(executor, &secondary_jobs));
             // A frozen executor accepts no work in its current incarnation, so it isn't supply.
             if known.is_draining || operation.is_some() || executor.is_frozen {
                 continue;
@@ -168,15 +227,29 @@
                 pool.idle_machines.push(info.id.clone());
             }
         }
-        self.add_waiting(now, &mut pools);
         self.add_stuck_jobs(now, &mut pools);
         for (name, pool) in &mut pools {
             let policy = self.settings.policy;
             let arriving =
                 self.arrivals.get_mut(name).map_or(0, |one| one.demand_millicores(now, policy));
-            pool.need_millicores = pool.need_millicores.max(arriving);
+            pool.primary.need_millicores = pool.primary.need_millicores.max(arriving);
+            pool.need_millicores = pool.need_millicores.max(pool.primary.need_millicores);
+        }
+        (pools, secondary_jobs)
+    }
+
+    /// Returns the CPU that the tasks of secondary jobs use on an executor.
+    fn secondary_millicores(&self, executor: &Executor, secondary_jobs: &SecondaryJobs) -> u64 {
+        if secondary_jobs.is_empty() {
+            return 0;
         }
-        pools
+        let tasks = executor.tasks.iter();
+        tasks
+            .filter(|(id, _)| secondary_jobs.contains_key(id))
+            .filter_map(|(id, index)| self.jobs.get(id).map(|job| job.step(*index)))
+            .filter(|step| !step.is_gang)
+            .map(|step| step.allocated().cpu_millicores)
+            .sum()
     }
 
     /// Sets the machine capacity of each pool to that of its largest machine, or of the fleet's
@@ -251,6 +324,10 @@
             }
             if job.step(index).required_label.is_none() {
                 pool.missing_for_stuck = pool.missing_for_stuck.max(missing);
+                if self.standing(&self.rank_of(now, job, queue)).is_none() {
+                    let primary = &mut pool.primary;
+                    primary.missing_for_stuck = primary.missing_for_stuck.max(missing);
+                }
             }
             let stuck = StuckTask { since, task: (job.id.clone(), index) };
             if pool.stuck.as_ref().is_none_or(|other| since < other.since) {
@@ -307,15 +384,25 @@
     }
 
     /// Adds the waiting tasks of jobs that can still end in time, within the caps of their
-    /// accounts.
-    fn add_waiting(&self, now: Now, pools: &mut BTreeMap<PoolName, PoolView>) {
+    /// accounts, and returns the jobs with running tasks whose demand is secondary.
+    fn add_waiting(&self, now: Now, pools: &mut BTreeMap<PoolName, PoolView>) -> SecondaryJobs {
         let mut headroom = self.accounts.headroom();
+        // Secondary jobs must not use up the headroom before primary jobs of the same account.
+        let mut primary_headroom = self.accounts.headroom();
+        let mut secondary_jobs = Vec::new();
         for (queue, ids) in &self.open_jobs {
             let Some(queue) = self.queues.get(queue) else { continue };
             let Some(pool) = pools.get_mut(&queue.service) else { continue };
             let mut least_millicores = 0;
             for job in ids.iter().filter_map(|id| self.jobs.get(id)) {
-                if rank(now, job, queue, self.settings.policy).is_expired() {
+                let rank = self.rank_of(now, job, queue);
+                let standing = self.standing(&rank);
+                if let Some(standing) = standing
+                    && has_running_tasks(job)
+                {
+                    secondary_jobs.push((job.id.clone(), standing));
+                }
+                if rank.is_expired() {
                     least_millicores = least_millicores.max(min_start_millicores(job));
                     continue;
                 }
@@ -324,10 +411,83 @@
                 let waiting = job.startable.iter().map(|&index| job.step(index).allocated());
                 let millicores = waiting.map(|need| need.cpu_millicores).sum::<u64>();
                 pool.need_millicores += headroom.take(job.account.as_ref(), millicores);
+                if standing.is_none() {
+                    let allowed = primary_headroom.take(job.account.as_ref(), millicores);
+                    pool.primary.add_waiting(job, queue.priority, allowed);
+                }
             }
             // Expired jobs still have to end, so there must be room for the largest of them.
             pool.need_millicores += least_millicores;
+            pool.primary.need_millicores += least_millicores;
+        }
+        secondary_jobs.into_iter().collect()
+    }
+
+    /// Returns the rank of a job, whose running tasks need only the rest of their estimates.
+    fn rank_of(&self, now: Now, job: &Job, queue: &Queue) -> Rank {
+        rank(now.saturating_sub(time_run(now, job)), job, queue, self.settings.policy)
+    }
+
+    /// Returns why the demand of a job is secondary, or `None` if it is primary.
+    fn standing(&self, rank: &Rank) -> Option<Standing> {
+        if rank.is_primary() || !self.settings.policy.takes_busy_machines {
+            return None;
         }
+        Some(match (rank.is_expired(), rank.is_late()) {
+            (true, _) => Standing::Expired,
+            (false, true) => Standing::Late,
+            (false, false) => Standing::OverShare,
+        })
+    }
+}
+
+impl PrimaryDemand {
+    fn add_waiting(&mut self, job: &Job, priority: u32, millicores: u64) {
+        self.need_millicores += millicores;
+        if millicores == 0 {
+            return;
+        }
+        for &index in &job.startable {
+            let label = &job.step(index).required_label;
+            if let Some(highest) = self.urgency.get_mut(label) {
+                *highest = priority.min(*highest);
+            } else {
+                self.urgency.insert(label.clone(), priority);
+            }
+        }
+    }
+}
+
+/// Whether tasks of a job may be running: not all tasks of its open steps are startable.
+fn has_running_tasks(job: &Job) -> bool {
+    let open = job.progress.iter().filter(|progress| progress.is_open);
+    open.map(|progress| progress.remaining as usize).sum::<usize>() > job.startable.len()
+}
+
+/// Returns the part of the remaining estimate of a job that its running tasks have already run.
+/// Without it, jobs that wait for most of their slack and then end in time would be late while they
+/// run.
+fn time_run(now: Now, job: &Job) -> Duration {
+    if !job.startable.is_empty() {
+        return Duration::ZERO;
+    }
+    let steps = job.spec.steps.len();
+    let open = job.progress.iter().enumerate().filter(|(_, one)| one.is_open && one.remaining > 0);
+    let remaining = open.map(|(slot, _)| {
+        let tasks = job.tasks_in_slot(slot).map(|index| &job.tasks[index]);
+        let unfinished = tasks.filter(|task| task.phase != Phase::Done);
+        let time_run = unfinished.map(|task| elapsed(now, task)).min().unwrap_or_default();
+        let step = &job.spec.steps[slot % steps];
+        job.remaining_chains[slot % steps].saturating_sub(time_run.min(step.estimate))
+    });
+    job.remaining_estimate().saturating_sub(remaining.max().unwrap_or_default())
+}
+
+/// Returns how long a task has been running.
+fn elapsed(now: Now, task: &Task) -> Duration {
+    match task.phase {
+        Phase::Running { since, .. } => now.saturating_sub(since),
+        _ => Duration::ZERO,
     }
 }
 
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -36,6 +36,14 @@
     pub entitled: Option<usize>,
 }
 
+/// A request for machines to cover a shortage, or a part of it.
+#[derive(Debug)]
+struct Request {
+    shortage: Shortage,
+    /// Whether the machines are for primary demand, see [`super::pool_view`].
+    is_primary: bool,
+}
+
 impl Fleet {
     /// Returns the shortages that the last planning of pools found.
     pub fn shortages(&self) -> &[Shortage] {
@@ -47,16 +55,17 @@
         if now < self.machines.orders_allowed_from {
             return;
         }
-        let mut pools = self.pool_views(now);
+        let (mut pools, _) = self.pool_views(now);
         let mut standby = self.free_standby_machines(now);
         let kept = self.kept_machines(&pools);
         self.shortages = shortages_of(&pools, &self.scarce_labels());
         self.track_label_shortages(now);
-        for shortage in self.shortages.clone() {
+        for request in requests_for(&self.shortages, &pools) {
+            let shortage = &request.shortage;
             for _ in 0..shortage.lacks {
-                let found = self.find_machine(now, &shortage, &mut pools, &mut standby, kept);
+                let found = self.find_machine(now, &request, &mut pools, &mut standby, kept);
                 let Some(machine) = found else {
-                    self.begin_defragmentation(now, &shortage, &pools);
+                    self.begin_defragmentation(now, shortage, &pools);
                     break;
                 };
                 self.begin_operation(now, machine, MachineWork::Move(shortage.pool.clone()));
@@ -77,11 +86,12 @@
     fn find_machine(
         &self,
         now: Now,
-        shortage: &Shortage,
+        request: &Request,
         pools: &mut BTreeMap<PoolName, PoolView>,
         standby: &mut Vec<MachineId>,
         kept: usize,
     ) -> Option<MachineId> {
+        let Request { shortage, is_primary } = request;
         let Shortage { pool: to, label, .. } = shortage;
         let fits = |machine: &MachineId| {
             let has_label = |label| self.labels_of(machine).contains(label);
@@ -90,7 +100,11 @@
         // Tasks that require a label can't run on other machines, so pools keep a smaller share of
         // them.
         let kept = if label.is_some() { kept / 2 } else { kept };
-        if let Some(machine) = self.take_idle_machine(pools, to, kept, fits) {
+        let surplus = |pool: &PoolView| match is_primary {
+            true => surplus_over(pool, kept, pool.primary_machines()),
+            false => surplus_over(pool, kept, pool.needed_machines()),
+        };
+        if let Some(machine) = self.take_idle_machine(pools, to, surplus, fits) {
             return Some(machine);
         }
         if let Some(position) = standby.iter().position(fits) {
@@ -108,24 +122,18 @@
         self.machines.listed.get(machine).map_or(&[], |info| &info.labels)
     }
 
-    /// Takes an idle machine from the pool with the largest surplus. Each pool keeps `kept`
-    /// machines.
+    /// Takes an idle machine from the pool with the largest surplus.
     fn take_idle_machine(
         &self,
         pools: &mut BTreeMap<PoolName, PoolView>,
         to: &PoolName,
-        kept: usize,
+        surplus: impl Fn(&PoolView) -> usize,
         fits: impl Fn(&MachineId) -> bool,
     ) -> Option<MachineId> {
-        let surplus = |pool: &PoolView| {
-            pool.up_machines
-                .saturating_sub(kept.max(pool.needed_machines() + SPARE_MACHINES))
-                .min(pool.idle_machines.len())
-        };
         let mut donors: Vec<(usize, &mut PoolView)> = pools
             .iter_mut()
             .filter(|(name, _)| *name != to)
-            .map(|(_, pool)| (surplus(pool), pool))
+            .map(|(_, pool)| (surplus(pool).min(pool.idle_machines.len()), pool))
             .filter(|(surplus, _)| *surplus > 0)
             .collect();
         donors.sort_by_key(|(surplus, _)| std::cmp::Reverse(*surplus));
@@ -162,6 +170,44 @@
     }
 }
 
+/// Returns how many machines a pool can give up if it needs `needed` and keeps `kept`.
+fn surplus_over(pool: &PoolView, kept: usize, needed: usize) -> usize {
+    pool.up_machines.saturating_sub(kept.max(needed + SPARE_MACHINES))
+}
+
+/// Splits shortages by the kind of their demand. Primary ones come first, by the highest priority of
+/// their waiting tasks; without secondary demand in any pool, by size alone.
+fn requests_for(shortages: &[Shortage], pools: &BTreeMap<PoolName, PoolView>) -> Vec<Request> {
+    if !pools.values().any(PoolView::has_secondary_demand) {
+        let all = shortages.iter().cloned();
+        return all.map(|shortage| Request { shortage, is_primary: true }).collect();
+    }
+    let mut primary = Vec::new();
+    let mut secondary = Vec::new();
+    for shortage in shortages {
+        let pool = &pools[&shortage.pool];
+        let urgency = pool.urgency(shortage.label.as_ref());
+        let primary_lacks = match &shortage.label {
+            None => pool.missing_for_primary().min(shortage.lacks),
+            Some(_) if urgency.is_some() => shortage.lacks,
+            Some(_) => 0,
+        };
+        let with = |lacks, is_primary| Request {
+            shortage: Shortage { lacks, ..shortage.clone() },
+            is_primary,
+        };
+        if primary_lacks > 0 {
+            // Arrivals count although none of them waits yet.
+            primary.push((urgency.unwrap_or(u32::MAX), with(primary_lacks, true)));
+        }
+        if primary_lacks < shortage.lacks {
+            secondary.push(with(shortage.lacks - primary_lacks, false));
+        }
+    }
+    primary.sort_by_key(|(urgency, request)| (*urgency, Reverse(request.shortage.lacks)));
+    primary.into_iter().map(|(_, request)| request).chain(secondary).collect()
+}
+
 /// Returns the shortages of all pools, the greatest first.
 fn shortages_of(pools: &BTreeMap<PoolName, PoolView>, scarce: &[&Label]) -> Vec<Shortage> {
     let mut shortages = Vec::new();
