Take busy machines for primary demand

Cause: only idle machines moved.

Change: a pool that lacks machines for primary demand and finds no idle one takes a busy machine of the pool with the largest surplus over its own primary demand and its minimum share. The machine has no long-running tasks and some secondary ones, and the least primary work; its on-time tasks end within two seconds. No more are taken than are missing when they would arrive, at the steady arrival rate and less the backlog done until then, and machines that become idle by themselves within a second count first. The choice and the estimate are pure (busy_machines.rs). Busy machines are only examined when a shortage asks for one while some job is late or over its share.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -3,6 +3,7 @@
 //! Each new owner rebuilds the state from the store and from the reports of executors, so nothing
 //! here has to survive the process. Start orders are sent only for placements that are durable.
 
+mod busy_machines;
 mod command;
 mod commits;
 mod crash_attribution;
@@ -44,6 +45,7 @@
     ids::{AccountName, ExecutorId, JobId, PoolName, ServiceName},
 };
 
+pub use busy_machines::{BusyMachine, Donor, Outlook, choose_busy_machine};
 pub use command::{Command, StopReason};
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use crash_attribution::{GivenUpTask, TaskCrash};
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -15,12 +15,19 @@
     ids::{JobId, PoolName, ServiceName},
 };
 
-use super::{Fleet, label_need::LabelNeed, label_shares::ShareBounds, placement::count_fitting};
+use super::{
+    Fleet,
+    busy_machines::{BusyMachine, Outlook},
+    label_need::LabelNeed,
+    label_shares::ShareBounds,
+    placement::count_fitting,
+};
 use crate::{
     executor::{Executor, TaskRef},
     job::{Job, Phase, Task, TaskIndex},
     job_rank::{Rank, rank},
     machines::{MachineId, MachineState, MachineWork},
+    policy::Policy,
     spec::{Label, Queue, Resources, StepSpec},
 };
 
@@ -56,6 +63,8 @@
     missing_for_stuck: usize,
     /// Highest priority of the waiting tasks, by required label.
     urgency: BTreeMap<Option<Label>, u32>,
+    /// The same demand by how long it lasts.
+    outlook: Outlook,
 }
 
 /// Supply and demand of one pool.
@@ -67,6 +76,10 @@
     arriving_machines: usize,
     /// Machines of the pool that run nothing.
     pub(super) idle_machines: Vec<MachineId>,
+    /// Machines of the pool that run tasks; see [`Fleet::add_busy_machines`].
+    pub(super) busy_machines: Vec<BusyMachine>,
+    /// Whether any task waits in the pool, of whatever job.
+    has_waiting: bool,
     /// Capacity of one machine.
     machine_capacity: Resources,
     /// Demand of running, waiting and arriving tasks.
@@ -131,6 +144,29 @@
         for_demand.max(self.primary.missing_for_stuck.saturating_sub(self.arriving_machines))
     }
 
+    /// Returns the number of machines missing for primary demand when a busy machine could arrive.
+    pub(super) fn missing_at_arrival(&self) -> usize {
+        let machines = self.total_machines();
+        let supply_millicores = self.machine_capacity.cpu_millicores * machines as u64;
+        let needed = self.primary.outlook.millicores_at_arrival(supply_millicores);
+        let for_demand = self.machines_for(needed).saturating_sub(machines);
+        let for_stuck = self.primary.missing_for_stuck.saturating_sub(self.arriving_machines);
+        for_demand.max(for_stuck).min(self.missing_for_primary())
+    }
+
+    /// Returns how many machines of the pool become idle by themselves soon and can be given up.
+    /// While tasks wait, they are refilled.
+    pub(super) fn idle_soon(&self, kept: usize) -> usize {
+        if self.has_waiting {
+            return 0;
+        }
+        let outlook = &self.primary.outlook;
+        let lasting = outlook.long_running_millicores.saturating_add(outlook.arriving_millicores);
+        let needed = kept.max(self.machines_for(lasting)) + self.idle_machines.len();
+        let ending = self.busy_machines.iter().filter(|machine| machine.is_idle_soon()).count();
+        ending.min(self.up_machines.saturating_sub(needed))
+    }
+
     /// Returns the number of missing machines for each label.
     pub(super) fn missing_by_label(&self) -> impl Iterator<Item = (&Label, usize)> {
         self.labels
@@ -230,8 +266,14 @@
         self.add_stuck_jobs(now, &mut pools);
         for (name, pool) in &mut pools {
             let policy = self.settings.policy;
-            let arriving =
-                self.arrivals.get_mut(name).map_or(0, |one| one.demand_millicores(now, policy));
+            let mut arriving = |policy| {
+                self.arrivals.get_mut(name).map_or(0, |one| one.demand_millicores(now, policy))
+            };
+            // Extrapolating the first second of steady arrivals triples them. Idle machines that
+            // were moved in vain cost nothing, busy ones the work that they ran.
+            let steady = Policy { detects_bursts: false, extrapolates_trend: false, ..policy };
+            pool.primary.outlook.arriving_millicores = arriving(steady);
+            let arriving = arriving(policy);
             pool.primary.need_millicores = pool.primary.need_millicores.max(arriving);
             pool.need_millicores = pool.need_millicores.max(pool.primary.need_millicores);
         }
@@ -243,15 +285,73 @@
         if secondary_jobs.is_empty() {
             return 0;
         }
-        let tasks = executor.tasks.iter();
-        tasks
-            .filter(|(id, _)| secondary_jobs.contains_key(id))
-            .filter_map(|(id, index)| self.jobs.get(id).map(|job| job.step(*index)))
-            .filter(|step| !step.is_gang)
-            .map(|step| step.allocated().cpu_millicores)
+        let jobs =
+            executor.tasks.iter().filter_map(|(id, index)| Some((self.jobs.get(id)?, *index)));
+        jobs.filter(|(job, index)| standing_of_task(job, *index, secondary_jobs).is_some())
+            .map(|(job, index)| job.step(index).allocated().cpu_millicores)
             .sum()
     }
 
+    /// Lists the busy machines of each pool. Called only if they are needed, since it examines all
+    /// running tasks.
+    pub(super) fn add_busy_machines(
+        &self,
+        now: Now,
+        pools: &mut BTreeMap<PoolName, PoolView>,
+        secondary_jobs: &SecondaryJobs,
+    ) {
+        for info in self.machines.listed.values() {
+            let Some(pool) = pools.get_mut(&info.pool) else { continue };
+            let is_movable = info.state == MachineState::Up
+                && !self.machines.operations.contains_key(&info.id)
+                && !self.machines.is_locked(now, &info.id);
+            let executor = info.executor.as_ref().and_then(|id| self.executors.get(id));
+            let Some(executor) = executor.filter(|executor| {
+                is_movable
+                    && executor.is_usable()
+                    && executor.is_synced
+                    && !executor.is_isolating(now)
+                    && !executor.tasks.is_empty()
+            }) else {
+                continue;
+            };
+            pool.busy_machines.push(self.busy_machine(now, &info.id, executor, secondary_jobs));
+        }
+    }
+
+    fn busy_machine(
+        &self,
+        now: Now,
+        id: &MachineId,
+        executor: &Executor,
+        secondary_jobs: &SecondaryJobs,
+    ) -> BusyMachine {
+        let mut machine = BusyMachine {
+            id: id.clone(),
+            has_long_running: false,
+            primary_millicores: 0,
+            secondary_tasks: 0,
+            on_time_remaining: Duration::ZERO,
+            remaining: Duration::ZERO,
+        };
+        for task in &executor.tasks {
+            let Some(job) = self.jobs.get(&task.0) else { continue };
+            let step = job.step(task.1);
+            let remaining = step.estimate.saturating_sub(elapsed(now, &job.tasks[task.1]));
+            let standing = standing_of_task(job, task.1, secondary_jobs);
+            machine.has_long_running |= step.is_long_running;
+            machine.remaining = machine.remaining.max(remaining);
+            if matches!(standing, None | Some(Standing::OverShare)) {
+                machine.on_time_remaining = machine.on_time_remaining.max(remaining);
+            }
+            match standing {
+                None => machine.primary_millicores += step.allocated().cpu_millicores,
+                Some(_) => machine.secondary_tasks += 1,
+            }
+        }
+        machine
+    }
+
     /// Sets the machine capacity of each pool to that of its largest machine, or of the fleet's
     /// largest if it has none.
     fn set_machine_capacities(&self, pools: &mut BTreeMap<PoolName, PoolView>) {
@@ -397,10 +497,12 @@
             for job in ids.iter().filter_map(|id| self.jobs.get(id)) {
                 let rank = self.rank_of(now, job, queue);
                 let standing = self.standing(&rank);
-                if let Some(standing) = standing
-                    && has_running_tasks(job)
-                {
-                    secondary_jobs.push((job.id.clone(), standing));
+                pool.has_waiting |= !job.startable.is_empty();
+                if has_running_tasks(job) {
+                    match standing {
+                        Some(standing) => secondary_jobs.push((job.id.clone(), standing)),
+                        None => pool.primary.add_running(now, job),
+                    }
                 }
                 if rank.is_expired() {
                     least_millicores = least_millicores.max(min_start_millicores(job));
@@ -442,13 +544,32 @@
 }
 
 impl PrimaryDemand {
+    /// Adds the running tasks of a job to the outlook. The need of running tasks is counted by
+    /// machine, since those on machines that leave the pool don't count.
+    fn add_running(&mut self, now: Now, job: &Job) {
+        for (index, task) in job.tasks.iter().enumerate() {
+            if task.phase.executor().is_some() {
+                let step = job.step(index);
+                let remaining = step.estimate.saturating_sub(elapsed(now, task));
+                self.outlook.add(step, step.allocated().cpu_millicores, remaining);
+            }
+        }
+    }
+
     fn add_waiting(&mut self, job: &Job, priority: u32, millicores: u64) {
         self.need_millicores += millicores;
         if millicores == 0 {
             return;
         }
+        let asked: u64 =
+            job.startable.iter().map(|&index| job.step(index).allocated().cpu_millicores).sum();
         for &index in &job.startable {
-            let label = &job.step(index).required_label;
+            let step = job.step(index);
+            // Tasks beyond the cap of their account need no machines.
+            let allocated = u128::from(step.allocated().cpu_millicores) * u128::from(millicores);
+            let within_cap = (allocated / u128::from(asked.max(1))) as u64;
+            self.outlook.add(step, within_cap, step.estimate);
+            let label = &step.required_label;
             if let Some(highest) = self.urgency.get_mut(label) {
                 *highest = priority.min(*highest);
             } else {
@@ -458,6 +579,28 @@
     }
 }
 
+impl Outlook {
+    fn add(&mut self, step: &StepSpec, millicores: u64, remaining: Duration) {
+        if step.is_long_running {
+            self.long_running_millicores += millicores;
+        } else {
+            self.short_millicores += millicores;
+            self.short_millicore_ms += u128::from(millicores) * remaining.as_millis();
+        }
+    }
+}
+
+/// Returns why the demand of a running task is secondary, or `None` if it is primary. Gangs that run
+/// count as primary: stopping one task ends the work of all, and they need room for all at once
+/// again.
+fn standing_of_task(
+    job: &Job,
+    index: TaskIndex,
+    secondary_jobs: &SecondaryJobs,
+) -> Option<Standing> {
+    secondary_jobs.get(&job.id).copied().filter(|_| !job.step(index).is_gang)
+}
+
 /// Whether tasks of a job may be running: not all tasks of its open steps are startable.
 fn has_running_tasks(job: &Job) -> bool {
     let open = job.progress.iter().filter(|progress| progress.is_open);
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -2,13 +2,22 @@
 //!
 //! The demand peaks of pools alternate, and each peak is several times the pool's mean and more
 //! than it holds, while other pools have room. A few machines that follow the demand serve more
-//! than any fixed split. Only idle machines move; no running task is stopped for a move.
+//! than any fixed split.
+//!
+//! Idle machines move first. A pool that lacks machines for primary demand also takes busy machines
+//! that run late work, or work beyond the share of its client account, in other pools. See
+//! `docs/design/overload.md#3-machines-for-on-time-work`.
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
 use jackdawpier_kernel::{Now, ids::PoolName};
 
-use super::{Fleet, label_shares::label_shares, pool_view::PoolView};
+use super::{
+    Fleet,
+    busy_machines::{Donor, choose_busy_machine},
+    label_shares::label_shares,
+    pool_view::{PoolView, SecondaryJobs},
+};
 use crate::{
     machines::{MachineId, MachineState, MachineWork},
     spec::Label,
@@ -44,6 +53,24 @@
     is_primary: bool,
 }
 
+/// The busy machines that may move, in one planning.
+#[derive(Debug)]
+struct BusySupply {
+    secondary_jobs: SecondaryJobs,
+    /// Machines that each pool keeps.
+    kept: usize,
+    /// Machines that become idle by themselves and aren't assigned to a shortage yet; computed when
+    /// a shortage first asks for a busy machine.
+    idle_soon: Option<usize>,
+}
+
+impl BusySupply {
+    /// Assigns machines that become idle by themselves to the rest of a shortage.
+    fn note_uncovered(&mut self, lacks: usize) {
+        self.idle_soon = self.idle_soon.map(|idle_soon| idle_soon.saturating_sub(lacks));
+    }
+}
+
 impl Fleet {
     /// Returns the shortages that the last planning of pools found.
     pub fn shortages(&self) -> &[Shortage] {
@@ -55,24 +82,73 @@
         if now < self.machines.orders_allowed_from {
             return;
         }
-        let (mut pools, _) = self.pool_views(now);
+        let (mut pools, secondary_jobs) = self.pool_views(now);
         let mut standby = self.free_standby_machines(now);
         let kept = self.kept_machines(&pools);
+        let mut busy = BusySupply { secondary_jobs, kept, idle_soon: None };
         self.shortages = shortages_of(&pools, &self.scarce_labels());
         self.track_label_shortages(now);
         for request in requests_for(&self.shortages, &pools) {
             let shortage = &request.shortage;
-            for _ in 0..shortage.lacks {
-                let found = self.find_machine(now, &request, &mut pools, &mut standby, kept);
-                let Some(machine) = found else {
+            let to = MachineWork::Move(shortage.pool.clone());
+            for found in 0..shortage.lacks {
+                if let Some(machine) =
+                    self.find_machine(now, &request, &mut pools, &mut standby, kept)
+                {
+                    self.begin_operation(now, machine, to.clone());
+                } else if let Some(machine) =
+                    self.take_busy_machine(now, &request, found, &mut pools, &mut busy)
+                {
+                    self.begin_operation(now, machine, to.clone());
+                } else {
                     self.begin_defragmentation(now, shortage, &pools);
+                    busy.note_uncovered(shortage.lacks - found);
                     break;
-                };
-                self.begin_operation(now, machine, MachineWork::Move(shortage.pool.clone()));
+                }
             }
         }
     }
 
+    /// Takes a busy machine for primary demand, if more machines are missing at its arrival than the
+    /// `found` ones and those that become idle by themselves before.
+    fn take_busy_machine(
+        &self,
+        now: Now,
+        request: &Request,
+        found: usize,
+        pools: &mut BTreeMap<PoolName, PoolView>,
+        busy: &mut BusySupply,
+    ) -> Option<MachineId> {
+        let Shortage { pool: to, label, .. } = &request.shortage;
+        if !request.is_primary || label.is_some() || busy.secondary_jobs.is_empty() {
+            return None;
+        }
+        let kept = busy.kept;
+        let idle_soon = *busy.idle_soon.get_or_insert_with(|| {
+            self.add_busy_machines(now, pools, &busy.secondary_jobs);
+            pools.values().map(|pool| pool.idle_soon(kept)).sum()
+        });
+        if found + idle_soon >= pools.get(to)?.missing_at_arrival() {
+            return None;
+        }
+        let others = pools.iter().filter(|(name, _)| *name != to);
+        let donors = others.map(|(_, pool)| Donor {
+            surplus: surplus_over(pool, kept, pool.primary_machines()),
+            machines: &pool.busy_machines,
+        });
+        let fits = |machine: &MachineId| {
+            let from = self.machines.listed.get(machine).and_then(|info| pools.get(&info.pool));
+            let can_spare = from.is_some_and(|pool| pool.can_spare(self.labels_of(machine)));
+            can_spare && self.may_move(machine, to)
+        };
+        let machine = choose_busy_machine(donors, fits)?.id.clone();
+        let pool = pools.get_mut(&self.machines.listed.get(&machine)?.pool)?;
+        pool.busy_machines.retain(|one| one.id != machine);
+        pool.up_machines -= 1;
+        pool.remove_machine_labels(self.labels_of(&machine));
+        Some(machine)
+    }
+
     /// Returns how many machines each pool keeps even if it needs fewer now.
     fn kept_machines(&self, pools: &BTreeMap<PoolName, PoolView>) -> usize {
         let total: usize = pools.values().map(PoolView::total_machines).sum();
