Limit how much room starved jobs get ahead of others

A job that had waited 5 s with nothing running got a task ahead of all others. With thousands of expired jobs they took all room, and jobs that could be on time expired in turn.

Starved jobs now have a budget of core time per service: a twentieth of the cores that short tasks may use, of which 8 s (0.4 s of the whole service) are kept while unused. A task starts if anything is left, so that large ones start, too; a debt ends after 20 s at most. Where only expired jobs of a priority are left, starved jobs take turns without a limit, as before.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -28,7 +28,9 @@
 mod reports;
 mod reservations;
 mod runs;
+mod short_task_cores;
 mod starts;
+mod starved_budget;
 mod stops;
 mod vacating;
 mod waits;
@@ -59,6 +61,8 @@
 use defragmentation::Defragmentations;
 use intake::InheritedEndedJob;
 use recent_crashes::RecentCrashes;
+use short_task_cores::ShortTaskCores;
+use starved_budget::StarvedBudget;
 
 use crate::{
     account::{Account, Accounts},
@@ -154,6 +158,8 @@
     arrivals: BTreeMap<ServiceName, Arrivals>,
     /// Labels that jobs have required since this owner took over.
     requested_labels: BTreeSet<Label>,
+    short_task_cores: ShortTaskCores,
+    starved_budgets: BTreeMap<ServiceName, StarvedBudget>,
     next_batch: u64,
     executors_compared: u64,
     wave_machines_counted: u64,
@@ -195,6 +201,8 @@
             label_shortages_since: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             requested_labels: BTreeSet::new(),
+            short_task_cores: ShortTaskCores::default(),
+            starved_budgets: BTreeMap::new(),
             next_batch: 0,
             executors_compared: 0,
             wave_machines_counted: 0,
@@ -292,6 +300,7 @@
     pub fn tick(&mut self, now: Now, wall_ms: u64) {
         self.wall_ms = wall_ms;
         self.accounts.expire(now);
+        self.measure_short_task_cores(now);
         self.open_due_occurrences(now, wall_ms);
         self.expire_executors_if_due(now);
         self.plan_machines(now);
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -75,8 +75,16 @@
         waiting.sort_unstable();
         let mut rounds = self.start_rounds(now);
         self.continue_defragmentations(now, &mut rounds);
-        self.place_starved(now, &waiting, &mut rounds);
-        for (_, id) in waiting {
+        let starved = self.starved_jobs(now, &waiting);
+        self.place_starved(now, &starved, &mut rounds);
+        let limits_starved = self.settings.policy.limits_starved_jobs;
+        let mut expired_priority = None;
+        for (rank, id) in waiting {
+            let priority = Some(rank.priority());
+            if limits_starved && rank.is_expired() && expired_priority != priority {
+                expired_priority = priority;
+                self.place_starved_among_expired(now, rank.priority(), &starved, &mut rounds);
+            }
             let round = self.service_of(&id).and_then(|service| rounds.get_mut(service));
             if let Some(round) = round.filter(|one| !one.executors.is_empty()) {
                 self.place_job(now, &id, round, usize::MAX);
--- a/crates/jackdawpier_fleet/src/fleet/reservations.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reservations.rs
@@ -16,7 +16,9 @@
     ids::{ExecutorId, JobId, ServiceName},
 };
 
-use super::{Fleet, placement::is_eligible, placement_round::PlacementRound};
+use super::{
+    Fleet, placement::is_eligible, placement_round::PlacementRound, starved_budget::StarvedBudget,
+};
 use crate::{
     executor::Executor,
     job::{Job, Phase, TaskIndex},
@@ -28,7 +30,8 @@
 /// short task, so gaps have opened in the meantime and were too small.
 const RESERVE_AFTER: Duration = Duration::from_millis(1500);
 /// A job that has waited this long is placed before jobs that could still meet their objectives, so that
-/// no job waits for the whole of a burst.
+/// no job waits for the whole of a burst. How much of a service such jobs get is limited; see
+/// [`super::starved_budget`].
 const STARVED_AFTER: Duration = Duration::from_secs(5);
 /// Duration of a reservation within each [`RESERVATION_PERIOD`] of a job's wait. It is limited because the
 /// tasks on the reserved executors may be far slower than usual, or make no progress.
@@ -38,9 +41,34 @@
 /// anywhere, and each attempt compares all executors.
 const MAX_FAILED_ATTEMPTS: usize = 8;
 
+/// A job that has waited for [`STARVED_AFTER`] with nothing running.
+#[derive(Debug)]
+pub(super) struct StarvedJob {
+    id: JobId,
+    priority: u32,
+}
+
 impl Fleet {
-    /// Places one task of each starved job ahead of all other jobs, and reserves executors for the first
-    /// job of a service that finds no room.
+    /// Returns the starved jobs, those first that have gone longest without a start.
+    pub(super) fn starved_jobs(&self, now: Now, waiting: &[(Rank, JobId)]) -> Vec<StarvedJob> {
+        let starved: BTreeSet<(Now, &JobId, u32)> = waiting
+            .iter()
+            .filter_map(|(rank, id)| {
+                let job = &self.jobs[id];
+                let index = starved_task(now, job, STARVED_AFTER)?;
+                let waiting_since = job.tasks[index].waiting_since;
+                let unplaced_since =
+                    job.last_placed_at.map_or(waiting_since, |at| at.max(waiting_since));
+                Some((unplaced_since, id, rank.priority()))
+            })
+            .collect();
+        let of_entry =
+            |(_, id, priority): (Now, &JobId, u32)| StarvedJob { id: id.clone(), priority };
+        starved.into_iter().map(of_entry).collect()
+    }
+
+    /// Places one task of each starved job ahead of all other jobs, within the budget of its service, and
+    /// reserves executors for the first job of a service that finds no room.
     ///
     /// One task per job: a job of hundreds of tasks would otherwise block the other starved jobs until all
     /// of it is placed. With a backlog of 25 s for a few machines with a label, jobs ran nothing for up to
@@ -48,36 +76,72 @@
     pub(super) fn place_starved(
         &mut self,
         now: Now,
-        waiting: &[(Rank, JobId)],
+        starved: &[StarvedJob],
         rounds: &mut BTreeMap<ServiceName, PlacementRound>,
     ) {
-        let starved: BTreeSet<(Now, JobId)> = waiting
-            .iter()
-            .filter_map(|(_, id)| {
-                let job = &self.jobs[id];
-                let index = starved_task(now, job, STARVED_AFTER)?;
-                let waiting_since = job.tasks[index].waiting_since;
-                let unplaced_since =
-                    job.last_placed_at.map_or(waiting_since, |at| at.max(waiting_since));
-                Some((unplaced_since, id.clone()))
-            })
-            .collect();
-        for (_, id) in starved {
-            let round = self.service_of(&id).and_then(|service| rounds.get_mut(service));
-            let Some(round) = round else { continue };
-            let next = self.jobs[&id].startable.front();
-            let is_refused =
-                next.is_some_and(|&index| round.is_known_unplaceable(self.jobs[&id].step(index)));
-            if is_refused || round.unplaced_starved_jobs >= MAX_FAILED_ATTEMPTS {
+        let is_limited = self.settings.policy.limits_starved_jobs;
+        for StarvedJob { id, .. } in starved {
+            let Some(service) = self.service_of(id).cloned() else { continue };
+            let Some(round) = rounds.get_mut(&service) else { continue };
+            if is_limited && !self.starved_budget(now, &service).has_left() {
                 continue;
             }
-            if !self.place_job(now, &id, round, 1) {
-                round.unplaced_starved_jobs += 1;
-                self.reserve_executors(now, &id, round);
+            let startable = self.jobs[id].startable.front().copied();
+            let is_placed = self.place_starved_job(now, id, round);
+            if is_limited && let Some(index) = startable.filter(|_| is_placed) {
+                let step = self.jobs[id].step(index);
+                let tasks = if step.is_gang { u64::from(step.count) } else { 1 };
+                let (need, estimate) = (step.allocated(), step.estimate);
+                self.starved_budget(now, &service).take(tasks, need.cpu_millicores, estimate);
             }
         }
     }
 
+    /// Places one task of each starved job of a priority, when only expired jobs of that priority are left. The
+    /// budget doesn't apply, since no work that has any value is displaced.
+    pub(super) fn place_starved_among_expired(
+        &mut self,
+        now: Now,
+        priority: u32,
+        starved: &[StarvedJob],
+        rounds: &mut BTreeMap<ServiceName, PlacementRound>,
+    ) {
+        for StarvedJob { id, .. } in starved.iter().filter(|job| job.priority == priority) {
+            let round = self.service_of(id).and_then(|service| rounds.get_mut(service));
+            // Jobs that were placed before within this round have had their turn.
+            let is_starved = starved_task(now, &self.jobs[id], STARVED_AFTER).is_some();
+            if let Some(round) = round.filter(|_| is_starved) {
+                self.place_starved_job(now, id, round);
+            }
+        }
+    }
+
+    /// Places one task of a starved job, or reserves executors for it; returns whether it was placed.
+    fn place_starved_job(&mut self, now: Now, id: &JobId, round: &mut PlacementRound) -> bool {
+        let job = &self.jobs[id];
+        let next = job.startable.front();
+        let is_refused = next.is_some_and(|&index| round.is_known_unplaceable(job.step(index)));
+        if is_refused || round.unplaced_starved_jobs >= MAX_FAILED_ATTEMPTS {
+            return false;
+        }
+        let is_placed = self.place_job(now, id, round, 1);
+        if !is_placed {
+            round.unplaced_starved_jobs += 1;
+            self.reserve_executors(now, id, round);
+        }
+        is_placed
+    }
+
+    fn starved_budget(&mut self, now: Now, service: &ServiceName) -> &mut StarvedBudget {
+        let millicores = self.short_task_cores.of_service_millicores(service);
+        let budget = self
+            .starved_budgets
+            .entry(service.clone())
+            .or_insert_with(|| StarvedBudget::new(now, millicores));
+        budget.refill(now, millicores);
+        budget
+    }
+
     /// Reserves executors for a job that found no room; at most one job per service.
     pub(super) fn reserve_executors(&mut self, now: Now, id: &JobId, round: &mut PlacementRound) {
         if round.has_reservation || !self.settings.policy.reserves_room {
--- a/crates/jackdawpier_fleet/src/job_rank.rs
+++ b/crates/jackdawpier_fleet/src/job_rank.rs
@@ -20,6 +20,11 @@
 }
 
 impl Rank {
+    /// Returns the priority of the job's queue; the lowest is the most urgent.
+    pub(crate) fn priority(&self) -> u32 {
+        self.priority
+    }
+
     /// Returns whether the job can no longer meet its objective.
     pub(crate) fn is_late(&self) -> bool {
         self.lateness >= Lateness::Late
