Put jobs beyond the share of their account behind others

An account at ten times its rate took the capacity of all others, since jobs are ordered by due time whoever they belong to.

Each account with a weight has a token bucket of core time, as in docs/design/overload.md. A job takes its estimate when the owner learns of it; one that the bucket doesn't cover is over share, is placed behind the jobs within shares, and doesn't count as an arrival that orders machines. The capacity is measured every 100 ms. Jobs that a new owner learns of before it knows an executor are charged once it does, in the order and at the times of their acceptance; until then they count as within their share.

What the page leaves open: a full bucket covers any job, since one larger than the bucket would never be covered; the mean job is the account's own, over about 16 jobs; accounts without a positive weight aren't metered, nor are jobs with long-running tasks.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -59,7 +59,7 @@
 
 use crash_backoff::CrashBackoffs;
 use defragmentation::Defragmentations;
-use intake::InheritedEndedJob;
+use intake::{InheritedEndedJob, UnchargedJob};
 use recent_crashes::RecentCrashes;
 use short_task_cores::ShortTaskCores;
 use starved_budget::StarvedBudget;
@@ -72,6 +72,7 @@
     machines::Machines,
     policy::Policy,
     record::JobOutcome,
+    share_meter::ShareMeter,
     sorted_hash_map::SortedHashMap,
     spec::{Label, Queue, QueueName, RunNumber, Service, TaskKey},
 };
@@ -126,6 +127,9 @@
     queues: BTreeMap<QueueName, Queue>,
     services: BTreeMap<ServiceName, Service>,
     accounts: Accounts,
+    share_meter: ShareMeter,
+    /// Jobs that are charged to their accounts once the capacity is known.
+    uncharged_jobs: Vec<UnchargedJob>,
     jobs: SortedHashMap<JobId, Job>,
     /// Jobs that haven't ended, by queue.
     open_jobs: BTreeMap<QueueName, BTreeSet<JobId>>,
@@ -177,6 +181,8 @@
             queues: BTreeMap::new(),
             services: BTreeMap::new(),
             accounts: Accounts::default(),
+            share_meter: ShareMeter::default(),
+            uncharged_jobs: Vec::new(),
             jobs: SortedHashMap::default(),
             open_jobs: BTreeMap::new(),
             scheduled: BTreeSet::new(),
@@ -218,6 +224,8 @@
         services: Vec<Service>,
         accounts: Vec<Account>,
     ) {
+        let weights = accounts.iter().map(|account| (account.name.clone(), account.weight));
+        self.share_meter.configure(weights);
         self.accounts.configure(accounts);
         for queue in queues {
             self.queues.insert(queue.name.clone(), queue);
@@ -300,7 +308,7 @@
     pub fn tick(&mut self, now: Now, wall_ms: u64) {
         self.wall_ms = wall_ms;
         self.accounts.expire(now);
-        self.measure_short_task_cores(now);
+        self.update_share_capacity(now);
         self.open_due_occurrences(now, wall_ms);
         self.expire_executors_if_due(now);
         self.plan_machines(now);
--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -30,6 +30,13 @@
     pub(super) has_rerun: bool,
 }
 
+/// A job that is yet to be charged to its account.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct UnchargedJob {
+    accepted_at: Now,
+    id: JobId,
+}
+
 impl Fleet {
     /// Adds an accepted job that arrived at `arrived_at`. Does nothing if the job is already known.
     pub fn add_job(
@@ -40,15 +47,17 @@
         id: JobId,
         submission: Submission,
     ) {
-        if let Some(queue) = self.queues.get(&submission.queue)
-            && !self.jobs.contains_key(&id)
-        {
-            let arrivals = self.arrivals.entry(queue.service.clone()).or_default();
-            // Work beyond the account's cap per second doesn't count as demand for machines.
-            let max_millicores = self.accounts.remaining_millicores(submission.account.as_ref());
-            arrivals.add(now, arrived_at, submission.spec.core_ms().min(max_millicores));
+        let is_known = self.jobs.contains_key(&id);
+        let service = self.queues.get(&submission.queue).map(|queue| queue.service.clone());
+        // Work beyond the account's cap per second doesn't count as demand for machines.
+        let max_millicores = self.accounts.remaining_millicores(submission.account.as_ref());
+        let core_ms = submission.spec.core_ms().min(max_millicores);
+        self.recover_job(now, wall_ms, id.clone(), submission, None);
+        // Nor does work beyond the account's share.
+        let is_over_share = self.jobs.get(&id).is_some_and(|job| job.is_over_share);
+        if let Some(service) = service.filter(|_| !is_known && !is_over_share) {
+            self.arrivals.entry(service).or_default().add(now, arrived_at, core_ms);
         }
-        self.recover_job(now, wall_ms, id, submission, None);
     }
 
     /// Adds a job with the record that a previous owner wrote, if any.
@@ -86,8 +95,48 @@
             self.allocate_inherited_tasks(&job);
             job.open_steps(now, wall_ms);
         }
+        let is_open = !job.is_over();
         self.jobs.insert(id.clone(), job);
         self.restore_backoffs(now, &id);
+        if is_open {
+            self.charge_or_defer(now, now.saturating_sub(age), id);
+        }
+    }
+
+    /// Charges a job to its account, or has it charged once the capacity that the accounts share is known.
+    fn charge_or_defer(&mut self, now: Now, accepted_at: Now, id: JobId) {
+        let job = &self.jobs[&id];
+        let is_metered =
+            job.account.as_ref().is_some_and(|account| self.share_meter.is_metered(account));
+        // Long-running tasks are excluded from the capacity, so they aren't charged either.
+        if !self.settings.policy.enforces_shares || !is_metered || job.has_long_running_tasks() {
+            return;
+        }
+        if self.share_meter.has_capacity() {
+            self.charge(now, &id);
+        } else {
+            self.uncharged_jobs.push(UnchargedJob { accepted_at, id });
+        }
+    }
+
+    fn charge(&mut self, at: Now, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(account) = &job.account else { return };
+        job.is_over_share = !self.share_meter.charge(at, account, job.spec.core_ms());
+    }
+
+    /// Updates the capacity that the accounts share. Once it is known, charges the jobs that were added before,
+    /// in the order of their acceptance and at its time: most were charged by the previous owner then.
+    pub(super) fn update_share_capacity(&mut self, now: Now) {
+        if !self.measure_short_task_cores(now) {
+            return;
+        }
+        self.share_meter.set_capacity(now, self.short_task_cores.total_millicores());
+        if self.share_meter.has_capacity() {
+            let mut uncharged = std::mem::take(&mut self.uncharged_jobs);
+            uncharged.sort_unstable();
+            uncharged.iter().for_each(|job| self.charge(job.accepted_at, &job.id));
+        }
     }
 
     /// Records the labels that a job requires, since further jobs are likely to require them too.
--- a/crates/jackdawpier_fleet/src/fleet/short_task_cores.rs
+++ b/crates/jackdawpier_fleet/src/fleet/short_task_cores.rs
@@ -26,6 +26,11 @@
     pub(super) fn of_service_millicores(&self, service: &ServiceName) -> u64 {
         self.by_service_millicores.get(service).copied().unwrap_or(0)
     }
+
+    /// Returns the cores of all services, in thousandths.
+    pub(super) fn total_millicores(&self) -> u64 {
+        self.by_service_millicores.values().sum()
+    }
 }
 
 impl Fleet {
--- a/crates/jackdawpier_fleet/src/lib.rs
+++ b/crates/jackdawpier_fleet/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod machines;
 pub mod policy;
 pub mod record;
+mod share_meter;
 mod sorted_hash_map;
 pub mod spec;
