Place over-share jobs that have begun first, then the newest

By due time each job of a lasting overload starts when it is almost late, and without regard to progress first steps start while second steps wait.

Among over-share jobs, those that have begun go first by due time, then new ones, newest first. A job counts as begun once a task of it has been placed, even if the start isn't confirmed yet.

Without accounts the commands are the same with the switch on and off.

--- a/crates/jackdawpier_fleet/src/job_rank.rs
+++ b/crates/jackdawpier_fleet/src/job_rank.rs
@@ -3,9 +3,9 @@
 //! Under a burst that exceeds a pool's capacity several times some jobs must wait. A late job is worth a
 //! fraction, so jobs that can still meet their objective go first, by earliest deadline; those that can't
 //! follow in order of acceptance, which prevents starvation. Jobs beyond the share of their client account
-//! are placed between the two; see `docs/design/overload.md`.
+//! are placed between the two, those first that have begun; see `docs/design/overload.md`.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use jackdawpier_kernel::Now;
 
@@ -16,7 +16,7 @@
 pub(crate) struct Rank {
     priority: u32,
     lateness: Lateness,
-    due: Now,
+    order: Order,
 }
 
 impl Rank {
@@ -53,6 +53,15 @@
     Expired,
 }
 
+/// Order of the jobs of one class of lateness.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Order {
+    ByDueTime(Now),
+    /// By the beginning of the occurrence: under a lasting overload each job would start when it is almost late
+    /// if the earliest due time went first.
+    NewestFirst(Reverse<Now>),
+}
+
 /// Multiple of its objective after which a late job has no value any more.
 const EXPIRED_AFTER_OBJECTIVES: u32 = 3;
 
@@ -76,8 +85,15 @@
     } else {
         Lateness::Expired
     };
+    let priority = queue.priority;
     if !policy.orders_by_due_time && lateness != Lateness::LongRunning {
-        return Rank { priority: queue.priority, lateness: Lateness::OnTime, due: began_at };
+        return Rank { priority, lateness: Lateness::OnTime, order: Order::ByDueTime(began_at) };
     }
-    Rank { priority: queue.priority, lateness, due }
+    // New work doesn't overtake work that has begun, of which a part would be wasted.
+    let has_begun = job.has_begun || job.last_placed_at.is_some();
+    let order = match lateness {
+        Lateness::OverShare if !has_begun => Order::NewestFirst(Reverse(began_at)),
+        _ => Order::ByDueTime(due),
+    };
+    Rank { priority, lateness, order }
 }
