--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -29,7 +29,9 @@
 mod reports;
 mod reservations;
 mod runs;
+mod short_task_cores;
 mod starts;
+mod starved_budget;
 mod stops;
 mod vacating;
 mod waits;
@@ -59,8 +61,10 @@
 
 use crash_backoff::CrashBackoffs;
 use defragmentation::Defragmentations;
-use intake::InheritedEndedJob;
+use intake::{InheritedEndedJob, UnchargedJob};
 use recent_crashes::RecentCrashes;
+use short_task_cores::ShortTaskCores;
+use starved_budget::StarvedBudget;
 
 use crate::{
     account::{Account, Accounts},
@@ -70,6 +74,7 @@
     machines::Machines,
     policy::Policy,
     record::JobOutcome,
+    share_meter::ShareMeter,
     sorted_hash_map::SortedHashMap,
     spec::{Label, Queue, QueueName, RunNumber, Service, TaskKey},
 };
@@ -124,6 +129,9 @@
     queues: BTreeMap<QueueName, Queue>,
     services: BTreeMap<ServiceName, Service>,
     accounts: Accounts,
+    share_meter: ShareMeter,
+    /// Jobs that are charged to their accounts once the capacity is known.
+    uncharged_jobs: Vec<UnchargedJob>,
     jobs: SortedHashMap<JobId, Job>,
     /// Jobs that haven't ended, by queue.
     open_jobs: BTreeMap<QueueName, BTreeSet<JobId>>,
@@ -156,6 +164,8 @@
     arrivals: BTreeMap<ServiceName, Arrivals>,
     /// Labels that jobs have required since this owner took over.
     requested_labels: BTreeSet<Label>,
+    short_task_cores: ShortTaskCores,
+    starved_budgets: BTreeMap<ServiceName, StarvedBudget>,
     next_batch: u64,
     executors_compared: u64,
     wave_machines_counted: u64,
@@ -173,6 +183,8 @@
             queues: BTreeMap::new(),
             services: BTreeMap::new(),
             accounts: Accounts::default(),
+            share_meter: ShareMeter::default(),
+            uncharged_jobs: Vec::new(),
             jobs: SortedHashMap::default(),
             open_jobs: BTreeMap::new(),
             scheduled: BTreeSet::new(),
@@ -197,6 +209,8 @@
             label_shortages_since: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             requested_labels: BTreeSet::new(),
+            short_task_cores: ShortTaskCores::default(),
+            starved_budgets: BTreeMap::new(),
             next_batch: 0,
             executors_compared: 0,
             wave_machines_counted: 0,
@@ -212,6 +226,8 @@
         services: Vec<Service>,
         accounts: Vec<Account>,
     ) {
+        let weights = accounts.iter().map(|account| (account.name.clone(), account.weight));
+        self.share_meter.configure(weights);
         self.accounts.configure(accounts);
         for queue in queues {
             self.queues.insert(queue.name.clone(), queue);
@@ -294,6 +310,7 @@
     pub fn tick(&mut self, now: Now, wall_ms: u64) {
         self.wall_ms = wall_ms;
         self.accounts.expire(now);
+        self.update_share_capacity(now);
         self.open_due_occurrences(now, wall_ms);
         self.expire_executors_if_due(now);
         self.plan_machines(now);
