--- a/crates/jackdawpier_fleet/src/lib.rs
+++ b/crates/jackdawpier_fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! commands, without I/O, clock or random numbers. See `docs/design/platform.md`.
 
 pub mod account;
+pub mod admission;
 pub mod crash;
 mod demand;
 pub mod executor;
