Compute which part of the over-share jobs is admitted

Accepted jobs beyond an account's share can outlast the burst that caused them. Add the owner's controller, which computes the load note from the over-share work of each queue and the accounts' arrivals.

The notes are up to a second old at the entries, and rejected jobs return. The controller therefore uses the jobs below the lowest recent fraction as a sample of the new jobs: every entry has admitted them at their first submission. The fraction follows from that rate, from what the share covers and from what is served; the backlog is only a correction. It rises as slowly as the rejected jobs return.

Fleet::update_load fills the input by scanning the open jobs, so intake.rs is unchanged. Job has a flag for arrivals that were counted.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -16,6 +16,7 @@
 mod label_need;
 mod label_reclaim;
 mod label_shares;
+mod load_report;
 mod losses;
 mod maintenance;
 mod pacing;
@@ -48,6 +49,7 @@
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use crash_attribution::{GivenUpTask, TaskCrash};
 pub use crash_backoff::CrashBackoff;
+pub use load_report::{ArrivedJob, LoadController, QueueReport};
 pub use losses::{ExecutorLoss, LossEvidence, LostRun};
 pub use pools::Shortage;
 pub use reports::HoldDirective;
@@ -122,6 +124,7 @@
     queues: BTreeMap<QueueName, Queue>,
     services: BTreeMap<ServiceName, Service>,
     accounts: Accounts,
+    load: LoadController,
     jobs: SortedHashMap<JobId, Job>,
     /// Jobs that haven't ended, by queue.
     open_jobs: BTreeMap<QueueName, BTreeSet<JobId>>,
@@ -171,6 +174,7 @@
             queues: BTreeMap::new(),
             services: BTreeMap::new(),
             accounts: Accounts::default(),
+            load: LoadController::default(),
             jobs: SortedHashMap::default(),
             open_jobs: BTreeMap::new(),
             scheduled: BTreeSet::new(),
@@ -210,6 +214,7 @@
         services: Vec<Service>,
         accounts: Vec<Account>,
     ) {
+        self.configure_load(&accounts);
         self.accounts.configure(accounts);
         for queue in queues {
             self.queues.insert(queue.name.clone(), queue);
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -244,6 +244,8 @@
     pub(crate) has_begun: bool,
     /// Whether the job exceeded the share of its client account when this owner learned of it.
     pub(crate) is_over_share: bool,
+    /// Whether the job's arrival has been taken into account for the load note.
+    pub(crate) is_arrival_reported: bool,
     /// Whether a previous owner ordered any task to start more than once.
     had_rerun: bool,
     /// Estimated time of the longest chain from each step to the end.
@@ -295,6 +297,7 @@
             is_cancelled: false,
             has_begun: false,
             is_over_share: false,
+            is_arrival_reported: false,
             had_rerun: false,
             remaining_chains: spec.remaining_chains(),
             first_task_of_step,
