Reject over-share jobs at the entries while queues are overloaded

The owner now writes the load note every half second while it limits an account, and once when the overload ends. An entry reads the note in the background while jobs of accounts with a weight arrive, and answers a job beyond the admitted fraction with 429 and Retry-After. The decision comes after access control and the job's parsing, and before its write; a job that this entry passed to the store in the last 30 s is never rejected. Jobs without an account and long-running jobs are always admitted, and so are all jobs while there is no current, readable note.

The fake platform of the tests gets accounts with weights and long-running jobs.

--- /dev/null
+++ b/crates/jackdawpier_entry/src/admission.rs
@@ -0,0 +1,186 @@
+//! Admission control: rejects a part of the jobs of accounts that exceed their share while queues are overloaded.
+//!
+//! The owner publishes a load note, and each entry keeps the latest one that it has read. A job is rejected only before
+//! its write to the store, and no submission waits for a note: without a current one, all jobs are admitted. See
+//! `docs/design/overload.md`.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use jackdawpier_fleet::{
+    admission::{Admission, LoadNote, NOTE_TTL, decide},
+    spec::{JobSpec, Submission},
+};
+use jackdawpier_kernel::{
+    Now,
+    ids::{AccountName, JobId},
+};
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::{
+    clock,
+    events::Events,
+    keys,
+    ports::{Configuration, Platform},
+};
+
+/// Minimum time between two reads of the note; the owner writes it as often.
+const FETCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a job that was passed to the store isn't rejected: longer than its caller retries.
+const SUBMITTED_TTL: Duration = Duration::from_secs(30);
+/// The latest load note, and when to read the next one.
+#[derive(Debug, Default)]
+pub struct NoteCache {
+    note: Option<LoadNote>,
+    /// When this entry first saw the note.
+    seen_at: Now,
+    fetch_began_at: Option<Now>,
+    is_fetching: bool,
+}
+
+impl NoteCache {
+    /// Returns whether to read the note now; [`Self::end_fetch`] has to follow.
+    pub fn begin_fetch(&mut self, now: Now) -> bool {
+        let is_recent = |at: Now| now.saturating_sub(at) < FETCH_INTERVAL;
+        if self.is_fetching || self.fetch_began_at.is_some_and(is_recent) {
+            return false;
+        }
+        self.fetch_began_at = Some(now);
+        self.is_fetching = true;
+        true
+    }
+
+    /// Ends a read with the stored note, or without a readable one.
+    pub fn end_fetch(&mut self, now: Now, note: Option<LoadNote>) {
+        self.is_fetching = false;
+        let written_ms = |note: &Option<LoadNote>| note.as_ref().map(|note| note.at_ms);
+        if written_ms(&note) != written_ms(&self.note) {
+            self.seen_at = now;
+            self.note = note;
+        }
+    }
+
+    /// Ends a read without an answer: the last note has an effect until it is too old.
+    pub fn fail_fetch(&mut self) {
+        self.is_fetching = false;
+    }
+
+    /// Returns the last note and the time since this entry first saw it.
+    pub fn latest(&self, now: Now) -> (Option<&LoadNote>, Duration) {
+        (self.note.as_ref(), now.saturating_sub(self.seen_at))
+    }
+}
+
+/// The jobs that this entry has recently passed to the store: even without an answer they may be stored.
+#[derive(Debug, Default)]
+struct SubmittedJobs {
+    submitted_at: HashMap<JobId, Now>,
+    /// The submissions of the last [`SUBMITTED_TTL`], oldest first.
+    submissions: VecDeque<(Now, JobId)>,
+}
+
+impl SubmittedJobs {
+    fn add(&mut self, now: Now, id: &JobId) {
+        self.expire(now);
+        self.submitted_at.insert(id.clone(), now);
+        self.submissions.push_back((now, id.clone()));
+    }
+
+    fn contains(&mut self, now: Now, id: &JobId) -> bool {
+        self.expire(now);
+        self.submitted_at.contains_key(id)
+    }
+
+    fn expire(&mut self, now: Now) {
+        let is_old = |(at, _): &mut (Now, JobId)| now.saturating_sub(*at) >= SUBMITTED_TTL;
+        while let Some((at, id)) = self.submissions.pop_front_if(is_old) {
+            // A later submission of the same job still counts.
+            if self.submitted_at.get(&id) == Some(&at) {
+                self.submitted_at.remove(&id);
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    events: Events,
+    note: RefCell<NoteCache>,
+    submitted: RefCell<SubmittedJobs>,
+}
+
+/// Decides which submitted jobs are passed to the store.
+#[derive(Debug, Clone)]
+pub struct AdmissionControl(Rc<Inner>);
+
+impl AdmissionControl {
+    /// Creates the admission control of an entry that has no note.
+    pub fn new(events: Events) -> Self {
+        Self(Rc::new(Inner { events, note: RefCell::default(), submitted: RefCell::default() }))
+    }
+
+    /// Decides whether a job may be passed to the store. Reads a new note in the background if one is due, and if the
+    /// account has a weight: only such accounts are limited.
+    pub fn admit<P: Platform>(
+        &self,
+        platform: &P,
+        configuration: &Configuration,
+        id: &JobId,
+        submission: &Submission,
+    ) -> Admission {
+        let now = clock::now();
+        let account = submission.account.as_ref().filter(|name| has_weight(configuration, name));
+        let Some(account) = account.filter(|_| !is_long_running(&submission.spec)) else {
+            return Admission::Admit;
+        };
+        self.fetch_if_due(platform, now);
+        if self.0.submitted.borrow_mut().contains(now, id) {
+            return Admission::Admit;
+        }
+        let note = self.0.note.borrow();
+        let (note, age) = note.latest(now);
+        decide(note, age, &submission.queue, Some(account), id, clock::wall_ms())
+    }
+
+    /// Notes that a job is passed to the store; from now on it may be stored.
+    pub fn on_submit(&self, id: &JobId) {
+        self.0.submitted.borrow_mut().add(clock::now(), id);
+    }
+
+    fn fetch_if_due<P: Platform>(&self, platform: &P, now: Now) {
+        if !self.0.note.borrow_mut().begin_fetch(now) {
+            return;
+        }
+        let (control, platform) = (self.clone(), platform.clone());
+        tokio::task::spawn_local(async move { control.fetch(&platform).await });
+    }
+
+    async fn fetch<P: Platform>(&self, platform: &P) {
+        // A note that is read later than this is about to be replaced.
+        let answer = timeout(NOTE_TTL, platform.get(keys::LOAD)).await;
+        let mut cache = self.0.note.borrow_mut();
+        let Ok(Ok(item)) = answer else { return cache.fail_fetch() };
+        let read = item.map(|item| serde_json::from_slice(&item.value)).transpose();
+        let note = read.unwrap_or_else(|error| {
+            let fields = json!({ "key": keys::LOAD, "why": error.to_string() });
+            self.0.events.emit("unreadable", fields);
+            None
+        });
+        cache.end_fetch(clock::now(), note);
+    }
+}
+
+/// Whether an account has a share that its jobs can exceed.
+fn has_weight(configuration: &Configuration, account: &AccountName) -> bool {
+    configuration.accounts.iter().any(|one| one.name == *account && one.weight > 0.0)
+}
+
+/// Whether a job has tasks that run until it is cancelled. Such jobs are placed before all others.
+fn is_long_running(spec: &JobSpec) -> bool {
+    spec.steps.iter().any(|step| step.is_long_running)
+}
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -11,6 +11,7 @@
     header::{CONTENT_TYPE, HOST, RETRY_AFTER},
 };
 use jackdawpier_fleet::{
+    admission::Admission,
     fleet::JobView,
     record::JobRecord,
     spec::{QueueName, Submission},
@@ -26,6 +27,7 @@
 use crate::{
     acceptance::{Acceptance, Intake},
     access::{Access, ApiKey, check_access},
+    admission::AdmissionControl,
     clock,
     configuration::ActiveConfiguration,
     events::Events,
@@ -67,6 +69,8 @@
     pub owner: FleetHandle,
     /// Counts the jobs that haven't started.
     pub pending: PendingCounter,
+    /// Decides which jobs are passed to the store while queues are overloaded.
+    pub admission: AdmissionControl,
     /// Log lines.
     pub events: Events,
 }
@@ -214,6 +218,10 @@
             self.events.emit("job_in", fields);
             return self.refuse(&id, "the store doesn't answer");
         }
+        if let Some(retry_after) = self.turned_away(&id, &submission) {
+            return self.turn_away(&id, &submission, retry_after);
+        }
+        self.admission.on_submit(&id);
         let outcome = self.intake.submit(id.clone(), &submission, deadline).await;
         self.events.metrics().observe(Latency::Acceptance, clock::since(arrived_at));
         let took_ms = clock::since(arrived_at).as_millis() as u64;
@@ -238,6 +246,30 @@
         }
     }
 
+    /// Returns when the caller may submit the job again, if it is rejected because its queue is overloaded.
+    fn turned_away(&self, id: &JobId, submission: &Submission) -> Option<Duration> {
+        let configuration = self.active.get()?;
+        match self.admission.admit(&self.platform, &configuration, id, submission) {
+            Admission::Admit => None,
+            Admission::TurnAway { retry_after } => Some(retry_after),
+        }
+    }
+
+    /// Rejects a job before it is written.
+    fn turn_away(&self, id: &JobId, submission: &Submission, retry_after: Duration) -> Reply {
+        let fields = json!({
+            "job": **id,
+            "queue": *submission.queue,
+            "account": submission.account.as_deref(),
+            "fate": "TurnedAway",
+        });
+        self.events.emit("job_in", fields);
+        let why = "the account exceeds its share and the queue is overloaded; nothing was done";
+        let mut reply = self.error_reply(id, StatusCode::TOO_MANY_REQUESTS, why);
+        reply.headers_mut().insert(RETRY_AFTER, retry_after.as_secs().into());
+        reply
+    }
+
     /// Answers a query for a job.
     async fn query_job(
         &self,
--- a/crates/jackdawpier_entry/src/keys.rs
+++ b/crates/jackdawpier_entry/src/keys.rs
@@ -15,6 +15,8 @@
 pub const PENDING: &str = "pending";
 /// The latest proof of freshness of the configuration, shared by all entries.
 pub const PROOF: &str = "proof";
+/// Which part of the jobs the entries admit to the overloaded queues, written only by the owner.
+pub const LOAD: &str = "load";
 /// Prefix of the machines that were maintained in each wave, written only by the owner.
 pub const WAVES: &str = "waves/";
 
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod acceptance;
 pub mod access;
+pub mod admission;
 pub mod callers;
 pub mod clock;
 pub mod configuration;
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -6,6 +6,7 @@
 mod executors;
 mod explain;
 mod intake;
+mod load_note;
 mod machines;
 mod order_note;
 mod registry;
@@ -27,6 +28,7 @@
     Now,
     ids::{AccountName, ExecutorId, Revision},
 };
+pub use load_note::NoteSchedule;
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -331,6 +333,7 @@
     tokio::task::spawn_local(owner.clone().follow_machines());
     tokio::task::spawn_local(owner.clone().commit_loop());
     tokio::task::spawn_local(owner.clone().publish_pending_counts());
+    tokio::task::spawn_local(owner.clone().publish_load());
     tokio::task::spawn_local(owner.clone().remove_ended_jobs_loop());
     tokio::task::spawn_local(owner.clone().log_waits_loop());
     tokio::task::spawn_local(owner.clone().prune_order_note());
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     acceptance::{self, Intake},
+    admission::AdmissionControl,
     callers::CallerApi,
     clock,
     configuration::{self, ActiveConfiguration},
@@ -80,6 +81,7 @@
         intake,
         owner: handle.clone(),
         pending: PendingCounter::default(),
+        admission: AdmissionControl::new(events.clone()),
         events: events.clone(),
     });
     let connections = Connections::default();
--- a/crates/jackdawpier_entry/tests/support/entry.rs
+++ b/crates/jackdawpier_entry/tests/support/entry.rs
@@ -7,6 +7,7 @@
 };
 
 use jackdawpier_entry::{
+    admission::AdmissionControl,
     callers::CallerApi,
     configuration::{ActiveConfiguration, follow},
     events::Events,
@@ -57,6 +58,7 @@
             intake: start_intake(fake),
             owner,
             pending: PendingCounter::default(),
+            admission: AdmissionControl::new(events.clone()),
             events: events.clone(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -83,6 +83,8 @@
     serves_one_in: usize,
     /// Additional duration of a listing.
     list_delay: Duration,
+    /// Whether submitted jobs run until they are cancelled.
+    are_jobs_long_running: bool,
     /// Number of machines that a maintenance wave asks for.
     machines_due: usize,
     /// Machine orders, each with the note that the store contained then.
@@ -175,6 +177,10 @@
         }
     }
 
+    pub fn set_long_running(&self, are_jobs_long_running: bool) {
+        self.0.borrow_mut().are_jobs_long_running = are_jobs_long_running;
+    }
+
     pub fn remove(&self, key: &str) {
         self.0.borrow_mut().items.remove(key);
     }
--- a/crates/jackdawpier_entry/tests/support/fake/outside.rs
+++ b/crates/jackdawpier_entry/tests/support/fake/outside.rs
@@ -11,6 +11,7 @@
     },
 };
 use jackdawpier_fleet::{
+    account::{Account, Cap},
     executor::{EndKind, EndedTask, ExecutorInfo, HoldReport},
     fleet::{JobView, StartOutcome, StopOutcome},
     machines::{MachineInfo, MachineOrder, MachineOrderOutcome, MachineState, Wave, WaveState},
@@ -114,7 +115,8 @@
         let version =
             version.parse().map_err(|_| Malformed { reason: "not a version".to_owned() })?;
         let keys = keys.map(|keys| keys.split(' ').filter_map(read_key).collect());
-        Ok(Configuration { keys, ..configuration(version) })
+        let accounts = text.split(' ').filter_map(read_account).collect();
+        Ok(Configuration { keys, accounts, ..configuration(version) })
     }
 
     fn read_wave(&self, value: &[u8]) -> Result<Wave, Malformed> {
@@ -147,7 +149,9 @@
     }
 
     fn read_job(&self, _body: &[u8]) -> Result<JobSpec, Malformed> {
-        Ok(submission().spec)
+        let mut spec = submission().spec;
+        spec.steps[0].is_long_running = self.0.borrow().are_jobs_long_running;
+        Ok(spec)
     }
 
     fn is_job_id(&self, text: &str) -> bool {
@@ -181,6 +185,12 @@
     Some((ApiKey::new(key.as_bytes()), account.into()))
 }
 
+/// An account and its weight, written as `account=weight`.
+fn read_account(text: &str) -> Option<Account> {
+    let (name, weight) = text.split_once('=')?;
+    Some(Account { name: name.into(), weight: weight.parse().ok()?, cap: Cap::default() })
+}
+
 pub fn configuration(version: u64) -> Configuration {
     let queue = Queue {
         name: QUEUE.into(),
