--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -17,6 +17,7 @@
 mod label_need;
 mod label_reclaim;
 mod label_shares;
+mod load_report;
 mod losses;
 mod maintenance;
 mod pacing;
@@ -52,6 +53,7 @@
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use crash_attribution::{GivenUpTask, TaskCrash};
 pub use crash_backoff::CrashBackoff;
+pub use load_report::{ArrivedJob, LoadController, QueueReport};
 pub use losses::{ExecutorLoss, LossEvidence, LostRun};
 pub use pools::Shortage;
 pub use reports::HoldDirective;
@@ -132,6 +134,7 @@
     share_meter: ShareMeter,
     /// Jobs that are charged to their accounts once the capacity is known.
     uncharged_jobs: Vec<UnchargedJob>,
+    load: LoadController,
     jobs: SortedHashMap<JobId, Job>,
     /// Jobs that haven't ended, by queue.
     open_jobs: BTreeMap<QueueName, BTreeSet<JobId>>,
@@ -185,6 +188,7 @@
             accounts: Accounts::default(),
             share_meter: ShareMeter::default(),
             uncharged_jobs: Vec::new(),
+            load: LoadController::default(),
             jobs: SortedHashMap::default(),
             open_jobs: BTreeMap::new(),
             scheduled: BTreeSet::new(),
@@ -228,6 +232,7 @@
     ) {
         let weights = accounts.iter().map(|account| (account.name.clone(), account.weight));
         self.share_meter.configure(weights);
+        self.configure_load(&accounts);
         self.accounts.configure(accounts);
         for queue in queues {
             self.queues.insert(queue.name.clone(), queue);
