Track the run times of each queue relative to its estimates

Cause: callers' estimates are off by a factor whose logarithm deviates by 0.5 to 0.9, so a run time alone doesn't show whether its executor is slow.

--- a/crates/jackdawpier_fleet/src/lib.rs
+++ b/crates/jackdawpier_fleet/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod machines;
 pub mod policy;
 pub mod record;
+pub mod run_times;
 mod sorted_hash_map;
 pub mod spec;
