Keep new tasks off executors that are observed to be slow

Cause: work was placed on slow executors like on any other, so a job was late as soon as one of its tasks ran there.

Change: a review of all executors every 200 ms weighs their completed and running tasks against the run times of their queues. An executor with enough evidence is avoided by a field of PlacementCost as long as others have room, at most 40% of a service, and none if more than half of a service looks slow. It is tried again with one task at a time: at once with tasks that stay on time, with others every 2 s. Fleet::observed_speed returns the result. The evidence is a field of Executor, which begin_incarnation resets. The model of the tests can slow executors down and lengthen run times.

--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    fleet::SpeedTracker,
     job::TaskIndex,
     spec::{Label, Resources, RunNumber, TaskKey},
 };
@@ -204,6 +205,8 @@
     pub(crate) filler_tasks: u32,
     /// Consecutive failures of different jobs; an executor that fails all tasks is excluded from placement.
     pub(crate) consecutive_failures: u32,
+    /// What the run times of this incarnation show of its speed.
+    pub(crate) speed: SpeedTracker,
 }
 
 impl Executor {
@@ -236,6 +239,7 @@
             serving_tasks: 0,
             filler_tasks: 0,
             consecutive_failures: 0,
+            speed: SpeedTracker::default(),
         }
     }
 
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -9,6 +9,7 @@
 mod crash_backoff;
 mod defragmentation;
 mod defragmentation_plan;
+mod executor_speeds;
 mod executors;
 mod gangs;
 mod incarnations;
@@ -48,6 +49,7 @@
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use crash_attribution::{GivenUpTask, TaskCrash};
 pub use crash_backoff::CrashBackoff;
+pub use executor_speeds::{Assessment, ObservedRun, SpeedTracker, select_slow};
 pub use losses::{ExecutorLoss, LossEvidence, LostRun};
 pub use pools::Shortage;
 pub use reports::HoldDirective;
@@ -68,6 +70,7 @@
     machines::Machines,
     policy::Policy,
     record::JobOutcome,
+    run_times::RunTimes,
     sorted_hash_map::SortedHashMap,
     spec::{Label, Queue, QueueName, RunNumber, Service, TaskKey},
 };
@@ -154,6 +157,8 @@
     arrivals: BTreeMap<ServiceName, Arrivals>,
     /// Labels that jobs have required since this owner took over.
     requested_labels: BTreeSet<Label>,
+    run_times: RunTimes,
+    last_speed_review_at: Now,
     next_batch: u64,
     executors_compared: u64,
     wave_machines_counted: u64,
@@ -195,6 +200,8 @@
             label_shortages_since: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             requested_labels: BTreeSet::new(),
+            run_times: RunTimes::default(),
+            last_speed_review_at: Now::ZERO,
             next_batch: 0,
             executors_compared: 0,
             wave_machines_counted: 0,
@@ -294,6 +301,7 @@
         self.accounts.expire(now);
         self.open_due_occurrences(now, wall_ms);
         self.expire_executors_if_due(now);
+        self.review_speeds_if_due(now);
         self.plan_machines(now);
         self.reopen_machine(now);
         self.release_backed_off(now);
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -7,7 +7,10 @@
     ids::{ExecutorId, JobId, ServiceName},
 };
 
-use super::{Advice, Command, Fleet, placement_round::PlacementRound, runs::allocate};
+use super::{
+    Advice, Command, Fleet, executor_speeds::SpeedClass, placement_round::PlacementRound,
+    runs::allocate,
+};
 use crate::{
     executor::Executor,
     job::{Job, Phase, TaskIndex},
@@ -39,6 +42,8 @@
     interferes: bool,
     /// The machine is due for maintenance, which would end a long-running task.
     is_maintenance_due: bool,
+    /// The executor is observed to be slow, or is tried again.
+    speed_class: SpeedClass,
     /// The executor isn't in the rack of the task's data.
     is_remote: bool,
     /// The task would use room that tasks which require a scarce label need.
@@ -206,7 +211,7 @@
         let remote = self.remote_placement(now, round, job, index);
         let advice = self.advice.get(&(id.clone(), job.slot(index))).filter(|_| needs_advice);
         let is_suspect = self.is_suspect(job, index);
-        round
+        let chosen = round
             .executors
             .iter()
             .filter(|executor| advice.is_none_or(|one| one.tickets.contains_key(*executor)))
@@ -231,12 +236,14 @@
                 let uses_scarce_label =
                     round.has_unneeded_scarce_label(executor_id, job.step(index));
                 Some((
-                    self.placement_cost(executor_id, executor, job, index, uses_scarce_label),
+                    self.placement_cost(now, executor_id, executor, job, index, uses_scarce_label),
                     executor_id,
                 ))
             })
             .min()
-            .map(|(_, executor_id)| executor_id.clone())
+            .map(|(_, executor_id)| executor_id.clone())?;
+        self.note_chosen(now, &chosen, id, index);
+        Some(chosen)
     }
 
     /// Decides whether a task may be placed outside the rack of its data, where it occupies its
@@ -278,6 +285,7 @@
 
     fn placement_cost(
         &self,
+        now: Now,
         id: &ExecutorId,
         executor: &Executor,
         job: &Job,
@@ -296,6 +304,7 @@
             blocks_scarce_label: uses_scarce_label && step.is_long_running,
             interferes,
             is_maintenance_due: step.is_long_running && self.machines.has_pending_maintenance(id),
+            speed_class: self.speed_class(now, executor, job, index),
             is_remote: is_remote(executor, job, index),
             uses_scarce_label,
             remaining_millicores: if is_tight { left.cpu_millicores } else { 0 },
@@ -352,7 +361,7 @@
     }
 }
 
-fn is_remote(executor: &Executor, job: &Job, index: TaskIndex) -> bool {
+pub(super) fn is_remote(executor: &Executor, job: &Job, index: TaskIndex) -> bool {
     let rack = executor.info.as_ref().and_then(|info| info.rack.as_ref());
     job.step(index).data_rack.as_ref().is_some_and(|data| rack != Some(data))
 }
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -102,6 +102,7 @@
         if matches!(origin, ReportOrigin::New(_)) {
             self.settle_previous_incarnation(now, sent_at, id, report);
         }
+        self.note_speed_answer(now, id);
         self.apply_running_tasks(now, sent_at, id, report, is_complete);
         if is_complete && let Some(executor) = self.executors.get_mut(id) {
             executor.is_synced = true;
@@ -157,6 +158,9 @@
         let (is_gang, is_long_running) = (step.is_gang, step.is_long_running);
         let slot = job.slot(index);
         let task_ref: TaskRef = (end.task.job.clone(), index);
+        if is_here && end.kind == EndKind::Done {
+            self.note_run_time(now, id, &end.task.job, index);
+        }
         self.track_failures(now, id, end.kind);
         let outcome = match end.kind {
             // A long-running task is restarted however it ends.
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -58,6 +58,10 @@
     pub fails_all: bool,
     /// Whether the executor accepts starts beyond its capacity; the model then asserts that none are ordered.
     pub accepts_overload: bool,
+    /// Factor by which all tasks take longer from now on.
+    pub slowdown: u32,
+    /// Actual run time of a task over its estimate.
+    pub run_factor: fn(&TaskKey) -> f64,
     /// Capacity before a resize, and the time until which owners may still rely on it.
     previous_capacity: Option<(Resources, Duration)>,
 }
@@ -88,6 +92,8 @@
             paces: BTreeMap::new(),
             fails_all: false,
             accepts_overload: false,
+            slowdown: 1,
+            run_factor: |_| 1.0,
             previous_capacity: None,
         }
     }
@@ -180,6 +186,9 @@
     }
 
     pub fn advance(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.now);
+        let lost = passed.saturating_sub(passed / self.slowdown);
+        self.running.values_mut().filter_map(|run| run.ends_at.as_mut()).for_each(|at| *at += lost);
         self.now = now;
         if self.crashed_at.is_some() {
             return;
@@ -253,7 +262,8 @@
         let may_fit = previous.is_some_and(|(room, _)| need.fits(&room.minus(&self.used())));
         assert!(fits || may_fit, "{task} exceeds the capacity of {}", self.info.id);
         let is_remote = step.data_rack.is_some() && step.data_rack != self.info.rack;
-        let takes = if is_remote { step.estimate * 3 } else { step.estimate };
+        let usual = step.estimate.mul_f64((self.run_factor)(task));
+        let takes = if is_remote { usual * 3 } else { usual };
         let has_label =
             step.required_label.as_ref().is_none_or(|label| self.info.labels.contains(label));
         assert!(has_label, "{task} needs a label that {} lacks", self.info.id);
