--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -10,6 +10,7 @@
 mod crash_backoff;
 mod defragmentation;
 mod defragmentation_plan;
+mod executor_speeds;
 mod executors;
 mod gangs;
 mod incarnations;
@@ -53,6 +54,7 @@
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use crash_attribution::{GivenUpTask, TaskCrash};
 pub use crash_backoff::CrashBackoff;
+pub use executor_speeds::{Assessment, ObservedRun, SpeedTracker, select_slow};
 pub use load_report::{ArrivedJob, LoadController, QueueReport};
 pub use losses::{ExecutorLoss, LossEvidence, LostRun};
 pub use pools::Shortage;
@@ -76,6 +78,7 @@
     machines::Machines,
     policy::Policy,
     record::JobOutcome,
+    run_times::RunTimes,
     share_meter::ShareMeter,
     sorted_hash_map::SortedHashMap,
     spec::{Label, Queue, QueueName, RunNumber, Service, TaskKey},
@@ -169,6 +172,8 @@
     requested_labels: BTreeSet<Label>,
     short_task_cores: ShortTaskCores,
     starved_budgets: BTreeMap<ServiceName, StarvedBudget>,
+    run_times: RunTimes,
+    last_speed_review_at: Now,
     next_batch: u64,
     executors_compared: u64,
     wave_machines_counted: u64,
@@ -215,6 +220,8 @@
             requested_labels: BTreeSet::new(),
             short_task_cores: ShortTaskCores::default(),
             starved_budgets: BTreeMap::new(),
+            run_times: RunTimes::default(),
+            last_speed_review_at: Now::ZERO,
             next_batch: 0,
             executors_compared: 0,
             wave_machines_counted: 0,
@@ -318,6 +325,7 @@
         self.update_share_capacity(now);
         self.open_due_occurrences(now, wall_ms);
         self.expire_executors_if_due(now);
+        self.review_speeds_if_due(now);
         self.plan_machines(now);
         self.reopen_machine(now);
         self.release_backed_off(now);
--- a/crates/jackdawpier_fleet/src/lib.rs
+++ b/crates/jackdawpier_fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod machines;
 pub mod policy;
 pub mod record;
+pub mod run_times;
 mod share_meter;
 mod sorted_hash_map;
 pub mod spec;
