--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -98,6 +98,7 @@
         let is_open = !job.is_over();
         self.jobs.insert(id.clone(), job);
         self.restore_backoffs(now, &id);
+        self.recover_suspects(&id);
         if is_open {
             self.charge_or_defer(now, now.saturating_sub(age), id);
         }
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -80,6 +80,7 @@
         waiting.sort_unstable();
         let mut rounds = self.start_rounds(now);
         self.continue_defragmentations(now, &mut rounds);
+        self.place_suspects(now, &mut rounds);
         let starved = self.starved_jobs(now, &waiting);
         self.place_starved(now, &starved, &mut rounds);
         let limits_starved = self.settings.policy.limits_starved_jobs;
@@ -127,7 +128,8 @@
             let is_skipped = placed >= max_starts
                 || full_slots.contains(&slot)
                 || round.is_known_unplaceable(step)
-                || job.tasks[index].not_before > now;
+                || job.tasks[index].not_before > now
+                || self.awaits_isolation(job, index);
             if is_skipped {
                 kept.push(index);
                 continue;
