--- a/crates/jackdawpier_fleet/tests/isolation_load.rs
+++ b/crates/jackdawpier_fleet/tests/isolation_load.rs
@@ -56,7 +56,7 @@
                 self.total += 1;
                 world.now
             });
-            self.longest_wait = self.longest_wait.max(world.now - since);
+            self.longest_wait = self.longest_wait.max(world.now.saturating_sub(since));
         }
     }
 }
@@ -79,7 +79,7 @@
     let mut jobs = Vec::new();
     let begun_at = world.now;
     while world.now < begun_at + BURST {
-        let due = (world.now - begun_at).as_millis() as usize * JOBS_PER_S / 1000;
+        let due = world.now.saturating_sub(begun_at).as_millis() as usize * JOBS_PER_S / 1000;
         while jobs.len() <= due {
             let id: Arc<str> = format!("job-{}", jobs.len()).into();
             if jobs.len() % CRASHING_EVERY == 7 {
