Stop late tasks on machines that are taken for on-time work

Cause: a machine that was taken while busy drained until the last of its tasks had ended, 2 to 4 s in which it was half idle, although its late tasks had no claim to it.

Change: on such a machine, tasks of expired jobs are stopped at once and tasks of late jobs once no task of a job that can be on time is left beside them. Only executors that answer are taken, and a task that exceeds its estimate isn't expected to end at once, or a cancelled take would be chosen again. Machines being taken don't count towards the limit of concurrent label reclaims (label_reclaim.rs), which they would have used up.

--- a/crates/jackdawpier_fleet/src/fleet/label_reclaim.rs
+++ b/crates/jackdawpier_fleet/src/fleet/label_reclaim.rs
@@ -68,10 +68,11 @@
             return None;
         }
         let is_reclaim = |operation: &MachineOperation| {
-            matches!(
+            let is_vacating_move = matches!(
                 (&operation.work, &operation.stage),
                 (MachineWork::Move(_), OperationStage::Vacating { .. })
-            )
+            );
+            is_vacating_move && !operation.is_take
         };
         if self.machines.operations.values().filter(|operation| is_reclaim(operation)).count()
             >= MAX_CONCURRENT_RECLAIMS
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -208,6 +208,18 @@
         self.add_machine_labels(labels, &room);
     }
 
+    /// Whether the pool has enough machines for primary demand without one that is on its way.
+    pub(super) fn can_forgo_arriving_machine(&self) -> bool {
+        let is_enough = self.primary_machines() < self.total_machines();
+        is_enough && self.primary.missing_for_stuck < self.arriving_machines.max(1)
+    }
+
+    /// Subtracts a machine with these labels that won't arrive.
+    pub(super) fn remove_arriving_machine(&mut self, labels: &[Label]) {
+        self.arriving_machines = self.arriving_machines.saturating_sub(1);
+        self.remove_machine_labels(labels);
+    }
+
     /// Adds a machine with these labels and this free room to the supply by label.
     fn add_machine_labels(&mut self, labels: &[Label], room: &Resources) {
         for label in labels {
@@ -309,7 +321,7 @@
             let Some(executor) = executor.filter(|executor| {
                 is_movable
                     && executor.is_usable()
-                    && executor.is_synced
+                    && executor.is_responsive(now)
                     && !executor.is_isolating(now)
                     && !executor.tasks.is_empty()
             }) else {
@@ -337,7 +349,8 @@
         for task in &executor.tasks {
             let Some(job) = self.jobs.get(&task.0) else { continue };
             let step = job.step(task.1);
-            let remaining = step.estimate.saturating_sub(elapsed(now, &job.tasks[task.1]));
+            // A task that exceeds its estimate may go on for as long as it has exceeded it.
+            let remaining = step.estimate.abs_diff(elapsed(now, &job.tasks[task.1]));
             let standing = standing_of_task(job, task.1, secondary_jobs);
             machine.has_long_running |= step.is_long_running;
             machine.remaining = machine.remaining.max(remaining);
@@ -593,7 +606,7 @@
 /// Returns why the demand of a running task is secondary, or `None` if it is primary. Gangs that run
 /// count as primary: stopping one task ends the work of all, and they need room for all at once
 /// again.
-fn standing_of_task(
+pub(super) fn standing_of_task(
     job: &Job,
     index: TaskIndex,
     secondary_jobs: &SecondaryJobs,
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -83,6 +83,7 @@
             return;
         }
         let (mut pools, secondary_jobs) = self.pool_views(now);
+        self.cancel_unneeded_takes(now, &mut pools);
         let mut standby = self.free_standby_machines(now);
         let kept = self.kept_machines(&pools);
         let mut busy = BusySupply { secondary_jobs, kept, idle_soon: None };
@@ -99,7 +100,7 @@
                 } else if let Some(machine) =
                     self.take_busy_machine(now, &request, found, &mut pools, &mut busy)
                 {
-                    self.begin_operation(now, machine, to.clone());
+                    self.begin_take(now, machine, shortage.pool.clone());
                 } else {
                     self.begin_defragmentation(now, shortage, &pools);
                     busy.note_uncovered(shortage.lacks - found);
@@ -107,6 +108,7 @@
                 }
             }
         }
+        self.stop_tasks_on_taken(now, &busy.secondary_jobs);
     }
 
     /// Takes a busy machine for primary demand, if more machines are missing at its arrival than the
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -3,21 +3,28 @@
 //! Tasks that end by themselves get time to finish. Long-running tasks are stopped within the
 //! number that their steps may miss, one by one where there are more, and only while another
 //! executor has room for them: a task that no other machine can run would be away for as long as
-//! the machine is kept free.
+//! the machine is kept free. On a machine that is taken for primary demand of another pool, tasks
+//! of late jobs are stopped as well, see `docs/design/overload.md#3-machines-for-on-time-work`.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use jackdawpier_kernel::{
     Now,
-    ids::{ExecutorId, ServiceName},
+    ids::{ExecutorId, PoolName, ServiceName},
 };
 
-use super::{Command, Fleet, StopReason, placement::has_room_for, placement_round::PlacementRound};
+use super::{
+    Command, Fleet, StopReason,
+    placement::has_room_for,
+    placement_round::PlacementRound,
+    pool_view::{PoolView, SecondaryJobs, Standing, standing_of_task},
+};
 use crate::{
     executor::{Executor, TaskRef},
     job::{Job, Phase, Task, TaskIndex},
     machines::{
-        MachineId, MachineOperation, MachineOrder, MachineWork, OperationStage, WaveNumber,
+        MachineId, MachineOperation, MachineOrder, MachineState, MachineWork, OperationStage,
+        WaveNumber,
     },
     spec::StepSpec,
 };
@@ -39,6 +46,14 @@
 const REOPEN_FOR_WAIT: Duration = Duration::from_secs(2);
 
 impl Fleet {
+    /// Begins the move of a busy machine to a pool that lacks machines for primary demand.
+    pub(super) fn begin_take(&mut self, now: Now, machine: MachineId, to: PoolName) {
+        self.begin_operation(now, machine.clone(), MachineWork::Move(to));
+        if let Some(operation) = self.machines.operations.get_mut(&machine) {
+            operation.is_take = true;
+        }
+    }
+
     pub(super) fn begin_operation(&mut self, now: Now, machine: MachineId, work: MachineWork) {
         let executor = self.machines.listed.get(&machine).and_then(|info| info.executor.clone());
         let stage = OperationStage::Vacating { since: now };
@@ -53,6 +68,7 @@
             may_execute_until: Now::ZERO,
             tasks,
             last_progress_at: now,
+            is_take: false,
         };
         self.machines.operations.insert(machine, operation);
     }
@@ -281,6 +297,71 @@
         })
     }
 
+    /// Stops the tasks on machines being taken that are worth least to finish: those of expired jobs
+    /// at once, and those of late jobs once no task that can be on time is left beside them. Until
+    /// then their room would only be idle. Vacating takes about a second this way, instead of the 2
+    /// to 4 until the last task has ended.
+    pub(super) fn stop_tasks_on_taken(&mut self, now: Now, secondary_jobs: &SecondaryJobs) {
+        let taken = self.machines.operations.iter().filter(|(_, one)| is_vacating_take(one));
+        let stopped: Vec<TaskRef> = taken
+            .filter_map(|(machine, _)| self.machines.listed.get(machine)?.executor.as_ref())
+            .filter_map(|id| self.executors.get(id))
+            .flat_map(|executor| self.stoppable_tasks(executor, secondary_jobs))
+            .collect();
+        for task in stopped {
+            self.stop_task(now, &task, StopReason::MachineTaken);
+        }
+    }
+
+    fn stoppable_tasks(&self, executor: &Executor, secondary_jobs: &SecondaryJobs) -> Vec<TaskRef> {
+        let standings = executor.tasks.iter().filter_map(|task| {
+            let job = self.jobs.get(&task.0)?;
+            let is_ending =
+                job.is_over() || matches!(job.tasks[task.1].phase, Phase::Stopping { .. });
+            (!is_ending).then(|| (task, standing_of_task(job, task.1, secondary_jobs)))
+        });
+        let standings: Vec<(&TaskRef, Option<Standing>)> = standings.collect();
+        let can_be_on_time = |standing| matches!(standing, None | Some(Standing::OverShare));
+        let has_on_time = standings.iter().any(|(_, standing)| can_be_on_time(*standing));
+        let is_stopped = |standing| match standing {
+            Some(Standing::Expired) => true,
+            Some(Standing::Late) => !has_on_time,
+            Some(Standing::OverShare) | None => false,
+        };
+        let stopped = standings.into_iter().filter(|(_, standing)| is_stopped(*standing));
+        stopped.map(|(task, _)| task.clone()).collect()
+    }
+
+    /// Cancels takes before their orders are sent if the machine isn't up any more, isn't vacated in
+    /// time, or isn't needed by its new pool any more. The machines accept work again. Other moves
+    /// end the tasks that are left after [`MAX_VACATING_TIME`], but here they can be on time.
+    pub(super) fn cancel_unneeded_takes(
+        &mut self,
+        now: Now,
+        pools: &mut BTreeMap<PoolName, PoolView>,
+    ) {
+        let machines = &mut self.machines;
+        let listed = &machines.listed;
+        machines.operations.retain(|machine, operation| {
+            let MachineWork::Move(to) = &operation.work else { return true };
+            if !is_vacating_take(operation) {
+                return true;
+            }
+            let Some(info) = listed.get(machine) else { return true };
+            let Some(pool) = pools.get_mut(to) else { return true };
+            let is_late = matches!(
+                operation.stage,
+                OperationStage::Vacating { since } if now >= since + MAX_VACATING_TIME
+            );
+            let is_useful = info.state == MachineState::Up && !is_late;
+            let is_needed = is_useful && !pool.can_forgo_arriving_machine();
+            if !is_needed {
+                pool.remove_arriving_machine(&info.labels);
+            }
+            is_needed
+        });
+    }
+
     /// Cancels the operations of vacating machines that no task leaves any more, so that they
     /// accept work again.
     fn cancel_stalled_operations(&mut self, now: Now) {
@@ -351,6 +432,11 @@
     }
 }
 
+/// Whether the order of a machine that was taken while it was busy is still to be sent.
+fn is_vacating_take(operation: &MachineOperation) -> bool {
+    operation.is_take && !operation.is_away()
+}
+
 /// Takes a slot of the wave's bound on machines away and returns whether there was one. An
 /// operation whose order was already sent needs no further slot.
 fn take_slot(slots: &mut BTreeMap<WaveNumber, usize>, operation: &MachineOperation) -> bool {
