Show operators which jobs are rejected and why

Rejections are invisible to operators without a line or a count. Entries now log turned_away once a second, for the ten accounts with the most rejected jobs, and count all of them by queue and account, with at most 200 pairs of labels.

--- a/crates/jackdawpier_entry/src/admission.rs
+++ b/crates/jackdawpier_entry/src/admission.rs
@@ -5,15 +5,15 @@
 //! `docs/design/overload.md`.
 
 use std::{
-    cell::RefCell,
-    collections::{HashMap, VecDeque},
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
 
 use jackdawpier_fleet::{
-    admission::{Admission, LoadNote, NOTE_TTL, decide},
-    spec::{JobSpec, Submission},
+    admission::{AccountLoad, Admission, LoadNote, NOTE_TTL, decide},
+    spec::{JobSpec, QueueName, Submission},
 };
 use jackdawpier_kernel::{
     Now,
@@ -33,6 +33,11 @@
 const FETCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a job that was passed to the store isn't rejected: longer than its caller retries.
 const SUBMITTED_TTL: Duration = Duration::from_secs(30);
+/// Interval between reports of rejected jobs.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum lines in a report.
+const MAX_LINES_PER_REPORT: usize = 10;
+
 /// The latest load note, and when to read the next one.
 #[derive(Debug, Default)]
 pub struct NoteCache {
@@ -107,11 +112,21 @@
     }
 }
 
+/// Rejected jobs of an account since the last report.
+#[derive(Debug, Default)]
+struct Rejections {
+    count: u64,
+    load: AccountLoad,
+}
+
 #[derive(Debug)]
 struct Inner {
     events: Events,
     note: RefCell<NoteCache>,
     submitted: RefCell<SubmittedJobs>,
+    rejections: RefCell<BTreeMap<(QueueName, AccountName), Rejections>>,
+    /// Whether a report of the rejections is about to be written.
+    is_reporting: Cell<bool>,
 }
 
 /// Decides which submitted jobs are passed to the store.
@@ -121,7 +136,13 @@
 impl AdmissionControl {
     /// Creates the admission control of an entry that has no note.
     pub fn new(events: Events) -> Self {
-        Self(Rc::new(Inner { events, note: RefCell::default(), submitted: RefCell::default() }))
+        Self(Rc::new(Inner {
+            events,
+            note: RefCell::default(),
+            submitted: RefCell::default(),
+            rejections: RefCell::default(),
+            is_reporting: Cell::new(false),
+        }))
     }
 
     /// Decides whether a job may be passed to the store. Reads a new note in the background if one is due, and if the
@@ -144,7 +165,13 @@
         }
         let note = self.0.note.borrow();
         let (note, age) = note.latest(now);
-        decide(note, age, &submission.queue, Some(account), id, clock::wall_ms())
+        let queue = &submission.queue;
+        let admission = decide(note, age, queue, Some(account), id, clock::wall_ms());
+        if let Admission::TurnAway { .. } = admission {
+            let load = note.and_then(|note| note.queues.get(queue)?.accounts.get(account));
+            self.count_rejection(queue, account, load.copied().unwrap_or_default());
+        }
+        admission
     }
 
     /// Notes that a job is passed to the store; from now on it may be stored.
@@ -173,6 +200,40 @@
         });
         cache.end_fetch(clock::now(), note);
     }
+
+    /// Counts a rejected job, and starts a report unless one is about to be written.
+    fn count_rejection(&self, queue: &QueueName, account: &AccountName, load: AccountLoad) {
+        self.0.events.metrics().count_rejection(queue, account);
+        let mut rejections = self.0.rejections.borrow_mut();
+        let rejected = rejections.entry((queue.clone(), account.clone())).or_default();
+        rejected.count += 1;
+        rejected.load = load;
+        if !self.0.is_reporting.replace(true) {
+            let control = self.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(REPORT_INTERVAL).await;
+                control.report();
+            });
+        }
+    }
+
+    /// Logs the accounts with the most rejected jobs since the last report.
+    fn report(&self) {
+        self.0.is_reporting.set(false);
+        let rejections = self.0.rejections.take();
+        let mut rejections: Vec<_> = rejections.into_iter().collect();
+        rejections.sort_by_key(|(_, rejected)| std::cmp::Reverse(rejected.count));
+        for ((queue, account), rejected) in rejections.into_iter().take(MAX_LINES_PER_REPORT) {
+            let fields = json!({
+                "queue": *queue,
+                "account": *account,
+                "count": rejected.count,
+                "permille": rejected.load.admitted_permille,
+                "retry_after_ms": rejected.load.retry_after_ms,
+            });
+            self.0.events.emit("turned_away", fields);
+        }
+    }
 }
 
 /// Whether an account has a share that its jobs can exceed.
--- a/crates/jackdawpier_entry/src/metrics.rs
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::RefCell,
+    collections::HashSet,
     rc::Rc,
     sync::atomic::{AtomicU64, Ordering},
     time::Duration,
@@ -34,6 +35,19 @@
     why: &'static str,
 }
 
+/// Labels of rejected jobs. Both names are from the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RejectionLabels {
+    queue: String,
+    account: String,
+}
+
+/// Maximum number of queues and accounts with a counter of their own; the others share one. Names of former
+/// configurations count too.
+const MAX_REJECTION_LABELS: usize = 200;
+/// Label of the counter that the others share.
+const OTHER: &str = "other";
+
 /// The measured latencies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Latency {
@@ -88,6 +102,8 @@
     proof_age: Gauge<f64, AtomicU64>,
     open_connections: Gauge,
     closed_connections: Family<ClosedLabels, Counter>,
+    rejections: Family<RejectionLabels, Counter>,
+    rejection_labels: HashSet<RejectionLabels>,
 }
 
 /// The metrics of the process.
@@ -110,6 +126,9 @@
         let closed_connections = Family::<ClosedLabels, Counter>::default();
         let help = "Connections of the callers' port that this entry ended, by reason";
         registry.register("closed_connections", help, closed_connections.clone());
+        let rejections = Family::<RejectionLabels, Counter>::default();
+        let help = "Jobs that this entry rejected because their accounts exceeded their share";
+        registry.register("jobs_turned_away", help, rejections.clone());
         let latencies = Latency::ALL.map(|latency| {
             let histogram = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT));
             let (name, help) = (latency.name(), latency.help());
@@ -125,6 +144,8 @@
             proof_age,
             open_connections,
             closed_connections,
+            rejections,
+            rejection_labels: HashSet::new(),
         })))
     }
 }
@@ -136,6 +157,18 @@
         self.0.borrow().events.get_or_create(&labels).inc();
     }
 
+    /// Counts a job of an account that was rejected because its queue is overloaded.
+    pub fn count_rejection(&self, queue: &str, account: &str) {
+        let mut inner = self.0.borrow_mut();
+        let mut labels = RejectionLabels { queue: queue.to_owned(), account: account.to_owned() };
+        if inner.rejection_labels.len() < MAX_REJECTION_LABELS {
+            inner.rejection_labels.insert(labels.clone());
+        } else if !inner.rejection_labels.contains(&labels) {
+            labels = RejectionLabels { queue: OTHER.to_owned(), account: OTHER.to_owned() };
+        }
+        inner.rejections.get_or_create(&labels).inc();
+    }
+
     /// Records a latency.
     pub fn observe(&self, latency: Latency, time: Duration) {
         let index = Latency::ALL.iter().position(|one| *one == latency);
--- a/crates/jackdawpier_entry/src/owner/load_note.rs
+++ b/crates/jackdawpier_entry/src/owner/load_note.rs
@@ -59,10 +59,12 @@
 impl<P: Platform> Owner<P> {
     pub(super) async fn publish_load(self: Rc<Self>) {
         let schedule = Rc::new(RefCell::new(NoteSchedule::default()));
+        let mut overloaded_since: Option<Now> = None;
         while self.is_valid() {
             tokio::time::sleep(UPDATE_INTERVAL).await;
             let now = clock::now();
             let queues = self.fleet.borrow_mut().update_load(now);
+            self.log_overload(now, &mut overloaded_since, &queues);
             if !self.is_valid() || !schedule.borrow_mut().begin_write(now, &queues) {
                 continue;
             }
@@ -94,4 +96,23 @@
             }
         }
     }
+
+    /// Logs the begin and the end of an overload in which jobs are rejected.
+    fn log_overload(
+        &self,
+        now: Now,
+        overloaded_since: &mut Option<Now>,
+        queues: &BTreeMap<QueueName, QueueLoad>,
+    ) {
+        if queues.is_empty() {
+            if let Some(since) = overloaded_since.take() {
+                let lasted_ms = now.saturating_sub(since).as_millis() as u64;
+                self.events.emit("overload_ended", json!({ "lasted_ms": lasted_ms }));
+            }
+        } else if overloaded_since.replace(overloaded_since.unwrap_or(now)).is_none() {
+            let accounts: usize = queues.values().map(|queue| queue.accounts.len()).sum();
+            let fields = json!({ "queues": queues.len(), "accounts": accounts });
+            self.events.emit("overload_began", fields);
+        }
+    }
 }
--- a/crates/jackdawpier_entry/tests/rejected_jobs.rs
+++ b/crates/jackdawpier_entry/tests/rejected_jobs.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use jackdawpier_entry::{admission::NoteCache, clock, keys, owner::NoteSchedule};
+use jackdawpier_entry::{admission::NoteCache, clock, events::Events, keys, owner::NoteSchedule};
 use jackdawpier_fleet::admission::{AccountLoad, LoadNote, QueueLoad};
 use support::{CONFIGURATION, Entry, Fake, QUEUE, run, start_owner, wait_until};
 
@@ -60,6 +60,15 @@
         assert_eq!(entry.status("POST", "/a/unknown", Some("no-key")).await, 401);
         entry.fake.set_long_running(true);
         assert_eq!(entry.status("POST", "/a/long", Some("loud-key")).await, 200);
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+        let text = entry.events.metrics().text();
+        for line in [
+            "jackdawpier_jobs_turned_away_total{queue=\"queue\",account=\"loud\"} 1",
+            "jackdawpier_events_total{event=\"job_in\",outcome=\"TurnedAway\"} 1",
+            "jackdawpier_events_total{event=\"turned_away\",outcome=\"\"} 1",
+        ] {
+            assert!(text.contains(line), "{text}");
+        }
     });
 }
 
@@ -164,3 +173,19 @@
     schedule.end_write(true);
     assert!(!schedule.begin_write(at(9000), &none));
 }
+
+/// Guards against a series of the metrics for each of thousands of accounts.
+#[test]
+fn bounded_labels() {
+    let metrics = Events::new("a").metrics();
+    (0..1000).for_each(|number| metrics.count_rejection(QUEUE, &format!("account-{number}")));
+    metrics.count_rejection(QUEUE, "account-0");
+    let text = metrics.text();
+    let lines: Vec<&str> = text
+        .lines()
+        .filter(|line| line.starts_with("jackdawpier_jobs_turned_away_total"))
+        .collect();
+    assert_eq!(lines.len(), 201);
+    assert!(lines.iter().any(|line| line.contains("\"account-0\"} 2")), "{text}");
+    assert!(lines.iter().any(|line| line.contains("account=\"other\"} 800")), "{text}");
+}
