Divide the cores that one pool can hold among the accounts

The shares added up to the whole fleet, so one account's share and the usual work of the others filled the pool of a queue completely: on-time jobs waited until they were late.

--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -132,7 +132,10 @@
         if !self.measure_short_task_cores(now) {
             return;
         }
-        self.share_meter.set_capacity(now, self.short_task_cores.total_millicores());
+        // Bursts of several accounts tend to meet in one pool, which can't hold the whole fleet. Shares of the
+        // whole fleet let a single account fill that pool.
+        let millicores = self.short_task_cores.total_millicores() * self.max_pool_percent() / 100;
+        self.share_meter.set_capacity(now, millicores);
         if self.share_meter.has_capacity() {
             let mut uncharged = std::mem::take(&mut self.uncharged_jobs);
             uncharged.sort_unstable();
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -8,7 +8,10 @@
 //! that run late work, or work beyond the share of its client account, in other pools. See
 //! `docs/design/overload.md#3-machines-for-on-time-work`.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use jackdawpier_kernel::{Now, ids::PoolName};
 
@@ -159,6 +162,15 @@
         (total * keep_percent / 100).div_ceil(pools.len().max(1))
     }
 
+    /// Returns the largest part of all machines that one pool can hold while the others keep their minimum.
+    pub(super) fn max_pool_percent(&self) -> u64 {
+        let pools = self.queues.values().map(|queue| &queue.service).collect::<BTreeSet<_>>().len();
+        let others = pools.saturating_sub(1);
+        let keep_percent =
+            if self.settings.policy.keeps_minimum_share { KEPT_SHARE_PERCENT } else { 0 };
+        (100 - keep_percent * others / pools.max(1)) as u64
+    }
+
     /// Returns a machine to cover a shortage: an idle one of a pool with a surplus, one on standby,
     /// or one with the label that its long-running tasks can leave.
     fn find_machine(
