Skip jobs of full services in placement rounds

Every round ranked, sorted and tried all waiting jobs, also those of services without room for any of them.

A service counts as full once the least of each resource that its waiting jobs need fits no executor. Its jobs aren't ranked or tried any more in the round, except those with gangs or long-running tasks, whose visits have other effects, and those that need advice. Other jobs come from a heap, so they are sorted only as far as they are tried, and a job whose steps are all known not to fit isn't taken apart. Whether a starved job runs something is looked up last. A job still costs a lookup per round, and services with a little room left are still ranked whole.

--- a/crates/jackdawpier_fleet/src/fleet/defragmentation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/defragmentation.rs
@@ -79,6 +79,11 @@
         self.defragmentations.active.insert(service.clone(), defragmentation);
     }
 
+    /// Returns whether tasks of a service are being relocated, which may free room while tasks are placed.
+    pub(super) fn is_defragmenting(&self, service: &ServiceName) -> bool {
+        self.defragmentations.active.contains_key(service)
+    }
+
     /// Advances the relocations, places the waiting tasks once they are complete, and keeps other tasks off the
     /// reserved executors.
     pub(super) fn continue_defragmentations(
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -1,6 +1,11 @@
 //! Placement: assigns waiting tasks to executors.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    sync::Arc,
+    time::Duration,
+};
 
 use jackdawpier_kernel::{
     Now,
@@ -48,6 +53,27 @@
     remaining_mb: u64,
 }
 
+/// A waiting job; the greatest is placed first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WaitingJob {
+    order: Reverse<(Rank, JobId)>,
+    service: ServiceName,
+}
+
+impl WaitingJob {
+    pub(super) fn rank(&self) -> Rank {
+        self.order.0.0
+    }
+
+    pub(super) fn id(&self) -> &JobId {
+        &self.order.0.1
+    }
+
+    pub(super) fn service(&self) -> &ServiceName {
+        &self.service
+    }
+}
+
 /// Whether a task may be placed outside the rack of its data.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RemotePlacement {
@@ -58,39 +84,128 @@
 
 impl Fleet {
     /// Places waiting tasks in the order of [`crate::job_rank`].
+    ///
+    /// Jobs are sorted only as far as they are tried, and those of a service without room for the smallest
+    /// waiting task aren't ranked.
     pub(super) fn place(&mut self, now: Now) {
-        let mut waiting: Vec<(Rank, JobId)> = Vec::new();
-        for (queue, ids) in &self.open_jobs {
-            let Some(queue) = self.queues.get(queue) else { continue };
-            let ranked = ids.iter().filter_map(|id| {
-                let job = self.jobs.get(id)?;
-                let policy = self.settings.policy;
-                (!job.startable.is_empty()).then(|| (rank(now, job, queue, policy), id.clone()))
-            });
-            waiting.extend(ranked);
-        }
-        if waiting.is_empty() {
+        let smallest_needs = self.smallest_waiting_needs();
+        if smallest_needs.is_empty() {
             return;
         }
-        waiting.sort_unstable();
         let mut rounds = self.start_rounds(now);
+        for (service, need) in smallest_needs {
+            let Some(round) = rounds.get_mut(&service) else { continue };
+            round.smallest_need = need;
+            // Relocations may free room in the course of the round.
+            if !self.is_defragmenting(&service) {
+                self.note_if_full(round);
+            }
+        }
+        let waiting = self.rank_waiting(now, &rounds);
         self.continue_defragmentations(now, &mut rounds);
         let starved = self.starved_jobs(now, &waiting);
         self.place_starved(now, &starved, &mut rounds);
         let limits_starved = self.settings.policy.limits_starved_jobs;
         let mut expired_priority = None;
-        for (rank, id) in waiting {
+        let mut waiting = BinaryHeap::from(waiting);
+        while let Some(WaitingJob { order: Reverse((rank, id)), service }) = waiting.pop() {
             let priority = Some(rank.priority());
             if limits_starved && rank.is_expired() && expired_priority != priority {
                 expired_priority = priority;
                 self.place_starved_among_expired(now, rank.priority(), &starved, &mut rounds);
             }
-            let round = self.service_of(&id).and_then(|service| rounds.get_mut(service));
-            if let Some(round) = round.filter(|one| !one.executors.is_empty()) {
+            let Some(round) = rounds.get_mut(&service) else { continue };
+            if round.executors.is_empty() || self.is_skipped(&id, round) {
+                continue;
+            }
+            if !self.is_known_unplaceable(&id, round) {
                 self.place_job(now, &id, round, usize::MAX);
-                self.reserve_executors(now, &id, round);
+                self.note_if_newly_full(round);
+            }
+            self.reserve_executors(now, &id, round);
+        }
+    }
+
+    /// Returns, for each service with waiting jobs, the least of each resource that a task of them needs.
+    fn smallest_waiting_needs(&self) -> BTreeMap<ServiceName, Resources> {
+        let mut needs: BTreeMap<&ServiceName, Resources> = BTreeMap::new();
+        for (queue, ids) in &self.open_jobs {
+            let Some(queue) = self.queues.get(queue) else { continue };
+            for job in ids.iter().filter_map(|id| self.jobs.get(id)) {
+                if job.startable.is_empty() {
+                    continue;
+                }
+                let need = needs.entry(&queue.service).or_insert(Resources {
+                    cpu_millicores: u64::MAX,
+                    memory_mb: u64::MAX,
+                    gpus: u64::MAX,
+                });
+                if queue.needs_advice {
+                    // Advice is requested whether there is room or not.
+                    *need = Resources::default();
+                }
+                job.spec.steps.iter().for_each(|step| lower_to(need, &step.allocated()));
             }
         }
+        needs.into_iter().map(|(service, need)| (service.clone(), need)).collect()
+    }
+
+    fn rank_waiting(
+        &self,
+        now: Now,
+        rounds: &BTreeMap<ServiceName, PlacementRound>,
+    ) -> Vec<WaitingJob> {
+        let mut waiting = Vec::new();
+        for (queue, ids) in &self.open_jobs {
+            let Some(queue) = self.queues.get(queue) else { continue };
+            let is_full = rounds.get(&queue.service).is_some_and(|round| round.is_full);
+            let ranked = ids.iter().filter_map(|id| {
+                let job = self.jobs.get(id)?;
+                if job.startable.is_empty() || (is_full && !needs_visit(job)) {
+                    return None;
+                }
+                let rank = rank(now, job, queue, self.settings.policy);
+                let service = queue.service.clone();
+                Some(WaitingJob { order: Reverse((rank, id.clone())), service })
+            });
+            waiting.extend(ranked);
+        }
+        waiting
+    }
+
+    /// Records whether the smallest waiting task fits no executor. Room doesn't grow within a round.
+    fn note_if_full(&self, round: &mut PlacementRound) {
+        if round.is_full || round.smallest_need == Resources::default() {
+            return;
+        }
+        let need = round.smallest_need;
+        let mut executors = round.executors.iter().filter_map(|id| self.executors.get(id));
+        round.is_full = !executors.any(|executor| need.fits(&executor.free()));
+    }
+
+    /// Calls [`Self::note_if_full`] if a task has fitted no executor since the last call.
+    pub(super) fn note_if_newly_full(&self, round: &mut PlacementRound) {
+        if std::mem::take(&mut round.has_new_unplaceable) {
+            self.note_if_full(round);
+        }
+    }
+
+    /// Returns whether no task of a job can start in this round because its service is full.
+    pub(super) fn is_skipped(&self, id: &JobId, round: &PlacementRound) -> bool {
+        round.is_full && self.jobs.get(id).is_some_and(|job| !needs_visit(job))
+    }
+
+    /// Returns whether all startable tasks of a job are known to fit no executor.
+    fn is_known_unplaceable(&self, id: &JobId, round: &PlacementRound) -> bool {
+        let Some(job) = self.jobs.get(id).filter(|job| !needs_visit(job)) else { return false };
+        let mut last_step = None;
+        job.startable.iter().all(|&index| {
+            let step = Some(job.step_number(index));
+            // Most tasks wait beside others of their step.
+            let is_known = last_step == step || round.is_known_unplaceable(job.step(index));
+            last_step = step;
+            is_known
+        })
     }
 
     pub(super) fn service_of(&self, id: &JobId) -> Option<&ServiceName> {
@@ -360,6 +475,19 @@
     }
 }
 
+/// Lowers each amount to at most that of `other`.
+fn lower_to(amount: &mut Resources, other: &Resources) {
+    amount.cpu_millicores = amount.cpu_millicores.min(other.cpu_millicores);
+    amount.memory_mb = amount.memory_mb.min(other.memory_mb);
+    amount.gpus = amount.gpus.min(other.gpus);
+}
+
+/// Whether a job is visited even if its service is full. The queue of startable tasks of other jobs contains
+/// only tasks that wait, and trying to place them has no other effect.
+fn needs_visit(job: &Job) -> bool {
+    job.spec.steps.iter().any(|step| step.is_gang || step.is_long_running)
+}
+
 fn is_remote(executor: &Executor, job: &Job, index: TaskIndex) -> bool {
     let rack = executor.info.as_ref().and_then(|info| info.rack.as_ref());
     job.step(index).data_rack.as_ref().is_some_and(|data| rack != Some(data))
--- a/crates/jackdawpier_fleet/src/fleet/placement_round.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement_round.rs
@@ -32,6 +32,12 @@
 pub(super) struct PlacementRound {
     /// Executors that accept work.
     pub(super) executors: Vec<ExecutorId>,
+    /// The least of each resource that a waiting task needs.
+    pub(super) smallest_need: Resources,
+    /// Whether no waiting task fits any executor.
+    pub(super) is_full: bool,
+    /// Whether a need was added to `unplaceable` since the room was last compared with the smallest.
+    pub(super) has_new_unplaceable: bool,
     /// Smallest needs that fitted no executor, with their required labels.
     unplaceable: Vec<(Option<Label>, Resources)>,
     /// Scarce labels of each executor that has any; see [`Fleet::scarce_labels`].
@@ -67,6 +73,7 @@
         let label = &step.required_label;
         self.unplaceable.retain(|(known, larger)| known != label || !need.fits(larger));
         self.unplaceable.push((label.clone(), need));
+        self.has_new_unplaceable = true;
     }
 }
 
--- a/crates/jackdawpier_fleet/src/fleet/reservations.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reservations.rs
@@ -5,11 +5,7 @@
 //! it: their running tasks finish, no others start. At most one job per service holds a reservation, to
 //! limit the cost for the others.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use jackdawpier_kernel::{
     Now,
@@ -17,12 +13,14 @@
 };
 
 use super::{
-    Fleet, placement::is_eligible, placement_round::PlacementRound, starved_budget::StarvedBudget,
+    Fleet,
+    placement::{WaitingJob, is_eligible},
+    placement_round::PlacementRound,
+    starved_budget::StarvedBudget,
 };
 use crate::{
     executor::Executor,
     job::{Job, Phase, TaskIndex},
-    job_rank::Rank,
     spec::Resources,
 };
 
@@ -42,29 +40,35 @@
 const MAX_FAILED_ATTEMPTS: usize = 8;
 
 /// A job that has waited for [`STARVED_AFTER`] with nothing running.
-#[derive(Debug)]
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct StarvedJob {
+    unplaced_since: Now,
     id: JobId,
     priority: u32,
+    service: ServiceName,
 }
 
 impl Fleet {
     /// Returns the starved jobs, those first that have gone longest without a start.
-    pub(super) fn starved_jobs(&self, now: Now, waiting: &[(Rank, JobId)]) -> Vec<StarvedJob> {
-        let starved: BTreeSet<(Now, &JobId, u32)> = waiting
+    pub(super) fn starved_jobs(&self, now: Now, waiting: &[WaitingJob]) -> Vec<StarvedJob> {
+        let mut starved: Vec<StarvedJob> = waiting
             .iter()
-            .filter_map(|(rank, id)| {
-                let job = &self.jobs[id];
+            .filter_map(|waiting| {
+                let job = &self.jobs[waiting.id()];
                 let index = starved_task(now, job, STARVED_AFTER)?;
                 let waiting_since = job.tasks[index].waiting_since;
-                let unplaced_since =
-                    job.last_placed_at.map_or(waiting_since, |at| at.max(waiting_since));
-                Some((unplaced_since, id, rank.priority()))
+                Some(StarvedJob {
+                    unplaced_since: job
+                        .last_placed_at
+                        .map_or(waiting_since, |at| at.max(waiting_since)),
+                    id: job.id.clone(),
+                    priority: waiting.rank().priority(),
+                    service: waiting.service().clone(),
+                })
             })
             .collect();
-        let of_entry =
-            |(_, id, priority): (Now, &JobId, u32)| StarvedJob { id: id.clone(), priority };
-        starved.into_iter().map(of_entry).collect()
+        starved.sort_unstable();
+        starved
     }
 
     /// Places one task of each starved job ahead of all other jobs, within the budget of its service, and
@@ -80,10 +84,10 @@
         rounds: &mut BTreeMap<ServiceName, PlacementRound>,
     ) {
         let is_limited = self.settings.policy.limits_starved_jobs;
-        for StarvedJob { id, .. } in starved {
-            let Some(service) = self.service_of(id).cloned() else { continue };
-            let Some(round) = rounds.get_mut(&service) else { continue };
-            if is_limited && !self.starved_budget(now, &service).has_left() {
+        for StarvedJob { id, service, .. } in starved {
+            let Some(round) = rounds.get_mut(service) else { continue };
+            let is_spent = is_limited && !self.starved_budget(now, service).has_left();
+            if is_spent || self.is_skipped(id, round) {
                 continue;
             }
             let startable = self.jobs[id].startable.front().copied();
@@ -92,7 +96,7 @@
                 let step = self.jobs[id].step(index);
                 let tasks = if step.is_gang { u64::from(step.count) } else { 1 };
                 let (need, estimate) = (step.allocated(), step.estimate);
-                self.starved_budget(now, &service).take(tasks, need.cpu_millicores, estimate);
+                self.starved_budget(now, service).take(tasks, need.cpu_millicores, estimate);
             }
         }
     }
@@ -106,11 +110,12 @@
         starved: &[StarvedJob],
         rounds: &mut BTreeMap<ServiceName, PlacementRound>,
     ) {
-        for StarvedJob { id, .. } in starved.iter().filter(|job| job.priority == priority) {
-            let round = self.service_of(id).and_then(|service| rounds.get_mut(service));
+        let of_priority = starved.iter().filter(|job| job.priority == priority);
+        for StarvedJob { id, service, .. } in of_priority {
+            let Some(round) = rounds.get_mut(service) else { continue };
             // Jobs that were placed before within this round have had their turn.
-            let is_starved = starved_task(now, &self.jobs[id], STARVED_AFTER).is_some();
-            if let Some(round) = round.filter(|_| is_starved) {
+            let is_waiting = || starved_task(now, &self.jobs[id], STARVED_AFTER).is_some();
+            if !self.is_skipped(id, round) && is_waiting() {
                 self.place_starved_job(now, id, round);
             }
         }
@@ -125,6 +130,7 @@
             return false;
         }
         let is_placed = self.place_job(now, id, round, 1);
+        self.note_if_newly_full(round);
         if !is_placed {
             round.unplaced_starved_jobs += 1;
             self.reserve_executors(now, id, round);
@@ -215,6 +221,6 @@
     let index = *job.startable.front()?;
     let has_waited = now.saturating_sub(job.tasks[index].waiting_since) >= min_wait;
     let is_waiting = job.tasks[index].phase == Phase::Waiting;
-    let has_running = job.tasks.iter().any(|task| task.phase.executor().is_some());
-    (has_waited && is_waiting && !has_running).then_some(index)
+    let has_running = || job.tasks.iter().any(|task| task.phase.executor().is_some());
+    (has_waited && is_waiting && !has_running()).then_some(index)
 }
