Test failures while busy machines are taken

Change: one test each for a new owner, refused orders, lost orders and machines that die, brought about when the first tasks are stopped. The pools with on-time work must still get their machines; the model asserts after each step that no task runs twice.

--- a/crates/jackdawpier_fleet/tests/late_backlog.rs
+++ b/crates/jackdawpier_fleet/tests/late_backlog.rs
@@ -6,11 +6,11 @@
 
 use jackdawpier_fleet::{
     fleet::{Command, Fleet, FleetSettings, JobView, StopReason},
-    machines::MachineWork,
+    machines::{MachineOrderOutcome, MachineWork},
     policy::Policy,
     spec::{JobSpec, StepSpec},
 };
-use world::{World, job, settings, step};
+use world::{Machine, World, job, settings, step};
 
 const FRESH: [&str; 3] = ["a", "b", "c"];
 /// Machines of the pool with the backlog and of each other one: a tenth of 239 and 37.
@@ -196,3 +196,58 @@
     let of_late = busy.iter().filter(|machine| machine.starts_with("m-late"));
     assert_eq!((moves_to(&world, "a"), of_late.count()), (0, 4));
 }
+
+/// Brings about a fault when the first tasks are stopped, after which the machines must still
+/// arrive. The model asserts that no task runs twice.
+fn assert_recovers(before: impl Fn(&mut World), fault: impl Fn(&mut World)) {
+    let mut world = uneven();
+    before(&mut world);
+    run_until_stopped(&mut world, &FRESH);
+    fault(&mut world);
+    run_with_fresh(&mut world, &FRESH, 4_000, 8);
+    assert_moved(&world);
+}
+
+#[test]
+fn new_owner() {
+    assert_recovers(|_| {}, World::take_over);
+}
+
+#[test]
+fn refused_order() {
+    let end = |world: &mut World| {
+        world.run_for(Duration::from_millis(300));
+        assert!(moves_to(world, "a") > 0, "no order was refused");
+        world.refuses_moves = false;
+    };
+    assert_recovers(|world| world.refuses_moves = true, end);
+}
+
+#[test]
+fn lost_order() {
+    let lose = |world: &mut World| {
+        world.run_for(Duration::from_millis(300));
+        world.machine_order_delay = Duration::ZERO;
+        let now = world.now;
+        let orders = world.commands.iter().filter_map(|(_, command)| match command {
+            Command::Machine(order) => Some(order),
+            _ => None,
+        });
+        assert!(orders.clone().count() > 0, "no order was lost");
+        let outcome = MachineOrderOutcome::Unanswered;
+        orders.for_each(|order| world.fleet.machine_order_ended(now, order, outcome));
+    };
+    assert_recovers(|world| world.machine_order_delay = Duration::from_secs(3_600), lose);
+}
+
+#[test]
+fn dying_machines() {
+    let crash = |world: &mut World| {
+        let vacated: BTreeSet<Arc<str>> = stopped(world).into_iter().map(|(id, _)| id).collect();
+        let is_vacated = |one: &Machine| one.executor.iter().any(|id| vacated.contains(id));
+        let machines = world.machines.iter().filter(|(_, one)| is_vacated(one));
+        let machines: Vec<Arc<str>> = machines.map(|(id, _)| id.clone()).collect();
+        machines.iter().for_each(|machine| world.crash(machine, None));
+    };
+    assert_recovers(|_| {}, crash);
+}
