Log the load of queues and of accounts beyond their share

Cause: an operator couldn't see how much work waits by queue and account, whether it can still be on time, or which account exceeds its share.

Change: Fleet::backlog sums up the open jobs by class. Accounts::weight_share gives the part of the fleet that an account's weight stands for.

--- a/crates/jackdawpier_entry/src/metrics.rs
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use jackdawpier_fleet::fleet::WaitingJobs;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -34,6 +35,11 @@
     why: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassLabels {
+    class: &'static str,
+}
+
 /// The measured latencies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Latency {
@@ -86,6 +92,7 @@
     latencies: Vec<Histogram>,
     is_owner: Gauge,
     proof_age: Gauge<f64, AtomicU64>,
+    waiting_jobs: Family<ClassLabels, Gauge>,
     open_connections: Gauge,
     closed_connections: Family<ClosedLabels, Counter>,
 }
@@ -104,6 +111,9 @@
         let proof_age = Gauge::<f64, AtomicU64>::default();
         let help = "Time since the configuration was last known to be the newest, where keys are asked for";
         registry.register_with_unit("key_proof_age", help, Unit::Seconds, proof_age.clone());
+        let waiting_jobs = Family::<ClassLabels, Gauge>::default();
+        let help = "Jobs of which a task waits, by class, at the entry that owns the fleet";
+        registry.register("waiting_jobs", help, waiting_jobs.clone());
         let open_connections = Gauge::default();
         let help = "Open connections of the callers' port";
         registry.register("open_connections", help, open_connections.clone());
@@ -123,6 +133,7 @@
             latencies,
             is_owner,
             proof_age,
+            waiting_jobs,
             open_connections,
             closed_connections,
         })))
@@ -153,6 +164,20 @@
         self.0.borrow().proof_age.set(age.unwrap_or_default().as_secs_f64());
     }
 
+    /// Sets the numbers of waiting jobs over all queues.
+    pub fn set_waiting_jobs(&self, waiting: &WaitingJobs) {
+        let inner = self.0.borrow();
+        let by_class = [
+            ("on_time", waiting.on_time),
+            ("over_share", waiting.over_share),
+            ("late", waiting.late),
+            ("expired", waiting.expired),
+        ];
+        for (class, count) in by_class {
+            inner.waiting_jobs.get_or_create(&ClassLabels { class }).set(count as i64);
+        }
+    }
+
     /// Sets the numbers of connections of the callers' port.
     pub fn set_connections(&self, counts: ConnectionCounts) {
         let inner = self.0.borrow();
--- a/crates/jackdawpier_entry/src/owner/explain.rs
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -1,4 +1,4 @@
-//! Logs of waiting work, machine shortages and executor losses.
+//! Logs of waiting work, of the load of queues and accounts, of machine shortages and of executor losses.
 //!
 //! A job that doesn't start causes no decision that could be logged. These lines state the reason once a
 //! second, and their number is limited. See `docs/OPERATIONS.md`.
@@ -6,7 +6,8 @@
 use std::{rc::Rc, time::Duration};
 
 use jackdawpier_fleet::fleet::{
-    CrashBackoff, ExecutorLoss, GivenUpTask, LostRun, Obstacles, Shortage, TaskCrash, WaitingTask,
+    AccountBacklog, CrashBackoff, ExecutorLoss, GivenUpTask, LostRun, Obstacles, QueueBacklog,
+    Shortage, TaskCrash, WaitingJobs, WaitingTask,
 };
 use serde_json::{Value, json};
 
@@ -34,7 +35,16 @@
             for shortage in fleet.shortages().iter().take(MAX_LINES_PER_REPORT) {
                 self.events.emit("pool_lacks", shortage_fields(shortage));
             }
+            let backlog = fleet.backlog(now, MAX_LINES_PER_REPORT);
+            for queue in &backlog.queues {
+                self.events.emit("queue_load", queue_load_fields(queue));
+            }
+            for account in &backlog.accounts {
+                self.events.emit("account_over_share", over_share_fields(account));
+            }
+            self.events.metrics().set_waiting_jobs(&backlog.waiting);
         }
+        self.events.metrics().set_waiting_jobs(&WaitingJobs::default());
     }
 
     /// Logs each lost executor with its tasks, and which tasks are suspected, given up or in back-off.
@@ -78,6 +88,32 @@
     })
 }
 
+/// The capacity is that of the queue's service, which other queues may use too.
+fn queue_load_fields(load: &QueueBacklog) -> Value {
+    let WaitingJobs { on_time, over_share, late, expired } = load.waiting;
+    json!({
+        "queue": *load.queue,
+        "capacity_millicores": load.capacity.millicores,
+        "slow_executors": load.capacity.slow_executors,
+        "demand_millicores": load.demand_millicores,
+        "on_time": on_time,
+        "over_share": over_share,
+        "late": late,
+        "expired": expired,
+        "oldest_wait_ms": load.oldest_wait.as_millis() as u64,
+    })
+}
+
+fn over_share_fields(load: &AccountBacklog) -> Value {
+    json!({
+        "account": *load.account,
+        "service": *load.service,
+        "granted_millicores": load.granted_millicores,
+        "running_millicores": load.running_millicores,
+        "waiting": load.waiting,
+    })
+}
+
 /// Includes the age of each run, which shows whether one had just started.
 fn loss_fields(loss: &ExecutorLoss) -> Value {
     let run_fields = |run: &LostRun| {
--- a/crates/jackdawpier_entry/tests/metrics.rs
+++ b/crates/jackdawpier_entry/tests/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jackdawpier_entry::{connections::ConnectionCounts, events::Events, metrics::Latency};
+use jackdawpier_fleet::fleet::WaitingJobs;
 use serde_json::json;
 
 #[test]
@@ -36,3 +37,16 @@
         assert!(text.contains(&line), "{text}");
     }
 }
+
+#[test]
+fn waiting_jobs() {
+    let events = Events::new("entry");
+    let waiting = WaitingJobs { on_time: 1, over_share: 2, late: 3, expired: 4 };
+    events.metrics().set_waiting_jobs(&waiting);
+    events.metrics().set_waiting_jobs(&WaitingJobs { late: 0, ..waiting });
+    let text = events.metrics().text();
+    for (class, count) in [("on_time", 1), ("over_share", 2), ("late", 0), ("expired", 4)] {
+        let line = format!("jackdawpier_waiting_jobs{{class=\"{class}\"}} {count}");
+        assert!(text.contains(&line), "{text}");
+    }
+}
--- a/crates/jackdawpier_fleet/src/account.rs
+++ b/crates/jackdawpier_fleet/src/account.rs
@@ -120,6 +120,14 @@
         Headroom { accounts: self, remaining_millicores: BTreeMap::new() }
     }
 
+    /// Returns the part of all weights that an account has; 0 without a weight.
+    pub(crate) fn weight_share(&self, account: &str) -> f64 {
+        let weights = self.settings.values().map(|one| one.weight.max(0.0));
+        let total: f64 = weights.sum();
+        let own = self.settings.get(account).map_or(0.0, |one| one.weight.max(0.0));
+        if total > 0.0 { own / total } else { 0.0 }
+    }
+
     /// Returns the CPU that an account may still start, in thousandths of a core.
     pub(crate) fn remaining_millicores(&self, account: Option<&AccountName>) -> u64 {
         let settings = account.and_then(|account| self.settings.get(account));
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -25,6 +25,7 @@
 mod pool_view;
 mod pools;
 mod probation;
+mod queue_load;
 mod recent_crashes;
 mod reports;
 mod reservations;
@@ -52,6 +53,9 @@
 pub use executor_speeds::{Assessment, ObservedRun, SpeedTracker, select_slow};
 pub use losses::{ExecutorLoss, LossEvidence, LostRun};
 pub use pools::Shortage;
+pub use queue_load::{
+    AccountBacklog, Backlog, JobLoad, QueueBacklog, ServiceCapacity, WaitingClass, WaitingJobs,
+};
 pub use reports::HoldDirective;
 pub use starts::StartOutcome;
 pub use stops::{StopEvidence, StopOutcome};
