--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -28,6 +28,7 @@
 mod pool_view;
 mod pools;
 mod probation;
+mod queue_load;
 mod recent_crashes;
 mod reports;
 mod reservations;
@@ -59,6 +60,9 @@
 pub use load_report::{ArrivedJob, LoadController, QueueReport};
 pub use losses::{ExecutorLoss, LossEvidence, LostRun};
 pub use pools::Shortage;
+pub use queue_load::{
+    AccountBacklog, Backlog, JobLoad, QueueBacklog, ServiceCapacity, WaitingClass, WaitingJobs,
+};
 pub use reports::HoldDirective;
 pub use starts::StartOutcome;
 pub use stops::{StopEvidence, StopOutcome};
