Compare the free room of executors before looking them up

Under overload each placed task and each that fits nowhere compared all executors of the service, a hash lookup each, while nearly all were full. The room at the start of the round is kept beside the ids and compared first; room doesn't grow within a round, so decisions are the same.

--- a/crates/jackdawpier_fleet/src/fleet/crash_attribution.rs
+++ b/crates/jackdawpier_fleet/src/fleet/crash_attribution.rs
@@ -294,7 +294,7 @@
             .min_by_key(|(id, executor)| (self.unproven_task_count(executor, job, index), *id))
             .map(|(id, _)| id.clone());
         if let Some(target) = target {
-            round.executors.retain(|id| *id != target);
+            round.retain_executors(|id| *id != target);
             round.reserved_for_suspects += 1;
         }
     }
--- a/crates/jackdawpier_fleet/src/fleet/defragmentation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/defragmentation.rs
@@ -106,7 +106,7 @@
             if is_placed {
                 continue;
             }
-            round.executors.retain(|id| !defragmentation.reserved.contains(id));
+            round.retain_executors(|id| !defragmentation.reserved.contains(id));
             round.has_reservation = true;
             self.defragmentations.active.insert(service, defragmentation);
         }
--- a/crates/jackdawpier_fleet/src/fleet/isolation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/isolation.rs
@@ -239,7 +239,7 @@
                 failures += 1;
             }
         }
-        round.executors.retain(|id| !held.contains(id));
+        round.retain_executors(|id| !held.contains(id));
     }
 
     /// Returns the executor on which a suspect could start soonest if nothing else started there.
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -336,9 +336,9 @@
         let remote = self.remote_placement(now, round, job, index);
         let advice = self.advice.get(&(id.clone(), job.slot(index))).filter(|_| needs_advice);
         let is_suspect = self.is_suspect(job, index);
+        let need = job.step(index).allocated();
         let chosen = round
-            .executors
-            .iter()
+            .executors_with_room(&need)
             .filter(|executor| advice.is_none_or(|one| one.tickets.contains_key(*executor)))
             .filter_map(|executor_id| {
                 let executor = self.executors.get(executor_id)?;
--- a/crates/jackdawpier_fleet/src/fleet/placement_round.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement_round.rs
@@ -32,6 +32,9 @@
 pub(super) struct PlacementRound {
     /// Executors that accept work.
     pub(super) executors: Vec<ExecutorId>,
+    /// Free room of each of [`Self::executors`] at the start of the round. Under overload most executors are full,
+    /// and comparing this first avoids looking them up.
+    initial_rooms: Vec<Resources>,
     /// The least of each resource that a waiting task needs.
     pub(super) smallest_need: Resources,
     /// Whether no waiting task fits any executor.
@@ -51,6 +54,24 @@
 }
 
 impl PlacementRound {
+    /// Returns the executors on which a task of this need may fit.
+    pub(super) fn executors_with_room<'a>(
+        &'a self,
+        need: &'a Resources,
+    ) -> impl Iterator<Item = &'a ExecutorId> {
+        let rooms = self.executors.iter().zip(&self.initial_rooms);
+        rooms.filter(|(_, room)| need.fits(room)).map(|(executor, _)| executor)
+    }
+
+    /// Keeps only the executors for which `is_kept` returns true.
+    pub(super) fn retain_executors(&mut self, is_kept: impl Fn(&ExecutorId) -> bool) {
+        let kept: Vec<bool> = self.executors.iter().map(is_kept).collect();
+        let mut kept_rooms = kept.iter();
+        self.initial_rooms.retain(|_| kept_rooms.next().is_some_and(|is_kept| *is_kept));
+        let mut kept = kept.into_iter();
+        self.executors.retain(|_| kept.next().unwrap_or(false));
+    }
+
     /// Whether a task of a step is known to fit no executor in this round, because one at most as
     /// large with the same or no required label didn't.
     pub(super) fn is_known_unplaceable(&self, step: &StepSpec) -> bool {
@@ -90,13 +111,23 @@
             .iter()
             .map(|(service, ids)| {
                 let executors: Vec<ExecutorId> = ids.iter().filter(accepts_work).cloned().collect();
+                let initial_rooms = executors
+                    .iter()
+                    .filter_map(|id| self.executors.get(id))
+                    .map(Executor::free)
+                    .collect();
                 let scarce_labels = executors
                     .iter()
                     .filter_map(|id| Some((id.clone(), self.labels_of_executor(id, &scarce)?)))
                     .collect();
                 (
                     service.clone(),
-                    PlacementRound { executors, scarce_labels, ..PlacementRound::default() },
+                    PlacementRound {
+                        executors,
+                        initial_rooms,
+                        scarce_labels,
+                        ..PlacementRound::default()
+                    },
                 )
             })
             .collect()
--- a/crates/jackdawpier_fleet/src/fleet/reservations.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reservations.rs
@@ -169,7 +169,7 @@
             return;
         }
         round.has_reservation = true;
-        round.executors.retain(|executor| !reserved.contains(executor));
+        round.retain_executors(|executor| !reserved.contains(executor));
     }
 
     /// Returns the room of an executor once all but its long-running tasks have ended.
