Say what the test of shares after a change of owner covers

The test passes also if recovered jobs aren't charged at all, so it guards the shares of jobs that arrive afterwards, not the deferred charge. A comment only; shares passed before it.

--- a/crates/jackdawpier_fleet/tests/shares.rs
+++ b/crates/jackdawpier_fleet/tests/shares.rs
@@ -79,7 +79,7 @@
     assert_shared(&run_load(&mut world));
 }
 
-/// The same when a new owner charges the jobs that it recovers, before it knows any executor.
+/// The same after a change of owner, for jobs that arrive once the new one knows the executors.
 #[test]
 fn recovered_jobs() {
     let mut world = shared_pool();
