Let an account's bucket go into debt for a job

The tests shares, overload_order, starved_limit, late_backlog, slow_executors, isolation_load and load_report pass.

--- a/crates/jackdawpier_fleet/src/share_meter.rs
+++ b/crates/jackdawpier_fleet/src/share_meter.rs
@@ -68,15 +68,16 @@
         self.millicores > 0
     }
 
-    /// Takes the work of a job from its account's bucket and returns whether the bucket covered it. A full
-    /// bucket covers any job, since one that is larger than the bucket would never be covered otherwise.
+    /// Takes the work of a job from its account's bucket and returns whether the bucket covered it. A bucket that
+    /// isn't empty covers any job and goes into debt for it. If it had to cover the whole job, the small jobs of a
+    /// busy account would use up the share and its large ones would never be covered.
     pub(crate) fn charge(&mut self, now: Now, account: &AccountName, core_ms: u64) -> bool {
         let shares = Shares { millicores: self.millicores, total_weight: self.total_weight };
         let Some(bucket) = self.buckets.get_mut(account) else { return true };
         bucket.fill(now, shares);
         let core_ms = core_ms as f64;
         let depth_core_ms = bucket.note_job(core_ms, shares);
-        let is_covered = bucket.is_full() || bucket.missing_core_ms + core_ms <= depth_core_ms;
+        let is_covered = bucket.missing_core_ms < depth_core_ms;
         if is_covered {
             bucket.missing_core_ms += core_ms;
         }
