Place suspects ahead of other work on a fifth of the executors

Cause: a suspect was placed in the order of its job's rank. Its job has lost a run, so it is usually late by then, and late jobs come after all work that can be on time. Under a lasting burst that work takes each gap as it opens. Starved suspects also used up the attempts of place_starved and held the one reservation of their service.

Change: suspects among single short tasks are placed before other work, on at most a fifth of the executors of their service, two at least. The fewest crashes and the most alternatives go first; a suspect that has waited for 2 s isn't overtaken. Executors without room are held for 500 ms at most, and then not for another 500 ms. A crash records how many other tasks may as well be its cause.

Outside the isolation files: a call in Fleet::place, a condition in place_job, a filter in place_starved and reserve_executors, a call in recover_job, World::hold_wait in the tests.

--- a/crates/jackdawpier_fleet/src/crash.rs
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -32,11 +32,19 @@
     /// Whether another task was identified as the cause.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub has_other_cause: bool,
+    /// Number of other tasks that may as well be the cause.
+    #[serde(rename = "n", default, skip_serializing_if = "is_zero")]
+    pub alternatives: u32,
     /// Bounds of the run time until the crash; `None` if the run was started under a previous owner.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub run_time: Option<RunTimeBounds>,
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde requires a reference")]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// Bounds of the time that a run had been running when its executor crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunTimeBounds {
@@ -223,6 +231,12 @@
     }
 }
 
+/// Returns how many other tasks may have caused the crash that is most telling against a task.
+#[must_use]
+pub fn fewest_alternatives(crashes: &[Crash]) -> u32 {
+    crashes.iter().map(|crash| crash.alternatives).min().unwrap_or_default()
+}
+
 /// Returns the crashes during which the task was certainly running and that have no likelier or known other
 /// cause.
 fn confirmed_without_other_cause(crashes: &[Crash]) -> impl Iterator<Item = &Crash> {
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -13,6 +13,7 @@
 mod gangs;
 mod incarnations;
 mod intake;
+mod isolation;
 mod label_need;
 mod label_reclaim;
 mod label_shares;
@@ -58,6 +59,7 @@
 use crash_backoff::CrashBackoffs;
 use defragmentation::Defragmentations;
 use intake::InheritedEndedJob;
+use isolation::Isolations;
 use recent_crashes::RecentCrashes;
 
 use crate::{
@@ -142,6 +144,7 @@
     given_up: Vec<GivenUpTask>,
     crash_backoffs: CrashBackoffs,
     recent_crashes: RecentCrashes,
+    isolations: Isolations,
     defragmentations: Defragmentations,
     /// Executors with reported ends that have become durable since the last acknowledgement.
     acknowledgeable: Vec<ExecutorId>,
@@ -187,6 +190,7 @@
             given_up: Vec::new(),
             crash_backoffs: CrashBackoffs::default(),
             recent_crashes: RecentCrashes::default(),
+            isolations: Isolations::default(),
             defragmentations: Defragmentations::default(),
             acknowledgeable: Vec::new(),
             last_machine_planning_at: Now::ZERO,
--- a/crates/jackdawpier_fleet/src/fleet/crash_attribution.rs
+++ b/crates/jackdawpier_fleet/src/fleet/crash_attribution.rs
@@ -22,7 +22,7 @@
 
 /// A crash later than this after a start isn't attributed to the start itself. About ten times the time
 /// that a task which crashes its executor on start needs for it.
-const START_CRASH_WINDOW: Duration = Duration::from_millis(100);
+pub(super) const START_CRASH_WINDOW: Duration = Duration::from_millis(100);
 /// Maximum age of an executor's last report for its runs to count as present at the crash: one long poll
 /// and its timeout. Runs may have ended unreported after that.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1500);
@@ -38,7 +38,8 @@
 /// A long-running task is cleared of this and earlier crashes after this run time. It is present at every
 /// crash of its executor, whatever the cause, so its presence alone is no evidence.
 const CLEARING_RUN_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of executors per service that are reserved for waiting suspects at the same time.
+/// Maximum number of executors per service that are reserved for waiting long-running suspects at the same
+/// time.
 const MAX_RESERVED_FOR_SUSPECTS: usize = 2;
 
 /// A crash of an executor that counts against a task.
@@ -114,6 +115,7 @@
             crashes.iter().filter_map(|(task, _)| self.confirmed_run_time(task, contact));
         let shortest = confirmed.min();
         let has_recent_start = shortest.is_some_and(|run_time| run_time < CLEARING_RUN_TIME);
+        let mut assessed: Vec<(&TaskRef, Crash)> = Vec::new();
         for (task_ref, mut crash) in crashes {
             if self.is_long_running_task(task_ref)
                 && self.observed_run_time(task_ref, contact) >= CLEARING_RUN_TIME
@@ -132,6 +134,11 @@
             crash.has_likelier_cause |= has_likelier_cause && self.settings.policy.weighs_run_time;
             crash.is_isolated = self.start_confirmed_here(task_ref)
                 && isolated.as_ref().is_some_and(|one| self.is_same_task_or_gang(one, task_ref));
+            assessed.push((task_ref, crash));
+        }
+        let likely = assessed.iter().filter(|(_, crash)| !crash.has_likelier_cause).count() as u32;
+        for (task_ref, mut crash) in assessed {
+            crash.alternatives = likely.saturating_sub(u32::from(!crash.has_likelier_cause));
             self.attribute_crash(id, task_ref, crash);
         }
     }
@@ -167,6 +174,7 @@
         if !task.note_crash(crash.clone()) {
             return;
         }
+        self.isolations.note_suspect(task_ref.clone());
         let (run, crashes) = (task.run, task.crashes().len());
         // The run may still be open for this owner, so the crash is written for the next owner now.
         self.mark_changed(&task_ref.0);
--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -88,6 +88,7 @@
         }
         self.jobs.insert(id.clone(), job);
         self.restore_backoffs(now, &id);
+        self.recover_suspects(&id);
     }
 
     /// Records the labels that a job requires, since further jobs are likely to require them too.
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -75,6 +75,7 @@
         waiting.sort_unstable();
         let mut rounds = self.start_rounds(now);
         self.continue_defragmentations(now, &mut rounds);
+        self.place_suspects(now, &mut rounds);
         self.place_starved(now, &waiting, &mut rounds);
         for (_, id) in waiting {
             let round = self.service_of(&id).and_then(|service| rounds.get_mut(service));
@@ -114,7 +115,8 @@
             let is_skipped = placed >= max_starts
                 || full_slots.contains(&slot)
                 || round.is_known_unplaceable(step)
-                || job.tasks[index].not_before > now;
+                || job.tasks[index].not_before > now
+                || self.awaits_isolation(job, index);
             if is_skipped {
                 kept.push(index);
                 continue;
--- a/crates/jackdawpier_fleet/src/fleet/reservations.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reservations.rs
@@ -55,7 +55,8 @@
             .iter()
             .filter_map(|(_, id)| {
                 let job = &self.jobs[id];
-                let index = starved_task(now, job, STARVED_AFTER)?;
+                let index = starved_task(now, job, STARVED_AFTER)
+                    .filter(|index| !self.awaits_isolation(job, *index))?;
                 let waiting_since = job.tasks[index].waiting_since;
                 let unplaced_since =
                     job.last_placed_at.map_or(waiting_since, |at| at.max(waiting_since));
@@ -84,7 +85,11 @@
             return;
         }
         let Some(job) = self.jobs.get(id) else { return };
-        let Some(index) = starved_task(now, job, RESERVE_AFTER) else { return };
+        let Some(index) = starved_task(now, job, RESERVE_AFTER)
+            .filter(|index| !self.awaits_isolation(job, *index))
+        else {
+            return;
+        };
         let waited = now.saturating_sub(job.tasks[index].waiting_since + RESERVE_AFTER);
         if waited.as_millis() % RESERVATION_PERIOD.as_millis() >= RESERVATION_DURATION.as_millis() {
             return;
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -38,7 +38,7 @@
 pub const ORDER_LEASE: Duration = Duration::from_millis(3000);
 /// Time for which an owner's order note names a machine after its last order.
 const NOTED_FOR: Duration = Duration::from_millis(3500);
-/// Time for which an executor waits for an end before it answers a hold.
+/// Time for which an executor waits for an end before it answers a hold, unless a test changes it.
 const HOLD_WAIT: Duration = Duration::from_millis(200);
 /// Longer than the back-off of a long-running task that is suspected of crashing its executors.
 const STARTED_WITHIN: Duration = Duration::from_secs(20);
@@ -145,6 +145,8 @@
     pub labels: BTreeMap<Arc<str>, Arc<str>>,
     /// Whether an executor keeps its id when it returns after a crash.
     pub restarts_keep_ids: bool,
+    /// Time for which an executor waits for an end before it answers a hold.
+    pub hold_wait: Duration,
     /// Tasks that crash their executors, and the crashes so far.
     pub crashes: Crashes,
     /// Long-running tasks at work.
@@ -195,6 +197,7 @@
             advice_requests: 0,
             labels: BTreeMap::new(),
             restarts_keep_ids: false,
+            hold_wait: HOLD_WAIT,
             crashes: Crashes::default(),
             long_running: LongRunning::default(),
         };
@@ -438,7 +441,7 @@
             let Some(order) = self.fleet.hold_directive(now, &id) else { continue };
             let asked_at = now.saturating_sub(STEP);
             let Some(report) = executor.hold(now, self.fence, &order) else { continue };
-            executor.hold_due = now + HOLD_WAIT;
+            executor.hold_due = now + self.hold_wait;
             self.fleet.hold_answered(now, asked_at, &id, &report);
             for stop in self.fleet.repeat_stops(now, &id) {
                 self.send_order(stop);
