Leave suspects of small services with their jobs, and use idle room

Change: services with fewer than ten executors, of which a fifth isn't more than two, place suspects with their jobs as before. In larger ones suspects beyond the share start in the room that all other work has left in a round. Overdue suspects go strictly by their wait, so that new likely innocent ones can't keep the causes waiting. Executors to hold are looked for at most twice a round without success.

Outside the isolation files: a second call in Fleet::place.

--- a/crates/jackdawpier_fleet/src/fleet/isolation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/isolation.rs
@@ -29,7 +29,9 @@
 
 /// One in so many executors of a service may isolate a start, or be held for one, at the same time.
 const EXECUTORS_PER_ISOLATION: usize = 5;
-/// Number of executors that may do so in a service of any size.
+/// Number of executors that may do so at least. Where this is more than the share, suspects are placed with
+/// their jobs: with six executors the turns delayed suspects by 5 s in the model, and five unaffected jobs
+/// were given up.
 const MIN_ISOLATIONS: usize = 2;
 /// Maximum time for which an executor is held until a suspect can start there: about the time that an
 /// isolated start takes.
@@ -43,6 +45,10 @@
 /// all executors.
 const MAX_FAILED_ATTEMPTS: usize = 8;
 
+/// Maximum number of suspects per service and round for which no executor is found to hold. Each attempt
+/// looks at the tasks of all executors.
+const MAX_FAILED_HOLDS: usize = 2;
+
 /// The suspects, and the executors that are held for them.
 #[derive(Debug, Default)]
 pub(super) struct Isolations {
@@ -73,14 +79,13 @@
     }
 }
 
-/// Sort key of a waiting suspect; lower ones start first. Within a priority these are the likeliest innocent
-/// ones: they have the fewest crashes, and the most other tasks may have caused these.
+/// Sort key of a waiting suspect; lower ones start first. Within a priority these are the overdue ones, then
+/// the likeliest innocent ones: they have the fewest crashes, and the most other tasks may have caused these.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Turn {
     priority: u32,
-    may_be_overtaken: bool,
-    crashes: usize,
-    alternatives: Reverse<u32>,
+    /// Number of crashes, and of alternative causes; `None` for an overdue suspect.
+    evidence: Option<(usize, Reverse<u32>)>,
     waiting_since: Now,
     task: TaskRef,
 }
@@ -99,10 +104,18 @@
     /// placed with their jobs.
     pub(super) fn awaits_isolation(&self, job: &Job, index: TaskIndex) -> bool {
         let step = job.step(index);
-        self.settings.policy.widens_isolation
-            && !step.is_long_running
+        !step.is_long_running
             && !step.is_gang
             && self.is_suspect(job, index)
+            && self.widens_isolation(job)
+    }
+
+    /// Whether the service of a job is large enough for more isolated starts than [`MIN_ISOLATIONS`].
+    fn widens_isolation(&self, job: &Job) -> bool {
+        let service = self.queues.get(&job.queue).map(|queue| &queue.service);
+        let executors = service.and_then(|name| self.by_service.get(name)).map_or(0, Vec::len);
+        self.settings.policy.widens_isolation
+            && executors >= MIN_ISOLATIONS * EXECUTORS_PER_ISOLATION
     }
 
     /// Records the suspects of a job that a previous owner has left.
@@ -126,7 +139,23 @@
         for (service, round) in rounds {
             let turns = waiting.remove(service).unwrap_or_default();
             if !turns.is_empty() || !self.isolations.held_since.is_empty() {
-                self.place_suspects_of_service(now, &turns, round);
+                let remaining = self.remaining_isolations(now, round);
+                let (unplaced, remaining) = self.start_suspects(now, turns, remaining, round);
+                self.hold_executors(now, &unplaced, remaining, round);
+            }
+        }
+    }
+
+    /// Places waiting suspects in the room that other work has left, on any number of executors, so that none
+    /// waits while executors are idle.
+    pub(super) fn place_remaining_suspects(
+        &mut self,
+        now: Now,
+        rounds: &BTreeMap<ServiceName, PlacementRound>,
+    ) {
+        for (service, turns) in self.waiting_suspects(now) {
+            if let Some(round) = rounds.get(&service) {
+                self.start_suspects(now, turns, usize::MAX, round);
             }
         }
     }
@@ -152,11 +181,11 @@
             let Some(queue) = self.queues.get(&job.queue).filter(|_| is_startable) else {
                 continue;
             };
+            let is_overdue = now >= task.waiting_since + MAX_OVERTAKEN_WAIT;
             waiting.entry(queue.service.clone()).or_default().push(Turn {
                 priority: queue.priority,
-                may_be_overtaken: now < task.waiting_since + MAX_OVERTAKEN_WAIT,
-                crashes: task.crashes().len(),
-                alternatives: Reverse(fewest_alternatives(task.crashes())),
+                evidence: (!is_overdue)
+                    .then(|| (task.crashes().len(), Reverse(fewest_alternatives(task.crashes())))),
                 waiting_since: task.waiting_since,
                 task: (id.clone(), *index),
             });
@@ -165,30 +194,35 @@
         waiting
     }
 
-    fn place_suspects_of_service(&mut self, now: Now, turns: &[Turn], round: &mut PlacementRound) {
-        let mut remaining = self.remaining_isolations(now, round);
-        let mut unplaced: Vec<&TaskRef> = Vec::new();
-        let mut failed: Vec<&TaskRef> = Vec::new();
+    /// Starts at most `remaining` suspects; returns the others, and how many more may start.
+    fn start_suspects(
+        &mut self,
+        now: Now,
+        turns: Vec<Turn>,
+        mut remaining: usize,
+        round: &PlacementRound,
+    ) -> (Vec<TaskRef>, usize) {
+        let mut unplaced: Vec<TaskRef> = Vec::new();
+        let mut failed: Vec<TaskRef> = Vec::new();
         for Turn { task, .. } in turns {
             let job = &self.jobs[&task.0];
             if !self.is_within_cap(job, task.1) {
                 continue;
             }
-            let is_alike = |other: &&TaskRef| is_same_step(job, task, other);
-            if remaining == 0 || failed.len() == MAX_FAILED_ATTEMPTS || failed.iter().any(is_alike)
-            {
+            let is_skipped = remaining == 0
+                || failed.len() == MAX_FAILED_ATTEMPTS
+                || failed.iter().any(|other| is_same_step(job, &task, other));
+            if is_skipped {
                 unplaced.push(task);
-                continue;
-            }
-            if let Some(executor) = self.choose_executor(now, &task.0, task.1, None, round) {
-                self.start_suspect(now, task, executor);
+            } else if let Some(executor) = self.choose_executor(now, &task.0, task.1, None, round) {
+                self.start_suspect(now, &task, executor);
                 remaining -= 1;
             } else {
-                failed.push(task);
+                failed.push(task.clone());
                 unplaced.push(task);
             }
         }
-        self.hold_executors(now, &unplaced, remaining, round);
+        (unplaced, remaining)
     }
 
     /// Returns how many more executors may isolate a start.
@@ -213,7 +247,7 @@
     fn hold_executors(
         &mut self,
         now: Now,
-        suspects: &[&TaskRef],
+        suspects: &[TaskRef],
         remaining: usize,
         round: &mut PlacementRound,
     ) {
@@ -229,7 +263,7 @@
         excess.iter().for_each(|id| self.isolations.end_hold(now, id));
         let mut failures = 0;
         for task in suspects {
-            if held.len() >= most || failures == MAX_FAILED_ATTEMPTS {
+            if held.len() >= most || failures == MAX_FAILED_HOLDS {
                 break;
             }
             if let Some(executor) = self.executor_to_hold(now, task, round) {
@@ -255,8 +289,11 @@
             let is_candidate = !self.isolations.held_since.contains_key(id)
                 && !executor.is_isolating(now)
                 && is_eligible(executor, job, *index);
+            if !is_candidate {
+                return None;
+            }
             let ready_at = self.ready_at(now, executor, &job.step(*index).allocated())?;
-            (is_candidate && ready_at <= now + MAX_HOLD).then_some((ready_at, id))
+            (ready_at <= now + MAX_HOLD).then_some((ready_at, id))
         });
         candidates.min().map(|(_, id)| id.clone())
     }
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -84,6 +84,7 @@
                 self.reserve_executors(now, &id, round);
             }
         }
+        self.place_remaining_suspects(now, &rounds);
     }
 
     pub(super) fn service_of(&self, id: &JobId) -> Option<&ServiceName> {
