--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -130,6 +130,7 @@
             }
             self.reserve_executors(now, &id, round);
         }
+        self.place_remaining_suspects(now, &rounds);
     }
 
     /// Returns, for each service with waiting jobs, the least of each resource that a task of them needs.
