Reject a job only if the store holds neither it nor its record

Cause: an entry may have stored a job and lost the answer; the caller repeats it at another entry, which rejected it with 429 although it runs. The entry now reads both keys before it rejects, and passes the job on if one is there or the store doesn't answer. Test stored_elsewhere; rejected_jobs passes.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -218,7 +218,9 @@
             self.events.emit("job_in", fields);
             return self.refuse(&id, "the store doesn't answer");
         }
-        if let Some(retry_after) = self.turned_away(&id, &submission) {
+        if let Some(retry_after) = self.turned_away(&id, &submission)
+            && self.is_certainly_not_stored(&id).await
+        {
             return self.turn_away(&id, &submission, retry_after);
         }
         self.admission.on_submit(&id);
@@ -255,6 +257,18 @@
         }
     }
 
+    /// Returns whether the store holds neither the job nor its record. Another entry may have stored the job and lost
+    /// the answer; a rejection would then be untrue. Without an answer of the store the job counts as stored.
+    async fn is_certainly_not_stored(&self, id: &JobId) -> bool {
+        let keys = [keys::submission(id), keys::record(id)];
+        for key in keys {
+            if !matches!(self.platform.get(&key).await, Ok(None)) {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Rejects a job before it is written.
     fn turn_away(&self, id: &JobId, submission: &Submission, retry_after: Duration) -> Reply {
         let fields = json!({
--- a/crates/jackdawpier_entry/tests/rejected_jobs.rs
+++ b/crates/jackdawpier_entry/tests/rejected_jobs.rs
@@ -72,6 +72,22 @@
     });
 }
 
+/// A job that another entry has stored, whose caller got no answer and repeats it, is accepted. Guards against the
+/// rejection of a job that runs.
+#[test]
+fn stored_elsewhere() {
+    run(async {
+        let entry = start(DOCUMENT).await;
+        put_note(&entry.fake);
+        assert!(first_rejected(&entry).await.is_some());
+        entry.fake.put(&keys::submission("stored"), b"{\"account\":\"loud\"}");
+        entry.fake.put(&keys::record("ended"), b"{\"account\":\"loud\"}");
+        assert_eq!(entry.status("POST", "/a/stored", Some("loud-key")).await, 200);
+        assert_eq!(entry.status("POST", "/a/ended", Some("loud-key")).await, 200);
+        assert_eq!(entry.status("POST", "/a/unknown", Some("loud-key")).await, 429);
+    });
+}
+
 /// The owner no longer replaces the note, or this entry can't read it: the note ends by its age.
 #[test]
 fn outdated_note() {
