--- a/crates/jackdawpier_entry/src/admission.rs
+++ b/crates/jackdawpier_entry/src/admission.rs
@@ -31,11 +31,12 @@
 
 /// Minimum time between two reads of the note; the owner writes it as often.
 const FETCH_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for which a job that was passed to the store isn't rejected: longer than its caller retries.
+/// Time for which a job that was passed to the store isn't rejected, since it may be stored. Callers stop retrying
+/// sooner.
 const SUBMITTED_TTL: Duration = Duration::from_secs(30);
-/// Interval between reports of rejected jobs.
+/// Delay from the first rejected job to the report that contains it and the later ones.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum lines in a report.
+/// Maximum number of lines in a report. The metrics count all rejected jobs.
 const MAX_LINES_PER_REPORT: usize = 10;
 
 /// The latest load note, and when to read the next one.
@@ -70,7 +71,7 @@
         }
     }
 
-    /// Ends a read without an answer: the last note has an effect until it is too old.
+    /// Ends a read without an answer: the last note stays in effect until it is too old.
     pub fn fail_fetch(&mut self) {
         self.is_fetching = false;
     }
@@ -145,8 +146,8 @@
         }))
     }
 
-    /// Decides whether a job may be passed to the store. Reads a new note in the background if one is due, and if the
-    /// account has a weight: only such accounts are limited.
+    /// Decides whether a job may be passed to the store. Only jobs of accounts with a weight and without long-running
+    /// steps are limited; for these, a new note is read in the background if one is due.
     pub fn admit<P: Platform>(
         &self,
         platform: &P,
@@ -174,7 +175,7 @@
         admission
     }
 
-    /// Notes that a job is passed to the store; from now on it may be stored.
+    /// Records that a job is passed to the store; from now on it may be stored.
     pub fn on_submit(&self, id: &JobId) {
         self.0.submitted.borrow_mut().add(clock::now(), id);
     }
@@ -188,7 +189,7 @@
     }
 
     async fn fetch<P: Platform>(&self, platform: &P) {
-        // A note that is read later than this is about to be replaced.
+        // After this time any note that is read would be outdated.
         let answer = timeout(NOTE_TTL, platform.get(keys::LOAD)).await;
         let mut cache = self.0.note.borrow_mut();
         let Ok(Ok(item)) = answer else { return cache.fail_fetch() };
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -258,7 +258,8 @@
     }
 
     /// Returns whether the store holds neither the job nor its record. Another entry may have stored the job and lost
-    /// the answer; a rejection would then be untrue. Without an answer of the store the job counts as stored.
+    /// the answer; the caller would then be told that a job that runs was rejected. If the store doesn't answer, the job
+    /// counts as stored.
     async fn is_certainly_not_stored(&self, id: &JobId) -> bool {
         let keys = [keys::submission(id), keys::record(id)];
         for key in keys {
--- a/crates/jackdawpier_entry/src/metrics.rs
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -43,8 +43,8 @@
     account: String,
 }
 
-/// Maximum number of queues and accounts with a counter of their own; the others share one. Names of former
-/// configurations count too.
+/// Maximum number of pairs of queue and account with a counter of their own; the others share one. Pairs of former
+/// configurations count too, so the number of time series stays bounded.
 const MAX_REJECTION_LABELS: usize = 200;
 /// Label of the counter that the others share.
 const OTHER: &str = "other";
--- a/crates/jackdawpier_entry/src/owner/explain.rs
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -88,7 +88,7 @@
     })
 }
 
-/// The capacity is that of the queue's service, which other queues may use too.
+/// `capacity_millicores` is that of the queue's service, which other queues may use too.
 fn queue_load_fields(load: &QueueBacklog) -> Value {
     let WaitingJobs { on_time, over_share, late, expired } = load.waiting;
     json!({
--- a/crates/jackdawpier_entry/src/owner/load_note.rs
+++ b/crates/jackdawpier_entry/src/owner/load_note.rs
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Logs the begin and the end of an overload in which jobs are rejected.
+    /// Logs the beginning and the end of an overload in which jobs are rejected.
     fn log_overload(
         &self,
         now: Now,
--- a/crates/jackdawpier_fleet/src/admission.rs
+++ b/crates/jackdawpier_fleet/src/admission.rs
@@ -13,11 +13,11 @@
 
 /// Number of equal parts into which the jobs of an account are divided by the hash of their ids.
 pub const PERMILLE: u32 = 1000;
-/// Time after which a note has no effect. The owner replaces the note every 0.5 s while there is an overload.
+/// Time after which a note has no effect. The owner replaces the note every 0.5 s during an overload.
 pub const NOTE_TTL: Duration = Duration::from_secs(2);
 /// Maximum difference between the wall clocks of two entries, also while a clock is being corrected.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
-/// Bounds of `Retry-After`.
+/// Bounds of `Retry-After` in seconds. `fleet/load_report.rs` assumes that rejected jobs return within the upper one.
 const RETRY_AFTER_S: std::ops::RangeInclusive<u64> = 1..=4;
 
 /// The load of the overloaded queues, as the owner publishes it.
@@ -93,8 +93,8 @@
     now_ms.abs_diff(note.at_ms) > (MAX_CLOCK_SKEW + NOTE_TTL).as_millis() as u64
 }
 
-/// Returns a time between the expected end of the backlog and twice that. The rejected jobs return in the order in
-/// which a rising fraction admits them.
+/// Returns a time between that until the expected end of the backlog and twice that. The rejected jobs return in the
+/// order in which a rising fraction admits them.
 fn retry_after(load: AccountLoad, position: u32) -> Duration {
     let rejected = PERMILLE.saturating_sub(load.admitted_permille).max(1);
     let rank = position.saturating_sub(load.admitted_permille);
--- a/crates/jackdawpier_fleet/src/crash.rs
+++ b/crates/jackdawpier_fleet/src/crash.rs
@@ -32,7 +32,7 @@
     /// Whether another task was identified as the cause.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub has_other_cause: bool,
-    /// Number of other tasks that may as well be the cause.
+    /// Number of other tasks that may equally be the cause.
     #[serde(rename = "n", default, skip_serializing_if = "is_zero")]
     pub alternatives: u32,
     /// Bounds of the run time until the crash; `None` if the run was started under a previous owner.
@@ -231,7 +231,8 @@
     }
 }
 
-/// Returns how many other tasks may have caused the crash that is most telling against a task.
+/// Returns the number of other possible causes of the crash that has the fewest: the strongest evidence against a
+/// task.
 #[must_use]
 pub fn fewest_alternatives(crashes: &[Crash]) -> u32 {
     crashes.iter().map(|crash| crash.alternatives).min().unwrap_or_default()
--- a/crates/jackdawpier_fleet/src/fleet/busy_machines.rs
+++ b/crates/jackdawpier_fleet/src/fleet/busy_machines.rs
@@ -1,7 +1,7 @@
 //! Chooses busy machines for pools that lack machines for primary demand.
 //!
-//! Machines that run late work become idle one by one and are refilled from the backlog, so waiting
-//! for idle ones left on-time work of other pools without machines for the whole of an overload.
+//! Machines that run late work are refilled from the backlog before they become idle. If only idle
+//! machines moved, on-time work of other pools would lack machines for the whole of an overload.
 //! See `docs/design/overload.md#3-machines-for-on-time-work`.
 
 use std::{cmp::Reverse, time::Duration};
@@ -59,8 +59,9 @@
     pub machines: &'a [BusyMachine],
 }
 
-/// Returns the machine whose tasks are worth least to finish, of the donor with the largest surplus
-/// that has one. `can_move` filters by the pool that the machine is for.
+/// Returns the takeable machine with the least primary work, and of those the one whose tasks end
+/// soonest, from the donor with the largest surplus that has one. `can_move` tells whether a machine
+/// may move to the pool that needs it.
 pub fn choose_busy_machine<'a>(
     donors: impl IntoIterator<Item = Donor<'a>>,
     can_move: impl Fn(&MachineId) -> bool,
@@ -75,7 +76,7 @@
     })
 }
 
-/// Primary demand of a pool by how long it lasts.
+/// Primary demand of a pool, with the remaining work of its short tasks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Outlook {
     /// CPU of long-running tasks.
--- a/crates/jackdawpier_fleet/src/fleet/executor_speeds.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executor_speeds.rs
@@ -26,32 +26,34 @@
 const SLOWDOWNS: [f64; 6] = [2.0, 3.0, 4.0, 6.0, 9.0, 16.0];
 /// Speed according to the largest of them.
 const MIN_SPEED: f64 = 1.0 / 16.0;
-/// Evidence (logarithm of a likelihood ratio) from which an executor counts as slow. With this, at most 15 s of 21,000
-/// executor-seconds were avoided by mistake in simulations of estimates with a deviation of 0.9.
+/// Evidence (logarithm of a likelihood ratio) from which an executor counts as slow. Where the logarithm of the
+/// estimates' error has a deviation of 0.9, at most 15 s of 21,000 executor-seconds are then avoided by mistake.
 const SLOW_EVIDENCE: f64 = 11.5;
-/// The same for an executor that was taken for recovered within [`RECENT_RETURN`].
+/// The same for an executor that was considered recovered within [`RECENT_RETURN`].
 const SLOW_AGAIN_EVIDENCE: f64 = 6.0;
+/// Time after a recovery in which less evidence is needed.
 const RECENT_RETURN: Duration = Duration::from_secs(4);
 /// If more than half of the executors have at least this evidence, the service is slow and not its executors.
 const SUSPICIOUS_EVIDENCE: f64 = 3.0;
-/// Evidence up to which a run on a slow executor shows that it has recovered.
+/// Evidence at or below which a run on a slow executor shows that it has recovered.
 const RECOVERED_EVIDENCE: f64 = -0.5;
 /// Runs that are still going on count against a recovery if they started at most this long before the completed one.
 /// Earlier ones may have been slowed down before the recovery.
 const MAX_PEER_LEAD: Duration = Duration::from_millis(300);
-/// Evidence from which a run on a slow executor doesn't decide any more, so that another one may start.
+/// Evidence from which a run on a slow executor can no longer show that it has recovered, so that another one may start.
 const UNDECIDED_EVIDENCE: f64 = 1.0;
 /// Minimum time between trials with tasks that would make their jobs late if the executor is still slow.
 const COSTLY_TRIAL_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum share of the executors of a service that are avoided, in percent.
 const MAX_AVOIDED_PERCENT: usize = 40;
-/// Maximum time since the last run that showed an executor to be slow.
+/// An executor isn't avoided any longer once no run has shown it to be slow for this time.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(10);
 /// Bounds of the runs of an executor that are considered: completed ones by number and age, others by number.
 const MAX_ENDED_RUNS: usize = 24;
 const MAX_END_AGE: Duration = Duration::from_secs(20);
 const MAX_RUNNING_TASKS: usize = 64;
-/// An end that is reported after a longer silence of the executor may have happened long before.
+/// Maximum time since the previous answer of an executor for its reported ends to count. After a longer silence they
+/// may have happened long before.
 const MAX_REPORT_GAP: Duration = Duration::from_millis(1500);
 
 /// A run that shows the speed of its executor.
@@ -143,7 +145,7 @@
         self.ended.iter().rev().find(of_job).map(|(_, run)| run.log_ratio)
     }
 
-    /// Records a completed run. `running` are the other runs on the executor. A slow executor is taken for recovered
+    /// Records a completed run. `running` are the other runs on the executor. A slow executor counts as recovered
     /// if the run has started since then and, with those still running, makes the usual speed more likely.
     pub fn note_end(
         &mut self,
@@ -270,8 +272,8 @@
         self.ended.clear();
     }
 
-    /// Returns from when on runs count as evidence. Those that were running when the executor was taken for recovered
-    /// were slowed down before.
+    /// Returns the earliest start of runs that count as evidence. Those that were running when the executor was
+    /// considered recovered had been slowed down before.
     fn counted_from(&self) -> Now {
         self.returned_at.unwrap_or(Now::ZERO)
     }
@@ -315,7 +317,7 @@
 /// Preference of a task for an executor by its speed; lower is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum SpeedClass {
-    /// The executor was slow, and the task shows whether it still is.
+    /// The executor is avoided as slow, and the task will show whether it still is slow.
     Trial,
     Usual,
     Slow,
@@ -368,8 +370,8 @@
         usual <= due && usual + estimate.mul_f64(1.0 / speed.max(MIN_SPEED) - 1.0) > due
     }
 
-    /// Records that a task is to be placed on an executor. If that shows the speed of a slow one, no other is placed for
-    /// this.
+    /// Records that a task is to be placed on an executor. If its run time will show the speed of a slow executor, no
+    /// other trial begins meanwhile.
     pub(super) fn note_chosen(
         &mut self,
         now: Now,
@@ -493,7 +495,7 @@
 }
 
 /// Whether the run time of a task shows the speed of its executor. That of others depends on their gang, on the rack
-/// of their data, on what an earlier run has done, or on an ordered pace.
+/// of their data, on the progress of an earlier run, or on an ordered pace.
 fn shows_speed(executor: &Executor, job: &Job, index: TaskIndex) -> bool {
     let (step, task) = (job.step(index), &job.tasks[index]);
     let may_be_resumed = task.run > 1 && !task.checkpoint.is_empty();
--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -126,8 +126,8 @@
         job.is_over_share = !self.share_meter.charge(at, account, job.spec.core_ms());
     }
 
-    /// Updates the capacity that the accounts share. Once it is known, charges the jobs that were added before,
-    /// in the order of their acceptance and at its time: most were charged by the previous owner then.
+    /// Updates the capacity that the accounts share. Once it is known, charges the jobs that were added before, in
+    /// the order and as of the time of their acceptance, when the previous owner charged most of them.
     pub(super) fn update_share_capacity(&mut self, now: Now) {
         if !self.measure_short_task_cores(now) {
             return;
--- a/crates/jackdawpier_fleet/src/fleet/isolation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/isolation.rs
@@ -2,8 +2,7 @@
 //! executors.
 //!
 //! A suspect whose job is late is ranked behind all work that can be on time, and under a burst that work
-//! takes each gap as it opens. In the model no suspect of a late job started before the burst was over. See
-//! `docs/design/overload.md`.
+//! takes each gap as it opens, so the suspect would start only after the burst. See `docs/design/overload.md`.
 
 use std::{
     cmp::Reverse,
@@ -27,24 +26,24 @@
     spec::Resources,
 };
 
-/// One in so many executors of a service may isolate a start, or be held for one, at the same time.
+/// Number of executors of a service for each one that may isolate a start, or be held for one, at the same
+/// time.
 const EXECUTORS_PER_ISOLATION: usize = 5;
-/// Number of executors that may do so at least. Where this is more than the share, suspects are placed with
-/// their jobs: with six executors the turns delayed suspects by 5 s in the model, and five unaffected jobs
-/// were given up.
+/// Minimum number of executors that may isolate a start at the same time. Where this is more than the share,
+/// suspects are placed with their jobs: in a service of six executors, waiting for one of two delayed
+/// suspects by 5 s, and five unaffected jobs were given up.
 const MIN_ISOLATIONS: usize = 2;
 /// Maximum time for which an executor is held until a suspect can start there: about the time that an
 /// isolated start takes.
 const MAX_HOLD: Duration = Duration::from_millis(500);
 /// Minimum time between two holds of an executor.
 const MIN_HOLD_INTERVAL: Duration = Duration::from_millis(500);
-/// A suspect that has waited this long goes before likelier innocent ones, so that the tasks that crash
-/// their executors are identified as well.
+/// A suspect that has waited this long goes before those that are less likely to be the cause, so that the
+/// tasks that crash their executors are identified as well.
 const MAX_OVERTAKEN_WAIT: Duration = Duration::from_secs(2);
 /// Maximum number of suspects per service and round that are tried without success. Each attempt compares
 /// all executors.
 const MAX_FAILED_ATTEMPTS: usize = 8;
-
 /// Maximum number of suspects per service and round for which no executor is found to hold. Each attempt
 /// looks at the tasks of all executors.
 const MAX_FAILED_HOLDS: usize = 2;
@@ -67,7 +66,7 @@
         self.held_since.get(id).is_some_and(|since| now < *since + MAX_HOLD)
     }
 
-    /// Ends the hold of an executor; the next one isn't sooner for it.
+    /// Ends the hold of an executor. The next one may begin [`MIN_HOLD_INTERVAL`] later.
     fn end_hold(&mut self, now: Now, id: &ExecutorId) {
         if let Some(since) = self.held_since.get_mut(id) {
             *since = (*since).min(now.saturating_sub(MAX_HOLD));
@@ -80,7 +79,7 @@
 }
 
 /// Sort key of a waiting suspect; lower ones start first. Within a priority these are the overdue ones, then
-/// the likeliest innocent ones: they have the fewest crashes, and the most other tasks may have caused these.
+/// those least likely to be the cause: they have the fewest crashes, which the most other tasks may have caused.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Turn {
     priority: u32,
--- a/crates/jackdawpier_fleet/src/fleet/load_report.rs
+++ b/crates/jackdawpier_fleet/src/fleet/load_report.rs
@@ -26,7 +26,7 @@
 const SHORT_WINDOW: Duration = Duration::from_millis(500);
 /// Window over which a steady submission rate is measured.
 const LONG_WINDOW: Duration = Duration::from_millis(3000);
-/// Window over which the work that the share covers is measured. A bucket that was full at the begin of an overload
+/// Window over which the work that the share covers is measured. A bucket that was full at the beginning of an overload
 /// covers several times the share, and has no effect after this time.
 const COVERED_WINDOW: Duration = Duration::from_millis(1000);
 /// Difference from the expected number of jobs that counts as a change of rate, in standard deviations.
@@ -35,15 +35,15 @@
 const EXCESS_DEVIATIONS: f64 = 2.0;
 /// Time within which a rejected job returns: the longest `Retry-After`, and the age of the note that rejected it.
 const RETURN_WINDOW: Duration = Duration::from_secs(6);
-/// Part of the jobs that is admitted in any case, since the submission rate is estimated from admitted jobs.
+/// Minimum part of the jobs that is admitted, since the submission rate is estimated from admitted jobs.
 const MIN_ADMITTED_PERMILLE: u32 = 50;
 /// Factor on the work that the share covers. Without a margin, random variation lowers the fraction until less
 /// than the share is admitted, and nothing raises it again.
 const COVERED_MARGIN: f64 = 1.1;
-/// Expected wait at which the fraction neither falls nor rises, as a part of the slack.
+/// Expected wait to which the backlog is brought, as a part of the slack.
 const TARGET_WAIT: f64 = 0.5;
-/// Time in which the backlog is brought to its target. Twice the delay of a second and a half until a change of
-/// the fraction shows in the backlog: a shorter time causes oscillation.
+/// Time in which the backlog is brought to its target, in seconds. A change of the fraction shows in the backlog after
+/// about 1.5 s; correcting in less than twice that causes oscillation.
 const CORRECTION_S: f64 = 3.0;
 /// Time for which a rejected job keeps returning: four retries of about 2 s each. A rise of the fraction admits the
 /// returning jobs of this time besides new ones.
@@ -52,12 +52,13 @@
 const MAX_RISE_PER_S: f64 = 2.0;
 /// Minimum relative fall of the fraction. A smaller fall is random variation, and it is slow to rise again.
 const MIN_FALL: f64 = 0.1;
-/// Time without waiting work after which more can be served than is admitted. Shorter ones are random variation.
+/// Time without waiting work after which the queue can serve more than is admitted. Shorter times are random
+/// variation.
 const MIN_SERVED: Duration = Duration::from_millis(1000);
 /// Minimum slack of a queue, so that one with a tight objective isn't overloaded by each short wait.
 const MIN_SLACK: Duration = Duration::from_millis(500);
 /// Bounds of the published time until a return. Entries use up to twice that, in whole seconds and at most 4 s, so
-/// outside these bounds all rejected jobs would return after the same time.
+/// outside these bounds most or all of the rejected jobs would return after the same time.
 const RETRY_AFTER_MS: RangeInclusive<u64> = 1500..=2000;
 /// A job is delayed once its next task has waited this long. Other tasks are placed in the next rounds.
 const MIN_DELAY: Duration = Duration::from_millis(250);
@@ -182,7 +183,7 @@
 }
 
 impl AccountState {
-    /// Whether nothing distinguishes the account from one that submits nothing.
+    /// Whether the account has no recent arrivals and no recent limit, so its state can be dropped.
     fn is_idle(&self) -> bool {
         self.arrived.is_empty() && self.limits.is_empty() && self.limited_since.is_none()
     }
@@ -195,7 +196,7 @@
 
     /// Returns a sample of the new jobs within a time, with the sampled part of them. The entries have admitted all
     /// jobs below the lowest recent fraction at their first submission, whichever note they had, so the sample
-    /// contains no returns, and a wave of returning jobs doesn't look like another burst.
+    /// contains no returns, and many jobs that return at once don't look like another burst.
     fn sample(&self, now: Now, window: Duration) -> (f64, impl Iterator<Item = &ArrivedJob>) {
         let limits = self.limits.iter().map(|(_, permille)| *permille);
         let limit = limits.chain([self.admitted_permille]).min().unwrap_or(PERMILLE);
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -494,8 +494,8 @@
     amount.gpus = amount.gpus.min(other.gpus);
 }
 
-/// Whether a job is visited even if its service is full. The queue of startable tasks of other jobs contains
-/// only tasks that wait, and trying to place them has no other effect.
+/// Whether a job is visited even if its service is full. All startable tasks of other jobs are waiting, and an
+/// attempt to place them has no effect without room.
 fn needs_visit(job: &Job) -> bool {
     job.spec.steps.iter().any(|step| step.is_gang || step.is_long_running)
 }
--- a/crates/jackdawpier_fleet/src/fleet/placement_round.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement_round.rs
@@ -39,7 +39,7 @@
     pub(super) smallest_need: Resources,
     /// Whether no waiting task fits any executor.
     pub(super) is_full: bool,
-    /// Whether a need was added to `unplaceable` since the room was last compared with the smallest.
+    /// Whether a need was added to `unplaceable` since the room was last compared with `smallest_need`.
     pub(super) has_new_unplaceable: bool,
     /// Smallest needs that fitted no executor, with their required labels.
     unplaceable: Vec<(Option<Label>, Resources)>,
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -63,7 +63,7 @@
     missing_for_stuck: usize,
     /// Highest priority of the waiting tasks, by required label.
     urgency: BTreeMap<Option<Label>, u32>,
-    /// The same demand by how long it lasts.
+    /// The same demand with the remaining work of its short tasks.
     outlook: Outlook,
 }
 
@@ -78,7 +78,7 @@
     pub(super) idle_machines: Vec<MachineId>,
     /// Machines of the pool that run tasks; see [`Fleet::add_busy_machines`].
     pub(super) busy_machines: Vec<BusyMachine>,
-    /// Whether any task waits in the pool, of whatever job.
+    /// Whether any task waits in the pool, also of jobs whose demand isn't primary.
     has_waiting: bool,
     /// Capacity of one machine.
     machine_capacity: Resources,
@@ -281,8 +281,8 @@
             let mut arriving = |policy| {
                 self.arrivals.get_mut(name).map_or(0, |one| one.demand_millicores(now, policy))
             };
-            // Extrapolating the first second of steady arrivals triples them. Idle machines that
-            // were moved in vain cost nothing, busy ones the work that they ran.
+            // Extrapolating the first second of steady arrivals triples them. Moving idle machines
+            // unnecessarily costs nothing, but moving busy ones costs the work that they ran.
             let steady = Policy { detects_bursts: false, extrapolates_trend: false, ..policy };
             pool.primary.outlook.arriving_millicores = arriving(steady);
             let arriving = arriving(policy);
--- a/crates/jackdawpier_fleet/src/fleet/queue_load.rs
+++ b/crates/jackdawpier_fleet/src/fleet/queue_load.rs
@@ -101,14 +101,15 @@
     pub oldest_wait: Duration,
 }
 
-/// Load of an account with jobs beyond its share that wait, in one service.
+/// Load of an account in a service in which jobs beyond its share wait.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AccountBacklog {
     /// The account.
     pub account: AccountName,
     /// The service.
     pub service: ServiceName,
-    /// Share of the account of all executors, in thousandths of a core.
+    /// The account's part, by weight, of the CPU of all executors less their long-running tasks, in thousandths of a
+    /// core.
     pub granted_millicores: u64,
     /// CPU of its placed tasks in the service, in thousandths of a core.
     pub running_millicores: u64,
--- a/crates/jackdawpier_fleet/src/fleet/reservations.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reservations.rs
@@ -49,7 +49,7 @@
 }
 
 impl Fleet {
-    /// Returns the starved jobs, those first that have gone longest without a start.
+    /// Returns the starved jobs, the one with the longest time since its last start first.
     pub(super) fn starved_jobs(&self, now: Now, waiting: &[WaitingJob]) -> Vec<StarvedJob> {
         let mut starved: Vec<StarvedJob> = waiting
             .iter()
@@ -114,7 +114,7 @@
         let of_priority = starved.iter().filter(|job| job.priority == priority);
         for StarvedJob { id, service, .. } in of_priority {
             let Some(round) = rounds.get_mut(service) else { continue };
-            // Jobs that were placed before within this round have had their turn.
+            // Jobs of which a task was placed earlier in this round are skipped.
             let is_waiting = || starved_task(now, &self.jobs[id], STARVED_AFTER).is_some();
             if !self.is_skipped(id, round) && is_waiting() {
                 self.place_starved_job(now, id, round);
--- a/crates/jackdawpier_fleet/src/fleet/starved_budget.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starved_budget.rs
@@ -18,7 +18,7 @@
 /// than 12 s.
 const KEEP_UNUSED: Duration = Duration::from_secs(8);
 /// Maximum time until the next start after one that exceeded the budget. Estimates come from
-/// callers, so one that is far too long must not end the precedence of all others.
+/// callers, so one that is far too long must not end the precedence of all other starved jobs.
 const MAX_DEBT: Duration = Duration::from_secs(20);
 /// Minimum charge per task, since a caller may estimate nothing at all.
 const MIN_TASK_TIME: Duration = Duration::from_millis(100);
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -244,7 +244,7 @@
     pub(crate) has_begun: bool,
     /// Whether the job exceeded the share of its client account when this owner learned of it.
     pub(crate) is_over_share: bool,
-    /// Whether the job's arrival has been taken into account for the load note.
+    /// Whether the job's arrival has been counted for the load note.
     pub(crate) is_arrival_reported: bool,
     /// Whether a previous owner ordered any task to start more than once.
     had_rerun: bool,
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -130,7 +130,7 @@
     pub(crate) tasks: usize,
     /// When the operation began, or a task last left the machine.
     pub(crate) last_progress_at: Now,
-    /// Whether the machine was taken while it ran tasks, for primary demand of another pool.
+    /// Whether the machine was busy when it was chosen to move, for primary demand of another pool.
     pub(crate) is_take: bool,
 }
 
--- a/crates/jackdawpier_fleet/src/run_times.rs
+++ b/crates/jackdawpier_fleet/src/run_times.rs
@@ -2,8 +2,8 @@
 //! executor.
 //!
 //! Estimates are off by a factor whose logarithm has a standard deviation of 0.5 to 0.9, so a single long run proves
-//! nothing. Runs are therefore weighed by likelihood: how much more likely are they on an executor that is slower by
-//! a given factor than on a usual one? See `docs/design/overload.md`.
+//! nothing. Runs are therefore weighed by their likelihood ratio: how much more likely they are on an executor that is
+//! slower by a given factor than on one of the usual speed. See `docs/design/overload.md`.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -11,23 +11,26 @@
 
 use crate::spec::QueueName;
 
-/// Number of jobs over which the mean and the deviation of a queue are averaged ...
+/// Minimum number of jobs over which the mean and the deviation of a queue are averaged.
 const AVERAGED_JOBS: f64 = 200.0;
-/// ... or those of this time, if they are more. A queue with thousands of jobs a second would otherwise be known from
-/// some tens of milliseconds, and from the shortest runs of each burst.
+/// Time over which they are averaged if more jobs end in it than [`AVERAGED_JOBS`]. Otherwise a queue with thousands of
+/// jobs a second would be known only from some tens of milliseconds, and from the shortest runs of each burst.
 const AVERAGED_TIME: Duration = Duration::from_secs(20);
-/// Number of jobs after which the run times of a queue count as known ...
+/// Minimum number of ended jobs for the run times of a queue to count as known.
 const MIN_JOBS: f64 = 20.0;
-/// ... if runs have ended for at least this multiple of their mean run time, since the shortest ones end first.
+/// Minimum time between the first and the last end for the run times of a queue to count as known, as a multiple of
+/// the mean run time. The shortest runs end first.
 const MIN_MEAN_RUN_TIMES: f64 = 6.0;
 /// Bounds of the standard deviation of the logarithm. Below the lower one, delays of reports would count as slowness.
 const MIN_LOG_DEVIATION: f64 = 0.4;
 const MAX_LOG_DEVIATION: f64 = 1.5;
-/// Standard deviation that counts like [`MIN_JOBS`] observed jobs; the largest that was seen in callers' estimates.
+/// Standard deviation that is assumed with the weight of [`MIN_JOBS`] observed jobs: the largest one known of callers'
+/// estimates.
 const ASSUMED_LOG_DEVIATION: f64 = 0.9;
 /// Added to run time and estimate, since starts and ends are known only some tens of milliseconds late.
 const REPORT_DELAY: Duration = Duration::from_millis(50);
-/// Maximum evidence of a single run, so that at least four are needed to call an executor slow.
+/// Maximum evidence of a single run, so that at least five are needed for an executor to count as slow, or three
+/// shortly after a recovery.
 const MAX_EVIDENCE: f64 = 2.5;
 
 /// Identifies a queue in [`RunTimes`].
@@ -51,8 +54,8 @@
         Self { log_mean, scale, job_correlation: job_correlation.clamp(0.0, 1.0) }
     }
 
-    /// Returns the weight of one of several runs of the same job. Together they count as one where the estimates of a
-    /// job are off by the same factor, and fully where each is off by its own.
+    /// Returns the weight of one of several runs of the same job. Together they count as one run if the estimates of a
+    /// job are off by the same factor, and each counts fully if the errors are independent.
     pub fn weight_among(&self, runs_of_job: usize) -> f64 {
         1.0 / (1.0 + (runs_of_job.max(1) - 1) as f64 * self.job_correlation)
     }
@@ -122,7 +125,7 @@
             (self.log_square_sum / self.jobs - log_mean * log_mean).max(f64::MIN_POSITIVE);
         let assumed = ASSUMED_LOG_DEVIATION * ASSUMED_LOG_DEVIATION;
         let log_variance = (observed * self.jobs + assumed * MIN_JOBS) / (self.jobs + MIN_JOBS);
-        // Without pairs, the runs of a job are taken for alike.
+        // Without pairs, the runs of a job are assumed to be fully correlated.
         let within_job = self.pair_square_sum / (self.pairs + MIN_JOBS);
         Some(RunTimeModel::new(log_mean, log_variance.sqrt(), 1.0 - within_job / observed))
     }
