--- a/crates/jackdawpier_entry/src/admission.rs
+++ b/crates/jackdawpier_entry/src/admission.rs
@@ -168,7 +168,7 @@
         let (note, age) = note.latest(now);
         let queue = &submission.queue;
         let admission = decide(note, age, queue, Some(account), id, clock::wall_ms());
-        if let Admission::TurnAway { .. } = admission {
+        if let Admission::Reject { .. } = admission {
             let load = note.and_then(|note| note.queues.get(queue)?.accounts.get(account));
             self.count_rejection(queue, account, load.copied().unwrap_or_default());
         }
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -218,10 +218,10 @@
             self.events.emit("job_in", fields);
             return self.refuse(&id, "the store doesn't answer");
         }
-        if let Some(retry_after) = self.turned_away(&id, &submission)
-            && self.is_certainly_not_stored(&id).await
+        if let Some(retry_after) = self.retry_after_if_rejected(&id, &submission)
+            && self.is_certainly_not_stored(&id, store_deadline(deadline)).await
         {
-            return self.turn_away(&id, &submission, retry_after);
+            return self.reject(&id, &submission, retry_after);
         }
         self.admission.on_submit(&id);
         let outcome = self.intake.submit(id.clone(), &submission, deadline).await;
@@ -249,29 +249,34 @@
     }
 
     /// Returns when the caller may submit the job again, if it is rejected because its queue is overloaded.
-    fn turned_away(&self, id: &JobId, submission: &Submission) -> Option<Duration> {
+    fn retry_after_if_rejected(&self, id: &JobId, submission: &Submission) -> Option<Duration> {
         let configuration = self.active.get()?;
         match self.admission.admit(&self.platform, &configuration, id, submission) {
             Admission::Admit => None,
-            Admission::TurnAway { retry_after } => Some(retry_after),
+            Admission::Reject { retry_after } => Some(retry_after),
         }
     }
 
     /// Returns whether the store holds neither the job nor its record. Another entry may have stored the job and lost
-    /// the answer; the caller would then be told that a job that runs was rejected. If the store doesn't answer, the job
-    /// counts as stored.
-    async fn is_certainly_not_stored(&self, id: &JobId) -> bool {
-        let keys = [keys::submission(id), keys::record(id)];
-        for key in keys {
-            if !matches!(self.platform.get(&key).await, Ok(None)) {
-                return false;
+    /// the answer; a rejection would then be untrue. Without an answer by the deadline the job counts as stored.
+    async fn is_certainly_not_stored(&self, id: &JobId, deadline: Now) -> bool {
+        // A job that ends meanwhile loses its submission only once it has a record.
+        for key in [keys::submission(id), keys::record(id)] {
+            loop {
+                match self.platform.get(&key).await {
+                    Ok(None) => break,
+                    Err(_) if clock::now() + RETRY_DELAY < deadline => {
+                        tokio::time::sleep(RETRY_DELAY).await;
+                    }
+                    Ok(Some(_)) | Err(_) => return false,
+                }
             }
         }
         true
     }
 
     /// Rejects a job before it is written.
-    fn turn_away(&self, id: &JobId, submission: &Submission, retry_after: Duration) -> Reply {
+    fn reject(&self, id: &JobId, submission: &Submission, retry_after: Duration) -> Reply {
         let fields = json!({
             "job": **id,
             "queue": *submission.queue,
--- a/crates/jackdawpier_entry/src/owner/load_note.rs
+++ b/crates/jackdawpier_entry/src/owner/load_note.rs
@@ -109,7 +109,8 @@
                 let lasted_ms = now.saturating_sub(since).as_millis() as u64;
                 self.events.emit("overload_ended", json!({ "lasted_ms": lasted_ms }));
             }
-        } else if overloaded_since.replace(overloaded_since.unwrap_or(now)).is_none() {
+        } else if overloaded_since.is_none() {
+            *overloaded_since = Some(now);
             let accounts: usize = queues.values().map(|queue| queue.accounts.len()).sum();
             let fields = json!({ "queues": queues.len(), "accounts": accounts });
             self.events.emit("overload_began", fields);
--- a/crates/jackdawpier_fleet/src/admission.rs
+++ b/crates/jackdawpier_fleet/src/admission.rs
@@ -53,7 +53,7 @@
     /// The job may be written to the store.
     Admit,
     /// The job is rejected.
-    TurnAway {
+    Reject {
         /// When the caller may submit it again, in whole seconds.
         retry_after: Duration,
     },
@@ -78,7 +78,7 @@
     if position < load.admitted_permille {
         return Admission::Admit;
     }
-    Admission::TurnAway { retry_after: retry_after(*load, position) }
+    Admission::Reject { retry_after: retry_after(*load, position) }
 }
 
 /// Returns the position of a job among the jobs of its account, below [`PERMILLE`]; jobs with lower positions are
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -51,7 +51,7 @@
     ids::{AccountName, ExecutorId, JobId, PoolName, ServiceName},
 };
 
-pub use busy_machines::{BusyMachine, Donor, Outlook, choose_busy_machine};
+pub use busy_machines::{BusyMachine, DemandForecast, Donor, choose_busy_machine};
 pub use command::{Command, StopReason};
 pub use commits::{Batch, ChangedJob, FinishedJob};
 pub use crash_attribution::{GivenUpTask, TaskCrash};
--- a/crates/jackdawpier_fleet/src/fleet/busy_machines.rs
+++ b/crates/jackdawpier_fleet/src/fleet/busy_machines.rs
@@ -43,7 +43,7 @@
 
     /// Returns whether taking the machine gains time. A machine with primary work alone stays: its
     /// pool needs it, or it becomes idle by itself.
-    fn is_takeable(&self) -> bool {
+    fn is_movable(&self) -> bool {
         !self.has_long_running
             && self.secondary_tasks > 0
             && self.on_time_remaining <= MAX_ON_TIME_REMAINING
@@ -71,14 +71,14 @@
     donors.into_iter().find_map(|donor| {
         let machines = donor.machines.iter();
         machines
-            .filter(|machine| machine.is_takeable() && can_move(&machine.id))
+            .filter(|machine| machine.is_movable() && can_move(&machine.id))
             .min_by_key(|machine| (machine.primary_millicores, machine.remaining, &machine.id))
     })
 }
 
 /// Primary demand of a pool, with the remaining work of its short tasks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Outlook {
+pub struct DemandForecast {
     /// CPU of long-running tasks.
     pub long_running_millicores: u64,
     /// CPU of all other tasks, running or waiting.
@@ -89,7 +89,7 @@
     pub arriving_millicores: u64,
 }
 
-impl Outlook {
+impl DemandForecast {
     /// Returns the CPU that the pool needs when a machine arrives that is chosen now, if it has
     /// `supply_millicores` until then. A backlog that is done by that time needs no machine.
     pub fn millicores_at_arrival(&self, supply_millicores: u64) -> u64 {
--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -132,10 +132,7 @@
         if !self.measure_short_task_cores(now) {
             return;
         }
-        // Bursts of several accounts tend to meet in one pool, which can't hold the whole fleet. Shares of the
-        // whole fleet let a single account fill that pool.
-        let millicores = self.short_task_cores.total_millicores() * self.max_pool_percent() / 100;
-        self.share_meter.set_capacity(now, millicores);
+        self.share_meter.set_capacity(now, self.shared_millicores());
         if self.share_meter.has_capacity() {
             let mut uncharged = std::mem::take(&mut self.uncharged_jobs);
             uncharged.sort_unstable();
@@ -143,6 +140,12 @@
         }
     }
 
+    /// Returns the cores that the accounts share, in thousandths. Bursts of several accounts tend to meet in one pool,
+    /// which can't hold the whole fleet, and with shares of the whole fleet a single account fills that pool.
+    pub(super) fn shared_millicores(&self) -> u64 {
+        self.short_task_cores.total_millicores() * self.max_pool_percent() / 100
+    }
+
     /// Records the labels that a job requires, since further jobs are likely to require them too.
     fn record_requested_labels(&mut self, spec: &JobSpec) {
         for label in spec.steps.iter().filter_map(|step| step.required_label.as_ref()) {
--- a/crates/jackdawpier_fleet/src/fleet/isolation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/isolation.rs
@@ -81,7 +81,7 @@
 /// Sort key of a waiting suspect; lower ones start first. Within a priority these are the overdue ones, then
 /// those least likely to be the cause: they have the fewest crashes, which the most other tasks may have caused.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Turn {
+struct SuspectOrder {
     priority: u32,
     /// Number of crashes, and of alternative causes; `None` for an overdue suspect.
     evidence: Option<(usize, Reverse<u32>)>,
@@ -160,7 +160,7 @@
     }
 
     /// Returns the waiting suspects of each service in the order of their turns.
-    fn waiting_suspects(&mut self, now: Now) -> BTreeMap<ServiceName, Vec<Turn>> {
+    fn waiting_suspects(&mut self, now: Now) -> BTreeMap<ServiceName, Vec<SuspectOrder>> {
         let jobs = &self.jobs;
         self.isolations.suspects.retain(|(id, index)| {
             let job = jobs.get(id).filter(|job| !job.is_over());
@@ -169,7 +169,7 @@
                 task.phase != Phase::Done && !task.crashes().is_empty()
             })
         });
-        let mut waiting: BTreeMap<ServiceName, Vec<Turn>> = BTreeMap::new();
+        let mut waiting: BTreeMap<ServiceName, Vec<SuspectOrder>> = BTreeMap::new();
         for (id, index) in &self.isolations.suspects {
             let job = &self.jobs[id];
             let task = &job.tasks[*index];
@@ -181,7 +181,7 @@
                 continue;
             };
             let is_overdue = now >= task.waiting_since + MAX_OVERTAKEN_WAIT;
-            waiting.entry(queue.service.clone()).or_default().push(Turn {
+            waiting.entry(queue.service.clone()).or_default().push(SuspectOrder {
                 priority: queue.priority,
                 evidence: (!is_overdue)
                     .then(|| (task.crashes().len(), Reverse(fewest_alternatives(task.crashes())))),
@@ -197,13 +197,13 @@
     fn start_suspects(
         &mut self,
         now: Now,
-        turns: Vec<Turn>,
+        turns: Vec<SuspectOrder>,
         mut remaining: usize,
         round: &PlacementRound,
     ) -> (Vec<TaskRef>, usize) {
         let mut unplaced: Vec<TaskRef> = Vec::new();
         let mut failed: Vec<TaskRef> = Vec::new();
-        for Turn { task, .. } in turns {
+        for SuspectOrder { task, .. } in turns {
             let job = &self.jobs[&task.0];
             if !self.is_within_cap(job, task.1) {
                 continue;
--- a/crates/jackdawpier_fleet/src/fleet/label_reclaim.rs
+++ b/crates/jackdawpier_fleet/src/fleet/label_reclaim.rs
@@ -72,7 +72,7 @@
                 (&operation.work, &operation.stage),
                 (MachineWork::Move(_), OperationStage::Vacating { .. })
             );
-            is_vacating_move && !operation.is_take
+            is_vacating_move && !operation.is_busy_move
         };
         if self.machines.operations.values().filter(|operation| is_reclaim(operation)).count()
             >= MAX_CONCURRENT_RECLAIMS
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -17,7 +17,7 @@
 
 use super::{
     Fleet,
-    busy_machines::{BusyMachine, Outlook},
+    busy_machines::{BusyMachine, DemandForecast},
     label_need::LabelNeed,
     label_shares::ShareBounds,
     placement::count_fitting,
@@ -43,7 +43,7 @@
 
 /// Why the demand of a job is secondary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Standing {
+pub(super) enum SecondaryReason {
     /// It can end in time but exceeds the share of its client account.
     OverShare,
     Late,
@@ -52,7 +52,7 @@
 
 /// The jobs with running tasks whose demand is secondary. All other running jobs are primary. Kept
 /// for one planning, so that each job is ranked once and not for each of its tasks.
-pub(super) type SecondaryJobs = BTreeMap<JobId, Standing>;
+pub(super) type SecondaryJobs = BTreeMap<JobId, SecondaryReason>;
 
 /// Demand of the jobs that can end in time and are within the share of their client account.
 #[derive(Debug, Default, Clone)]
@@ -64,7 +64,7 @@
     /// Highest priority of the waiting tasks, by required label.
     urgency: BTreeMap<Option<Label>, u32>,
     /// The same demand with the remaining work of its short tasks.
-    outlook: Outlook,
+    outlook: DemandForecast,
 }
 
 /// Supply and demand of one pool.
@@ -354,7 +354,7 @@
             let standing = standing_of_task(job, task.1, secondary_jobs);
             machine.has_long_running |= step.is_long_running;
             machine.remaining = machine.remaining.max(remaining);
-            if matches!(standing, None | Some(Standing::OverShare)) {
+            if matches!(standing, None | Some(SecondaryReason::OverShare)) {
                 machine.on_time_remaining = machine.on_time_remaining.max(remaining);
             }
             match standing {
@@ -544,14 +544,14 @@
     }
 
     /// Returns why the demand of a job is secondary, or `None` if it is primary.
-    fn standing(&self, rank: &Rank) -> Option<Standing> {
+    fn standing(&self, rank: &Rank) -> Option<SecondaryReason> {
         if rank.is_primary() || !self.settings.policy.takes_busy_machines {
             return None;
         }
         Some(match (rank.is_expired(), rank.is_late()) {
-            (true, _) => Standing::Expired,
-            (false, true) => Standing::Late,
-            (false, false) => Standing::OverShare,
+            (true, _) => SecondaryReason::Expired,
+            (false, true) => SecondaryReason::Late,
+            (false, false) => SecondaryReason::OverShare,
         })
     }
 }
@@ -592,7 +592,7 @@
     }
 }
 
-impl Outlook {
+impl DemandForecast {
     fn add(&mut self, step: &StepSpec, millicores: u64, remaining: Duration) {
         if step.is_long_running {
             self.long_running_millicores += millicores;
@@ -610,7 +610,7 @@
     job: &Job,
     index: TaskIndex,
     secondary_jobs: &SecondaryJobs,
-) -> Option<Standing> {
+) -> Option<SecondaryReason> {
     secondary_jobs.get(&job.id).copied().filter(|_| !job.step(index).is_gang)
 }
 
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -86,7 +86,7 @@
             return;
         }
         let (mut pools, secondary_jobs) = self.pool_views(now);
-        self.cancel_unneeded_takes(now, &mut pools);
+        self.cancel_unneeded_busy_moves(now, &mut pools);
         let mut standby = self.free_standby_machines(now);
         let kept = self.kept_machines(&pools);
         let mut busy = BusySupply { secondary_jobs, kept, idle_soon: None };
@@ -103,7 +103,7 @@
                 } else if let Some(machine) =
                     self.take_busy_machine(now, &request, found, &mut pools, &mut busy)
                 {
-                    self.begin_take(now, machine, shortage.pool.clone());
+                    self.begin_busy_move(now, machine, shortage.pool.clone());
                 } else {
                     self.begin_defragmentation(now, shortage, &pools);
                     busy.note_uncovered(shortage.lacks - found);
@@ -111,7 +111,7 @@
                 }
             }
         }
-        self.stop_tasks_on_taken(now, &busy.secondary_jobs);
+        self.stop_tasks_for_busy_move(now, &busy.secondary_jobs);
     }
 
     /// Takes a busy machine for primary demand, if more machines are missing at its arrival than the
@@ -190,9 +190,9 @@
         // Tasks that require a label can't run on other machines, so pools keep a smaller share of
         // them.
         let kept = if label.is_some() { kept / 2 } else { kept };
-        let surplus = |pool: &PoolView| match is_primary {
-            true => surplus_over(pool, kept, pool.primary_machines()),
-            false => surplus_over(pool, kept, pool.needed_machines()),
+        let surplus = |pool: &PoolView| {
+            let needed = if *is_primary { pool.primary_machines() } else { pool.needed_machines() };
+            surplus_over(pool, kept, needed)
         };
         if let Some(machine) = self.take_idle_machine(pools, to, surplus, fits) {
             return Some(machine);
--- a/crates/jackdawpier_fleet/src/fleet/queue_load.rs
+++ b/crates/jackdawpier_fleet/src/fleet/queue_load.rs
@@ -184,9 +184,8 @@
             Some(ids.iter().filter_map(|id| self.jobs.get(id)).map(move |job| (queue, job)))
         });
         let jobs = open.flatten().map(|(queue, job)| self.job_load(now, queue, job));
-        let short_task_millicores = self.short_task_millicores();
         let granted = |account: &AccountName| {
-            (short_task_millicores as f64 * self.accounts.weight_share(account)) as u64
+            (self.shared_millicores() as f64 * self.accounts.weight_share(account)) as u64
         };
         Backlog::of(jobs, &self.service_capacities(), granted, limit)
     }
@@ -221,12 +220,6 @@
         };
         self.by_service.iter().map(|(service, ids)| (service.clone(), capacity(ids))).collect()
     }
-
-    /// Returns the CPU of all executors that their long-running tasks leave, in thousandths of a core.
-    fn short_task_millicores(&self) -> u64 {
-        let usable = self.executors.unordered_values().filter(|executor| executor.is_usable());
-        usable.map(|executor| self.room_beside_long_running(executor).cpu_millicores).sum()
-    }
 }
 
 fn class_of(rank: &Rank) -> WaitingClass {
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -17,7 +17,7 @@
     Command, Fleet, StopReason,
     placement::has_room_for,
     placement_round::PlacementRound,
-    pool_view::{PoolView, SecondaryJobs, Standing, standing_of_task},
+    pool_view::{PoolView, SecondaryJobs, SecondaryReason, standing_of_task},
 };
 use crate::{
     executor::{Executor, TaskRef},
@@ -47,10 +47,10 @@
 
 impl Fleet {
     /// Begins the move of a busy machine to a pool that lacks machines for primary demand.
-    pub(super) fn begin_take(&mut self, now: Now, machine: MachineId, to: PoolName) {
+    pub(super) fn begin_busy_move(&mut self, now: Now, machine: MachineId, to: PoolName) {
         self.begin_operation(now, machine.clone(), MachineWork::Move(to));
         if let Some(operation) = self.machines.operations.get_mut(&machine) {
-            operation.is_take = true;
+            operation.is_busy_move = true;
         }
     }
 
@@ -68,7 +68,7 @@
             may_execute_until: Now::ZERO,
             tasks,
             last_progress_at: now,
-            is_take: false,
+            is_busy_move: false,
         };
         self.machines.operations.insert(machine, operation);
     }
@@ -301,7 +301,7 @@
     /// at once, and those of late jobs once no task that can be on time is left beside them. Until
     /// then their room would only be idle. Vacating takes about a second this way, instead of the 2
     /// to 4 until the last task has ended.
-    pub(super) fn stop_tasks_on_taken(&mut self, now: Now, secondary_jobs: &SecondaryJobs) {
+    pub(super) fn stop_tasks_for_busy_move(&mut self, now: Now, secondary_jobs: &SecondaryJobs) {
         let taken = self.machines.operations.iter().filter(|(_, one)| is_vacating_take(one));
         let stopped: Vec<TaskRef> = taken
             .filter_map(|(machine, _)| self.machines.listed.get(machine)?.executor.as_ref())
@@ -320,13 +320,13 @@
                 job.is_over() || matches!(job.tasks[task.1].phase, Phase::Stopping { .. });
             (!is_ending).then(|| (task, standing_of_task(job, task.1, secondary_jobs)))
         });
-        let standings: Vec<(&TaskRef, Option<Standing>)> = standings.collect();
-        let can_be_on_time = |standing| matches!(standing, None | Some(Standing::OverShare));
+        let standings: Vec<(&TaskRef, Option<SecondaryReason>)> = standings.collect();
+        let can_be_on_time = |standing| matches!(standing, None | Some(SecondaryReason::OverShare));
         let has_on_time = standings.iter().any(|(_, standing)| can_be_on_time(*standing));
         let is_stopped = |standing| match standing {
-            Some(Standing::Expired) => true,
-            Some(Standing::Late) => !has_on_time,
-            Some(Standing::OverShare) | None => false,
+            Some(SecondaryReason::Expired) => true,
+            Some(SecondaryReason::Late) => !has_on_time,
+            Some(SecondaryReason::OverShare) | None => false,
         };
         let stopped = standings.into_iter().filter(|(_, standing)| is_stopped(*standing));
         stopped.map(|(task, _)| task.clone()).collect()
@@ -335,7 +335,7 @@
     /// Cancels takes before their orders are sent if the machine isn't up any more, isn't vacated in
     /// time, or isn't needed by its new pool any more. The machines accept work again. Other moves
     /// end the tasks that are left after [`MAX_VACATING_TIME`], but here they can be on time.
-    pub(super) fn cancel_unneeded_takes(
+    pub(super) fn cancel_unneeded_busy_moves(
         &mut self,
         now: Now,
         pools: &mut BTreeMap<PoolName, PoolView>,
@@ -434,7 +434,7 @@
 
 /// Whether the order of a machine that was taken while it was busy is still to be sent.
 fn is_vacating_take(operation: &MachineOperation) -> bool {
-    operation.is_take && !operation.is_away()
+    operation.is_busy_move && !operation.is_away()
 }
 
 /// Takes a slot of the wave's bound on machines away and returns whether there was one. An
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -131,7 +131,7 @@
     /// When the operation began, or a task last left the machine.
     pub(crate) last_progress_at: Now,
     /// Whether the machine was busy when it was chosen to move, for primary demand of another pool.
-    pub(crate) is_take: bool,
+    pub(crate) is_busy_move: bool,
 }
 
 impl MachineOperation {
--- a/crates/jackdawpier_fleet/tests/admission.rs
+++ b/crates/jackdawpier_fleet/tests/admission.rs
@@ -22,7 +22,7 @@
 fn delay(note: &LoadNote, id: &str) -> Option<u64> {
     match decide(Some(note), Duration::ZERO, "queue", Some(&"loud".into()), id, AT_MS) {
         Admission::Admit => None,
-        Admission::TurnAway { retry_after } => Some(retry_after.as_secs()),
+        Admission::Reject { retry_after } => Some(retry_after.as_secs()),
     }
 }
 
--- a/crates/jackdawpier_fleet/tests/busy_machines.rs
+++ b/crates/jackdawpier_fleet/tests/busy_machines.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawpier_fleet::fleet::{BusyMachine, Donor, Outlook, choose_busy_machine};
+use jackdawpier_fleet::fleet::{BusyMachine, DemandForecast, Donor, choose_busy_machine};
 
 fn busy(id: &str, primary_millicores: u64, remaining_ms: u64) -> BusyMachine {
     BusyMachine {
@@ -54,7 +54,7 @@
 /// beyond the supply and long tasks must.
 #[test]
 fn at_arrival() {
-    let backlog = |millicores: u64, ms: u64| Outlook {
+    let backlog = |millicores: u64, ms: u64| DemandForecast {
         long_running_millicores: 0,
         short_millicores: millicores,
         short_millicore_ms: u128::from(millicores * ms),
@@ -62,8 +62,8 @@
     };
     assert_eq!(backlog(20_000, 1_000).millicores_at_arrival(8_000), 0);
     assert_eq!(backlog(24_000, 5_000).millicores_at_arrival(8_000), 20_000);
-    let arriving = Outlook { arriving_millicores: 16_000, ..backlog(8_000, 1_000) };
+    let arriving = DemandForecast { arriving_millicores: 16_000, ..backlog(8_000, 1_000) };
     assert_eq!(arriving.millicores_at_arrival(8_000), 16_000);
-    let lasting = Outlook { long_running_millicores: 9_000, ..Outlook::default() };
+    let lasting = DemandForecast { long_running_millicores: 9_000, ..DemandForecast::default() };
     assert_eq!(lasting.millicores_at_arrival(8_000), 9_000);
 }
--- a/crates/jackdawpier_fleet/tests/load_report.rs
+++ b/crates/jackdawpier_fleet/tests/load_report.rs
@@ -129,7 +129,7 @@
         let (note, account) = (seen.map(|(_, note)| note), Some(&job.account));
         let admission = decide(note, age, "queue", account, &job.id, now_ms);
         self.answers.push((now_ms, job.clone(), admission == Admission::Admit));
-        if let Admission::TurnAway { retry_after } = admission {
+        if let Admission::Reject { retry_after } = admission {
             job.retries += 1;
             if job.retries <= 4 {
                 self.returns.push((now_ms + retry_after.as_millis() as u64, job));
