--- a/review/standin/src/late_order.rs
+++ b/review/standin/src/late_order.rs
@@ -74,9 +74,8 @@
             cut.store(false, Ordering::SeqCst);
         });
     };
-    let linked = |target: SocketAddr, on_sent: link::Watcher| {
-        link::start(target, is_cut.clone(), on_sent)
-    };
+    let linked =
+        |target: SocketAddr, on_sent: link::Watcher| link::start(target, is_cut.clone(), on_sent);
     Ok(PlatformAddresses {
         store: linked(platform.store, Arc::new(|_| {}))?,
         cloud: linked(platform.cloud, Arc::new(on_order))?,
