Review: ports of the cases outside the range for connections

A run of case 2 in a fresh clone, beside the other two, ended with 2: a process found its port taken before it opened it.

--- a/review/standin/src/entries.rs
+++ b/review/standin/src/entries.rs
@@ -19,6 +19,10 @@
 
 /// Program of the deploy file, relative to the root of the repository.
 const PROGRAM: &str = "target/release/jackdawpier-platform";
+/// Ports of the processes, and how many of them one run of a case may look at.
+const FIRST_PORT: u16 = 20_000;
+const LAST_PORT: u16 = 32_000;
+const PORTS_PER_RUN: u32 = 40;
 /// How long a client waits for an answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -46,10 +50,16 @@
     pub all: Vec<Entry>,
 }
 
+/// Returns addresses with free ports below those that the system gives to connections, so that none is taken before
+/// its process opens it. Each run of a case begins at another port.
 fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners: io::Result<Vec<TcpListener>> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
-    listeners?.iter().map(TcpListener::local_addr).collect()
+    let runs = u32::from(LAST_PORT - FIRST_PORT) / PORTS_PER_RUN;
+    let begin = u32::from(FIRST_PORT) + std::process::id() % runs * PORTS_PER_RUN;
+    let ports = (begin..u32::from(LAST_PORT)).filter_map(|port| u16::try_from(port).ok());
+    let addresses = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let free = addresses.filter(|address| TcpListener::bind(address).is_ok());
+    let free: Vec<SocketAddr> = free.take(count).collect();
+    if free.len() == count { Ok(free) } else { Err(io::ErrorKind::AddrInUse.into()) }
 }
 
 fn settings_text(name: &str, ports: &[SocketAddr], platform: &PlatformAddresses) -> String {
