--- a/review/standin/src/late_order.rs
+++ b/review/standin/src/late_order.rs
@@ -61,8 +61,13 @@
     let is_cut = Arc::new(AtomicBool::new(false));
     let (record, armed, cut) = (world.record.clone(), is_armed.clone(), is_cut.clone());
     let on_order = move |bytes: &[u8]| {
-        let is_order = bytes.starts_with(b"POST /machine-upkeep");
-        if !is_order || !armed.swap(false, Ordering::SeqCst) {
+        if !bytes.starts_with(b"POST /machine-upkeep") {
+            return;
+        }
+        let text = String::from_utf8_lossy(bytes);
+        let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
+        record.note(&format!("edge-zone-a-{} sends /machine-upkeep {body}", number + 1));
+        if !armed.swap(false, Ordering::SeqCst) {
             return;
         }
         cut.store(true, Ordering::SeqCst);
