Give executors work again after an owner was killed before acknowledging

Cause: the record of an ended job said only that some task had run more than once. The next owner couldn't tell whether the listed completion of run 2 was followed by a run 3, and froze each executor that listed one. And a freeze, whatever brought it about, ended only with the executor's incarnation.

Change: the record names the last start of each task that was started more than once, so the end of that run is acknowledged. A frozen executor keeps what it runs, its long-running tasks are relocated within what their steps may miss, and then its lease is left to expire; after that its ends are acknowledged and it gets work. Completions of long-running tasks no longer freeze, and a run that was planned but never ordered isn't a later start.

Why it works: the run that completed a job is the last start of its task, so its end is known not to be superseded; any other freeze is bounded by a lease, which the owner stops renewing once nothing runs there.

Upgrade: records of earlier versions have no last_starts; executors that list such ends are frozen until their leases expire.

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -143,6 +143,7 @@
     /// Executes the fleet's commands.
     pub(crate) fn execute_commands(self: &Rc<Self>) {
         self.log_losses();
+        self.log_freezes();
         let commands = self.fleet.borrow_mut().take_commands();
         for command in commands {
             let owner = self.clone();
--- a/crates/jackdawpier_entry/src/owner/explain.rs
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -6,13 +6,13 @@
 use std::{rc::Rc, time::Duration};
 
 use jackdawpier_fleet::fleet::{
-    AccountBacklog, CrashBackoff, ExecutorLoss, GivenUpTask, LostRun, Obstacles, QueueBacklog,
-    Shortage, TaskCrash, WaitingJobs, WaitingTask,
+    AccountBacklog, CrashBackoff, ExecutorLoss, Freeze, GivenUpTask, LostRun, Obstacles,
+    QueueBacklog, Shortage, TaskCrash, WaitingJobs, WaitingTask,
 };
 use serde_json::{Value, json};
 
 use super::Owner;
-use crate::{clock, ports::Platform};
+use crate::{clock, events::Events, ports::Platform};
 
 /// Waiting time from which a task is logged: longer than most objectives.
 const LONG_WAIT: Duration = Duration::from_millis(2500);
@@ -52,6 +52,12 @@
         self.events.metrics().set_frozen_executors(0);
     }
 
+    /// Logs the executors that get no work until their leases have expired, and those that get work again.
+    pub(super) fn log_freezes(&self) {
+        let freezes = self.fleet.borrow_mut().take_freezes();
+        freezes.iter().for_each(|freeze| log_freeze(&self.events, freeze));
+    }
+
     /// Logs each lost executor with its tasks, and which tasks are suspected, given up or in back-off.
     pub(super) fn log_losses(&self) {
         let (losses, task_crashes, given_up, backoffs) = {
@@ -74,6 +80,18 @@
     }
 }
 
+fn log_freeze(events: &Events, freeze: &Freeze) {
+    match freeze {
+        Freeze::Began { executor, task, run } => {
+            let fields = json!({ "executor": **executor, "task": task.to_string(), "run": run });
+            events.emit("executor_frozen", fields);
+        }
+        Freeze::Ended { executor } => {
+            events.emit("executor_unfrozen", json!({ "executor": **executor }));
+        }
+    }
+}
+
 /// Counts the executors of the task's service by obstacle.
 fn waiting_fields(waiting: &WaitingTask) -> Value {
     let mut fields = json!({
--- a/crates/jackdawpier_fleet/src/executor.rs
+++ b/crates/jackdawpier_fleet/src/executor.rs
@@ -2,7 +2,7 @@
 //! aren't acknowledged yet.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    end_acks::EndAcks,
     fleet::SpeedTracker,
     job::TaskIndex,
     spec::{Label, Resources, RunNumber, TaskKey},
@@ -112,13 +113,6 @@
 /// Identifies a task by its job and its index in the job.
 pub(crate) type TaskRef = (JobId, TaskIndex);
 
-#[derive(Debug)]
-struct PendingAck {
-    sequence: u64,
-    job: JobId,
-    needed_changes: u64,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
     executor_clock: Duration,
@@ -179,13 +173,12 @@
     pub(crate) tasks: BTreeSet<TaskRef>,
     /// Number of tasks on the executor by (job, slot), for steps with a limit per executor.
     pub(crate) tasks_per_slot: BTreeMap<(JobId, usize), u32>,
-    unacknowledged: VecDeque<PendingAck>,
-    acknowledged: u64,
-    /// Set when a task that completed here has been started again elsewhere: that end, and so all ends after
-    /// it, must not be acknowledged. The executor gets no work until its incarnation ends.
-    pub(crate) is_frozen: bool,
-    /// Sequence number of the last end that was processed.
-    pub(crate) last_processed_end: u64,
+    /// Begin of the current or the last freeze.
+    pub(crate) frozen_since: Now,
+    /// Acknowledgement of the ends that it lists.
+    pub(crate) acks: EndAcks,
+    /// Whether its last answer named running tasks.
+    pub(crate) reports_running: bool,
     /// Isolated start in progress; nothing else starts on the executor meanwhile.
     pub(crate) isolated_start: Option<IsolatedStart>,
     /// Time of the last answer of any kind.
@@ -225,10 +218,9 @@
             uncertain_until,
             tasks: BTreeSet::new(),
             tasks_per_slot: BTreeMap::new(),
-            unacknowledged: VecDeque::new(),
-            acknowledged: 0,
-            is_frozen: false,
-            last_processed_end: 0,
+            frozen_since: Now::ZERO,
+            acks: EndAcks::default(),
+            reports_running: false,
             isolated_start: None,
             answered_at: Now::ZERO,
             previous_last_contact: LastContact::default(),
@@ -362,27 +354,20 @@
             && (self.is_synced || now >= self.uncertain_until)
     }
 
-    /// Records an end that may be acknowledged once `needed_changes` of its job are durable.
-    pub(crate) fn note_end(&mut self, sequence: u64, job: JobId, needed_changes: u64) {
-        if self.is_frozen {
-            return;
-        }
-        self.unacknowledged.push_back(PendingAck { sequence, job, needed_changes });
+    /// Whether the executor gets no work until its lease has expired, since an end that it lists must not be
+    /// acknowledged before.
+    pub(crate) fn is_frozen(&self) -> bool {
+        self.acks.is_barred()
     }
 
-    /// Returns the sequence number up to which all ends are durable.
-    pub(crate) fn acknowledge(&mut self, durable_changes: impl Fn(&JobId) -> u64) -> u64 {
-        while let Some(end) = self.unacknowledged.front() {
-            if durable_changes(&end.job) < end.needed_changes {
-                break;
-            }
-            self.acknowledged = end.sequence;
-            self.unacknowledged.pop_front();
-        }
-        self.acknowledged
+    /// Whether the lease is left to expire: the executor is frozen, and nothing runs there that would be lost.
+    pub(crate) fn awaits_lease_expiry(&self) -> bool {
+        self.is_frozen() && !self.reports_running
     }
 
-    pub(crate) fn has_unacknowledged(&self) -> bool {
-        !self.unacknowledged.is_empty()
+    /// Whether the lease has expired by this reading of the executor's clock. Nothing that was ordered before then
+    /// runs any more.
+    pub(crate) fn has_expired_by(&self, executor_clock: Duration) -> bool {
+        self.lease_until.is_some_and(|until| executor_clock >= until + LAPSE_MARGIN)
     }
 }
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -13,6 +13,7 @@
 mod defragmentation_plan;
 mod executor_speeds;
 mod executors;
+mod freezes;
 mod gangs;
 mod incarnations;
 mod intake;
@@ -57,6 +58,7 @@
 pub use crash_attribution::{GivenUpTask, TaskCrash};
 pub use crash_backoff::CrashBackoff;
 pub use executor_speeds::{Assessment, ObservedRun, SpeedTracker, select_slow};
+pub use freezes::Freeze;
 pub use load_report::{ArrivedJob, LoadController, QueueReport};
 pub use losses::{ExecutorLoss, LossEvidence, LostRun};
 pub use pools::Shortage;
@@ -155,6 +157,7 @@
     losses: Vec<ExecutorLoss>,
     task_crashes: Vec<TaskCrash>,
     given_up: Vec<GivenUpTask>,
+    freezes: Vec<Freeze>,
     crash_backoffs: CrashBackoffs,
     recent_crashes: RecentCrashes,
     isolations: Isolations,
@@ -208,6 +211,7 @@
             losses: Vec::new(),
             task_crashes: Vec::new(),
             given_up: Vec::new(),
+            freezes: Vec::new(),
             crash_backoffs: CrashBackoffs::default(),
             recent_crashes: RecentCrashes::default(),
             isolations: Isolations::default(),
@@ -330,6 +334,7 @@
         self.plan_machines(now);
         self.reopen_machine(now);
         self.release_backed_off(now);
+        self.vacate_frozen_executors(now);
         self.place(now);
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/command.rs
+++ b/crates/jackdawpier_fleet/src/fleet/command.rs
@@ -77,6 +77,8 @@
     MachineTaken,
     /// It is relocated so that another task has room.
     MakesRoom,
+    /// It is relocated so that the lease of its frozen executor can expire.
+    ExecutorFrozen,
     /// The outcome of its start order is unknown.
     StartUnsure,
     /// Its executor had confirmed it and no longer reports it.
--- a/crates/jackdawpier_fleet/src/fleet/executors.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executors.rs
@@ -104,7 +104,7 @@
                 executor.clock_read_at().is_some_and(|at| now.saturating_sub(at) < lease);
             executor.is_listed
                 || !executor.tasks.is_empty()
-                || (executor.has_unacknowledged() && is_responsive)
+                || (executor.acks.has_pending() && is_responsive)
         });
     }
 
@@ -132,11 +132,6 @@
         self.executors.iter().map(|(id, executor)| (id, executor.info.as_ref()))
     }
 
-    /// Returns the number of frozen executors.
-    pub fn frozen_executors(&self) -> usize {
-        self.executors.unordered_values().filter(|executor| executor.is_frozen).count()
-    }
-
     /// Returns the address of an executor; none once the executor is forgotten.
     pub fn executor_address(&self, id: &str) -> Option<Arc<str>> {
         self.executors.get(id)?.info.as_ref().map(|info| info.address.clone())
--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -12,7 +12,7 @@
     executor::{Executor, IsolatedStart},
     job::Job,
     machines::MachineId,
-    record::{JobOutcome, JobRecord},
+    record::{JobOutcome, JobRecord, Reruns},
     spec::{JobSpec, Submission},
 };
 
@@ -26,8 +26,7 @@
 pub(super) struct InheritedEndedJob {
     pub(super) outcome: JobOutcome,
     pub(super) account: Option<AccountName>,
-    /// Some task of the job was ordered more than once.
-    pub(super) has_rerun: bool,
+    pub(super) reruns: Reruns,
 }
 
 /// A job that is yet to be charged to its account.
@@ -163,7 +162,7 @@
         }
         self.count_leftover_usage(now, wall_ms, record);
         let account = record.account.clone();
-        let ended = InheritedEndedJob { outcome, account, has_rerun: record.has_rerun };
+        let ended = InheritedEndedJob { outcome, account, reruns: record.reruns() };
         self.inherited_ended_jobs.insert(id.clone(), ended);
         self.ended_jobs.push_back((id, now));
     }
--- a/crates/jackdawpier_fleet/src/fleet/placement_round.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement_round.rs
@@ -160,7 +160,7 @@
     /// Whether the current incarnation of the executor may accept work now or later.
     pub(super) fn is_usable(&self) -> bool {
         let is_active = self.info.as_ref().is_some_and(|info| !info.is_draining);
-        is_active && !self.has_ended && !self.is_frozen
+        is_active && !self.has_ended && !self.is_frozen()
     }
 
     /// Whether the executor has answered this owner, and recently.
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -262,8 +262,8 @@
             pool.need_millicores += allocated_millicores;
             pool.primary.need_millicores += allocated_millicores
                 .saturating_sub(self.secondary_millicores(executor, &secondary_jobs));
-            // A frozen executor accepts no work in its current incarnation, so it isn't supply.
-            if known.is_draining || operation.is_some() || executor.is_frozen {
+            // A frozen executor accepts no work for some seconds, so it isn't supply.
+            if known.is_draining || operation.is_some() || executor.is_frozen() {
                 continue;
             }
             pool.up_machines += 1;
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -27,7 +27,7 @@
     pub may_wait: bool,
     /// Whether tasks run there that end by themselves, so that a lost answer may hide an end.
     pub expects_end: bool,
-    /// Whether the executor lists ends that are never acknowledged. It then answers every request
+    /// Whether the executor lists ends that can't be acknowledged yet. It then answers every request
     /// at once, so it should be asked rarely.
     pub is_frozen: bool,
 }
@@ -55,26 +55,27 @@
         };
         let expects_end = executor.tasks.iter().any(ends_by_itself);
         // The changes of a removed job became durable long before.
-        let acknowledged =
-            executor.acknowledge(|job| jobs.get(job).map_or(u64::MAX, |job| job.durable_changes));
+        let acknowledged = executor
+            .acks
+            .acknowledge(|job| jobs.get(job).map_or(u64::MAX, |job| job.durable_changes));
         let is_clock_known = executor.clock_read_at().is_some();
         // An executor that doesn't report incarnations has another id in each.
         let is_incarnation_certain = executor.failed_at.is_none() || executor.incarnation.is_none();
         let may_wait = executor.is_synced
             && is_clock_known
-            && !executor.has_unacknowledged()
+            && !executor.acks.has_pending()
             && is_incarnation_certain;
         let acknowledged = if is_incarnation_certain { acknowledged } else { 0 };
-        let lease_until =
-            if is_incarnation_certain { executor.grant_lease(now, lease) } else { None };
-        let is_frozen = executor.is_frozen;
+        let may_grant = is_incarnation_certain && !executor.awaits_lease_expiry();
+        let lease_until = if may_grant { executor.grant_lease(now, lease) } else { None };
+        let is_frozen = executor.is_frozen();
         Some(HoldDirective { acknowledged, lease_until, may_wait, expects_end, is_frozen })
     }
 
     /// Whether ends that an executor reported aren't acknowledged yet.
     pub fn has_unacknowledged(&self, id: &str) -> bool {
         let Some(executor) = self.executors.get(id) else { return false };
-        executor.has_unacknowledged()
+        executor.acks.has_pending()
     }
 
     /// Returns the lease to send with an order to an executor.
@@ -93,12 +94,17 @@
             ReportOrigin::New(incarnation) => executor.begin_incarnation(now, incarnation),
         }
         let FleetSettings { lease, longest_lease, .. } = self.settings;
+        let has_expired = executor.has_expired_by(report.clock);
         executor.note_answer(now, report.clock, lease, longest_lease);
-        let last_processed = executor.last_processed_end;
+        executor.reports_running = !report.running.is_empty();
+        let last_processed = executor.acks.last_processed();
         let is_complete = report.ended.len() < MAX_ENDS_PER_REPORT;
         for end in report.ended.iter().filter(|end| end.sequence > last_processed) {
             self.record_end(now, id, end);
         }
+        if has_expired {
+            self.unfreeze(id);
+        }
         if matches!(origin, ReportOrigin::New(_)) {
             self.settle_previous_incarnation(now, sent_at, id, report);
         }
@@ -111,9 +117,6 @@
     }
 
     fn record_end(&mut self, now: Now, id: &ExecutorId, end: &EndedTask) {
-        if let Some(executor) = self.executors.get_mut(id) {
-            executor.last_processed_end = end.sequence;
-        }
         let job_id = end.task.job.clone();
         self.apply_end(now, id, end);
         let needed_changes = self.jobs.get_mut(&job_id).map_or(0, |job| {
@@ -121,16 +124,17 @@
             job.changes
         });
         if let Some(executor) = self.executors.get_mut(id) {
-            executor.note_end(end.sequence, job_id, needed_changes);
+            executor.acks.note_processed(end.sequence, job_id, needed_changes);
         }
     }
 
     fn apply_end(&mut self, now: Now, id: &ExecutorId, end: &EndedTask) {
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
-            // It is no longer known which of its runs counted.
             let ended = self.inherited_ended_jobs.get(&end.task.job);
-            if end.kind == EndKind::Done && ended.is_some_and(|one| one.has_rerun) {
-                self.freeze(id);
+            let may_be_superseded =
+                ended.is_some_and(|job| job.reruns.may_be_superseded(&end.task, end.run));
+            if end.kind == EndKind::Done && may_be_superseded {
+                self.freeze(now, id, end);
             }
             return;
         };
@@ -145,12 +149,16 @@
             && matches!(task.phase, Phase::Planned { .. })
             && task.run == end.run + 1;
         if !is_here && !is_late_success && !is_before_next_start {
-            self.apply_superseded_end(id, end, index);
+            self.apply_superseded_end(now, id, end, index);
             return;
         }
         if !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
+        if is_before_next_start {
+            // The next run was never ordered.
+            task.run = end.run;
+        }
         if !job.has_begun {
             job.has_begun = true;
         }
@@ -178,13 +186,13 @@
     }
 
     /// Applies the end of a run that was superseded by another.
-    fn apply_superseded_end(&mut self, id: &ExecutorId, end: &EndedTask, index: usize) {
+    fn apply_superseded_end(&mut self, now: Now, id: &ExecutorId, end: &EndedTask, index: usize) {
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
-        if !job.may_be_superseded(index, end.run) || job.step(index).is_speculative {
+        if !job.may_be_superseded(index, end.run) || !job.step(index).counts_completions() {
             return;
         }
         match end.kind {
-            EndKind::Done => self.freeze(id),
+            EndKind::Done => self.freeze(now, id, end),
             EndKind::Failed => {
                 job.tasks[index].note_failure(end.run);
                 self.mark_changed(&end.task.job);
@@ -193,13 +201,6 @@
         }
     }
 
-    /// Freezes the executor: this end and all later ones are never acknowledged.
-    fn freeze(&mut self, id: &ExecutorId) {
-        if let Some(executor) = self.executors.get_mut(id) {
-            executor.is_frozen = true;
-        }
-    }
-
     fn track_failures(&mut self, now: Now, id: &ExecutorId, kind: EndKind) {
         let Some(executor) = self.executors.get_mut(id) else { return };
         match kind {
--- a/crates/jackdawpier_fleet/src/fleet/waits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/waits.rs
@@ -166,7 +166,7 @@
             &mut self.leaving
         } else if !executor.is_responsive(now) {
             &mut self.silent
-        } else if executor.is_frozen {
+        } else if executor.is_frozen() {
             &mut self.frozen
         } else if now < executor.avoid_until {
             &mut self.left_out
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -10,7 +10,7 @@
 use crate::{
     crash::{Crash, Retry, is_given_up, is_on_probation, isolation_time, retry},
     executor::IncarnationId,
-    record::{JobOutcome, JobRecord, LeftoverUsage, TaskRecord, TaskStatus},
+    record::{JobOutcome, JobRecord, LastStart, LeftoverUsage, Reruns, TaskRecord, TaskStatus},
     spec::{JobSpec, QueueName, Resources, RunNumber, StepSpec, Submission, TaskKey},
 };
 
@@ -248,6 +248,8 @@
     pub(crate) is_arrival_reported: bool,
     /// Whether a previous owner ordered any task to start more than once.
     had_rerun: bool,
+    /// What the record of an ended job says of its tasks; `None` if the job ended under this owner, or is open.
+    recorded_reruns: Option<Reruns>,
     /// Estimated time of the longest chain from each step to the end.
     pub(crate) remaining_chains: Vec<Duration>,
     first_task_of_step: Vec<usize>,
@@ -299,6 +301,7 @@
             is_over_share: false,
             is_arrival_reported: false,
             had_rerun: false,
+            recorded_reruns: None,
             remaining_chains: spec.remaining_chains(),
             first_task_of_step,
             tasks_per_occurrence,
@@ -320,6 +323,7 @@
         self.durable_outcome = record.outcome;
         self.has_begun = record.has_begun;
         self.had_rerun = record.has_rerun;
+        self.recorded_reruns = record.outcome.map(|_| record.reruns());
         for (index, (task, stored)) in self.tasks.iter_mut().zip(&record.tasks).enumerate() {
             task.run = stored.run;
             task.failed_runs.clone_from(&stored.failed_runs);
@@ -357,10 +361,31 @@
             remains: self.remains(),
             has_begun: self.has_begun,
             has_rerun,
+            last_starts: self.outcome.filter(|_| has_rerun).and_then(|_| self.last_starts()),
             tasks,
         }
     }
 
+    /// Returns the last starts for the record of the ended job; `None` if a record of an earlier version doesn't
+    /// tell them.
+    fn last_starts(&self) -> Option<Vec<LastStart>> {
+        match &self.recorded_reruns {
+            Some(Reruns::Known(last_starts)) => return Some(last_starts.clone()),
+            Some(Reruns::Unknown) => return None,
+            None => {}
+        }
+        let rerun = self
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(index, task)| task.run > 1 && self.step(*index).counts_completions());
+        let last_starts = rerun.map(|(index, task)| {
+            let TaskKey { occurrence, step, index, .. } = self.key(index);
+            LastStart { occurrence, step, index, run: task.run }
+        });
+        Some(last_starts.collect())
+    }
+
     /// Returns the resources that a finished job may still use; `None` if there are none, or if the job belongs to
     /// no account.
     fn remains(&self) -> Option<LeftoverUsage> {
@@ -377,9 +402,10 @@
 
     /// Returns whether a task may have been started again after this run.
     pub(crate) fn may_be_superseded(&self, index: TaskIndex, run: RunNumber) -> bool {
-        let task = &self.tasks[index];
-        // The record of a finished job from a previous owner doesn't contain its runs any more.
-        task.run > run || (task.run == 0 && self.had_rerun)
+        match &self.recorded_reruns {
+            Some(reruns) => reruns.may_be_superseded(&self.key(index), run),
+            None => self.tasks[index].run > run,
+        }
     }
 
     pub(crate) fn is_over(&self) -> bool {
--- a/crates/jackdawpier_fleet/src/lib.rs
+++ b/crates/jackdawpier_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod advice;
 pub mod crash;
 mod demand;
+pub mod end_acks;
 pub mod executor;
 pub mod fleet;
 pub mod job;
--- a/crates/jackdawpier_fleet/src/record.rs
+++ b/crates/jackdawpier_fleet/src/record.rs
@@ -9,7 +9,7 @@
 use crate::{
     crash::Crash,
     executor::IncarnationId,
-    spec::{Resources, RunNumber},
+    spec::{Resources, RunNumber, TaskKey},
 };
 
 /// How a job ended.
@@ -79,6 +79,61 @@
     pub ended_ms: u64,
 }
 
+/// The last start of a task of an ended job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastStart {
+    /// Number of the occurrence.
+    #[serde(rename = "o")]
+    pub occurrence: u32,
+    /// Number of the step.
+    #[serde(rename = "s")]
+    pub step: u32,
+    /// Number of the task in its step.
+    #[serde(rename = "i")]
+    pub index: u32,
+    /// Number of the run.
+    #[serde(rename = "r")]
+    pub run: RunNumber,
+}
+
+impl LastStart {
+    fn is_of(&self, task: &TaskKey) -> bool {
+        (self.occurrence, self.step, self.index) == (task.occurrence, task.step, task.index)
+    }
+}
+
+/// What the record of an ended job says of tasks that were started more than once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reruns {
+    /// Their last starts.
+    Known(Vec<LastStart>),
+    /// Some task was started more than once, and an earlier version didn't record which.
+    Unknown,
+}
+
+impl Reruns {
+    /// Whether a task may have been started again after this run.
+    pub fn may_be_superseded(&self, task: &TaskKey, run: RunNumber) -> bool {
+        match self {
+            Self::Known(last_starts) => {
+                last_starts.iter().any(|last| last.is_of(task) && last.run > run)
+            }
+            Self::Unknown => true,
+        }
+    }
+}
+
+impl JobRecord {
+    /// Returns what is known of tasks that were started more than once, if the job is over.
+    pub fn reruns(&self) -> Reruns {
+        match &self.last_starts {
+            Some(last_starts) => Reruns::Known(last_starts.clone()),
+            None if self.has_rerun => Reruns::Unknown,
+            None => Reruns::Known(Vec::new()),
+        }
+    }
+}
+
 /// Durable state of one job; tasks are ordered by occurrence, step and index.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -95,6 +150,10 @@
     /// Whether any task has been ordered to start more than once.
     #[serde(default)]
     pub has_rerun: bool,
+    /// The last starts of tasks that were started more than once and of which completions count, once the job is
+    /// over; `None` in records of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub last_starts: Option<Vec<LastStart>>,
     /// All tasks; empty once the job is over.
     pub tasks: Vec<TaskRecord>,
 }
--- a/crates/jackdawpier_fleet/src/spec.rs
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -159,6 +159,11 @@
         let cpu_millicores = if self.is_filler { 0 } else { self.need.cpu_millicores };
         Resources { cpu_millicores, ..self.need }
     }
+
+    /// Whether a task must not be started again once a completion of it is acknowledged.
+    pub fn counts_completions(&self) -> bool {
+        !self.is_speculative && !self.is_long_running
+    }
 }
 
 /// Schedule of a repeated job.
--- a/crates/jackdawpier_fleet/tests/world/executor.rs
+++ b/crates/jackdawpier_fleet/tests/world/executor.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use jackdawpier_fleet::{
-    executor::{EndKind, EndedTask, ExecutorInfo, HoldReport, RunningTask},
+    executor::{EndKind, EndedTask, ExecutorInfo, HoldReport, MAX_ENDS_PER_REPORT, RunningTask},
     fleet::{HoldDirective, StartOutcome, StopOutcome},
     spec::{JobSpec, Resources, TaskKey},
 };
@@ -194,6 +194,9 @@
             return;
         }
         let has_lapsed = self.clock(now) > self.lease_until;
+        if has_lapsed {
+            self.lapsed_at = Some(now);
+        }
         let ending: Vec<(TaskKey, EndKind)> = self
             .running
             .iter()
@@ -216,9 +219,6 @@
             let sequence = self.next_end;
             self.next_end += 1;
             self.ended_at.insert(sequence, now);
-            if kind == EndKind::Lapsed {
-                self.lapsed_at = Some(now);
-            }
             if sequence <= self.acknowledged_to {
                 if kind == EndKind::Done {
                     self.acknowledged_done.push((task, now));
@@ -318,7 +318,8 @@
             let longest = self.clock(now) + super::LONGEST_LEASE;
             self.lease_until = self.lease_until.max(until.min(longest));
         }
-        self.last_reported_end = self.last_reported_end.max(self.next_end - 1);
+        let reported = self.ended.iter().take(MAX_ENDS_PER_REPORT).map(|end| end.sequence);
+        self.last_reported_end = self.last_reported_end.max(reported.max().unwrap_or(0));
         let running = self.running.iter().map(|(task, run)| RunningTask {
             task: task.clone(),
             run: run.number,
@@ -330,7 +331,7 @@
             incarnation: self.info.incarnation,
             clock: self.clock(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_ENDS_PER_REPORT).cloned().collect(),
         })
     }
 }
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -30,7 +30,7 @@
 pub use orders::Delivery;
 
 /// Time of day at the start of the world.
-const EPOCH_MS: u64 = 1_000_000;
+pub const EPOCH_MS: u64 = 1_000_000;
 pub const STEP: Duration = Duration::from_millis(10);
 /// Longest lease that executors accept.
 pub const LONGEST_LEASE: Duration = Duration::from_secs(6);
