Try starved jobs by turns if many find no room

A starved job that fits waits for the whole of a burst if eight starved jobs of other kinds, which fit nowhere, have waited longer.

Cause: a round tries at most eight starved jobs of a service without success, in the order of the time since their last start, and jobs that fit nowhere never start, so they stay at the head.

Change: with more starved jobs than attempts, the first half of the attempts stays with the longest waiting ones, the others take turns (AttemptOrder).

Test: starved_jobs (twelve kinds that fit nowhere, a backlog of 50 s, and a small job) failed before: the job had not ended after ten seconds.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -81,6 +81,7 @@
 use crate::{
     account::{Account, Accounts},
     advice::Advice,
+    attempt_order::AttemptOrder,
     demand::Arrivals,
     executor::Executor,
     job::{Job, Phase},
@@ -175,6 +176,8 @@
     requested_labels: BTreeSet<Label>,
     short_task_cores: ShortTaskCores,
     starved_budgets: BTreeMap<ServiceName, StarvedBudget>,
+    /// Turns of starved jobs that find no room.
+    starved_turns: AttemptOrder<JobId>,
     run_times: RunTimes,
     last_speed_review_at: Now,
     next_batch: u64,
@@ -225,6 +228,7 @@
             requested_labels: BTreeSet::new(),
             short_task_cores: ShortTaskCores::default(),
             starved_budgets: BTreeMap::new(),
+            starved_turns: AttemptOrder::default(),
             run_times: RunTimes::default(),
             last_speed_review_at: Now::ZERO,
             next_batch: 0,
--- a/crates/jackdawpier_fleet/src/fleet/reservations.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reservations.rs
@@ -49,7 +49,8 @@
 }
 
 impl Fleet {
-    /// Returns the starved jobs, the one with the longest time since its last start first.
+    /// Returns the starved jobs in the order in which they are tried: in each service the ones with the longest time
+    /// since their last start, and the others by turns.
     pub(super) fn starved_jobs(&self, now: Now, waiting: &[WaitingJob]) -> Vec<StarvedJob> {
         let mut starved: Vec<StarvedJob> = waiting
             .iter()
@@ -69,7 +70,14 @@
             })
             .collect();
         starved.sort_unstable();
-        starved
+        let mut by_service: BTreeMap<ServiceName, Vec<StarvedJob>> = BTreeMap::new();
+        for job in starved {
+            by_service.entry(job.service.clone()).or_default().push(job);
+        }
+        let turns = &self.starved_turns;
+        let in_turns =
+            |jobs| turns.order(jobs, MAX_FAILED_ATTEMPTS, |job: &StarvedJob| job.id.clone());
+        by_service.into_values().flat_map(in_turns).collect()
     }
 
     /// Places one task of each starved job ahead of all other jobs, within the budget of its service, and
@@ -84,6 +92,7 @@
         starved: &[StarvedJob],
         rounds: &mut BTreeMap<ServiceName, PlacementRound>,
     ) {
+        self.starved_turns.forget_old(now);
         let is_limited = self.settings.policy.limits_starved_jobs;
         for StarvedJob { id, service, .. } in starved {
             let Some(round) = rounds.get_mut(service) else { continue };
@@ -133,6 +142,7 @@
         let is_placed = self.place_job(now, id, round, 1);
         self.note_if_newly_full(round);
         if !is_placed {
+            self.starved_turns.note_failure(now, id.clone());
             round.unplaced_starved_jobs += 1;
             self.reserve_executors(now, id, round);
         }
