Start suspects by turns if many find no executor

A task whose executor crashed is never started again, though executors are idle, while eight suspects of other steps wait that fit nowhere (LOST).

Cause: a round tries at most eight suspects of a service without success, overdue ones first by their waiting time, and a suspect among short tasks starts only there. Those that fit nowhere, such as tasks whose labelled machines have crashed, stay at the head. The same for the two suspects for which a round looks for an executor to hold.

Change: the same turns as for starved jobs.

Test: suspects (twelve jobs that need a label of a crashed machine, then a crash under another job) failed before: that job had not ended after 15 s on ten idle executors.

--- a/crates/jackdawpier_fleet/src/fleet/isolation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/isolation.rs
@@ -20,6 +20,7 @@
     placement_round::PlacementRound,
 };
 use crate::{
+    attempt_order::AttemptOrder,
     crash::fewest_alternatives,
     executor::{Executor, TaskRef},
     job::{Job, Phase, TaskIndex},
@@ -55,6 +56,10 @@
     suspects: BTreeSet<TaskRef>,
     /// Start of the current or the last hold of executors.
     held_since: BTreeMap<ExecutorId, Now>,
+    /// Turns of the suspects that find no executor to start on, by job and slot.
+    start_turns: AttemptOrder<(JobId, usize)>,
+    /// Turns of the suspects for which no executor is found to hold.
+    hold_turns: AttemptOrder<(JobId, usize)>,
 }
 
 impl Isolations {
@@ -73,7 +78,9 @@
         }
     }
 
-    fn forget_old_holds(&mut self, now: Now) {
+    fn forget_old(&mut self, now: Now) {
+        self.start_turns.forget_old(now);
+        self.hold_turns.forget_old(now);
         self.held_since.retain(|_, since| now < *since + MAX_HOLD + MIN_HOLD_INTERVAL);
     }
 }
@@ -133,7 +140,7 @@
         now: Now,
         rounds: &mut BTreeMap<ServiceName, PlacementRound>,
     ) {
-        self.isolations.forget_old_holds(now);
+        self.isolations.forget_old(now);
         let mut waiting = self.waiting_suspects(now);
         for (service, round) in rounds {
             let turns = waiting.remove(service).unwrap_or_default();
@@ -203,6 +210,8 @@
     ) -> (Vec<TaskRef>, usize) {
         let mut unplaced: Vec<TaskRef> = Vec::new();
         let mut failed: Vec<TaskRef> = Vec::new();
+        let slot_of = |suspect: &SuspectOrder| self.slot_of(&suspect.task);
+        let turns = self.isolations.start_turns.order(turns, MAX_FAILED_ATTEMPTS, slot_of);
         for SuspectOrder { task, .. } in turns {
             let job = &self.jobs[&task.0];
             if !self.is_within_cap(job, task.1) {
@@ -217,6 +226,7 @@
                 self.start_suspect(now, &task, executor);
                 remaining -= 1;
             } else {
+                self.isolations.start_turns.note_failure(now, self.slot_of(&task));
                 failed.push(task.clone());
                 unplaced.push(task);
             }
@@ -224,6 +234,10 @@
         (unplaced, remaining)
     }
 
+    fn slot_of(&self, (id, index): &TaskRef) -> (JobId, usize) {
+        (id.clone(), self.jobs[id].slot(*index))
+    }
+
     /// Returns how many more executors may isolate a start.
     fn remaining_isolations(&self, now: Now, round: &PlacementRound) -> usize {
         let is_isolating =
@@ -260,6 +274,9 @@
             (held, excess)
         };
         excess.iter().for_each(|id| self.isolations.end_hold(now, id));
+        let suspects = suspects.iter().collect();
+        let slot_of = |task: &&TaskRef| self.slot_of(task);
+        let suspects = self.isolations.hold_turns.order(suspects, MAX_FAILED_HOLDS, slot_of);
         let mut failures = 0;
         for task in suspects {
             if held.len() >= most || failures == MAX_FAILED_HOLDS {
@@ -269,6 +286,7 @@
                 self.isolations.held_since.insert(executor.clone(), now);
                 held.push(executor);
             } else {
+                self.isolations.hold_turns.note_failure(now, self.slot_of(task));
                 failures += 1;
             }
         }
--- a/crates/jackdawpier_fleet/tests/bounded_attempts.rs
+++ b/crates/jackdawpier_fleet/tests/bounded_attempts.rs
@@ -30,6 +30,26 @@
     assert_eq!(outcome, Some(JobOutcome::Completed));
 }
 
+/// Guards against suspects that are never started in isolation since suspects that fit nowhere come before them.
+#[test]
+fn suspects() {
+    let mut world = World::new(&["view"], 12);
+    world.label("m-view-11", "rare");
+    for number in 0..KINDS {
+        let only_there = StepSpec { required_label: Some("rare".into()), ..step(1, 0, 20_000) };
+        world.submit(&format!("a-{number:02}"), "q-view", job(vec![only_there]));
+    }
+    world.run_until_started("a-00");
+    world.crash("m-view-11", None);
+    world.run_for(Duration::from_secs(10));
+    world.submit("z", "q-view", job(vec![step(1, 2, 3_000)]));
+    world.run_until_started("z");
+    let machine = world.machine_of_task("z");
+    world.crash(&machine, None);
+    let outcome = world.run_until_over("z", Duration::from_secs(15));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
+
 /// Guards against items that are never tried because others always fail before them.
 #[test]
 fn each_tried_in_turn() {
