Share labels that machines have, however many others were required

After jobs had required 64 labels, machines with a label that only later jobs require were neither kept free for it nor shared between pools: a job waited for the whole backlog of another pool.

Cause: the first 64 required labels were kept, and labels are free text from callers.

Change: beyond 64, a label is kept if some machine has it, so what counts is bounded by the fleet.

Test: many_other_labels failed before: the job had not ended after 8 s; a machine of the other pool comes within that time now.

--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -18,8 +18,9 @@
 
 /// Maximum difference between the wall clocks of two entries, also while a clock is being corrected.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
-/// Maximum number of requested labels that are kept. Labels are free text from callers.
-const MAX_REQUESTED_LABELS: usize = 64;
+/// Number of requested labels from which on only those that a machine has are kept. Labels are free text from
+/// callers.
+const MANY_REQUESTED_LABELS: usize = 64;
 
 /// What is known of a job that ended under a previous owner.
 #[derive(Debug)]
@@ -148,7 +149,8 @@
     /// Records the labels that a job requires, since further jobs are likely to require them too.
     fn record_requested_labels(&mut self, spec: &JobSpec) {
         for label in spec.steps.iter().filter_map(|step| step.required_label.as_ref()) {
-            if self.requested_labels.len() < MAX_REQUESTED_LABELS {
+            let has_few = self.requested_labels.len() < MANY_REQUESTED_LABELS;
+            if has_few || self.machines.may_have_label(label) {
                 self.requested_labels.insert(label.clone());
             }
         }
--- a/crates/jackdawpier_fleet/src/machines.rs
+++ b/crates/jackdawpier_fleet/src/machines.rs
@@ -272,6 +272,11 @@
         previous_machine_of
     }
 
+    /// Whether some machine has a label, or the machines aren't known yet.
+    pub(crate) fn may_have_label(&self, label: &Label) -> bool {
+        !self.has_listing || self.listed.values().any(|info| info.labels.contains(label))
+    }
+
     /// Returns the executors that the last list names.
     pub(crate) fn listed_executors(&self) -> impl Iterator<Item = &ExecutorId> {
         self.machine_of.keys()
--- a/crates/jackdawpier_fleet/tests/label_shares.rs
+++ b/crates/jackdawpier_fleet/tests/label_shares.rs
@@ -127,3 +127,17 @@
     world.run_for(Duration::from_secs(8));
     assert_eq!(world.at_work_of("lasting"), 3);
 }
+
+/// Guards against labels that are never shared since jobs have required many others before.
+#[test]
+fn many_other_labels() {
+    let mut world = world_with_labelled(&LABELLED_MACHINES);
+    for number in 0..70 {
+        let label = format!("nobody-{number}");
+        let nowhere = StepSpec { required_label: Some(label.as_str().into()), ..step(1, 1, 500) };
+        world.submit(&label, "q-other", job(vec![nowhere]));
+    }
+    submit_competing_jobs(&mut world, 1);
+    let outcome = world.run_until_over("second", Duration::from_secs(8));
+    assert_eq!(outcome, Some(JobOutcome::Completed));
+}
