Reset connections of machine orders when they are given up

Cause: after its timeout a call closed its connection in order, and the kernel delivers what was written once the link is back. The lock for later owners assumes that an order arrives within 0.9 s or never.

Change: machine orders have an HTTP client of their own, whose connections send no end of stream and are reset when they are closed, by the kernel also if the process is killed.

Why it works: a reset drops the bytes that weren't delivered, 0.8 s after the order was sent, before a later owner may order the machine.

--- a/crates/jackdawpier_entry/src/http_client.rs
+++ b/crates/jackdawpier_entry/src/http_client.rs
@@ -25,7 +25,10 @@
 use nix::errno::Errno;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::response_progress::{ResponseGuard, ResponseProgress};
+use crate::{
+    client_stream::{ClientStream, Closing},
+    response_progress::{ResponseGuard, ResponseProgress},
+};
 
 /// Maximum number of idle connections kept per host: enough for a long poll and a few concurrent orders.
 const MAX_IDLE_PER_HOST: usize = 4;
@@ -143,6 +146,7 @@
     /// Number of connections that are open or being opened.
     open: Rc<Cell<usize>>,
     max_open: usize,
+    closing: Closing,
 }
 
 impl Default for HttpClient {
@@ -155,7 +159,13 @@
     /// Creates a client with at most `max_open` connections at a time. In a process that calls thousands of
     /// hosts this leaves file descriptors for the connections to the store and to callers.
     pub fn bounded(max_open: usize) -> Self {
-        Self { idle: Rc::default(), open: Rc::default(), max_open }
+        Self { idle: Rc::default(), open: Rc::default(), max_open, closing: Closing::Orderly }
+    }
+
+    /// Creates a client that resets its connections when it closes them, so that a request that was given up, or
+    /// whose process has ended, isn't delivered later once a network partition heals.
+    pub fn resetting() -> Self {
+        Self { closing: Closing::Reset, ..Self::default() }
     }
 
     /// Sends a call and waits for its answer: up to `head_timeout` for the head, and for the body as long as
@@ -204,7 +214,7 @@
                 Ok(response) => return Ok((sender, response)),
             }
         }
-        let mut sender = connect(host, self.acquire_slot()?).await?;
+        let mut sender = connect(host, self.acquire_slot()?, self.closing).await?;
         let response = send(&mut sender, host, call).await?;
         Ok((sender, response))
     }
@@ -267,13 +277,14 @@
     }
 }
 
-async fn connect(host: &str, slot: ConnectionSlot) -> Result<Sender, NoAnswer> {
+async fn connect(host: &str, slot: ConnectionSlot, closing: Closing) -> Result<Sender, NoAnswer> {
     let opening = timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await;
     let opened = opening.map_err(|_| NoAnswer::NotSent(SendFailure::Timeout))?;
     let stream = opened.map_err(|error| NoAnswer::NotSent(SendFailure::from_io(&error)))?;
     let failed = NoAnswer::NotSent(SendFailure::Failed);
     // Otherwise small requests would wait for acknowledgements.
     stream.set_nodelay(true).map_err(|_| failed)?;
+    let stream = ClientStream::new(stream, closing).map_err(|_| failed)?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failed)?;
     // Errors of the connection are reported by the sender.
     tokio::task::spawn_local(async move {
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -51,7 +51,8 @@
 /// Maximum executor lease. Outlasts a change of owners (two seconds and the takeover), and lets tasks of a
 /// lost executor run again within six seconds.
 const MAX_EXECUTOR_LEASE: Duration = Duration::from_millis(5000);
-/// A machine order arrives within this time or never. Exceeds the timeout of the call.
+/// A machine order arrives within this time or never: it exceeds the timeout of the call, after which the connection
+/// is reset. An owner that is suspended while its order is on its way can't reset it.
 const MAX_MACHINE_ORDER_DELAY: Duration = Duration::from_millis(900);
 /// Interval between speed measurements: detects a slow machine within a quarter of a second, for 0.05% of a
 /// core.
