--- a/crates/jackdawpier_fleet/src/spec.rs
+++ b/crates/jackdawpier_fleet/src/spec.rs
@@ -355,7 +355,7 @@
     /// Whether starts need a ticket of the placement advisor.
     pub needs_advice: bool,
     /// Time that the placement advisor takes. Zero in the records of earlier versions.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "AdviceCost::is_unknown")]
     pub advice_cost: AdviceCost,
 }
 
@@ -369,6 +369,10 @@
 }
 
 impl AdviceCost {
+    fn is_unknown(&self) -> bool {
+        *self == Self::default()
+    }
+
     /// Returns the time that a request about this many executors takes.
     pub fn of_request(self, executors: usize) -> Duration {
         self.per_request + self.per_executor * executors as u32
