Add a red test for a job that runs after its rejection with 429

A 429 says that the job never runs. It isn't mended here: a rejection would have to bar the write, which costs a write for each rejected job.

--- a/crates/jackdawpier_entry/tests/rejected_jobs.rs
+++ b/crates/jackdawpier_entry/tests/rejected_jobs.rs
@@ -6,7 +6,7 @@
 
 use jackdawpier_entry::{admission::NoteCache, clock, events::Events, keys, owner::NoteSchedule};
 use jackdawpier_fleet::admission::{AccountLoad, LoadNote, QueueLoad};
-use support::{CONFIGURATION, Entry, Fake, QUEUE, run, start_owner, wait_until};
+use support::{CONFIGURATION, Entry, Fake, QUEUE, WriteFault, run, start_owner, wait_until};
 
 const DOCUMENT: &[u8] = b"1 loud-key:loud quiet-key:quiet loud=10 quiet=1";
 
@@ -88,6 +88,23 @@
     });
 }
 
+/// Guards against a job that runs though its caller was told with 429 that it never will: another entry's write of it,
+/// which got no answer, is applied after the rejection.
+#[test]
+fn late_write_after_rejection() {
+    run(async {
+        let entry = start(DOCUMENT).await;
+        put_note(&entry.fake);
+        assert!(first_rejected(&entry).await.is_some());
+        let other = Entry::start(&entry.fake.with_own_connection(), None).await;
+        entry.fake.fail_next_writes(&[WriteFault::Delayed; 400]);
+        assert_eq!(other.status("POST", "/a/repeated", Some("loud-key")).await, 504);
+        assert_eq!(entry.status("POST", "/a/repeated", Some("loud-key")).await, 429);
+        entry.fake.apply_delayed_writes();
+        assert_eq!(entry.fake.value(&keys::submission("repeated")), None);
+    });
+}
+
 /// The owner no longer replaces the note, or this entry can't read it: the note ends by its age.
 #[test]
 fn outdated_note() {
