--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -27,6 +27,7 @@
 mod pacing;
 mod placement;
 mod placement_round;
+mod pool_demand;
 mod pool_view;
 mod pools;
 mod probation;
--- a/crates/jackdawpier_fleet/src/fleet/defragmentation_plan.rs
+++ b/crates/jackdawpier_fleet/src/fleet/defragmentation_plan.rs
@@ -10,7 +10,7 @@
 use super::{
     Fleet,
     placement::{count_fitting, is_eligible, step_tasks_on},
-    pool_view::start_group_size,
+    pool_demand::start_group_size,
 };
 use crate::{
     executor::{Executor, TaskRef},
--- a/crates/jackdawpier_fleet/src/fleet/pools.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pools.rs
@@ -19,7 +19,8 @@
     Fleet,
     busy_machines::{Donor, choose_busy_machine},
     label_shares::label_shares,
-    pool_view::{PoolView, SecondaryJobs},
+    pool_demand::SecondaryJobs,
+    pool_view::PoolView,
 };
 use crate::{
     machines::{MachineId, MachineState, MachineWork},
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -17,7 +17,8 @@
     Command, Fleet, StopReason,
     placement::has_room_for,
     placement_round::PlacementRound,
-    pool_view::{PoolView, SecondaryJobs, SecondaryReason, standing_of_task},
+    pool_demand::{SecondaryJobs, SecondaryReason, standing_of_task},
+    pool_view::PoolView,
 };
 use crate::{
     executor::{Executor, TaskRef},
--- a/crates/jackdawpier_fleet/src/sorted_hash_map.rs
+++ b/crates/jackdawpier_fleet/src/sorted_hash_map.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions must be deterministic. The iteration order of a hash map depends on a random seed: two owners
 //! would decide differently on the same input, and a simulated history would have several outcomes. Lookups
-//! in an ordered map double the time of a placement round (`docs/design/lives.md#one-seed-one-history`).
+//! in an ordered map double the time of a placement round (`docs/incidents/held-back-for-crashes.md#one-seed-one-history`).
 
 #![allow(
     clippy::disallowed_types,
