Delay requests after rejected tickets, and don't expect jobs of tasks

An executor that rejects each ticket, as one may until its restart is noticed, was asked about and ordered in turns of one tick; the next request of the step waits 100 ms now (rejected_tickets). The freeze of an executor looks its tasks' jobs up as the other decisions do, since a job may be forgotten before its last run is settled.

--- a/crates/jackdawpier_fleet/src/advice.rs
+++ b/crates/jackdawpier_fleet/src/advice.rs
@@ -297,9 +297,12 @@
         }
     }
 
-    /// Records that an executor rejected the ticket for a step.
-    pub fn reject_ticket(&mut self, step: &StepKey, executor: &str) {
-        let verdict = self.steps.get_mut(step).and_then(|advice| advice.verdicts.get_mut(executor));
+    /// Records that an executor rejected the ticket for a step. The next request waits, since an executor may reject
+    /// each ticket until its restart is noticed.
+    pub fn reject_ticket(&mut self, now: Now, step: &StepKey, executor: &str) {
+        let Some(advice) = self.steps.get_mut(step) else { return };
+        advice.not_before = advice.not_before.max(now + FIRST_RETRY_DELAY);
+        let verdict = advice.verdicts.get_mut(executor);
         if let Some(Verdict { ruling: Ruling::Allowed(ticket), .. }) = verdict {
             *ticket = None;
         }
--- a/crates/jackdawpier_fleet/src/fleet/freezes.rs
+++ b/crates/jackdawpier_fleet/src/fleet/freezes.rs
@@ -92,8 +92,10 @@
         executor: &Executor,
         rounds: &BTreeMap<ServiceName, PlacementRound>,
     ) -> Option<TaskRef> {
-        let has_short =
-            executor.tasks.iter().any(|(id, index)| !self.jobs[id].step(*index).is_long_running);
+        let ends_by_itself = |(id, index): &TaskRef| {
+            self.jobs.get(id).is_some_and(|job| !job.step(*index).is_long_running)
+        };
+        let has_short = executor.tasks.iter().any(ends_by_itself);
         let needs_room = now < executor.frozen_since + MAX_WAIT_FOR_ROOM;
         let mut tasks = executor.tasks.iter().filter(|_| !has_short);
         let can_leave = |task: &TaskRef| !needs_room || self.has_room_elsewhere(task, rounds);
@@ -102,7 +104,7 @@
 
     /// Whether a running long-running task may be stopped now.
     fn can_miss(&self, now: Now, (id, index): &TaskRef) -> bool {
-        let job = &self.jobs[id];
+        let Some(job) = self.jobs.get(id) else { return false };
         let step = job.step(*index);
         let is_running = matches!(job.tasks[*index].phase, Phase::Running { .. });
         let can_be_missed =
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -110,7 +110,7 @@
             }
             StartOutcome::Invalid => task.not_before = now + INVALID_RETRY_DELAY,
             StartOutcome::BadTicket => {
-                self.advice.reject_ticket(&key.into(), executor_id);
+                self.advice.reject_ticket(now, &key.into(), executor_id);
             }
             StartOutcome::RunIsOver | StartOutcome::TooLate | StartOutcome::Withheld => {}
         }
--- a/crates/jackdawpier_fleet/tests/advice_requests.rs
+++ b/crates/jackdawpier_fleet/tests/advice_requests.rs
@@ -206,6 +206,25 @@
     }
 }
 
+/// Guards against starts and requests in quick turns while an executor rejects each ticket.
+#[test]
+fn rejected_tickets() {
+    let mut search = Search::new(1);
+    let began_at = search.now;
+    let mut requests = 0;
+    while search.now < began_at + Duration::from_secs(1) {
+        if search.request("j", 1).is_some() {
+            requests += 1;
+            search.answer("j", &[0]);
+            let executor = search.executors[0].clone();
+            search.advice.reject_ticket(search.now, &step("j"), &executor);
+            assert!(!search.has_ticket("j", 0));
+        }
+        search.now += Duration::from_millis(10);
+    }
+    assert!((5..=10).contains(&requests), "{requests} requests in a second");
+}
+
 /// Guards against an advisor that is flooded while it doesn't answer, and against waits that grow without limit.
 #[test]
 fn retries_after_failures() {
