--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     executor::Setup,
-    world::{Bounds, PREFIX, Plan, Ports, World},
+    http::{call, call_with_deadline},
+    world::{Bounds, HOST, PREFIX, Plan, Ports, World},
 };
 
 pub fn play(case: &str, program: &Path, record: &str, trouble: bool) -> u8 {
@@ -19,6 +20,7 @@
         "reborn" => reborn(program, record, trouble),
         "kind" => kind(program, record, trouble),
         "room" => room(program, record, trouble),
+        "withdrawn" => withdrawn(program, record, trouble),
         "cursor" => cursor(program, record, trouble),
         _ => 2,
     }
@@ -30,7 +32,7 @@
 
 fn route(name: &str, prefix: &str, service: &str) -> Value {
     json!({
-        "name": name, "host": crate::world::HOST, "prefix": prefix, "kind": "non_idempotent",
+        "name": name, "host": HOST, "prefix": prefix, "kind": "non_idempotent",
         "timeoutMs": 3000, "targetDurationMs": 2500, "priority": 0, "service": service,
         "maxAttempts": 4, "slackFactor": 2.0,
     })
@@ -399,3 +401,83 @@
     }
     broken
 }
+
+/// Clients leave while the store is slow, and cancel what they handed in at another entry.
+fn withdrawn(program: &Path, record: &str, trouble: bool) -> u8 {
+    let Some(mut ports) = Ports::new() else { return 2 };
+    let plan = Plan {
+        entries: 3,
+        executors: executors(&mut ports, "view", "a", 4),
+        routes: vec![route("q-view", PREFIX, "view")],
+        services: vec![json!({ "name": "view", "enforcesCapacity": true })],
+        bounds: Bounds { stop_timeout_ms: 200, hold_max_ms: 6000, finish_s: 14 },
+        record,
+        program,
+    };
+    let Ok(world) = World::start(&mut ports, plan) else { return 2 };
+    if !world.wait_until_up(seconds(10.0)) {
+        world.stop();
+        return 2;
+    }
+    thread::sleep(seconds(2.0));
+    let job = json!({
+        "taskSpec": "work=0 cpu=500",
+        "steps": [{ "count": 2, "cpu": 500, "memMb": 128, "estDurationMs": 1000, "longRunning": true }],
+    });
+    let mut cancelled: Vec<(String, f64, u16)> = Vec::new();
+    for round in 0..6 {
+        let (number, other) = (round % 3, (round + 1) % 3);
+        let (first, second) = (&world.entries[number], &world.entries[other]);
+        if trouble {
+            world.record.line(&format!("{} is partitioned from the store", first.name));
+            world.store.cut.lock().unwrap().insert(number);
+        }
+        let id = world.new_id();
+        let path = format!("{PREFIX}{id}");
+        let body = job.to_string();
+        let (patience, deadline) = (seconds(0.3), crate::world::DEADLINE);
+        let answer =
+            call_with_deadline(first.front, "POST", &path, HOST, &body, patience, deadline);
+        let status = answer.map(|(status, _)| status);
+        world.record.line(&format!("client: POST {path} at {}: {status:?} in 300 ms", first.name));
+        let answer = call(second.front, "DELETE", &path, HOST, "", deadline);
+        let status = answer.map(|(status, _)| status);
+        world.record.line(&format!("client: DELETE {path} at {}: {status:?}", second.name));
+        if let Some(status) = status.filter(|status| (200..300).contains(status) || *status == 410)
+        {
+            cancelled.push((id, world.record.now().as_secs_f64(), status));
+        }
+        thread::sleep(seconds(0.3));
+        if trouble {
+            world.store.cut.lock().unwrap().clear();
+            world.record.line(&format!("{} reaches the store again", first.name));
+        }
+        thread::sleep(seconds(3.0));
+    }
+    // Calm for longer than `stabilityMs`, `cancel_ms` and `stopTimeoutMs` together.
+    thread::sleep(seconds(12.0));
+    let now = world.record.now().as_secs_f64();
+    let events = world.all_events();
+    let mut broken = Vec::new();
+    for (id, at, status) in &cancelled {
+        let of_job = || events.iter().filter(|event| event.task.starts_with(id.as_str()));
+        let starts = of_job().filter(|event| event.what == "start").count();
+        let ends = of_job()
+            .filter(|event| !["start", "noted", "done-noted"].contains(&event.what))
+            .count();
+        if starts > ends {
+            let states = world.states(PREFIX, id);
+            broken.push(format!(
+                "UNASKED: the cancelling of job {id} was acknowledged with {status} at {at:.3} s, and at {now:.3} s \
+                 {} of its work items run; its state is {states:?}",
+                starts - ends
+            ));
+        }
+    }
+    if cancelled.is_empty() {
+        println!("no cancelling was acknowledged");
+        world.stop();
+        return 2;
+    }
+    report(&world, &broken, "UNASKED")
+}
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -212,6 +212,19 @@
     host: &str,
     body: &str,
     limit: Duration,
+) -> Option<(u16, Vec<u8>)> {
+    call_with_deadline(address, method, path, host, body, limit, limit)
+}
+
+/// The same by a client that states a deadline and leaves before it.
+pub fn call_with_deadline(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    host: &str,
+    body: &str,
+    limit: Duration,
+    deadline: Duration,
 ) -> Option<(u16, Vec<u8>)> {
     let stream = TcpStream::connect_timeout(&address, limit).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
@@ -219,7 +232,7 @@
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n\
          X-Jackdawpier-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
-        limit.as_millis(),
+        deadline.as_millis(),
         body.len()
     );
     let mut out: &TcpStream = &stream;
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -1,7 +1,7 @@
 //! The platform's store: items, transactions, leases, watches.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{
         Condvar, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -45,6 +45,8 @@
     changed: Condvar,
     /// Factor on the time of each answer.
     pub slowness: AtomicU64,
+    /// Entries, by number, that are partitioned from the store: what they send is lost.
+    pub cut: Mutex<BTreeSet<usize>>,
 }
 
 fn item_json(key: &str, item: &Item) -> Value {
@@ -100,6 +102,7 @@
             state: Mutex::new(State { revision: 100, ..State::default() }),
             changed: Condvar::new(),
             slowness: AtomicU64::new(1),
+            cut: Mutex::default(),
         }
     }
 
@@ -132,7 +135,19 @@
         thread::sleep(Duration::from_millis(ANSWER_MS * factor));
     }
 
-    pub fn handle(&self, request: Request) -> Reply {
+    /// Handles a call of the entry with this number.
+    pub fn handle(&self, entry: usize, request: Request) -> Reply {
+        if self.cut.lock().unwrap().contains(&entry) {
+            return Reply::Silence(Duration::from_secs(3));
+        }
+        let reply = self.answer(request);
+        if self.cut.lock().unwrap().contains(&entry) {
+            return Reply::Silence(Duration::from_secs(3));
+        }
+        reply
+    }
+
+    fn answer(&self, request: Request) -> Reply {
         if request.path == "/kv-watch" {
             let reply = self.watch(&request);
             self.delay();
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -205,10 +205,14 @@
             record: record.clone(),
         });
         let mut servers = Vec::new();
-        let (store_address, cloud_address) = (ports.next(), ports.next());
-        let served = store.clone();
-        servers
-            .push(Server::start(store_address, Arc::new(move |request| served.handle(request)))?);
+        // The store has an address for each entry, so that one can be partitioned.
+        let store_addresses: Vec<SocketAddr> = (0..plan.entries).map(|_| ports.next()).collect();
+        for (number, address) in store_addresses.iter().enumerate() {
+            let served = store.clone();
+            let handler = move |request| served.handle(number, request);
+            servers.push(Server::start(*address, Arc::new(handler))?);
+        }
+        let cloud_address = ports.next();
         let served = machines.clone();
         servers
             .push(Server::start(cloud_address, Arc::new(move |request| served.handle(&request)))?);
@@ -246,7 +250,8 @@
                 child: Mutex::new(None),
             };
             let internal = ports.next().port();
-            let text = settings(&entry, internal, store_address, cloud_address, &plan.bounds);
+            let text =
+                settings(&entry, internal, store_addresses[number], cloud_address, &plan.bounds);
             std::fs::write(&entry.settings, text)?;
             entries.push(entry);
         }
