--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -20,6 +20,8 @@
 };
 
 pub const HEARTBEAT: Duration = Duration::from_millis(1500);
+/// Silence after which the platform drops an entry: three intervals of reports.
+const DROPPED_AFTER: Duration = Duration::from_millis(4500);
 const MAX_REPORTED_ENDS: usize = 500;
 const STEP: Duration = Duration::from_millis(2);
 /// Reading of the clock at the start.
@@ -180,6 +182,11 @@
         self.event(how, task, run.number, used);
     }
 
+    /// Returns what runs here.
+    pub fn tasks(&self) -> Vec<String> {
+        self.state.lock().unwrap().running.keys().cloned().collect()
+    }
+
     fn crash(&self) {
         self.alive.store(false, Ordering::SeqCst);
         let mut state = self.state.lock().unwrap();
@@ -394,6 +401,14 @@
         let Some((life, server)) = self.life.lock().unwrap().take() else { return };
         self.record.line(&format!("executor {} crashes (born {})", life.setup.id, life.born_ms));
         life.crash();
+        let (store, key, born) =
+            (self.store.clone(), format!("servers/{}", life.setup.id), life.born_ms);
+        thread::spawn(move || {
+            thread::sleep(DROPPED_AFTER);
+            if store.read(&key).is_some_and(|entry| entry["born"] == born) {
+                store.remove(&key);
+            }
+        });
         if dark {
             server.silence();
             let limit = Duration::from_secs(20);
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -113,6 +113,12 @@
         self.changed.notify_all();
     }
 
+    /// Removes a key on behalf of the platform.
+    pub fn remove(&self, key: &str) {
+        self.state.lock().unwrap().apply(&[], &[key.to_owned()]);
+        self.changed.notify_all();
+    }
+
     /// Returns the JSON value of an item.
     pub fn read(&self, key: &str) -> Option<Value> {
         let state = self.state.lock().unwrap();
