Stand-in 2: children of the play take signals

A child of the play inherited the blocked signals of the play itself, so a SIGTERM did not reach an entry.

--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     fs::File,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -15,7 +16,7 @@
 };
 
 use nix::{
-    sys::signal::{Signal, kill},
+    sys::signal::{SigSet, Signal, kill},
     unistd::Pid,
 };
 use serde_json::{Value, json};
@@ -332,14 +333,19 @@
 
     fn spawn(&self, entry: &Entry) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(&entry.log)?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
             .env("JACKDAWPIER_BOOT", &entry.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        // SAFETY: the closure only sets the signal mask, which is allowed between fork and exec.
+        unsafe {
+            command.pre_exec(|| Ok(SigSet::empty().thread_set_mask()?));
+        }
+        let child = command.spawn()?;
         if let Ok(mut processes) = PROCESSES.lock() {
             processes.push(child.id() as i32);
         }
