Bound the memory of all request bodies of an entry

Callers saw: an entry whose process was ended by its machine while clients sent many large bodies and stopped just short of their end.

Cause: `read_body` bounded one body and nothing bounded all of them. It kept the frames of a body, and each frame kept the buffer that it had been read into, so that a body in pieces of 64 bytes took 64 times its size. The receive buffers of the sockets were unbounded as well.

Change: a body takes room before it is filled, from a budget that is worked out from the machine's memory in the settings: a quarter is for callers, half of that for their connections (whose number it now bounds) and the rest for bodies. Bytes are copied into segments of one size. A stated length that doesn't fit is refused at the head; a body that has stalled gives way to one that arrives. The refusal is 503 or 504, as `Intake` knows of the job. The first 16 KiB of a body belong to its connection, so an ordinary request is never refused for want of room. The rest of a refused body is read and dropped, so that its sender receives the answer. A job keeps its room until it is answered, with what many steps take beyond their bytes. The receive buffers are 16 KiB.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Method, Request, Response, StatusCode,
-    body::Incoming,
+    Method, Response, StatusCode,
     header::{CONTENT_TYPE, HOST, RETRY_AFTER},
 };
 use jackdawpier_fleet::{
@@ -34,6 +33,7 @@
     owner::FleetHandle,
     pending::PendingCounter,
     ports::{CallError, Item, Platform, Route},
+    request_body::Request,
     tombstones::Tombstones,
 };
 
@@ -74,10 +74,11 @@
 
 impl<P: Platform> CallerApi<P> {
     /// Handles a request.
-    pub async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    pub async fn handle(self: Rc<Self>, request: Request) -> Reply {
         let path = request.uri().path().to_owned();
         let arrived_at = clock::now();
-        let deadline = arrived_at + self.answer_timeout(&request);
+        let stated_timeout = self.stated_timeout(&request);
+        let deadline = arrived_at + answer_timeout(stated_timeout);
         let Some(configuration) = self.active.get() else {
             return self.refuse(&path, "no configuration yet");
         };
@@ -88,7 +89,7 @@
         let key = request.headers().get(self.platform.key_header());
         let key = key.map(|value| ApiKey::new(value.as_bytes()));
         let is_submission = *request.method() == Method::POST;
-        let credentials = Credentials { key, arrived_at, deadline, is_submission };
+        let credentials = Credentials { key, arrived_at, stated_timeout, deadline, is_submission };
         let id = path[route.prefix.len()..].to_owned();
         let logged_id = if id.is_empty() { &path } else { &id };
         let mut query = JobQuery::new(arrived_at);
@@ -113,7 +114,8 @@
         let id: JobId = id.into();
         match *request.method() {
             Method::POST => {
-                self.submit(&route, id, request, configuration.limits, &credentials).await
+                self.submit(&route, id, request.into_body(), configuration.limits, credentials)
+                    .await
             }
             Method::GET => {
                 self.query_job(&id, account.as_ref(), store_deadline(deadline), query).await
@@ -130,7 +132,7 @@
         route: &Route,
         credentials: &Credentials,
     ) -> Result<Option<AccountName>, Reply> {
-        let Credentials { key, arrived_at, deadline, is_submission } = credentials;
+        let Credentials { key, arrived_at, deadline, is_submission, .. } = credentials;
         let give_up_at = (*deadline).min(clock::now() + PROOF_TIMEOUT);
         loop {
             let Some(configuration) = self.active.get() else {
@@ -164,17 +166,11 @@
     }
 
     /// Returns the timeout that a caller states.
-    pub(crate) fn stated_timeout(&self, request: &Request<Incoming>) -> Option<Duration> {
+    fn stated_timeout(&self, request: &Request) -> Option<Duration> {
         let header = request.headers().get(self.platform.deadline_header())?;
         header.to_str().ok()?.parse().ok().map(Duration::from_millis)
     }
 
-    /// Returns how long after the arrival of a request its answer has to be sent.
-    fn answer_timeout(&self, request: &Request<Incoming>) -> Duration {
-        let timeout = self.stated_timeout(request).unwrap_or(DEFAULT_TIMEOUT);
-        timeout.saturating_sub(ANSWER_MARGIN)
-    }
-
     /// Answers a query for a job.
     async fn query_job(
         &self,
@@ -330,11 +326,17 @@
 pub(crate) struct Credentials {
     key: Option<ApiKey>,
     pub(crate) arrived_at: Now,
+    pub(crate) stated_timeout: Option<Duration>,
     pub(crate) deadline: Now,
     /// Whether the request submits a job.
     is_submission: bool,
 }
 
+/// Returns how long after the arrival of a request its answer has to be sent.
+fn answer_timeout(stated: Option<Duration>) -> Duration {
+    stated.unwrap_or(DEFAULT_TIMEOUT).saturating_sub(ANSWER_MARGIN)
+}
+
 /// What is read next about a job. A job that was only submitted has no record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LookupStep {
--- a/crates/jackdawpier_entry/src/connections.rs
+++ b/crates/jackdawpier_entry/src/connections.rs
@@ -11,13 +11,18 @@
     time::Duration,
 };
 
-use jackdawpier_kernel::Now;
+use jackdawpier_http::request_body::BodyMemory;
+use jackdawpier_kernel::{
+    Now,
+    body_budget::BodyLimits,
+    caller_memory::{CONNECTION_BODY_BYTES, MB},
+};
 use tokio::{sync::Notify, time::timeout};
 
 use crate::clock;
 
 /// Half of the file descriptors of the smallest machine.
-const DEFAULT_MAX_OPEN: usize = 1500;
+pub(crate) const DEFAULT_MAX_OPEN: usize = 1500;
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Idle timeout of a connection if the configuration contains none.
 pub const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -26,13 +31,19 @@
 const DEFAULT_IDLE_MARGIN: Duration = Duration::from_secs(3);
 /// A connection that was used within this time isn't evicted: its caller's next request may be in transit.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(100);
+/// Connections that make room for new ones, in this order, each after this wait.
+const EVICTION_ORDER: [(Phase, Duration); 2] =
+    [(Phase::Idle, MIN_IDLE_BEFORE_EVICTION), (Phase::Discarding, Duration::ZERO)];
+/// Default size of the request bodies of a port.
+const DEFAULT_BODY_BYTES: usize = 16 * MB;
 /// Minimum delay between two checks for overdue connections.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Limits of a port.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionLimits {
-    /// Maximum number of open connections; at this limit the longest idle one is closed for a new one.
+    /// Maximum number of open connections; at this limit one that holds up others is closed for a new one, an idle
+    /// one first.
     pub max_open: usize,
     /// Time from the first byte of a request head until it is complete.
     pub header_timeout: Duration,
@@ -58,7 +69,7 @@
     fn timeout_of(&self, phase: Phase) -> Duration {
         match phase {
             Phase::Head => self.header_timeout,
-            Phase::Idle | Phase::Busy | Phase::Answered => {
+            Phase::Idle | Phase::Busy | Phase::Answered | Phase::Discarding => {
                 self.idle_timeout.saturating_add(self.idle_margin)
             }
         }
@@ -72,7 +83,7 @@
     pub open: usize,
     /// Connections closed after the idle timeout.
     pub idle_closed: u64,
-    /// Idle connections closed to make room for new ones.
+    /// Connections closed to make room for new ones.
     pub evicted: u64,
     /// Connections aborted because a head wasn't completed or an answer wasn't received in time.
     pub aborted: u64,
@@ -89,6 +100,8 @@
     Busy,
     /// The answer is ready, but may not be sent completely.
     Answered,
+    /// The answer was sent, and the rest of the request's body is being discarded.
+    Discarding,
 }
 
 /// Why a connection is to be closed. It stays open if a request arrives before that.
@@ -132,12 +145,15 @@
     /// Begin of the first wait in the current phase.
     since: Cell<Option<Now>>,
     is_waiting: Cell<bool>,
+    /// Whether a part of the request's body is left to discard.
+    is_discarding: Cell<bool>,
     close_reason: Cell<Option<CloseReason>>,
     waker: RefCell<Option<Waker>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
+    bodies: BodyMemory,
     waiting: RefCell<BTreeMap<WaitKey, Rc<State>>>,
     counts: Cell<ConnectionCounts>,
     last_id: Cell<ConnectionId>,
@@ -148,10 +164,36 @@
 }
 
 /// The open connections of a port.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Connections(Rc<Shared>);
 
+impl Default for Connections {
+    fn default() -> Self {
+        Self::new(DEFAULT_BODY_BYTES)
+    }
+}
+
 impl Connections {
+    /// Creates the connections of a port, with `body_bytes` for the bodies of all requests beyond what counts as memory
+    /// of their connections.
+    pub fn new(body_bytes: usize) -> Self {
+        let limits = BodyLimits { total_bytes: body_bytes, uncounted_bytes: CONNECTION_BODY_BYTES };
+        Self(Rc::new(Shared {
+            bodies: BodyMemory::new(limits),
+            waiting: RefCell::default(),
+            counts: Cell::default(),
+            last_id: Cell::default(),
+            changed: Notify::new(),
+            is_closed: Cell::default(),
+            closed: Notify::new(),
+        }))
+    }
+
+    /// Returns the memory for the bodies of their requests.
+    pub fn bodies(&self) -> &BodyMemory {
+        &self.0.bodies
+    }
+
     /// Returns the numbers of open and closed connections.
     pub fn counts(&self) -> ConnectionCounts {
         self.0.counts.get()
@@ -162,8 +204,10 @@
     pub async fn close(&self, deadline: Now) {
         self.0.is_closed.set(true);
         self.0.closed.notify_waiters();
-        while let Some(key) = self.0.longest_waiting(Phase::Idle) {
-            self.0.request_close(key, CloseReason::Shutdown);
+        for phase in [Phase::Idle, Phase::Discarding] {
+            while let Some(key) = self.0.longest_waiting(phase) {
+                self.0.request_close(key, CloseReason::Shutdown);
+            }
         }
         loop {
             let changed = self.0.changed.notified();
@@ -194,6 +238,7 @@
             phase: Cell::new(Phase::Idle),
             since: Cell::new(None),
             is_waiting: Cell::new(false),
+            is_discarding: Cell::new(false),
             close_reason: Cell::new(None),
             waker: RefCell::default(),
         };
@@ -202,20 +247,18 @@
         connection
     }
 
-    /// Evicts idle connections until fewer than `max_open` are open.
-    pub(crate) async fn evict_idle(&self, max_open: usize) {
+    /// Evicts connections until fewer than `max_open` are open.
+    pub(crate) async fn make_room(&self, max_open: usize) {
         while self.counts().open >= max_open {
-            self.evict_longest_idle(MIN_IDLE_BEFORE_EVICTION).await;
+            self.evict_one(MIN_IDLE_BEFORE_EVICTION).await;
         }
     }
 
-    /// Evicts the connection that has been idle longest, unless it was used very recently, and waits up to
-    /// `max_wait` until any connection is closed.
-    pub(crate) async fn evict_longest_idle(&self, max_wait: Duration) {
+    /// Evicts the connection that others can spare best, if there is one, and waits up to `max_wait` until any
+    /// connection is closed.
+    pub(crate) async fn evict_one(&self, max_wait: Duration) {
         let changed = self.0.changed.notified();
-        if let Some(key) = self.0.longest_waiting(Phase::Idle)
-            && clock::since(key.since) >= MIN_IDLE_BEFORE_EVICTION
-        {
+        if let Some(key) = self.0.evictable() {
             self.0.request_close(key, CloseReason::Evicted);
         }
         // The caller checks whether there is room.
@@ -249,6 +292,13 @@
         (key.phase == phase).then_some(*key)
     }
 
+    /// Returns the waiting connection to evict next.
+    fn evictable(&self) -> Option<WaitKey> {
+        EVICTION_ORDER.into_iter().find_map(|(phase, min_wait)| {
+            self.longest_waiting(phase).filter(|key| clock::since(key.since) >= min_wait)
+        })
+    }
+
     /// Returns the number of connections that have received a part of a request head.
     fn partial_heads(&self) -> usize {
         let waiting = self.waiting.borrow();
@@ -289,6 +339,11 @@
 }
 
 impl Connection {
+    /// Returns the memory for the bodies of its requests.
+    pub(crate) fn bodies(&self) -> &BodyMemory {
+        &self.shared.bodies
+    }
+
     /// Sets the waker of the task that serves the connection.
     pub(crate) fn set_waker(&self, waker: &Waker) {
         *self.state.waker.borrow_mut() = Some(waker.clone());
@@ -306,6 +361,19 @@
         self.enter_phase(Phase::Busy);
     }
 
+    /// Notes that the rest of the request's body is going to be discarded, until [`Self::on_discarded`].
+    pub(crate) fn on_discard(&self) {
+        self.state.is_discarding.set(true);
+    }
+
+    /// Notes that no more of the request's body is going to be discarded.
+    pub(crate) fn on_discarded(&self) {
+        self.state.is_discarding.set(false);
+        if self.state.phase.get() == Phase::Discarding {
+            self.wait_for_request();
+        }
+    }
+
     /// Notes that the answer to a request is ready.
     pub(crate) fn on_answer_ready(&self) {
         self.enter_phase(Phase::Answered);
@@ -316,11 +384,12 @@
         if self.state.phase.get() != Phase::Answered {
             return;
         }
-        self.enter_phase(Phase::Idle);
-        if self.shared.is_closed.get() {
-            self.state.close_reason.set(Some(CloseReason::Shutdown));
-        }
-        self.start_waiting(Phase::Idle);
+        self.wait_for_request();
+    }
+
+    /// Returns whether the connection is to be closed although the rest of a body still arrives.
+    pub(crate) fn is_discard_ended(&self) -> bool {
+        self.state.phase.get() == Phase::Discarding && self.state.close_reason.get().is_some()
     }
 
     /// Notes that no byte can be read now. Returns whether the connection is to be closed.
@@ -353,6 +422,21 @@
         if is_idle { CloseMode::Graceful } else { CloseMode::Abort }
     }
 
+    /// Enters the phase after an answer has been sent.
+    fn wait_for_request(&self) {
+        let is_discarding = self.state.is_discarding.get();
+        let phase = if is_discarding { Phase::Discarding } else { Phase::Idle };
+        self.enter_phase(phase);
+        if self.shared.is_closed.get() {
+            self.state.close_reason.set(Some(CloseReason::Shutdown));
+        }
+        self.start_waiting(phase);
+        if is_discarding {
+            // The connection may be evicted now.
+            self.shared.changed.notify_waiters();
+        }
+    }
+
     fn enter_phase(&self, phase: Phase) {
         self.stop_waiting();
         self.clear_close_reason();
--- a/crates/jackdawpier_entry/src/http_server.rs
+++ b/crates/jackdawpier_entry/src/http_server.rs
@@ -13,27 +13,32 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response,
+    Response,
     body::Incoming,
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
+use jackdawpier_http::request_body::discard;
+use jackdawpier_kernel::caller_memory::RECEIVE_BUFFER_BYTES;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
 };
 
 use crate::{
     connections::{Connection, ConnectionLimits, Connections},
     http_client::SendFailure,
+    request_body::{Request, RequestBody, UnreadBody},
     watched_stream::{WatchedStream, is_readable},
 };
 
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of a request head and of the buffer of a connection.
-const MAX_BUFFER_BYTES: usize = 16 * 1024;
+pub const MAX_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
 
 /// The response of a handler.
 pub type Reply = Response<Full<Bytes>>;
@@ -74,7 +79,7 @@
     stopping: watch::Receiver<bool>,
 ) -> io::Result<()>
 where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Reply> + 'static,
 {
     let (connections, limits) = (Connections::default(), ConnectionLimits::default);
@@ -95,14 +100,14 @@
 ) -> io::Result<()>
 where
     L: Fn() -> ConnectionLimits,
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Reply> + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen(address)?;
     let serve_stream = |stream| {
         let (handler, in_flight) = (handler.clone(), in_flight.clone());
-        let serving =
-            serve_connection(stream, connections.open(), handler, in_flight, stopping.clone());
+        let connection = connections.open();
+        let serving = serve_connection(stream, connection, handler, in_flight, stopping.clone());
         tokio::task::spawn_local(serving);
     };
     tokio::select! {
@@ -113,7 +118,17 @@
     Ok(())
 }
 
-/// Accepts new connections until it is cancelled, closing idle ones if a limit is reached.
+/// Listens for connections whose receive buffers are small, since a connection that isn't read holds a full one.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    // The kernel doubles the size.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32 / 2)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts new connections until it is cancelled, closing others if a limit is reached.
 async fn accept(
     listener: &TcpListener,
     connections: &Connections,
@@ -123,14 +138,14 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                connections.evict_idle(limits().max_open).await;
+                connections.make_room(limits().max_open).await;
                 serve_stream(stream);
             }
             Err(error)
                 if SendFailure::from_io(&error) == SendFailure::NoDescriptor
                     && is_readable(listener) =>
             {
-                connections.evict_longest_idle(ACCEPT_RETRY_DELAY).await;
+                connections.evict_one(ACCEPT_RETRY_DELAY).await;
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
@@ -144,7 +159,7 @@
     in_flight: InFlight,
     stopping: watch::Receiver<bool>,
 ) where
-    H: Fn(Request<Incoming>) -> F,
+    H: Fn(Request) -> F,
     F: Future<Output = Reply>,
 {
     // A failure is reported when the connection is used.
@@ -156,13 +171,19 @@
     })
     .await;
     let stream = WatchedStream::new(stream, connection.clone());
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
         connection.on_request();
         let guard = InFlightGuard::new(in_flight.clone());
-        let reply = handler(request);
+        let unread = UnreadBody::default();
+        let (rest, bodies) = (unread.clone(), connection.bodies().clone());
+        let reply = handler(request.map(|body| RequestBody::new(body, unread, bodies)));
         let (connection, stopping) = (connection.clone(), stopping.clone());
         async move {
             let mut reply = reply.await;
+            if let Some(rest) = rest.take() {
+                connection.on_discard();
+                tokio::task::spawn_local(discard_rest(rest, connection.clone()));
+            }
             if *stopping.borrow() {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -178,3 +199,9 @@
         .serve_connection(stream, service)
         .await;
 }
+
+/// Discards the rest of a body beside the answer to its request. The connection is closed if more remains.
+async fn discard_rest(rest: Incoming, connection: Rc<Connection>) {
+    discard(rest).await;
+    connection.on_discarded();
+}
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod ports;
 pub mod record_size;
 pub mod registry;
+pub mod request_body;
 pub mod response_progress;
 pub mod run;
 pub mod settings;
--- a/crates/jackdawpier_entry/src/log_volume.rs
+++ b/crates/jackdawpier_entry/src/log_volume.rs
@@ -6,8 +6,9 @@
 use jackdawpier_kernel::Now;
 
 /// Kinds of events that a busy owner emits hundreds of times a second.
-const ROUTINE_KINDS: [&str; 9] = [
+const ROUTINE_KINDS: [&str; 10] = [
     "answered",
+    "body_refused",
     "job_in",
     "pace",
     "pool_lacks",
--- a/crates/jackdawpier_entry/src/metrics.rs
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -12,6 +12,7 @@
 };
 
 use jackdawpier_fleet::fleet::{Obstacles, WaitingJobs};
+use jackdawpier_http::request_body::BodyMemory;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -121,6 +122,8 @@
     frozen_executors: Gauge,
     open_connections: Gauge,
     closed_connections: Family<ClosedLabels, Counter>,
+    body_bytes: Gauge,
+    body_limit_bytes: Gauge,
     advised_executors: Family<AnswerLabels, Counter>,
     rejections: Family<RejectionLabels, Counter>,
     rejection_labels: HashSet<RejectionLabels>,
@@ -155,6 +158,11 @@
         let closed_connections = Family::<ClosedLabels, Counter>::default();
         let help = "Connections of the callers' port that this entry ended, by reason";
         registry.register("closed_connections", help, closed_connections.clone());
+        let body_bytes = Gauge::default();
+        let help = "Memory of request bodies beyond the part that counts as their connections'";
+        registry.register("body_bytes", help, body_bytes.clone());
+        let body_limit_bytes = Gauge::default();
+        registry.register("body_limit_bytes", "Maximum of body_bytes", body_limit_bytes.clone());
         let advised_executors = Family::<AnswerLabels, Counter>::default();
         let help = "Executors that the placement advisor was asked about, by its answer";
         registry.register("advised_executors", help, advised_executors.clone());
@@ -179,6 +187,8 @@
             frozen_executors,
             open_connections,
             closed_connections,
+            body_bytes,
+            body_limit_bytes,
             advised_executors,
             rejections,
             rejection_labels: HashSet::new(),
@@ -279,6 +289,13 @@
         }
     }
 
+    /// Sets the memory of the request bodies of the callers' port.
+    pub fn set_bodies(&self, bodies: &BodyMemory) {
+        let inner = self.0.borrow();
+        inner.body_bytes.set(bodies.held_bytes() as i64);
+        inner.body_limit_bytes.set(bodies.limits().total_bytes as i64);
+    }
+
     /// Returns all metrics in the text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -1,6 +1,6 @@
 //! Start, reload and shutdown of an entry process.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -25,6 +25,7 @@
     owner::{self, FleetHandle},
     pending::PendingCounter,
     ports::Platform,
+    request_body::Request,
     settings::EntrySettings,
     speed::{self, MachineSpeed},
     tombstones::Tombstones,
@@ -35,6 +36,8 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2500);
 /// The process exits this long before it would be killed.
 const KILL_MARGIN: Duration = Duration::from_millis(800);
+/// Maximum number of connections of each port that isn't for callers.
+const MAX_INTERNAL_CONNECTIONS: usize = 64;
 /// Interval between checks for requests in flight during shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -91,10 +94,11 @@
         admission: AdmissionControl::new(events.clone()),
         events: events.clone(),
     });
-    let connections = Connections::default();
+    let memory = settings.caller_memory();
+    let connections = Connections::new(memory.body_bytes);
     let limits = {
         let active = active.clone();
-        move || connection_limits(&active)
+        move || ConnectionLimits { max_open: memory.max_connections, ..connection_limits(&active) }
     };
     let answer = move |request| callers.clone().handle(request);
     let serving = http_server::serve_with_limits(
@@ -115,7 +119,7 @@
             async move { ready_reply(is_ready) }
         }
     };
-    let serving = http_server::serve(settings.ready, ready, InFlight::default(), stopping.clone());
+    let serving = serve_internal(settings.ready, ready, stopping.clone());
     tokio::task::spawn_local(report_failure("ready", serving, events.clone()));
 
     if let Some(address) = settings.metrics {
@@ -124,10 +128,11 @@
         let answer = move |_| {
             metrics.set_proof_age(active.proof_age());
             metrics.set_connections(connections.counts());
+            metrics.set_bodies(connections.bodies());
             let text = metrics.text();
             async move { Response::new(Full::new(Bytes::from(text))) }
         };
-        let serving = http_server::serve(address, answer, InFlight::default(), stopping.clone());
+        let serving = serve_internal(address, answer, stopping.clone());
         tokio::task::spawn_local(report_failure("metrics", serving, events.clone()));
     }
 
@@ -145,6 +150,22 @@
     Ok(())
 }
 
+/// Serves a port that isn't for callers: its peers open few connections and send no bodies.
+async fn serve_internal<H, F>(
+    address: SocketAddr,
+    handler: H,
+    stopping: watch::Receiver<bool>,
+) -> io::Result<()>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = http_server::Reply> + 'static,
+{
+    let limits =
+        || ConnectionLimits { max_open: MAX_INTERNAL_CONNECTIONS, ..ConnectionLimits::default() };
+    let (connections, in_flight) = (Connections::default(), InFlight::default());
+    http_server::serve_with_limits(address, connections, limits, handler, in_flight, stopping).await
+}
+
 /// Returns the limits of the callers' port from the configuration in force.
 fn connection_limits(active: &ActiveConfiguration) -> ConnectionLimits {
     let defaults = ConnectionLimits::default();
--- a/crates/jackdawpier_entry/src/settings.rs
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -2,6 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use jackdawpier_kernel::caller_memory::{CallerMemory, MB};
+
+use crate::{connections::DEFAULT_MAX_OPEN, http_server::MAX_BUFFER_BYTES};
+
+/// Divisor of the machine's memory that gives what callers may make the process hold. The rest is for the owner's state.
+const CALLERS_DIVISOR: usize = 4;
+
 /// The settings of an entry.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
@@ -11,6 +18,8 @@
     pub cpu_share: f64,
     /// Bandwidth of its link, in megabits per second.
     pub link_mbps: f64,
+    /// Memory of the machine, in megabytes.
+    pub memory_mb: usize,
     /// Address of the port for callers.
     pub callers: SocketAddr,
     /// Address of the readiness check of the load balancer.
@@ -39,3 +48,11 @@
     /// How long the state of a job is kept after its end.
     pub job_retention: Duration,
 }
+
+impl EntrySettings {
+    /// Returns what callers may make the process hold.
+    pub fn caller_memory(&self) -> CallerMemory {
+        let total_bytes = self.memory_mb * MB / CALLERS_DIVISOR;
+        CallerMemory::divide(total_bytes, MAX_BUFFER_BYTES, DEFAULT_MAX_OPEN)
+    }
+}
--- a/crates/jackdawpier_entry/src/submission.rs
+++ b/crates/jackdawpier_entry/src/submission.rs
@@ -5,12 +5,15 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use derive_more::Display;
-use http_body_util::{BodyExt, Limited};
-use hyper::{Request, StatusCode, body::Incoming, header::RETRY_AFTER};
-use jackdawpier_fleet::{admission::Admission, spec::Submission};
-use jackdawpier_kernel::{Now, ids::JobId};
+use derive_more::{Display, From};
+use hyper::{StatusCode, header::RETRY_AFTER};
+use jackdawpier_fleet::{admission::Admission, job_size, spec::Submission};
+use jackdawpier_http::request_body::{BodyError, BodyReader, BodyRoom, ReceivedBody};
+use jackdawpier_kernel::{
+    Now,
+    body_budget::{BodyFigures, NoRoom},
+    ids::JobId,
+};
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
@@ -22,6 +25,7 @@
     keys,
     metrics::Latency,
     ports::{CallerLimits, Platform, Route},
+    request_body::RequestBody,
 };
 
 /// Maximum time to receive the body of a request whose caller states no timeout.
@@ -33,12 +37,14 @@
         &self,
         route: &Route,
         id: JobId,
-        request: Request<Incoming>,
+        body: RequestBody,
         limits: CallerLimits,
-        credentials: &Credentials,
+        credentials: Credentials,
     ) -> Reply {
-        let submission = match self.receive(route, &id, request, limits, credentials).await {
-            Ok(submission) => submission,
+        let received = self.receive(route, &id, body, limits, &credentials).await;
+        // The job keeps its room until it is answered.
+        let (submission, _room) = match received {
+            Ok(received) => received,
             Err(reply) => return reply,
         };
         let received_at = clock::now();
@@ -80,29 +86,78 @@
         self.outcome_reply(id, self.intake.refused_outcome(id), why)
     }
 
-    /// Receives the body of a request and returns the job, or the reply if it can't be submitted.
+    /// Receives the body of a request and returns the job with its room, or the reply if it can't be submitted.
     async fn receive(
         &self,
         route: &Route,
         id: &JobId,
-        request: Request<Incoming>,
+        body: RequestBody,
         limits: CallerLimits,
         credentials: &Credentials,
-    ) -> Result<Submission, Reply> {
-        let body_timeout = self.stated_timeout(&request).unwrap_or(DEFAULT_BODY_TIMEOUT);
+    ) -> Result<(Submission, BodyRoom), Reply> {
+        let body_timeout = credentials.stated_timeout.unwrap_or(DEFAULT_BODY_TIMEOUT);
         let read_by = credentials.arrived_at + body_timeout;
-        let body = read_body(request.into_body(), limits.body_bytes, read_by)
-            .await
-            .map_err(|error| self.error_reply(id, error.status(), &error.to_string()))?;
+        let body = self.read_body(id, body, limits.body_bytes, read_by).await?;
         // The key may have been revoked while the body was received.
         let account = self.authorize(id, route, credentials).await?;
         let spec = self
             .platform
-            .read_job(&body)
+            .read_job(&body.bytes)
             .map_err(|error| self.error_reply(id, StatusCode::BAD_REQUEST, &error.to_string()))?;
+        let room = body.room;
+        if let Err(why) = room.reserve(job_size::memory_bytes(&spec)) {
+            return Err(self.refuse_body(id, why.into(), room.figures()));
+        }
         let queue = route.queue.name.clone();
         let settings = Some(route.queue.clone());
-        Ok(Submission { queue, settings, account, accepted_ms: clock::wall_ms(), spec })
+        let submission =
+            Submission { queue, settings, account, accepted_ms: clock::wall_ms(), spec };
+        Ok((submission, room))
+    }
+
+    /// Reads the body of a request. Beyond a stated length that doesn't fit, nothing is read.
+    async fn read_body(
+        &self,
+        id: &JobId,
+        body: RequestBody,
+        max_bytes: usize,
+        read_by: Now,
+    ) -> Result<ReceivedBody, Reply> {
+        let memory = body.memory();
+        let mut reader = BodyReader::new(body, &memory, max_bytes);
+        let time_left = read_by.saturating_sub(clock::now());
+        let read = timeout(time_left, read_to_end(&mut reader)).await;
+        let figures = reader.figures();
+        match read {
+            Err(_) => Err(self.refuse_body(id, Unreceived::Late, figures)),
+            Ok(Err(error)) => Err(self.refuse_body(id, error.into(), figures)),
+            Ok(Ok(())) => reader.finish().map_err(|why| self.refuse_body(id, why.into(), figures)),
+        }
+    }
+
+    /// Answers a request whose body wasn't received. The request has no effect, but an earlier one may have stored the job.
+    fn refuse_body(&self, id: &JobId, why: Unreceived, figures: BodyFigures) -> Reply {
+        let fields = json!({
+            "job": **id,
+            "how": why.name(),
+            "held_bytes": figures.room_bytes,
+            "received_bytes": figures.received_bytes,
+            "age_ms": figures.age.as_millis() as u64,
+            "stalled_ms": figures.stalled_for.as_millis() as u64,
+            "budget_held_bytes": figures.budget_held_bytes,
+            "budget_bytes": figures.budget_bytes,
+        });
+        self.events.emit("body_refused", fields);
+        match why {
+            Unreceived::Late => self.error_reply(id, StatusCode::REQUEST_TIMEOUT, &why.to_string()),
+            Unreceived::Body(BodyError::TooLarge) => {
+                self.error_reply(id, StatusCode::PAYLOAD_TOO_LARGE, &why.to_string())
+            }
+            Unreceived::Body(BodyError::Aborted) => {
+                self.error_reply(id, StatusCode::BAD_REQUEST, &why.to_string())
+            }
+            Unreceived::Body(BodyError::NoRoom(_)) => self.refuse_submission(id, &why.to_string()),
+        }
     }
 
     /// Returns for how long the store hasn't answered, if it didn't answer the last write nor any call since.
@@ -161,29 +216,32 @@
     }
 }
 
-/// Why the body of a request can't be used. Such a request has no effect.
-#[derive(Debug, Clone, Copy, Display)]
-enum BodyError {
+/// Why the body of a request can't be used.
+#[derive(Debug, Clone, Copy, Display, From)]
+enum Unreceived {
     /// It wasn't complete before the deadline.
     #[display("the body didn't arrive in time; nothing was done")]
     Late,
-    /// It exceeds the configured limit, or the caller disconnected.
-    #[display("the body is too large")]
-    TooLarge,
+    /// It was refused or aborted.
+    #[from(BodyError, NoRoom)]
+    Body(BodyError),
 }
 
-impl BodyError {
-    fn status(self) -> StatusCode {
+impl Unreceived {
+    /// Returns the reason as a label of log lines and metrics.
+    fn name(self) -> &'static str {
         match self {
-            Self::Late => StatusCode::REQUEST_TIMEOUT,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Late => "late",
+            Self::Body(BodyError::TooLarge) => "too_large",
+            Self::Body(BodyError::Aborted) => "aborted",
+            Self::Body(BodyError::NoRoom(NoRoom::Full)) => "no_room",
+            Self::Body(BodyError::NoRoom(NoRoom::Evicted)) => "evicted",
         }
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, read_by: Now) -> Result<Bytes, BodyError> {
-    let time_left = read_by.saturating_sub(clock::now());
-    let read = timeout(time_left, Limited::new(body, max_bytes).collect()).await;
-    let body = read.map_err(|_| BodyError::Late)?.map_err(|_| BodyError::TooLarge)?;
-    Ok(body.to_bytes())
+async fn read_to_end(reader: &mut BodyReader<RequestBody>) -> Result<(), BodyError> {
+    reader.reserve_stated_length()?;
+    while !reader.receive().await? {}
+    Ok(())
 }
--- a/crates/jackdawpier_entry/src/watched_stream.rs
+++ b/crates/jackdawpier_entry/src/watched_stream.rs
@@ -54,6 +54,10 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.connection.is_discard_ended() {
+            self.connection.close();
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         if let Poll::Ready(read) = self.stream().poll_read(context, buffer) {
             self.connection.on_bytes_received();
             return Poll::Ready(read);
--- a/crates/jackdawpier_entry/tests/support/entry.rs
+++ b/crates/jackdawpier_entry/tests/support/entry.rs
@@ -11,9 +11,10 @@
     admission::AdmissionControl,
     callers::CallerApi,
     configuration::{ActiveConfiguration, follow},
+    connections::{ConnectionLimits, Connections},
     events::Events,
     freshness::prove_configuration,
-    http_server::{InFlight, serve},
+    http_server::{InFlight, serve_with_limits},
     owner::FleetHandle,
     pending::PendingCounter,
 };
@@ -30,9 +31,33 @@
     pub fake: Fake,
     pub address: SocketAddr,
     pub events: Events,
+    pub connections: Connections,
     _stop: watch::Sender<bool>,
 }
 
+/// How an entry is started.
+pub struct EntryOptions {
+    /// For how long a proof of the keys is valid; none for no limit.
+    pub valid_for: Option<Duration>,
+    /// The fleet, while the entry owns it.
+    pub owner: FleetHandle,
+    /// Limits of its connections.
+    pub limits: ConnectionLimits,
+    /// Memory for the bodies of requests.
+    pub body_bytes: usize,
+}
+
+impl Default for EntryOptions {
+    fn default() -> Self {
+        Self {
+            valid_for: None,
+            owner: FleetHandle::default(),
+            limits: ConnectionLimits::default(),
+            body_bytes: 1024 * 1024,
+        }
+    }
+}
+
 impl Entry {
     /// Starts an entry whose proofs of keys expire after `valid_for`, and waits until it has a configuration. Writes a
     /// minimal configuration if the store has none.
@@ -46,6 +71,12 @@
         valid_for: Option<Duration>,
         owner: FleetHandle,
     ) -> Self {
+        Self::start_with(fake, EntryOptions { valid_for, owner, ..EntryOptions::default() }).await
+    }
+
+    /// As [`Entry::start`], with all options.
+    pub async fn start_with(fake: &Fake, options: EntryOptions) -> Self {
+        let EntryOptions { valid_for, owner, limits, body_bytes } = options;
         if fake.value(CONFIGURATION).is_none() {
             fake.put(CONFIGURATION, b"1");
         }
@@ -71,21 +102,35 @@
         drop(listener);
         let (stop, stopping) = watch::channel(false);
         let answer = move |request| callers.clone().handle(request);
-        tokio::task::spawn_local(serve(address, answer, InFlight::default(), stopping));
+        let connections = Connections::new(body_bytes);
+        let serving = serve_with_limits(
+            address,
+            connections.clone(),
+            move || limits,
+            answer,
+            InFlight::default(),
+            stopping,
+        );
+        tokio::task::spawn_local(serving);
         let is_ready =
             || active.get().is_some() && (valid_for.is_none() || active.proof_age().is_some());
         assert!(wait_until(is_ready).await);
-        Self { fake: fake.clone(), address, events, _stop: stop }
+        Self { fake: fake.clone(), address, events, connections, _stop: stop }
     }
 
-    /// Sends one request and returns the whole answer.
-    pub async fn request(&self, method: &str, path: &str, key: Option<&str>) -> String {
-        let mut stream = loop {
+    /// Opens a connection as soon as the port listens.
+    pub async fn connect(&self) -> TcpStream {
+        loop {
             match TcpStream::connect(self.address).await {
-                Ok(stream) => break stream,
+                Ok(stream) => return stream,
                 Err(_) => tokio::task::yield_now().await,
             }
-        };
+        }
+    }
+
+    /// Sends one request and returns the whole answer.
+    pub async fn request(&self, method: &str, path: &str, key: Option<&str>) -> String {
+        let mut stream = self.connect().await;
         let key = key.map_or(String::new(), |key| format!("x-key: {key}\r\n"));
         let head = format!(
             "{method} {path} HTTP/1.1\r\nhost: host\r\n{key}connection: close\r\ncontent-length: 2\r\n\r\n{{}}"
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -97,6 +97,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Fake(Rc<RefCell<State>>, Rc<Cell<bool>>);
 
+/// Maximum size of a request body.
+pub const MAX_BODY_BYTES: usize = 262_144;
 /// Maximum size of a value.
 pub const MAX_VALUE_BYTES: usize = 1_048_576;
 /// Timeout of a call.
--- a/crates/jackdawpier_entry/tests/support/fake/outside.rs
+++ b/crates/jackdawpier_entry/tests/support/fake/outside.rs
@@ -21,7 +21,9 @@
 };
 use jackdawpier_kernel::ids::{AccountName, ExecutorId};
 
-use super::{super::submission, CONFIGURATION, EXECUTOR, Fake, QUEUE, UNREADABLE, machine_id};
+use super::{
+    super::submission, CONFIGURATION, EXECUTOR, Fake, MAX_BODY_BYTES, QUEUE, UNREADABLE, machine_id,
+};
 
 impl ExecutorControl for Fake {
     async fn start(&self, _target: &OrderTarget, order: &StartOrder) -> StartOutcome {
@@ -222,7 +224,7 @@
         accounts: Vec::new(),
         keys: None,
         limits: CallerLimits {
-            body_bytes: 1000,
+            body_bytes: MAX_BODY_BYTES,
             header_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(15),
         },
--- a/crates/jackdawpier_entry/tests/support/mod.rs
+++ b/crates/jackdawpier_entry/tests/support/mod.rs
@@ -23,9 +23,10 @@
     spec::{JobSpec, Resources, StepSpec, Submission},
 };
 
-pub use entry::Entry;
+pub use entry::{Entry, EntryOptions};
 pub use fake::{
-    CONFIGURATION, EXECUTOR, Fake, MAX_VALUE_BYTES, QUEUE, UNREADABLE, WriteFault, configuration,
+    CONFIGURATION, EXECUTOR, Fake, MAX_BODY_BYTES, MAX_VALUE_BYTES, QUEUE, UNREADABLE, WriteFault,
+    configuration,
 };
 
 pub fn submission() -> Submission {
@@ -50,6 +51,7 @@
         entry: entry.to_owned(),
         cpu_share: 1.0,
         link_mbps: 1000.0,
+        memory_mb: 160,
         callers: ([127, 0, 0, 1], 0).into(),
         ready: ([127, 0, 0, 1], 0).into(),
         metrics: None,
--- a/crates/jackdawpier_entry/tests/support/port.rs
+++ b/crates/jackdawpier_entry/tests/support/port.rs
@@ -10,10 +10,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming};
+use hyper::Response;
 use jackdawpier_entry::{
     connections::{ConnectionLimits, Connections},
     http_server::{InFlight, Reply, serve_with_limits},
+    request_body::Request,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -49,7 +50,7 @@
     pub stop: watch::Sender<bool>,
 }
 
-async fn answer(request: Request<Incoming>) -> Reply {
+async fn answer(request: Request) -> Reply {
     let body = match request.uri().path() {
         "/slow" => {
             tokio::time::sleep(SLOW_ANSWER_DELAY).await;
--- a/crates/jackdawpier_http/src/lib.rs
+++ b/crates/jackdawpier_http/src/lib.rs
@@ -4,6 +4,8 @@
 //! `docs/design/callers-port.md` has the measurement and the decision. A slow caller occupies a
 //! connection for a bounded time, and never a thread.
 
+pub mod request_body;
+
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
--- a/crates/jackdawpier_kernel/src/lib.rs
+++ b/crates/jackdawpier_kernel/src/lib.rs
@@ -4,7 +4,9 @@
 //! [`std::time::Duration`] since an arbitrary start, supplied by the drivers.
 //! See `docs/ARCHITECTURE.md` for how the crates fit together.
 
+pub mod body_budget;
 pub mod budget;
+pub mod caller_memory;
 pub mod diagnostic;
 pub mod fair_queue;
 pub mod headers;
--- a/crates/jackdawpier_standin/src/lib.rs
+++ b/crates/jackdawpier_standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here is part of the product. Each stand-in is the smallest thing that keeps to the
 //! published behaviour and can be made to fail on demand; see `CONTRIBUTING.md`.
 
+pub mod crowd;
 pub mod executor;
 pub mod faults;
 pub mod instance_list;
@@ -10,6 +11,7 @@
 pub mod load;
 pub mod load_report;
 pub mod process;
+pub mod process_usage;
 pub mod relay;
 pub mod store_model;
 pub mod store_server;
