--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -39,6 +39,8 @@
 
 /// Timeout of a caller that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum time for which a request waits, whatever its caller states, so that it doesn't take memory for days.
+pub const MAX_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time between sending the answer and the timeout of the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Value of `Retry-After`, in seconds, for requests that are refused because the store is unavailable.
@@ -68,6 +70,8 @@
     pub pending: PendingCounter,
     /// Decides which jobs are passed to the store while queues are overloaded.
     pub admission: AdmissionControl,
+    /// Upper limit of the timeouts that callers state.
+    pub max_timeout: Duration,
     /// Log lines.
     pub events: Events,
 }
@@ -165,10 +169,11 @@
         }
     }
 
-    /// Returns the timeout that a caller states.
+    /// Returns the timeout that a caller states, up to the maximum.
     fn stated_timeout(&self, request: &Request) -> Option<Duration> {
         let header = request.headers().get(self.platform.deadline_header())?;
-        header.to_str().ok()?.parse().ok().map(Duration::from_millis)
+        let stated = header.to_str().ok()?.parse().ok().map(Duration::from_millis)?;
+        Some(stated.min(self.max_timeout))
     }
 
     /// Answers a query for a job.
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -15,7 +15,7 @@
 use crate::{
     acceptance::{self, Intake},
     admission::AdmissionControl,
-    callers::CallerApi,
+    callers::{CallerApi, MAX_TIMEOUT},
     clock,
     configuration::{self, ActiveConfiguration},
     connections::{ConnectionLimits, Connections},
@@ -92,6 +92,7 @@
         owner: handle.clone(),
         pending: PendingCounter::default(),
         admission: AdmissionControl::new(events.clone()),
+        max_timeout: MAX_TIMEOUT,
         events: events.clone(),
     });
     let memory = settings.caller_memory();
--- a/crates/jackdawpier_entry/tests/bodies.rs
+++ b/crates/jackdawpier_entry/tests/bodies.rs
@@ -140,6 +140,21 @@
     });
 }
 
+/// A caller that stated a deadline of a day held memory for as long.
+#[test]
+fn deadline_of_a_day() {
+    run(async {
+        let max_timeout = Duration::from_millis(300);
+        let options = EntryOptions { max_timeout, ..EntryOptions::default() };
+        let entry = Entry::start_with(&Fake::default(), options).await;
+        let mut client = Client::connect(&entry).await;
+        client.send_head("x-deadline-ms: 86400000\r\ncontent-length: 1000").await;
+        client.send(&[b' '; 999]).await;
+        assert_eq!(client.status().await, 408);
+        assert_no_room_is_held(&entry).await;
+    });
+}
+
 /// A body whose stated length doesn't fit is refused at its head, and the client may come back.
 #[test]
 fn refused_at_head() {
@@ -225,6 +240,39 @@
     });
 }
 
+/// The room of a body is given back however its request ends.
+#[test]
+fn room_given_back() {
+    run(async {
+        let max_timeout = Duration::from_millis(500);
+        let options = EntryOptions { max_timeout, ..EntryOptions::default() };
+        let entry = Entry::start_with(&Fake::default(), options).await;
+        assert_eq!(submit(&entry, MAX_BODY_BYTES).await, 200);
+        assert_no_room_is_held(&entry).await;
+
+        let mut broken_off = Client::connect(&entry).await;
+        broken_off.send_body(MAX_BODY_BYTES, 1).await;
+        wait_for_bodies(&entry, 1).await;
+        drop(broken_off);
+        assert_no_room_is_held(&entry).await;
+
+        let mut late = Client::connect(&entry).await;
+        late.send_head(&format!("x-deadline-ms: 60000\r\ncontent-length: {MAX_BODY_BYTES}")).await;
+        assert_eq!(late.status().await, 408);
+        assert_no_room_is_held(&entry).await;
+
+        let mut malformed = Client::connect(&entry).await;
+        malformed.send_head("transfer-encoding: chunked").await;
+        malformed.send(b"no chunk\r\n").await;
+        malformed.answer().await;
+        assert_no_room_is_held(&entry).await;
+
+        entry.fake.set_down(true);
+        assert_ne!(submit(&entry, MAX_BODY_BYTES).await, 200);
+        assert_no_room_is_held(&entry).await;
+    });
+}
+
 /// A body on a request that takes none doesn't disturb the next request of its connection.
 #[test]
 fn body_of_a_query() {
--- a/crates/jackdawpier_entry/tests/support/entry.rs
+++ b/crates/jackdawpier_entry/tests/support/entry.rs
@@ -9,7 +9,7 @@
 use jackdawpier_entry::{
     acceptance::{Intake, write_jobs},
     admission::AdmissionControl,
-    callers::CallerApi,
+    callers::{CallerApi, MAX_TIMEOUT},
     configuration::{ActiveConfiguration, follow},
     connections::{ConnectionLimits, Connections},
     events::Events,
@@ -45,6 +45,8 @@
     pub limits: ConnectionLimits,
     /// Memory for the bodies of requests.
     pub body_bytes: usize,
+    /// Upper limit of the timeouts that callers state.
+    pub max_timeout: Duration,
 }
 
 impl Default for EntryOptions {
@@ -54,6 +56,7 @@
             owner: FleetHandle::default(),
             limits: ConnectionLimits::default(),
             body_bytes: 1024 * 1024,
+            max_timeout: MAX_TIMEOUT,
         }
     }
 }
@@ -76,7 +79,7 @@
 
     /// As [`Entry::start`], with all options.
     pub async fn start_with(fake: &Fake, options: EntryOptions) -> Self {
-        let EntryOptions { valid_for, owner, limits, body_bytes } = options;
+        let EntryOptions { valid_for, owner, limits, body_bytes, max_timeout } = options;
         if fake.value(CONFIGURATION).is_none() {
             fake.put(CONFIGURATION, b"1");
         }
@@ -95,6 +98,7 @@
             owner,
             pending: PendingCounter::default(),
             admission: AdmissionControl::new(events.clone()),
+            max_timeout,
             events: events.clone(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
