Let unfinished requests make room in a full port

Callers saw: no answer from an entry whose port was full of requests that didn't come to their end.

Cause: a connection whose body or head is incomplete counted as busy, so it neither counted as idle nor made room; a new caller waited until its timeout had passed.

Change: after idle connections and refused bodies, a half head and then a body that has been behind 16 KiB a second for one second make room.

--- a/crates/jackdawpier_entry/src/connections.rs
+++ b/crates/jackdawpier_entry/src/connections.rs
@@ -14,7 +14,7 @@
 use jackdawpier_http::request_body::BodyMemory;
 use jackdawpier_kernel::{
     Now,
-    body_budget::BodyLimits,
+    body_budget::{BodyLimits, MAX_STALL},
     caller_memory::{CONNECTION_BODY_BYTES, MB},
 };
 use tokio::{sync::Notify, time::timeout};
@@ -31,9 +31,12 @@
 const DEFAULT_IDLE_MARGIN: Duration = Duration::from_secs(3);
 /// A connection that was used within this time isn't evicted: its caller's next request may be in transit.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(100);
-/// Connections that make room for new ones, in this order, each after this wait.
-const EVICTION_ORDER: [(Phase, Duration); 2] =
-    [(Phase::Idle, MIN_IDLE_BEFORE_EVICTION), (Phase::Discarding, Duration::ZERO)];
+/// Connections that make room for new ones, in this order, each after this wait; after them those of stalled bodies.
+const EVICTION_ORDER: [(Phase, Duration); 3] = [
+    (Phase::Idle, MIN_IDLE_BEFORE_EVICTION),
+    (Phase::Discarding, Duration::ZERO),
+    (Phase::Head, MAX_STALL),
+];
 /// Default size of the request bodies of a port.
 const DEFAULT_BODY_BYTES: usize = 16 * MB;
 /// Minimum delay between two checks for overdue connections.
@@ -258,8 +261,9 @@
     /// connection is closed.
     pub(crate) async fn evict_one(&self, max_wait: Duration) {
         let changed = self.0.changed.notified();
-        if let Some(key) = self.0.evictable() {
-            self.0.request_close(key, CloseReason::Evicted);
+        match self.0.evictable() {
+            Some(key) => self.0.request_close(key, CloseReason::Evicted),
+            None => drop(self.0.bodies.evict_stalled()),
         }
         // The caller checks whether there is room.
         let _ = timeout(max_wait, changed).await;
--- a/crates/jackdawpier_entry/tests/bodies.rs
+++ b/crates/jackdawpier_entry/tests/bodies.rs
@@ -273,6 +273,63 @@
     });
 }
 
+/// Requests whose bodies didn't come filled the port, and new callers waited for their deadlines.
+#[test]
+fn port_full_of_bodies() {
+    run(async {
+        let entry = start_with_connections(4).await;
+        let mut unfinished = Vec::new();
+        for _ in 0..4 {
+            let mut client = Client::connect(&entry).await;
+            client.send_head("x-deadline-ms: 60000\r\ncontent-length: 1000").await;
+            unfinished.push(client);
+        }
+        wait_for_bodies(&entry, 4).await;
+        assert_eq!(submit(&entry, ORDINARY_BYTES).await, 200);
+        // All but the evicted one still have their connections.
+        for client in &mut unfinished[1..] {
+            client.send(&[b' '; 1000]).await;
+            assert_eq!(client.status().await, 200);
+        }
+    });
+}
+
+/// A trickling body occupied its connection for as long as its client liked.
+#[test]
+fn port_full_of_trickling_bodies() {
+    run(async {
+        let entry = start_with_connections(1).await;
+        let mut trickling = Client::connect(&entry).await;
+        trickling.send_head("x-deadline-ms: 60000\r\ncontent-length: 100000").await;
+        wait_for_bodies(&entry, 1).await;
+        let trickle = async {
+            while trickling.stream.write_all(b" ").await.is_ok() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::select! {
+            status = submit(&entry, ORDINARY_BYTES) => assert_eq!(status, 200),
+            () = trickle => unreachable!("the newcomer is answered before the evicted client sees its end"),
+        }
+    });
+}
+
+/// Half request heads filled the port, and new callers waited for the header timeout.
+#[test]
+fn port_full_of_heads() {
+    run(async {
+        let entry = start_with_connections(2).await;
+        let mut partial = Vec::new();
+        for _ in 0..2 {
+            let mut client = Client::connect(&entry).await;
+            client.send(b"POST /a/job HT").await;
+            partial.push(client);
+        }
+        assert!(wait_until(|| entry.connections.counts().open == 2).await);
+        assert_eq!(submit(&entry, ORDINARY_BYTES).await, 200);
+    });
+}
+
 /// A body on a request that takes none doesn't disturb the next request of its connection.
 #[test]
 fn body_of_a_query() {
