Serve a slow body of a caller that states no deadline

Callers saw: 503 for a job whose body took longer than 3 s, although it had been received whole and the store answered.

Cause: such a body had 15 s to arrive, and the answer a deadline of 3 s after the head.

Change: without a stated deadline the time for the answer begins when the body is complete.

Evidence: `bodies.rs`, `slow_body` (3.3 s): 503 without the change, now 200.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -337,6 +337,15 @@
     is_submission: bool,
 }
 
+impl Credentials {
+    /// Notes that the body has been received. The timeout of a caller that states none begins only then.
+    pub(crate) fn on_body_received(&mut self) {
+        if self.stated_timeout.is_none() {
+            self.deadline = clock::now() + answer_timeout(None);
+        }
+    }
+}
+
 /// Returns how long after the arrival of a request its answer has to be sent.
 fn answer_timeout(stated: Option<Duration>) -> Duration {
     stated.unwrap_or(DEFAULT_TIMEOUT).saturating_sub(ANSWER_MARGIN)
--- a/crates/jackdawpier_entry/src/submission.rs
+++ b/crates/jackdawpier_entry/src/submission.rs
@@ -39,9 +39,9 @@
         id: JobId,
         body: RequestBody,
         limits: CallerLimits,
-        credentials: Credentials,
+        mut credentials: Credentials,
     ) -> Reply {
-        let received = self.receive(route, &id, body, limits, &credentials).await;
+        let received = self.receive(route, &id, body, limits, &mut credentials).await;
         // The job keeps its room until it is answered.
         let (submission, _room) = match received {
             Ok(received) => received,
@@ -93,11 +93,12 @@
         id: &JobId,
         body: RequestBody,
         limits: CallerLimits,
-        credentials: &Credentials,
+        credentials: &mut Credentials,
     ) -> Result<(Submission, BodyRoom), Reply> {
         let body_timeout = credentials.stated_timeout.unwrap_or(DEFAULT_BODY_TIMEOUT);
         let read_by = credentials.arrived_at + body_timeout;
         let body = self.read_body(id, body, limits.body_bytes, read_by).await?;
+        credentials.on_body_received();
         // The key may have been revoked while the body was received.
         let account = self.authorize(id, route, credentials).await?;
         let spec = self
--- a/crates/jackdawpier_entry/tests/bodies.rs
+++ b/crates/jackdawpier_entry/tests/bodies.rs
@@ -102,6 +102,21 @@
     });
 }
 
+/// A body that comes slowly is received as long as nobody needs its room.
+#[test]
+fn slow_body() {
+    run(async {
+        let entry = start(ONE_BODY).await;
+        let mut client = Client::connect(&entry).await;
+        client.send_body(MAX_BODY_BYTES, 3).await;
+        for _ in 0..3 {
+            tokio::time::sleep(STALL).await;
+            client.send(b" ").await;
+        }
+        assert_eq!(client.status().await, 200);
+    });
+}
+
 /// The frames of a body kept many times its size.
 #[test]
 fn tiny_chunks() {
