Bound the memory of all request bodies of the daemon

Callers saw: nothing yet on this interface; by its defaults 4,096 connections could hold 1 MiB each, and a port that was full of unfinished bodies let nobody in until their timeouts.

Cause: `read_body` had a least rate and a limit for one body, and none for all; the buffer of a growing body took up to twice its size, and the request a copy of it.

Change: the same budget as in the entry, written once (`body_budget.rs`, `request_body.rs`). A new setting, `limits.memory_mb`, says what the machine has; half of it is for callers. For a connection beyond the maximum a body that has stalled is evicted. A refusal is 503 `not_run` with `no_memory`, or 504 `unknown` for a request with a key, since an earlier one may have run. The stall limit is part of the limits, so that tests of refusals don't depend on the machine's speed; a body that could never fit is refused with 413.

--- a/crates/jackdawpier_entry/src/connections.rs
+++ b/crates/jackdawpier_entry/src/connections.rs
@@ -15,7 +15,7 @@
 use jackdawpier_kernel::{
     Now,
     body_budget::{BodyLimits, MAX_STALL},
-    caller_memory::{CONNECTION_BODY_BYTES, MB},
+    caller_memory::MB,
 };
 use tokio::{sync::Notify, time::timeout};
 
@@ -37,6 +37,8 @@
     (Phase::Discarding, Duration::ZERO),
     (Phase::Head, MAX_STALL),
 ];
+/// Maximum time until a request whose body was evicted is answered.
+const MAX_REFUSAL_TIME: Duration = Duration::from_secs(1);
 /// Default size of the request bodies of a port.
 const DEFAULT_BODY_BYTES: usize = 16 * MB;
 /// Minimum delay between two checks for overdue connections.
@@ -172,15 +174,13 @@
 
 impl Default for Connections {
     fn default() -> Self {
-        Self::new(DEFAULT_BODY_BYTES)
+        Self::new(BodyLimits::new(DEFAULT_BODY_BYTES))
     }
 }
 
 impl Connections {
-    /// Creates the connections of a port, with `body_bytes` for the bodies of all requests beyond what counts as memory
-    /// of their connections.
-    pub fn new(body_bytes: usize) -> Self {
-        let limits = BodyLimits { total_bytes: body_bytes, uncounted_bytes: CONNECTION_BODY_BYTES };
+    /// Creates the connections of a port; the bodies of their requests have these limits.
+    pub fn new(limits: BodyLimits) -> Self {
         Self(Rc::new(Shared {
             bodies: BodyMemory::new(limits),
             waiting: RefCell::default(),
@@ -261,10 +261,15 @@
     /// connection is closed.
     pub(crate) async fn evict_one(&self, max_wait: Duration) {
         let changed = self.0.changed.notified();
-        match self.0.evictable() {
-            Some(key) => self.0.request_close(key, CloseReason::Evicted),
-            None => drop(self.0.bodies.evict_stalled()),
-        }
+        let max_wait = match self.0.evictable() {
+            Some(key) => {
+                self.0.request_close(key, CloseReason::Evicted);
+                max_wait
+            }
+            // The connection of an evicted body is evicted once its request is answered.
+            None if self.0.bodies.evict_stalled() => MAX_REFUSAL_TIME,
+            None => max_wait,
+        };
         // The caller checks whether there is room.
         let _ = timeout(max_wait, changed).await;
     }
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
-use jackdawpier_kernel::Now;
+use jackdawpier_kernel::{Now, body_budget::BodyLimits};
 use serde_json::json;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -96,7 +96,7 @@
         events: events.clone(),
     });
     let memory = settings.caller_memory();
-    let connections = Connections::new(memory.body_bytes);
+    let connections = Connections::new(BodyLimits::new(memory.body_bytes));
     let limits = {
         let active = active.clone();
         move || ConnectionLimits { max_open: memory.max_connections, ..connection_limits(&active) }
--- a/crates/jackdawpier_entry/src/submission.rs
+++ b/crates/jackdawpier_entry/src/submission.rs
@@ -233,10 +233,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Late => "late",
-            Self::Body(BodyError::TooLarge) => "too_large",
-            Self::Body(BodyError::Aborted) => "aborted",
-            Self::Body(BodyError::NoRoom(NoRoom::Full)) => "no_room",
-            Self::Body(BodyError::NoRoom(NoRoom::Evicted)) => "evicted",
+            Self::Body(error) => error.name(),
         }
     }
 }
--- a/crates/jackdawpier_entry/tests/bodies.rs
+++ b/crates/jackdawpier_entry/tests/bodies.rs
@@ -5,6 +5,7 @@
 use std::{cell::Cell, time::Duration};
 
 use jackdawpier_entry::connections::ConnectionLimits;
+use jackdawpier_kernel::body_budget::BodyLimits;
 use support::{Entry, EntryOptions, Fake, MAX_BODY_BYTES, run, wait_until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -21,9 +22,10 @@
 /// Size of an ordinary body.
 const ORDINARY_BYTES: usize = 4_500;
 
+/// Starts an entry with room for this many bytes, whose bodies don't count as stalled.
 async fn start(body_bytes: usize) -> Entry {
-    Entry::start_with(&Fake::default(), EntryOptions { body_bytes, ..EntryOptions::default() })
-        .await
+    let bodies = BodyLimits { max_stall: Duration::MAX, ..BodyLimits::new(body_bytes) };
+    Entry::start_with(&Fake::default(), EntryOptions { bodies, ..EntryOptions::default() }).await
 }
 
 async fn start_with_connections(max_open: usize) -> Entry {
@@ -228,7 +230,9 @@
 #[test]
 fn stalled_body() {
     run(async {
-        let entry = start(ONE_BODY).await;
+        let bodies = BodyLimits::new(ONE_BODY);
+        let options = EntryOptions { bodies, ..EntryOptions::default() };
+        let entry = Entry::start_with(&Fake::default(), options).await;
         let mut stalled = Client::connect(&entry).await;
         stalled.send_body(MAX_BODY_BYTES, 1).await;
         wait_for_bodies(&entry, 1).await;
--- a/crates/jackdawpier_entry/tests/support/entry.rs
+++ b/crates/jackdawpier_entry/tests/support/entry.rs
@@ -18,6 +18,7 @@
     owner::FleetHandle,
     pending::PendingCounter,
 };
+use jackdawpier_kernel::body_budget::BodyLimits;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -43,8 +44,8 @@
     pub owner: FleetHandle,
     /// Limits of its connections.
     pub limits: ConnectionLimits,
-    /// Memory for the bodies of requests.
-    pub body_bytes: usize,
+    /// Limits of the bodies of requests.
+    pub bodies: BodyLimits,
     /// Upper limit of the timeouts that callers state.
     pub max_timeout: Duration,
 }
@@ -55,7 +56,7 @@
             valid_for: None,
             owner: FleetHandle::default(),
             limits: ConnectionLimits::default(),
-            body_bytes: 1024 * 1024,
+            bodies: BodyLimits::new(1024 * 1024),
             max_timeout: MAX_TIMEOUT,
         }
     }
@@ -79,7 +80,7 @@
 
     /// As [`Entry::start`], with all options.
     pub async fn start_with(fake: &Fake, options: EntryOptions) -> Self {
-        let EntryOptions { valid_for, owner, limits, body_bytes, max_timeout } = options;
+        let EntryOptions { valid_for, owner, limits, bodies, max_timeout } = options;
         if fake.value(CONFIGURATION).is_none() {
             fake.put(CONFIGURATION, b"1");
         }
@@ -106,7 +107,7 @@
         drop(listener);
         let (stop, stopping) = watch::channel(false);
         let answer = move |request| callers.clone().handle(request);
-        let connections = Connections::new(body_bytes);
+        let connections = Connections::new(bodies);
         let serving = serve_with_limits(
             address,
             connections.clone(),
--- a/crates/jackdawpier_http/src/lib.rs
+++ b/crates/jackdawpier_http/src/lib.rs
@@ -4,30 +4,45 @@
 //! `docs/design/callers-port.md` has the measurement and the decision. A slow caller occupies a
 //! connection for a bounded time, and never a thread.
 
+mod refusal_log;
 pub mod request_body;
 
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+pub use hyper::HeaderMap;
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode,
+    Method, Request, Response, StatusCode,
     body::Incoming,
     header::{HeaderName, HeaderValue},
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use jackdawpier_kernel::{
+    body_budget::{BodyLimits, NoRoom},
+    caller_memory::RECEIVE_BUFFER_BYTES,
+};
+use refusal_log::RefusalLog;
+use request_body::{BodyError, BodyMemory, BodyReader, ReceivedBody, discard};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
     task::JoinSet,
-    time::Instant,
+    time::{Instant, timeout, timeout_at},
 };
 
 /// Delay after a failed accept, for example while no file descriptor is free.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum size of a request head in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+pub const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Time for which a new connection waits before one whose request's body has stalled is closed for it.
+const EVICTION_DELAY: Duration = Duration::from_millis(100);
+/// Maximum time to wait until that connection is closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Value of `Retry-After` of a refused body, in seconds: after this long others that have stalled make room.
+const RETRY_AFTER_S: u64 = 1;
 /// Maximum number of headers in a request.
 const MAX_HEADERS: usize = 64;
 
@@ -98,35 +113,52 @@
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Handles one request and returns the reply.
     fn handle(&self, request: IncomingRequest) -> impl Future<Output = Reply> + Send;
+
+    /// Returns the reply to a request whose body isn't received for want of room.
+    fn refuse_body(&self, _headers: &HeaderMap, why: NoRoom) -> Reply {
+        Reply::new(503, "text/plain", format!("{why}\n")).with_header("retry-after", RETRY_AFTER_S)
+    }
 }
 
-/// Serves until `stop` becomes true, then completes the requests in flight.
+/// Serves like [`serve_within`], with room for the largest body on each connection.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     limits: ServerLimits,
     handler: H,
+    stop: watch::Receiver<bool>,
+) {
+    let total_bytes = limits.max_connections.saturating_mul(limits.max_body_bytes);
+    let bodies = BodyMemory::new(BodyLimits::new(total_bytes));
+    serve_within(listener, limits, bodies, handler, stop).await;
+}
+
+/// Serves until `stop` becomes true, then completes the requests in flight. Their bodies take room from `bodies`.
+pub async fn serve_within<H: Handler>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    bodies: BodyMemory,
+    handler: H,
     mut stop: watch::Receiver<bool>,
 ) {
+    // Connections inherit the size, which the kernel doubles. One that isn't read holds a full buffer.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES / 2);
     let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let server = Server { limits, bodies, refusal_log: Arc::default(), handler };
     let mut connections = JoinSet::new();
     loop {
-        let permit = Arc::clone(&permits).acquire_owned();
         let accepted = tokio::select! {
             () = wait_for_stop(&mut stop) => break,
-            accepted = async {
-                let permit = permit.await.expect("the semaphore is never closed");
-                (permit, listener.accept().await)
-            } => accepted,
+            accepted = accept(&listener, &permits, &server.bodies) => accepted,
         };
         match accepted {
-            (permit, Ok((stream, _))) => {
-                let connection = serve_connection(stream, limits, handler.clone(), stop.clone());
+            Ok((stream, permit)) => {
+                let connection = serve_connection(stream, server.clone(), stop.clone());
                 connections.spawn(async move {
                     connection.await;
                     drop(permit);
                 });
             }
-            (_, Err(error)) => {
+            Err(error) => {
                 log::warn!(event = "accept_failed"; "{error}");
                 tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
             }
@@ -137,14 +169,30 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Accepts a connection, and waits until there are fewer than the maximum.
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+    bodies: &BodyMemory,
+) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let (stream, _) = listener.accept().await?;
+    let mut max_wait = EVICTION_DELAY;
+    loop {
+        if let Ok(permit) = timeout(max_wait, Arc::clone(permits).acquire_owned()).await {
+            return Ok((stream, permit.expect("the semaphore is never closed")));
+        }
+        max_wait = if bodies.evict_stalled() { CLOSE_TIMEOUT } else { EVICTION_DELAY };
+    }
+}
+
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
-    limits: ServerLimits,
-    handler: H,
+    server: Server<H>,
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| handle_request(request, limits, handler.clone()));
+    let limits = server.limits;
+    let service = service_fn(move |request| handle_request(request, server.clone()));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.read_timeout)
@@ -172,57 +220,99 @@
     }
 }
 
-async fn handle_request<H: Handler>(
-    request: Request<Incoming>,
+/// What the connections of a server share.
+#[derive(Clone)]
+struct Server<H> {
     limits: ServerLimits,
+    bodies: BodyMemory,
+    refusal_log: Arc<RefusalLog>,
     handler: H,
+}
+
+async fn handle_request<H: Handler>(
+    request: Request<Incoming>,
+    server: Server<H>,
 ) -> Result<Response<ReplyBody>, Infallible> {
+    let Server { limits, bodies, refusal_log, handler } = server;
     let (parts, body) = request.into_parts();
-    let reply = match read_body(body, limits).await {
-        Err(BodyError::TimedOut) => {
+    let reader = BodyReader::new(body, &bodies, limits.max_body_bytes);
+    let reply = match read_body(reader, limits.read_timeout, &refusal_log).await {
+        Err(Unreceived::TimedOut) => {
             Reply::new(408, "text/plain", "the body did not arrive in time\n")
         }
-        Err(BodyError::TooLargeOrAborted) => {
+        Err(Unreceived::Body(BodyError::TooLarge | BodyError::Aborted)) => {
             let max_bytes = limits.max_body_bytes;
             let text = format!("the body has more than {max_bytes} bytes or was cut off\n");
             Reply::new(413, "text/plain", text)
         }
-        Ok(body) => {
+        Err(Unreceived::Body(BodyError::NoRoom(why))) => handler.refuse_body(&parts.headers, why),
+        Ok(ReceivedBody { bytes, room }) => {
             let path =
                 parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string);
+            let body = bytes.into();
             let request =
                 IncomingRequest { method: parts.method, path, headers: parts.headers, body };
-            handler.handle(request).await
+            let reply = handler.handle(request).await;
+            drop(room);
+            reply
         }
     };
     Ok(into_response(reply))
 }
 
 /// Reason why a body was not received completely.
-enum BodyError {
+#[derive(Debug, derive_more::From)]
+enum Unreceived {
     /// The caller paused for too long or sent too slowly.
     TimedOut,
-    /// The body is too large, or the connection was closed.
-    TooLargeOrAborted,
+    /// The body was refused, or the connection was closed.
+    #[from(BodyError, NoRoom)]
+    Body(BodyError),
+}
+
+impl Unreceived {
+    /// Returns the reason as a label of log lines.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::TimedOut => "late",
+            Self::Body(error) => error.name(),
+        }
+    }
+}
+
+/// Reads a body. What remains of one that is too large, or for which there is no room, is discarded beside the answer.
+async fn read_body(
+    mut reader: BodyReader<Incoming>,
+    read_timeout: Duration,
+    refusal_log: &RefusalLog,
+) -> Result<ReceivedBody, Unreceived> {
+    let Err(error) = read_to_end(&mut reader, read_timeout).await else {
+        return Ok(reader.finish()?);
+    };
+    refusal_log.write(error.name(), &reader.figures());
+    // The client of an evicted body doesn't send, and its connection is needed.
+    if matches!(error, Unreceived::Body(BodyError::TooLarge | BodyError::NoRoom(NoRoom::Full))) {
+        tokio::spawn(discard(reader.into_rest()));
+    }
+    Err(error)
 }
 
 /// Reads a body. There is no timeout for the whole body, only for each pause and for a transfer
 /// rate below [`MIN_BODY_BYTES_PER_S`].
-async fn read_body(body: Incoming, limits: ServerLimits) -> Result<Bytes, BodyError> {
-    let mut body = Limited::new(body, limits.max_body_bytes);
-    let mut received = BytesMut::new();
+async fn read_to_end(
+    reader: &mut BodyReader<Incoming>,
+    read_timeout: Duration,
+) -> Result<(), Unreceived> {
+    reader.reserve_stated_length()?;
     let started_at = Instant::now();
     loop {
         let transfer_allowance =
-            Duration::from_secs_f64(received.len() as f64 / MIN_BODY_BYTES_PER_S);
-        let stall_deadline = Instant::now() + limits.read_timeout;
-        let deadline = stall_deadline.min(started_at + limits.read_timeout + transfer_allowance);
-        let frame = tokio::time::timeout_at(deadline, body.frame()).await;
-        let Some(frame) = frame.map_err(|_| BodyError::TimedOut)? else {
-            return Ok(received.freeze());
-        };
-        if let Ok(data) = frame.map_err(|_| BodyError::TooLargeOrAborted)?.into_data() {
-            received.extend_from_slice(&data);
+            Duration::from_secs_f64(reader.received_bytes() as f64 / MIN_BODY_BYTES_PER_S);
+        let stall_deadline = Instant::now() + read_timeout;
+        let deadline = stall_deadline.min(started_at + read_timeout + transfer_allowance);
+        let received = timeout_at(deadline, reader.receive()).await;
+        if received.map_err(|_| Unreceived::TimedOut)?? {
+            return Ok(());
         }
     }
 }
--- a/crates/jackdawpier_http/src/request_body.rs
+++ b/crates/jackdawpier_http/src/request_body.rs
@@ -40,6 +40,18 @@
     NoRoom(NoRoom),
 }
 
+impl BodyError {
+    /// Returns the reason as a label of log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::TooLarge => "too_large",
+            Self::Aborted => "aborted",
+            Self::NoRoom(NoRoom::Full) => "no_room",
+            Self::NoRoom(NoRoom::Evicted) => "evicted",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     budget: Mutex<BodyBudget>,
@@ -139,8 +151,9 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    /// Begins to receive a body of at most `max_bytes`.
+    /// Begins to receive a body of at most `max_bytes`, and of no more than can ever fit.
     pub fn new(body: B, memory: &BodyMemory, max_bytes: usize) -> Self {
+        let max_bytes = max_bytes.min(memory.limits().largest_body_bytes());
         Self { body, room: memory.begin(), max_bytes, received_bytes: 0 }
     }
 
@@ -191,6 +204,11 @@
         Ok(memory.budget().append(self.room.id, memory.now(), data)?)
     }
 
+    /// Returns the number of received bytes.
+    pub fn received_bytes(&self) -> usize {
+        self.received_bytes
+    }
+
     /// Returns a body that is complete.
     pub fn finish(self) -> Result<ReceivedBody, NoRoom> {
         let bytes = self.room.memory.budget().complete(self.room.id)?;
--- a/crates/jackdawpier_kernel/src/body_budget.rs
+++ b/crates/jackdawpier_kernel/src/body_budget.rs
@@ -4,15 +4,15 @@
 //! same however the body is divided into frames, and freed segments fit all other bodies. When there is no room, bodies that have stalled are evicted first.
 //! See `docs/design/body-memory.md`.
 
-use std::{collections::BTreeMap, task::Waker, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, task::Waker, time::Duration};
 
 use derive_more::{Display, Error};
 
-use crate::Now;
+use crate::{Now, caller_memory::CONNECTION_BODY_BYTES};
 
 /// A body that is received more slowly falls behind and may be evicted.
 const MIN_BYTES_PER_S: f64 = 16_384.0;
-/// A body that is behind by this time may be evicted.
+/// Time by which a body may be behind; after that it may be evicted.
 pub const MAX_STALL: Duration = Duration::from_secs(1);
 /// Size of a segment.
 const SEGMENT_BYTES: usize = 8 * 1024;
@@ -28,9 +28,21 @@
     /// Size of the part of each body that doesn't count, because the number of connections limits it. A body that
     /// isn't larger is never refused for want of room.
     pub uncounted_bytes: usize,
+    /// Time by which a body may be behind the minimum rate; after that it may be evicted.
+    pub max_stall: Duration,
 }
 
 impl BodyLimits {
+    /// Returns the default limits for a budget of this size.
+    pub fn new(total_bytes: usize) -> Self {
+        Self { total_bytes, uncounted_bytes: CONNECTION_BODY_BYTES, max_stall: MAX_STALL }
+    }
+
+    /// Returns the size of the largest body that fits while there is no other.
+    pub fn largest_body_bytes(&self) -> usize {
+        self.total_bytes.saturating_add(self.uncounted_bytes)
+    }
+
     fn counted(&self, room_bytes: usize) -> usize {
         room_bytes.saturating_sub(self.uncounted_bytes)
     }
@@ -96,8 +108,8 @@
         now.saturating_sub(self.progress_at)
     }
 
-    fn is_stalled(&self, now: Now) -> bool {
-        self.state == State::Receiving && self.stalled_for(now) >= MAX_STALL
+    fn is_stalled(&self, now: Now, max_stall: Duration) -> bool {
+        self.state == State::Receiving && self.stalled_for(now) >= max_stall
     }
 
     /// Orders bodies by what they cost others: the room that they take times the time for which they have stalled.
@@ -233,7 +245,7 @@
 
     /// Evicts the stalled body that costs others most, since its connection is needed. Returns whether there was one.
     pub fn evict_stalled(&mut self, now: Now) -> bool {
-        let costliest = self.costliest(now, |_| true);
+        let costliest = costliest(self.stalled(now), now);
         costliest.into_iter().for_each(|id| self.evict(id));
         costliest.is_some()
     }
@@ -257,22 +269,22 @@
     /// Evicts stalled bodies, the costliest first, until `extra` bytes are free for the body `id`. Evicts none if that
     /// isn't enough.
     fn make_room(&mut self, id: BodyId, now: Now, extra: usize) -> Result<(), NoRoom> {
+        if extra <= self.free_bytes() {
+            return Ok(());
+        }
         let limits = self.limits;
-        let counts =
-            |other: BodyId, body: &Body| other != id && limits.counted(body.room_bytes) > 0;
-        let stalled_bytes = || {
-            let stalled = self
-                .bodies
-                .iter()
-                .filter(|(other, body)| counts(**other, body) && body.is_stalled(now));
-            stalled.map(|(_, body)| limits.counted(body.room_bytes)).sum::<usize>()
-        };
-        if extra > self.free_bytes() && extra > self.free_bytes() + stalled_bytes() {
+        let others = || self.stalled(now).filter(|(other, _)| *other != id);
+        let evictable_bytes: usize =
+            others().map(|(_, body)| limits.counted(body.room_bytes)).sum();
+        if extra > self.free_bytes() + evictable_bytes {
             return Err(NoRoom::Full);
         }
         while extra > self.free_bytes() {
-            let costliest = self.costliest(now, |(other, body)| counts(other, body));
-            self.evict(costliest.expect("the stalled bodies take enough room"));
+            let counted = self
+                .stalled(now)
+                .filter(|(other, body)| *other != id && limits.counted(body.room_bytes) > 0);
+            let costliest = costliest(counted, now).expect("the stalled bodies take enough room");
+            self.evict(costliest);
         }
         Ok(())
     }
@@ -281,10 +293,10 @@
         self.limits.total_bytes.saturating_sub(self.held_bytes)
     }
 
-    fn costliest(&self, now: Now, is_eligible: impl Fn((BodyId, &Body)) -> bool) -> Option<BodyId> {
-        let stalled = self.bodies.iter().filter(|(_, body)| body.is_stalled(now));
-        let eligible = stalled.filter(|(id, body)| is_eligible((**id, body)));
-        eligible.max_by_key(|(_, body)| body.cost(now)).map(|(id, _)| *id)
+    fn stalled(&self, now: Now) -> impl Iterator<Item = (BodyId, &Body)> {
+        let max_stall = self.limits.max_stall;
+        let bodies = self.bodies.iter().map(|(id, body)| (*id, body));
+        bodies.filter(move |(_, body)| body.is_stalled(now, max_stall))
     }
 
     /// Frees the room of a body at once.
@@ -300,3 +312,8 @@
         self.held_bytes -= counted;
     }
 }
+
+/// Returns the body that costs others most; the oldest one of several with the same cost.
+fn costliest<'a>(bodies: impl Iterator<Item = (BodyId, &'a Body)>, now: Now) -> Option<BodyId> {
+    bodies.max_by_key(|(id, body)| (body.cost(now), Reverse(*id))).map(|(id, _)| id)
+}
--- a/crates/jackdawpier_kernel/src/outcome.rs
+++ b/crates/jackdawpier_kernel/src/outcome.rs
@@ -42,6 +42,9 @@
     /// The job is too large for a record of the store.
     #[display("too_large")]
     TooLarge,
+    /// The entry has no memory for the request's body.
+    #[display("no_memory")]
+    NoMemory,
 }
 
 /// Complete answer of an executor.
--- a/crates/jackdawpier_kernel/tests/body_budget.rs
+++ b/crates/jackdawpier_kernel/tests/body_budget.rs
@@ -12,7 +12,8 @@
 const START: Now = Duration::from_secs(100);
 
 fn budget() -> BodyBudget {
-    BodyBudget::new(BodyLimits { total_bytes: TOTAL_BYTES, uncounted_bytes: UNCOUNTED_BYTES })
+    let limits = BodyLimits { uncounted_bytes: UNCOUNTED_BYTES, ..BodyLimits::new(TOTAL_BYTES) };
+    BodyBudget::new(limits)
 }
 
 fn begin(budget: &mut BodyBudget, at: Now, bytes: usize) -> BodyId {
--- a/crates/jackdawpier_settings/src/options.rs
+++ b/crates/jackdawpier_settings/src/options.rs
@@ -67,6 +67,8 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LimitOptions {
+    /// Memory of the machine in megabytes. Callers' connections and bodies take at most half of it.
+    pub memory_mb: Option<Spanned<usize>>,
     /// Maximum number of open connections from callers.
     pub connections: Option<usize>,
     /// Timeout for receiving a whole request head, and for each pause within a body.
--- a/crates/jackdawpier_settings/src/settings.rs
+++ b/crates/jackdawpier_settings/src/settings.rs
@@ -53,6 +53,8 @@
 /// Resolved limits; each field is documented on [`LimitOptions`].
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
+    /// Memory of the machine in megabytes.
+    pub memory_mb: usize,
     /// Maximum number of open connections from callers.
     pub connections: usize,
     /// Timeout for receiving a whole request head, and for each pause within a body.
@@ -101,6 +103,8 @@
 
 /// Default values, shown in `docs/SETTINGS.md`.
 pub mod defaults {
+    /// Memory of the machine in megabytes.
+    pub const MEMORY_MB: usize = 1024;
     /// Maximum number of open connections from callers.
     pub const CONNECTIONS: usize = 4096;
     /// Timeout for receiving a request head and for each pause within a body, in milliseconds.
@@ -141,6 +145,7 @@
         let unspanned = |limit: &Option<Spanned<usize>>| limit.as_ref().map(|limit| limit.value);
         let read_timeout_ms = self.read_timeout_ms.unwrap_or(defaults::READ_TIMEOUT_MS);
         Limits {
+            memory_mb: unspanned(&self.memory_mb).unwrap_or(defaults::MEMORY_MB),
             connections: self.connections.unwrap_or(defaults::CONNECTIONS),
             read_timeout: Duration::from_millis(read_timeout_ms),
             body_bytes: unspanned(&self.body_bytes).unwrap_or(defaults::BODY_BYTES),
--- a/crates/jackdawpierd/src/callers.rs
+++ b/crates/jackdawpierd/src/callers.rs
@@ -6,9 +6,11 @@
 };
 
 use jackdawpier_coord::cell::MAX_ENTRY_BYTES;
-use jackdawpier_http::{Handler, IncomingRequest, Reply};
+use jackdawpier_http::{Handler, HeaderMap, IncomingRequest, Reply};
 use jackdawpier_kernel::{
-    Now, headers,
+    Now,
+    body_budget::NoRoom,
+    headers,
     ids::{JobId, ServiceName},
     outcome::{Outcome, RefusalReason},
     trace::TraceContext,
@@ -26,6 +28,8 @@
 /// Maximum size of a customer name or an idempotency key.
 const MAX_NAME_BYTES: usize = 256;
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry delay for callers whose bodies are refused: after this long others that have stalled make room.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Timeout of a call about a job, over all attempts. Connecting to the owner has a timeout of its own.
 const JOB_TIMEOUT: Duration = Duration::from_secs(2);
 const JOB_ATTEMPTS: u32 = 2;
@@ -60,7 +64,7 @@
         Self { entry: Arc::clone(entry) }
     }
 
-    async fn handle_work(&self, request: IncomingRequest) -> Outcome {
+    async fn handle_work(&self, mut request: IncomingRequest) -> Outcome {
         let entry = &self.entry;
         let refuse = |reason| Outcome::NotRun { reason, retry_after: NOT_READY_RETRY_AFTER };
         if !entry.is_ready() {
@@ -72,7 +76,8 @@
         let Some(class) = entry.coordination().configuration.class(class).cloned() else {
             return refuse(RefusalReason::UnknownClass);
         };
-        let Some(work) = self.parse_request(&request, &class, path) else {
+        let body = std::mem::take(&mut request.body).into();
+        let Some(work) = self.parse_request(&request, body, &class, path) else {
             return refuse(RefusalReason::BadRequest);
         };
         let is_job = class.kind == WorkKind::Refresh;
@@ -90,6 +95,7 @@
     fn parse_request(
         &self,
         request: &IncomingRequest,
+        body: Vec<u8>,
         class: &Class,
         path: &str,
     ) -> Option<WorkRequest> {
@@ -123,7 +129,7 @@
                 .header("content-type")
                 .unwrap_or("application/octet-stream")
                 .to_owned(),
-            body: request.body.to_vec(),
+            body,
             key,
             time_left,
             trace: request.header(headers::TRACEPARENT).and_then(TraceContext::parse),
@@ -281,4 +287,16 @@
         self.entry.metrics.count_outcome(&outcome, self.entry.now().saturating_sub(started_at));
         reply(outcome)
     }
+
+    /// An earlier request with the same key may have run, so the outcome of one with a key is unknown.
+    fn refuse_body(&self, request_headers: &HeaderMap, why: NoRoom) -> Reply {
+        let outcome = if request_headers.contains_key(headers::IDEMPOTENCY_KEY) {
+            Outcome::Unknown { detail: why.to_string() }
+        } else {
+            let (reason, retry_after) = (RefusalReason::NoMemory, NO_MEMORY_RETRY_AFTER);
+            Outcome::NotRun { reason, retry_after }
+        };
+        self.entry.metrics.count_outcome(&outcome, Duration::ZERO);
+        reply(outcome)
+    }
 }
--- a/crates/jackdawpierd/src/commands/run.rs
+++ b/crates/jackdawpierd/src/commands/run.rs
@@ -8,7 +8,7 @@
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
-    callers::CallerApi, control, entry::Entry, exit_status::ExitStatus, heartbeats,
+    caller_limits, callers::CallerApi, control, entry::Entry, exit_status::ExitStatus, heartbeats,
     instance_reader, logging, operators, peers, stop, view_sync,
 };
 
@@ -51,8 +51,8 @@
     let callers_address = callers.local_addr().map_err(|error| error.to_string())?;
     let operators_address =
         operators.server_addr().to_ip().ok_or("the operators' port has no IP address")?;
-    let limits = settings.limits;
-    let entry = Arc::new(Entry::new(settings, endpoint, operators_address));
+    let (limits, bodies) = caller_limits::resolve(&settings.limits);
+    let entry = Arc::new(Entry::new(settings, endpoint, operators_address, bodies.clone()));
     println!(
         "ready callers={callers_address} operators={operators_address} peers={}",
         entry.endpoint.local_address()
@@ -64,13 +64,10 @@
     control::spawn(&entry);
     peers::spawn(&entry);
     let (stop_callers, stopping) = watch::channel(false);
-    let server = tokio::spawn(jackdawpier_http::serve(
+    let server = tokio::spawn(jackdawpier_http::serve_within(
         callers,
-        jackdawpier_http::ServerLimits {
-            max_connections: limits.connections,
-            read_timeout: limits.read_timeout,
-            max_body_bytes: limits.body_bytes,
-        },
+        limits,
+        bodies,
         CallerApi::new(&entry),
         stopping,
     ));
--- a/crates/jackdawpierd/src/entry.rs
+++ b/crates/jackdawpierd/src/entry.rs
@@ -15,6 +15,7 @@
     membership::{Member, Membership, View},
     ownership::Ownership,
 };
+use jackdawpier_http::request_body::BodyMemory;
 use jackdawpier_kernel::{
     Now,
     ids::{EntryId, ServiceName},
@@ -56,6 +57,8 @@
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
     pub(crate) traces: Traces,
+    /// Memory of the bodies of callers' requests.
+    pub(crate) bodies: BodyMemory,
     pub(crate) capacity: Capacity,
     pub(crate) is_stopping: AtomicBool,
     /// Whether the instance list has been read at least once.
@@ -76,6 +79,7 @@
         settings: Settings,
         endpoint: PeerEndpoint,
         operators_address: SocketAddr,
+        bodies: BodyMemory,
     ) -> Self {
         let incarnation = rand::rng().next_u64() >> 1;
         let own = Member {
@@ -99,6 +103,7 @@
             store: StoreClient::new(&settings.store_url),
             metrics: Metrics::default(),
             traces: Traces::new(&settings),
+            bodies,
             capacity: Capacity::new(),
             is_stopping: AtomicBool::new(false),
             is_instance_list_loaded: AtomicBool::new(false),
--- a/crates/jackdawpierd/src/lib.rs
+++ b/crates/jackdawpierd/src/lib.rs
@@ -4,6 +4,7 @@
 //! describes the path of a request, a configuration change and a job through these modules.
 
 mod args;
+mod caller_limits;
 mod callers;
 mod capacity;
 mod commands;
--- a/crates/jackdawpierd/src/metrics.rs
+++ b/crates/jackdawpierd/src/metrics.rs
@@ -66,6 +66,8 @@
     wave_out: Gauge,
     wave_stopped: Gauge,
     moves: Gauge,
+    body_bytes: Gauge,
+    body_limit_bytes: Gauge,
     members: Gauge,
     ready: Gauge,
     revision: Gauge<u64, AtomicU64>,
@@ -88,6 +90,8 @@
             wave_out: Gauge::default(),
             wave_stopped: Gauge::default(),
             moves: Gauge::default(),
+            body_bytes: Gauge::default(),
+            body_limit_bytes: Gauge::default(),
             members: Gauge::default(),
             ready: Gauge::default(),
             revision: Gauge::default(),
@@ -110,6 +114,10 @@
         registry.register("wave_stopped", stopped, metrics.wave_stopped.clone());
         let moves = "Instances moved since this entry took the capacity role";
         registry.register("moves", moves, metrics.moves.clone());
+        let bodies = "Memory of request bodies beyond the part that counts as their connections'";
+        registry.register("body_bytes", bodies, metrics.body_bytes.clone());
+        let limit = "Maximum of body_bytes";
+        registry.register("body_limit_bytes", limit, metrics.body_limit_bytes.clone());
         registry.register("members", "Members with a live lease", metrics.members.clone());
         registry.register("ready", "Whether callers may be served", metrics.ready.clone());
         registry.register("revision", "Highest revision in force", metrics.revision.clone());
@@ -178,6 +186,8 @@
             self.owned.get_or_create(&labels).set(i64::from(figures.owns_cell));
         }
         self.set_capacity_gauges(entry);
+        self.body_bytes.set(entry.bodies.held_bytes() as i64);
+        self.body_limit_bytes.set(entry.bodies.limits().total_bytes as i64);
         self.ready.set(i64::from(entry.is_ready()));
         {
             let coordination = entry.coordination();
--- a/crates/jackdawpierd/tests/callers_port.rs
+++ b/crates/jackdawpierd/tests/callers_port.rs
@@ -109,6 +109,33 @@
     );
 }
 
+/// A body for which there is no memory is refused as not run, or as unknown if an earlier request with its key may have
+/// run.
+#[test]
+fn no_memory() {
+    const BODY_BYTES: usize = 600_000;
+    let deployment = Deployment::new("no-memory", 1, 0);
+    let daemons = deployment.start_all_with(1, "limits: { memory_mb: 8 }");
+    let callers = daemons[0].callers;
+    // The body that takes the room counts as stalled after a second, and the request is then served.
+    let refused = |headers: &[(&str, &str)]| {
+        (0..20).find_map(|_| {
+            let mut other = TcpStream::connect(callers).expect("it listens");
+            let head = "POST /render/x HTTP/1.1\r\nhost: x\r\ncontent-length: 600000\r\n\r\n ";
+            other.write_all(head.as_bytes()).expect("the daemon reads");
+            std::thread::sleep(Duration::from_millis(100));
+            let body = vec![b' '; BODY_BYTES];
+            let (status, headers, _) = http_full("POST", callers, "/render/x", headers, &body)?;
+            let outcome = headers.get("x-outcome")?.to_str().ok()?.to_owned();
+            (outcome != "answered").then_some((status, outcome))
+        })
+    };
+    assert_eq!(refused(&[]), Some((503, "not_run".to_owned())));
+    assert_eq!(refused(&[("idempotency-key", "k")]), Some((504, "unknown".to_owned())));
+    let answer = http("POST", callers, "/render/x", &[], &work(1, 100));
+    assert_eq!(answer.expect("it answers").0, 200);
+}
+
 #[test]
 fn untrusted_peer() {
     let deployment = Deployment::new("untrusted-peer", 1, 0);
--- a/crates/jackdawpierd/tests/support/mod.rs
+++ b/crates/jackdawpierd/tests/support/mod.rs
@@ -38,6 +38,16 @@
 }
 
 impl Daemon {
+    /// Returns the id of its process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether its process still runs.
+    pub(crate) fn is_alive(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_none())
+    }
+
     /// Sends a signal by name.
     pub(crate) fn signal(&self, name: &str) {
         let status = Command::new("kill")
@@ -244,8 +254,13 @@
 
     /// Starts `count` entries with the declaration in force at each of them.
     pub(crate) fn start_all(&self, count: usize) -> Vec<Daemon> {
+        self.start_all_with(count, "")
+    }
+
+    /// Like `start_all`, with `more` lines at the end of the settings of each.
+    pub(crate) fn start_all_with(&self, count: usize, more: &str) -> Vec<Daemon> {
         let daemons: Vec<Daemon> =
-            ["a", "b", "c"][..count].iter().map(|name| self.start(name, "")).collect();
+            ["a", "b", "c"][..count].iter().map(|name| self.start(name, more)).collect();
         wait_for("the declaration to be accepted", || daemons[0].apply(0, DECLARATION).0 != 503);
         for daemon in &daemons {
             wait_for("an entry to be ready", || daemon.is_ready());
