--- a/crates/jackdawpier_entry/src/http_server.rs
+++ b/crates/jackdawpier_entry/src/http_server.rs
@@ -20,7 +20,7 @@
     service::service_fn,
 };
 use jackdawpier_http::request_body::discard;
-use jackdawpier_kernel::caller_memory::RECEIVE_BUFFER_BYTES;
+use jackdawpier_kernel::caller_memory::{BACKLOG, RECEIVE_BUFFER_BYTES};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
@@ -37,8 +37,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of a request head and of the buffer of a connection.
 pub const MAX_BUFFER_BYTES: usize = 16 * 1024;
-/// Maximum number of connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
 
 /// The response of a handler.
 pub type Reply = Response<Full<Bytes>>;
--- a/crates/jackdawpier_http/src/lib.rs
+++ b/crates/jackdawpier_http/src/lib.rs
@@ -21,7 +21,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jackdawpier_kernel::{
     body_budget::{BodyLimits, NoRoom},
-    caller_memory::RECEIVE_BUFFER_BYTES,
+    caller_memory::{BACKLOG, RECEIVE_BUFFER_BYTES},
 };
 use refusal_log::RefusalLog;
 use request_body::{BodyError, BodyMemory, BodyReader, ReceivedBody, discard};
@@ -140,8 +140,7 @@
     handler: H,
     mut stop: watch::Receiver<bool>,
 ) {
-    // Connections inherit the size, which the kernel doubles. One that isn't read holds a full buffer.
-    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES / 2);
+    bound_unread_bytes(&listener);
     let permits = Arc::new(Semaphore::new(limits.max_connections));
     let server = Server { limits, bodies, refusal_log: Arc::default(), handler };
     let mut connections = JoinSet::new();
@@ -169,6 +168,15 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Bounds the bytes that connections of a listener have received and nobody has read. The limits of the system stay in
+/// force where that fails.
+fn bound_unread_bytes(listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    // Connections inherit the size, which the kernel doubles.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES / 2);
+    let _ = socket.listen(BACKLOG as i32);
+}
+
 /// Accepts a connection, and waits until there are fewer than the maximum.
 async fn accept(
     listener: &TcpListener,
--- a/crates/jackdawpier_settings/src/settings.rs
+++ b/crates/jackdawpier_settings/src/settings.rs
@@ -104,7 +104,7 @@
 /// Default values, shown in `docs/SETTINGS.md`.
 pub mod defaults {
     /// Memory of the machine in megabytes.
-    pub const MEMORY_MB: usize = 1024;
+    pub const MEMORY_MB: usize = 2048;
     /// Maximum number of open connections from callers.
     pub const CONNECTIONS: usize = 4096;
     /// Timeout for receiving a request head and for each pause within a body, in milliseconds.
