Bound the answers that a client leaves unread

Callers saw: nothing; a client that sent requests on one connection and read no answer had megabytes of them kept by the system.

Cause: the send buffers of the sockets grew without a bound of ours.

Change: 128 KiB a connection. The limits of connections and their numbers move to a module of their own.

Evidence: `connections.rs`, `unread_answers`: without the bound the port still answers after 256 KiB of requests, now it stops reading before.

--- a/crates/jackdawpier_entry/src/connections.rs
+++ b/crates/jackdawpier_entry/src/connections.rs
@@ -20,15 +20,10 @@
 use tokio::{sync::Notify, time::timeout};
 
 use crate::clock;
+pub use crate::connection_limits::{
+    ConnectionCounts, ConnectionLimits, DEFAULT_IDLE_TIMEOUT, DEFAULT_MAX_OPEN,
+};
 
-/// Half of the file descriptors of the smallest machine.
-pub(crate) const DEFAULT_MAX_OPEN: usize = 1500;
-const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(15);
-/// Idle timeout of a connection if the configuration contains none.
-pub const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Time for a request that was sent within the idle timeout to arrive; after that its caller no longer waits
-/// for the answer.
-const DEFAULT_IDLE_MARGIN: Duration = Duration::from_secs(3);
 /// A connection that was used within this time isn't evicted: its caller's next request may be in transit.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(100);
 /// Connections that make room for new ones, in this order, each after this wait; after them those of stalled bodies.
@@ -44,32 +39,6 @@
 /// Minimum delay between two checks for overdue connections.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Limits of a port.
-#[derive(Debug, Clone, Copy)]
-pub struct ConnectionLimits {
-    /// Maximum number of open connections; at this limit one that holds up others is closed for a new one, an idle
-    /// one first.
-    pub max_open: usize,
-    /// Time from the first byte of a request head until it is complete.
-    pub header_timeout: Duration,
-    /// Time for which callers may use an idle connection, and within which an answer has to be received.
-    pub idle_timeout: Duration,
-    /// Time after `idle_timeout` for which an idle connection stays open, since a request that was sent in time
-    /// may still be in transit.
-    pub idle_margin: Duration,
-}
-
-impl Default for ConnectionLimits {
-    fn default() -> Self {
-        Self {
-            max_open: DEFAULT_MAX_OPEN,
-            header_timeout: DEFAULT_HEADER_TIMEOUT,
-            idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            idle_margin: DEFAULT_IDLE_MARGIN,
-        }
-    }
-}
-
 impl ConnectionLimits {
     fn timeout_of(&self, phase: Phase) -> Duration {
         match phase {
@@ -81,19 +50,6 @@
     }
 }
 
-/// Numbers of connections that are open or were closed, by reason.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ConnectionCounts {
-    /// Currently open connections.
-    pub open: usize,
-    /// Connections closed after the idle timeout.
-    pub idle_closed: u64,
-    /// Connections closed to make room for new ones.
-    pub evicted: u64,
-    /// Connections aborted because a head wasn't completed or an answer wasn't received in time.
-    pub aborted: u64,
-}
-
 /// The phase of a connection in its request cycle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
--- a/crates/jackdawpier_entry/src/http_server.rs
+++ b/crates/jackdawpier_entry/src/http_server.rs
@@ -33,6 +33,8 @@
     watched_stream::{WatchedStream, is_readable},
 };
 
+/// Size of a socket's send buffer. A smaller one slows large answers down.
+const SEND_BUFFER_BYTES: u32 = 128 * 1024;
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of a request head and of the buffer of a connection.
@@ -116,12 +118,14 @@
     Ok(())
 }
 
-/// Listens for connections whose receive buffers are small, since a connection that isn't read holds a full one.
+/// Listens for connections with small buffers: one that this process doesn't read, or whose peer doesn't read its answers,
+/// holds full ones. The limits of the system stay in force where the sizes can't be set.
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
-    // The kernel doubles the size.
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32 / 2)?;
+    // The kernel doubles the sizes.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32 / 2);
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES / 2);
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod client_stream;
 pub mod clock;
 pub mod configuration;
+mod connection_limits;
 pub mod connections;
 pub mod events;
 pub mod freshness;
--- a/crates/jackdawpier_entry/tests/connections.rs
+++ b/crates/jackdawpier_entry/tests/connections.rs
@@ -23,7 +23,11 @@
     serve_changing_port, serve_port, wide_limits,
 };
 use support::{run, wait_until};
-use tokio::{io::AsyncReadExt, net::TcpStream};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
 
 fn is_answered(answer: &str) -> bool {
     answer.starts_with("http/1.1 200")
@@ -212,6 +216,33 @@
     });
 }
 
+/// A client that sent requests and read none of the answers filled the buffers of the system with megabytes.
+#[test]
+fn unread_answers() {
+    const MAX_ACCEPTED_BYTES: usize = 256 * 1024;
+    const SMALL_BUFFER_BYTES: u32 = 4096;
+    run(async {
+        let port = serve_port(wide_limits());
+        drop(port.connect().await);
+        let socket = TcpSocket::new_v4().expect("descriptors are free");
+        socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).expect("it is a socket");
+        socket.set_send_buffer_size(SMALL_BUFFER_BYTES).expect("it is a socket");
+        let mut client = socket.connect(port.address).await.expect("the port listens");
+        let requests = REQUEST.repeat(40);
+        let mut accepted_bytes = 0;
+        let wait = Duration::from_millis(500);
+        // A write that was accepted in part is continued.
+        while let Ok(Ok(count)) =
+            timeout(wait, client.write(&requests[accepted_bytes % REQUEST.len()..])).await
+        {
+            accepted_bytes += count;
+            assert!(accepted_bytes <= MAX_ACCEPTED_BYTES, "the port goes on answering");
+        }
+        assert!(accepted_bytes > requests.len(), "{accepted_bytes}");
+        assert!(is_answered(&ask(&mut port.connect().await).await));
+    });
+}
+
 /// A large answer that is read slowly is complete although a new connection waits.
 #[test]
 fn slowly_read_answer() {
