Close the connection of a body that doesn't come right after the answer

Cause: the rest of every refused body was read, also where its client had stopped sending.

Change: only the rest of a body that was refused at its head or for its size is read.

--- a/crates/jackdawpier_entry/src/request_body.rs
+++ b/crates/jackdawpier_entry/src/request_body.rs
@@ -39,6 +39,11 @@
         Self { incoming, unread, memory }
     }
 
+    /// Drops the body, so that its connection is closed after the answer instead of waiting for the rest.
+    pub(crate) fn abort(mut self) {
+        self.incoming = None;
+    }
+
     /// Returns the memory that the process has for bodies.
     pub(crate) fn memory(&self) -> BodyMemory {
         self.memory.clone()
--- a/crates/jackdawpier_entry/src/submission.rs
+++ b/crates/jackdawpier_entry/src/submission.rs
@@ -129,11 +129,17 @@
         let time_left = read_by.saturating_sub(clock::now());
         let read = timeout(time_left, read_to_end(&mut reader)).await;
         let figures = reader.figures();
-        match read {
-            Err(_) => Err(self.refuse_body(id, Unreceived::Late, figures)),
-            Ok(Err(error)) => Err(self.refuse_body(id, error.into(), figures)),
-            Ok(Ok(())) => reader.finish().map_err(|why| self.refuse_body(id, why.into(), figures)),
+        let why = match read {
+            Ok(Ok(())) => {
+                return reader.finish().map_err(|why| self.refuse_body(id, why.into(), figures));
+            }
+            Ok(Err(error)) => error.into(),
+            Err(_) => Unreceived::Late,
+        };
+        if why.has_stalled() {
+            reader.into_rest().abort();
         }
+        Err(self.refuse_body(id, why, figures))
     }
 
     /// Answers a request whose body wasn't received. The request has no effect, but an earlier one may have stored the job.
@@ -229,6 +235,11 @@
 }
 
 impl Unreceived {
+    /// Returns whether the client has stopped sending.
+    fn has_stalled(self) -> bool {
+        matches!(self, Self::Late | Self::Body(BodyError::NoRoom(NoRoom::Evicted)))
+    }
+
     /// Returns the reason as a label of log lines and metrics.
     fn name(self) -> &'static str {
         match self {
