--- a/crates/jackdawpier_entry/src/connections.rs
+++ b/crates/jackdawpier_entry/src/connections.rs
@@ -222,7 +222,7 @@
                 self.0.request_close(key, CloseReason::Evicted);
                 max_wait
             }
-            // The connection of an evicted body is evicted once its request is answered.
+            // The connection of an evicted body is closed once its request is answered.
             None if self.0.bodies.evict_stalled() => MAX_REFUSAL_TIME,
             None => max_wait,
         };
