Describe the memory of request bodies, and what an on-call engineer sees of a crowd

The daemon's new metrics are registered with its routing role. Tests of bodies share the step that takes the room.

--- a/crates/jackdawpier_entry/tests/bodies.rs
+++ b/crates/jackdawpier_entry/tests/bodies.rs
@@ -77,6 +77,19 @@
     }
 }
 
+/// The header of a body of the largest size.
+fn largest_length() -> String {
+    format!("content-length: {MAX_BODY_BYTES}")
+}
+
+/// Opens a connection and takes the room of a body of the largest size, which isn't sent yet.
+async fn take_room(entry: &Entry) -> Client {
+    let mut client = Client::connect(entry).await;
+    client.send_head(&largest_length()).await;
+    wait_for_bodies(entry, 1).await;
+    client
+}
+
 /// Submits a job with a body of `length` bytes over a new connection.
 async fn submit(entry: &Entry, length: usize) -> u16 {
     let mut client = Client::connect(entry).await;
@@ -177,11 +190,9 @@
 fn refused_at_head() {
     run(async {
         let entry = start(ONE_BODY).await;
-        let mut first = Client::connect(&entry).await;
-        first.send_head(&format!("content-length: {MAX_BODY_BYTES}")).await;
-        wait_for_bodies(&entry, 1).await;
+        let mut first = take_room(&entry).await;
         let mut second = Client::connect(&entry).await;
-        second.send_head(&format!("content-length: {MAX_BODY_BYTES}")).await;
+        second.send_head(&largest_length()).await;
         let answer = second.answer().await;
         assert!(answer.starts_with("http/1.1 503"), "{answer}");
         assert!(answer.contains("retry-after: 1"), "{answer}");
@@ -195,9 +206,7 @@
 fn refusal_during_body() {
     run(async {
         let entry = start(ONE_BODY).await;
-        let mut first = Client::connect(&entry).await;
-        first.send_head(&format!("content-length: {MAX_BODY_BYTES}")).await;
-        wait_for_bodies(&entry, 1).await;
+        let mut first = take_room(&entry).await;
         let mut second = Client::connect(&entry).await;
         second.send_body(MAX_BODY_BYTES, 0).await;
         assert_eq!(second.status().await, 503);
@@ -218,9 +227,7 @@
         earlier.send(request.as_bytes()).await;
         earlier.send(&vec![b' '; MAX_BODY_BYTES]).await;
         assert_eq!(earlier.status().await, 200);
-        let mut other = Client::connect(&entry).await;
-        other.send_head(&format!("content-length: {MAX_BODY_BYTES}")).await;
-        wait_for_bodies(&entry, 1).await;
+        let _other = take_room(&entry).await;
         earlier.send(request.as_bytes()).await;
         assert_eq!(earlier.status().await, 504);
     });
@@ -233,9 +240,8 @@
         let bodies = BodyLimits::new(ONE_BODY);
         let options = EntryOptions { bodies, ..EntryOptions::default() };
         let entry = Entry::start_with(&Fake::default(), options).await;
-        let mut stalled = Client::connect(&entry).await;
-        stalled.send_body(MAX_BODY_BYTES, 1).await;
-        wait_for_bodies(&entry, 1).await;
+        let mut stalled = take_room(&entry).await;
+        stalled.send(&vec![b' '; MAX_BODY_BYTES - 1]).await;
         tokio::time::sleep(STALL).await;
         assert_eq!(submit(&entry, MAX_BODY_BYTES).await, 200);
         assert_eq!(stalled.status().await, 503);
@@ -248,9 +254,8 @@
 fn ordinary_beside_large() {
     run(async {
         let entry = start(ONE_BODY).await;
-        let mut large = Client::connect(&entry).await;
-        large.send_body(MAX_BODY_BYTES, 1).await;
-        wait_for_bodies(&entry, 1).await;
+        let mut large = take_room(&entry).await;
+        large.send(&vec![b' '; MAX_BODY_BYTES - 1]).await;
         for _ in 0..20 {
             assert_eq!(submit(&entry, ORDINARY_BYTES).await, 200);
         }
--- a/crates/jackdawpierd/src/plugins/routing.rs
+++ b/crates/jackdawpierd/src/plugins/routing.rs
@@ -28,6 +28,14 @@
                 name: "jackdawpier_queued_requests",
                 help: "Requests that wait for a slot, by service.",
             },
+            MetricDoc {
+                name: "jackdawpier_body_bytes",
+                help: "Memory of the bodies of callers' requests beyond 16 KiB each.",
+            },
+            MetricDoc {
+                name: "jackdawpier_body_limit_bytes",
+                help: "Maximum of `jackdawpier_body_bytes`.",
+            },
             MetricDoc {
                 name: "jackdawpier_owned_cells",
                 help: "1 where this entry owns the service's durable cell.",
