Close connections of the daemon whose answers aren't read

Callers saw: no answer from a daemon whose port was full of answers that their callers didn't read, for good.

Cause: the callers' port of the daemon had timeouts for heads and bodies, and none for answers.

Change: a connection is closed once nothing of its answer was read for `limits.read_timeout_ms`. A daemon whose memory has no room for the largest body says so at its start.

Evidence: `unread_answers.rs`: `full_port` had no answer within 20 s without the change, and passes with it; `slow_reader` (32 MiB with pauses) passes with both.

--- a/crates/jackdawpier_http/src/lib.rs
+++ b/crates/jackdawpier_http/src/lib.rs
@@ -4,11 +4,13 @@
 //! `docs/design/callers-port.md` has the measurement and the decision. A slow caller occupies a
 //! connection for a bounded time, and never a thread.
 
+mod answer_timeout;
 mod refusal_log;
 pub mod request_body;
 
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
+use answer_timeout::AnswerTimeout;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 pub use hyper::HeaderMap;
@@ -18,7 +20,7 @@
     header::{HeaderName, HeaderValue},
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use jackdawpier_kernel::{
     body_budget::{BodyLimits, NoRoom},
     caller_memory::{BACKLOG, RECEIVE_BUFFER_BYTES},
@@ -54,7 +56,7 @@
 pub struct ServerLimits {
     /// Maximum number of open connections.
     pub max_connections: usize,
-    /// Timeout for receiving a whole head, and for each pause within a body.
+    /// Timeout for receiving a whole head, for each pause within a body, and for each pause in which an answer isn't read.
     pub read_timeout: Duration,
     /// Maximum size of a body in bytes.
     pub max_body_bytes: usize,
@@ -206,7 +208,7 @@
         .header_read_timeout(limits.read_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(AnswerTimeout::new(stream, limits.read_timeout), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         result = connection.as_mut() => log_connection_error(result),
--- a/crates/jackdawpier_settings/src/options.rs
+++ b/crates/jackdawpier_settings/src/options.rs
@@ -71,7 +71,8 @@
     pub memory_mb: Option<Spanned<usize>>,
     /// Maximum number of open connections from callers.
     pub connections: Option<usize>,
-    /// Timeout for receiving a whole request head, and for each pause within a body.
+    /// Timeout for receiving a whole request head, for each pause within a body, and for each pause in which an answer
+    /// isn't read.
     pub read_timeout_ms: Option<u64>,
     /// Maximum size of a request body.
     pub body_bytes: Option<Spanned<usize>>,
--- a/crates/jackdawpier_settings/src/settings.rs
+++ b/crates/jackdawpier_settings/src/settings.rs
@@ -57,7 +57,8 @@
     pub memory_mb: usize,
     /// Maximum number of open connections from callers.
     pub connections: usize,
-    /// Timeout for receiving a whole request head, and for each pause within a body.
+    /// Timeout for receiving a whole request head, for each pause within a body, and for each pause in which an answer
+    /// isn't read.
     pub read_timeout: Duration,
     /// Maximum size of a request body in bytes.
     pub body_bytes: usize,
--- a/crates/jackdawpierd/src/caller_limits.rs
+++ b/crates/jackdawpierd/src/caller_limits.rs
@@ -22,5 +22,13 @@
         read_timeout: limits.read_timeout,
         max_body_bytes: limits.body_bytes,
     };
-    (server_limits, BodyMemory::new(BodyLimits::new(memory.body_bytes / BODY_COPIES)))
+    let body_limits = BodyLimits::new(memory.body_bytes / BODY_COPIES);
+    if body_limits.largest_body_bytes() < limits.body_bytes {
+        let largest_bytes = body_limits.largest_body_bytes();
+        log::warn!(
+            event = "memory_too_small", body_bytes = limits.body_bytes, largest_bytes;
+            "the memory of the machine has no room for the largest body"
+        );
+    }
+    (server_limits, BodyMemory::new(body_limits))
 }
