--- a/crates/jackdawpier_entry/tests/bodies.rs
+++ b/crates/jackdawpier_entry/tests/bodies.rs
@@ -206,7 +206,7 @@
 fn refusal_during_body() {
     run(async {
         let entry = start(ONE_BODY).await;
-        let mut first = take_room(&entry).await;
+        let _first = take_room(&entry).await;
         let mut second = Client::connect(&entry).await;
         second.send_body(MAX_BODY_BYTES, 0).await;
         assert_eq!(second.status().await, 503);
