--- a/crates/jackdawpier_http/src/lib.rs
+++ b/crates/jackdawpier_http/src/lib.rs
@@ -22,7 +22,7 @@
 };
 use hyper_util::rt::TokioTimer;
 use jackdawpier_kernel::{
-    body_budget::{BodyLimits, NoRoom},
+    body_budget::{BodyLimits, MIN_BYTES_PER_S, NoRoom},
     caller_memory::{BACKLOG, RECEIVE_BUFFER_BYTES},
 };
 use refusal_log::RefusalLog;
@@ -48,9 +48,6 @@
 /// Maximum number of headers in a request.
 const MAX_HEADERS: usize = 64;
 
-/// Minimum transfer rate of a body, so that a caller that trickles bytes can't hold a connection.
-const MIN_BODY_BYTES_PER_S: f64 = 16_384.0;
-
 /// Limits on callers' connections and requests.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
@@ -308,7 +305,7 @@
 }
 
 /// Reads a body. There is no timeout for the whole body, only for each pause and for a transfer
-/// rate below [`MIN_BODY_BYTES_PER_S`].
+/// rate below [`MIN_BYTES_PER_S`].
 async fn read_to_end(
     reader: &mut BodyReader<Incoming>,
     read_timeout: Duration,
@@ -317,7 +314,7 @@
     let started_at = Instant::now();
     loop {
         let transfer_allowance =
-            Duration::from_secs_f64(reader.received_bytes() as f64 / MIN_BODY_BYTES_PER_S);
+            Duration::from_secs_f64(reader.received_bytes() as f64 / MIN_BYTES_PER_S);
         let stall_deadline = Instant::now() + read_timeout;
         let deadline = stall_deadline.min(started_at + read_timeout + transfer_allowance);
         let received = timeout_at(deadline, reader.receive()).await;
--- a/crates/jackdawpier_kernel/src/body_budget.rs
+++ b/crates/jackdawpier_kernel/src/body_budget.rs
@@ -10,8 +10,8 @@
 
 use crate::{Now, caller_memory::CONNECTION_BODY_BYTES};
 
-/// A body that is received more slowly falls behind and may be evicted.
-const MIN_BYTES_PER_S: f64 = 16_384.0;
+/// Minimum transfer rate of a body. One that is received more slowly falls behind and may be evicted.
+pub const MIN_BYTES_PER_S: f64 = 16_384.0;
 /// Time by which a body may be behind; after that it may be evicted.
 pub const MAX_STALL: Duration = Duration::from_secs(1);
 /// Size of a segment.
