List a refusal for want of room that can be untrue

What callers see: 503, which promises that the job never runs, for a job that another entry has stored, if its body is large and finds no room.

Cause: the refusal asks `Intake`, which knows of this entry's submissions only. Paths that refuse while the store answers could ask it; under a crowd that would be two readings for each refusal.

Evidence: `bodies.rs`, `no_room_for_stored_elsewhere`: 503, always.

--- a/crates/jackdawpier_entry/tests/bodies.rs
+++ b/crates/jackdawpier_entry/tests/bodies.rs
@@ -233,6 +233,25 @@
     });
 }
 
+/// A refusal claims that the job never runs, though another entry has stored it.
+#[test]
+fn no_room_for_stored_elsewhere() {
+    run(async {
+        let fake = Fake::default();
+        let other = Entry::start(&fake, None).await;
+        let bodies = BodyLimits { max_stall: Duration::MAX, ..BodyLimits::new(ONE_BODY) };
+        let entry =
+            Entry::start_with(&fake, EntryOptions { bodies, ..EntryOptions::default() }).await;
+        assert_eq!(other.status("POST", "/a/job", None).await, 200);
+        let _large = take_room(&entry).await;
+        let mut repeat = Client::connect(&entry).await;
+        let head = format!("POST /a/job HTTP/1.1\r\nhost: host\r\n{}\r\n\r\n", largest_length());
+        repeat.send(head.as_bytes()).await;
+        let status = repeat.status().await;
+        assert_ne!(status, 503, "the job is stored and will run");
+    });
+}
+
 /// A body that has stalled gives way to one that arrives, and its client gets an answer.
 #[test]
 fn stalled_body() {
