--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, its executors and its clients for the cases of the third review.
 
 mod cancelled_jobs;
+mod hopeless_gangs;
 mod http;
 mod installation;
 mod large_burst;
@@ -25,6 +26,7 @@
         "large-burst" => large_burst::run(&folder, &logs, has_trouble),
         "state-queries" => state_queries::run(&folder, &logs, has_trouble),
         "cancelled-jobs" => cancelled_jobs::run(&folder, &logs, has_trouble),
+        "hopeless-gangs" => hopeless_gangs::run(&folder, &logs, has_trouble),
         _ => None,
     };
     exit(match held {
