--- a/review/standin-3/src/cancelled_jobs.rs
+++ b/review/standin-3/src/cancelled_jobs.rs
@@ -36,7 +36,8 @@
         accepted += usize::from(one.submit(number, &id, &body).is_accepted);
         for attempt in 0..5 {
             let entry = &one.entries[(number + attempt) % one.entries.len()];
-            let answer = call(entry.front, "DELETE", HOST, &format!("{PREFIX}{id}"), DEADLINE_MS, "");
+            let answer =
+                call(entry.front, "DELETE", HOST, &format!("{PREFIX}{id}"), DEADLINE_MS, "");
             one.record.line(format!("DELETE {id} at {}: {answer:?}", entry.name));
             if answer.is_some_and(|(status, _)| status == 200 || status == 410) {
                 cancelled += 1;
--- a/review/standin-3/src/hopeless_gangs.rs
+++ b/review/standin-3/src/hopeless_gangs.rs
@@ -35,7 +35,9 @@
             accepted += usize::from(one.submit(number, &id, &body).is_accepted);
         }
     }
-    one.record.say(format!("{accepted} jobs accepted with a gang of {MEMBERS} members that the service can't hold"));
+    one.record.say(format!(
+        "{accepted} jobs accepted with a gang of {MEMBERS} members that the service can't hold"
+    ));
     let mut owners = Vec::new();
     let began_at = Instant::now();
     let note_owner = |owners: &mut Vec<Option<String>>| {
@@ -53,7 +55,10 @@
         }
     }
     let accepted = ordinary.iter().filter(|job| job.is_accepted).count();
-    one.record.say(format!("{} ordinary jobs handed in, {accepted} accepted; end of the traffic", ordinary.len()));
+    one.record.say(format!(
+        "{} ordinary jobs handed in, {accepted} accepted; end of the traffic",
+        ordinary.len()
+    ));
     let ended_at = Instant::now();
     while ended_at.elapsed() < FINISH {
         thread::sleep(Duration::from_millis(10));
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -44,8 +44,8 @@
 impl PortRange {
     fn take() -> Self {
         let preferred = std::process::id() % RANGES;
-        let mut firsts =
-            (0..RANGES).map(|number| FIRST_PORT + ((preferred + number) % RANGES) as u16 * PORTS_PER_PLAY);
+        let mut firsts = (0..RANGES)
+            .map(|number| FIRST_PORT + ((preferred + number) % RANGES) as u16 * PORTS_PER_PLAY);
         let found = firsts.find_map(|first| {
             let lock = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], first))).ok()?;
             Some(Self { first, _lock: lock, next: AtomicU16::new(1) })
@@ -164,7 +164,14 @@
         Ok(Self { writer: stream.try_clone()?, reader: BufReader::new(stream) })
     }
 
-    pub fn send(&mut self, method: &str, host: &str, path: &str, deadline_ms: u64, body: &str) -> io::Result<()> {
+    pub fn send(
+        &mut self,
+        method: &str,
+        host: &str,
+        path: &str,
+        deadline_ms: u64,
+        body: &str,
+    ) -> io::Result<()> {
         let request = format!(
             "{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n\
              X-Jackdawpier-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
--- a/review/standin-3/src/installation.rs
+++ b/review/standin-3/src/installation.rs
@@ -10,7 +10,9 @@
 use crate::{
     http::call,
     store::Store,
-    world::{Entry, Fleet, HOST, Ledger, MEMORY_MB, PREFIX, Record, StepWork, configuration, wait_until},
+    world::{
+        Entry, Fleet, HOST, Ledger, MEMORY_MB, PREFIX, Record, StepWork, configuration, wait_until,
+    },
 };
 
 const SERVICE: &str = "huvo11a";
@@ -100,7 +102,8 @@
     /// Whether a job has a work item that isn't done, and none at work.
     pub fn is_standing(&self, job: &str, items: usize) -> bool {
         let runs = self.ledger.runs_of(job);
-        let done = runs.iter().filter(|run| run.ended.is_some_and(|(_, how)| how == "done")).count();
+        let done =
+            runs.iter().filter(|run| run.ended.is_some_and(|(_, how)| how == "done")).count();
         done < items && runs.iter().all(|run| run.ended.is_some())
     }
 
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -222,7 +222,10 @@
         }
         let rows = rows.join(",");
         let revision = state.revision;
-        Reply::Json(200, format!("{{\"items\":[{rows}],\"hasMore\":{has_more},\"atRev\":{revision}}}"))
+        Reply::Json(
+            200,
+            format!("{{\"items\":[{rows}],\"hasMore\":{has_more},\"atRev\":{revision}}}"),
+        )
     }
 
     fn watch(&self, request: &Request) -> Reply {
--- a/review/standin-3/src/timed_jobs.rs
+++ b/review/standin-3/src/timed_jobs.rs
@@ -1,6 +1,10 @@
 //! Callers hand in jobs that repeat each minute for some days. None of their times has come.
 
-use std::{path::Path, thread, time::{Duration, Instant}};
+use std::{
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
 
 use crate::{
     http::call,
@@ -31,10 +35,15 @@
         }
     }
     let accepted = timed.iter().filter(|job| job.is_accepted).count();
-    one.record.say(format!("{accepted} jobs accepted that repeat each minute, {REPEATS} times, from tomorrow on"));
+    one.record.say(format!(
+        "{accepted} jobs accepted that repeat each minute, {REPEATS} times, from tomorrow on"
+    ));
     ordinary.extend(one.ordinary_traffic(Duration::from_secs(15), ordinary.len()));
     let accepted = ordinary.iter().filter(|job| job.is_accepted).count();
-    one.record.say(format!("{} ordinary jobs handed in, {accepted} accepted; end of the traffic", ordinary.len()));
+    one.record.say(format!(
+        "{} ordinary jobs handed in, {accepted} accepted; end of the traffic",
+        ordinary.len()
+    ));
     thread::sleep(FINISH);
     // For 3 s: jobs with nothing at work whose turn has come, while under half of the service is in use.
     let mut standing: Vec<&str> =
@@ -63,7 +72,8 @@
     let mut cancelled = 0;
     for (number, job) in timed.iter().filter(|job| job.is_accepted).enumerate() {
         let entry = &one.entries[number % one.entries.len()];
-        let answer = call(entry.front, "DELETE", HOST, &format!("{PREFIX}{}", job.id), DEADLINE_MS, "");
+        let answer =
+            call(entry.front, "DELETE", HOST, &format!("{PREFIX}{}", job.id), DEADLINE_MS, "");
         one.record.line(format!("DELETE {} at {}: {answer:?}", job.id, entry.name));
         cancelled += usize::from(answer.is_some_and(|(status, _)| status == 200));
     }
--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -101,7 +101,10 @@
     fn ended(&self, executor: &str, task: &str, run: u64, how: &'static str) {
         let mut state = self.state.lock().unwrap();
         let is_it = |seen: &&mut RunSeen| {
-            seen.ended.is_none() && seen.executor == executor && seen.task == task && seen.run == run
+            seen.ended.is_none()
+                && seen.executor == executor
+                && seen.task == task
+                && seen.run == run
         };
         if let Some(seen) = state.runs.iter_mut().rev().find(is_it) {
             seen.ended = Some((Instant::now(), how));
@@ -110,9 +113,8 @@
 
     fn noted(&self, executor: &str, task: &str, run: u64) {
         let mut state = self.state.lock().unwrap();
-        let is_it = |seen: &&mut RunSeen| {
-            seen.executor == executor && seen.task == task && seen.run == run
-        };
+        let is_it =
+            |seen: &&mut RunSeen| seen.executor == executor && seen.task == task && seen.run == run;
         if let Some(seen) = state.runs.iter_mut().rev().find(is_it) {
             seen.noted = Some(Instant::now());
         }
@@ -132,7 +134,10 @@
                     let is_over = earlier.ended.is_some_and(|(at, _)| at <= later.started);
                     let is_done = earlier.ended.is_some_and(|(_, how)| how == "done");
                     if !is_over {
-                        found.push(format!("TWICE: {task} run {} starts on {} while run {} works on {}", later.run, later.executor, earlier.run, earlier.executor));
+                        found.push(format!(
+                            "TWICE: {task} run {} starts on {} while run {} works on {}",
+                            later.run, later.executor, earlier.run, earlier.executor
+                        ));
                     } else if is_done && earlier.noted.is_some() {
                         found.push(format!("TWICE: {task} run {} starts on {} after run {} has ended done on {}, which is taken note of", later.run, later.executor, earlier.run, earlier.executor));
                     }
@@ -202,7 +207,9 @@
             capacity,
             hold_max_ms: 6_000,
             began_at: Instant::now(),
-            born: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis() as u64),
+            born: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |it| it.as_millis() as u64),
             state: Mutex::new(ExecutorState {
                 fence: 0,
                 lease_until_ms: 0,
@@ -245,8 +252,12 @@
             let is_due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
             has_lapsed || run.ends_at <= now || is_due(run.stops_at)
         };
-        let ended: Vec<String> =
-            state.running.iter().filter(|(_, run)| over(run)).map(|(task, _)| task.clone()).collect();
+        let ended: Vec<String> = state
+            .running
+            .iter()
+            .filter(|(_, run)| over(run))
+            .map(|(task, _)| task.clone())
+            .collect();
         for task in &ended {
             let run = state.running.remove(task).unwrap();
             let how = if run.ends_at <= now {
@@ -278,8 +289,9 @@
             return Reply::Json(400, "{}".to_owned());
         };
         let clock = || json!({ "clockMs": self.clock_ms() }).to_string();
-        let refuse =
-            |why: &str| Reply::Json(409, json!({ "clockMs": self.clock_ms(), "reason": why }).to_string());
+        let refuse = |why: &str| {
+            Reply::Json(409, json!({ "clockMs": self.clock_ms(), "reason": why }).to_string())
+        };
         let fence = body["fenceToken"].as_u64().unwrap_or(0);
         let mut state = self.state.lock().unwrap();
         if fence < state.fence {
@@ -300,7 +312,8 @@
                     state.lease_until_ms = extended;
                     return Reply::Json(200, clock());
                 }
-                if running.is_some() || state.barred.get(&task).is_some_and(|last| *last >= number) {
+                if running.is_some() || state.barred.get(&task).is_some_and(|last| *last >= number)
+                {
                     state.lease_until_ms = extended;
                     return refuse("old");
                 }
@@ -317,7 +330,7 @@
                 let run = Run { number, cpu: work.cpu, ends_at, stops_at: None, began_at: now };
                 state.running.insert(task.clone(), run);
                 self.ledger.started(&self.id, &task, number);
-            self.record.line(format!("{} starts {task} run {number}, fence {fence}", self.id));
+                self.record.line(format!("{} starts {task} run {number}, fence {fence}", self.id));
                 Reply::Json(200, clock())
             }
             "/run-stop" => {
@@ -335,7 +348,9 @@
             "/hold" => {
                 state.lease_until_ms = extended;
                 let cursor = body["ackCursor"].as_u64().unwrap_or(0);
-                for (_, task, run, how, has_lapsed) in state.ends.iter().filter(|end| end.0 <= cursor) {
+                for (_, task, run, how, has_lapsed) in
+                    state.ends.iter().filter(|end| end.0 <= cursor)
+                {
                     if *how == "done" && !has_lapsed {
                         self.ledger.noted(&self.id, task, *run);
                     }
@@ -351,7 +366,11 @@
                     .running
                     .iter()
                     .map(|(task, run)| {
-                        let percent = if run.began_at.elapsed() > Duration::from_millis(200) { 100 } else { 0 };
+                        let percent = if run.began_at.elapsed() > Duration::from_millis(200) {
+                            100
+                        } else {
+                            0
+                        };
                         json!([task, run.number, "", percent, 0])
                     })
                     .collect();
@@ -410,7 +429,9 @@
         let beats: Vec<(String, SocketAddr, u64, usize)> = executors
             .iter()
             .enumerate()
-            .map(|(number, executor)| (executor.id.clone(), executor.address, executor.born, number))
+            .map(|(number, executor)| {
+                (executor.id.clone(), executor.address, executor.born, number)
+            })
             .collect();
         let (store, service) = (store.clone(), service.to_owned());
         thread::spawn(move || {
@@ -504,7 +525,8 @@
         );
         let settings_path = folder.join(format!("{name}.toml"));
         std::fs::write(&settings_path, settings).expect("the temporary folder is writable");
-        let root = std::env::var("REPOSITORY").map(PathBuf::from).expect("run.sh names the repository");
+        let root =
+            std::env::var("REPOSITORY").map(PathBuf::from).expect("run.sh names the repository");
         let entry = Arc::new(Self {
             name: name.to_owned(),
             front,
@@ -599,7 +621,11 @@
     /// Times that the process was over its memory, ended in any other way, and its highest memory in MB.
     pub fn ends(&self) -> (u32, u32, u64) {
         let process = self.process.lock().unwrap();
-        (process.over_memory, process.own_ends.saturating_sub(process.over_memory), process.peak_kb / 1024)
+        (
+            process.over_memory,
+            process.own_ends.saturating_sub(process.over_memory),
+            process.peak_kb / 1024,
+        )
     }
 
     /// Ends the process.
