--- a/review/standin-3/src/large_burst.rs
+++ b/review/standin-3/src/large_burst.rs
@@ -4,7 +4,7 @@
 
 use crate::{installation::Installation, world::StepWork};
 
-const JOBS: usize = 12;
+const JOBS: usize = 16;
 const ITEMS: usize = 8_000;
 
 pub fn run(folder: &Path, logs: &Path, has_trouble: bool) -> Option<bool> {
@@ -13,9 +13,9 @@
     let jobs = if has_trouble { JOBS } else { 1 };
     for number in 0..jobs {
         let id = format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + number as u64);
-        one.ledger.add_job(&id, vec![StepWork { cpu: 5, duration_ms: 10_000 }]);
+        one.ledger.add_job(&id, vec![StepWork { cpu: 5, duration_ms: 30_000 }]);
         let body = format!(
-            "{{\"taskSpec\":\"large\",\"steps\":[{{\"count\":{ITEMS},\"cpu\":5,\"memMb\":1,\"estDurationMs\":10000}}]}}"
+            "{{\"taskSpec\":\"large\",\"steps\":[{{\"count\":{ITEMS},\"cpu\":5,\"memMb\":1,\"estDurationMs\":30000}}]}}"
         );
         large.push(one.submit(number, &id, &body));
     }
--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -61,6 +61,15 @@
     jobs: HashMap<String, Vec<StepWork>>,
     /// Executor, task, run, start, end and how it ended.
     runs: Vec<RunSeen>,
+    /// Positions of the runs by executor, work item and run.
+    positions: HashMap<(String, String, u64), usize>,
+}
+
+impl LedgerState {
+    fn run(&mut self, executor: &str, task: &str, run: u64) -> Option<&mut RunSeen> {
+        let position = *self.positions.get(&(executor.to_owned(), task.to_owned(), run))?;
+        self.runs.get_mut(position)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -95,27 +104,22 @@
             ended: None,
             noted: None,
         };
-        self.state.lock().unwrap().runs.push(seen);
+        let mut state = self.state.lock().unwrap();
+        let position = state.runs.len();
+        state.positions.insert((executor.to_owned(), task.to_owned(), run), position);
+        state.runs.push(seen);
     }
 
     fn ended(&self, executor: &str, task: &str, run: u64, how: &'static str) {
         let mut state = self.state.lock().unwrap();
-        let is_it = |seen: &&mut RunSeen| {
-            seen.ended.is_none()
-                && seen.executor == executor
-                && seen.task == task
-                && seen.run == run
-        };
-        if let Some(seen) = state.runs.iter_mut().rev().find(is_it) {
+        if let Some(seen) = state.run(executor, task, run) {
             seen.ended = Some((Instant::now(), how));
         }
     }
 
     fn noted(&self, executor: &str, task: &str, run: u64) {
         let mut state = self.state.lock().unwrap();
-        let is_it =
-            |seen: &&mut RunSeen| seen.executor == executor && seen.task == task && seen.run == run;
-        if let Some(seen) = state.runs.iter_mut().rev().find(is_it) {
+        if let Some(seen) = state.run(executor, task, run) {
             seen.noted = Some(Instant::now());
         }
     }
@@ -225,9 +229,17 @@
         *slot.lock().unwrap() = Some(executor.clone());
         let working = executor.clone();
         thread::spawn(move || {
+            let mut last_at = Instant::now();
             loop {
                 thread::sleep(Duration::from_millis(5));
                 working.end_runs();
+                let late_ms = last_at.elapsed().as_millis();
+                last_at = Instant::now();
+                if late_ms > 200 {
+                    working
+                        .record
+                        .line(format!("{} was {late_ms} ms late with its ends", working.id));
+                }
             }
         });
         executor
