--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -571,6 +571,10 @@
 
     fn spawn(&self) {
         let mut process = self.process.lock().unwrap();
+        // The play may have ended during the delay.
+        if process.is_ending {
+            return;
+        }
         process.starts += 1;
         let log = File::create(self.logs.join(format!("{}-{}.log", self.name, process.starts)));
         let log = log.expect("the temporary folder is writable");
