Hold orders that wait their turn as values

Cause: three orders of a kind are sent to an executor at a time, but each order that waited was a task of the runtime with the whole state of a call, some 2.3 KB. The orders of a write leave together, and nothing bounds their number.

Evidence: a trial that logs the resident size at each phase. 24,000 orders add 52 to 60 MB; the tick that places their tasks adds 1 MB, their records 9 MB. At 96,000 orders the owner had 238 of its 260 MB.

Change: an order that waits is a value in a queue of its executor, and only those in flight have a task. Order and concurrency stay the same.

--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -9,6 +9,7 @@
 mod load_note;
 mod machines;
 mod order_note;
+mod order_queue;
 mod registry;
 mod takeover;
 
--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -13,9 +13,9 @@
 };
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 use serde_json::json;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 
-use super::{Owner, registry::RegistryWatch};
+use super::{Owner, order_queue::OrderQueue, registry::RegistryWatch};
 use crate::{
     clock,
     metrics::Latency,
@@ -226,15 +226,14 @@
     pub(super) fn send_executor_command(self: Rc<Self>, command: Command) {
         match command {
             Command::Start { executor, task, run, payload, checkpoint, ticket } => {
-                tokio::task::spawn_local(async move {
-                    let order = Start { executor, task, run, payload, checkpoint, ticket };
-                    self.start(order).await;
-                });
+                let starts = self.session(&executor).starts.clone();
+                let order = Start { executor, task, run, payload, checkpoint, ticket };
+                starts.push(order, move |order| self.clone().start(order));
             }
             Command::Stop { executor, task, run, reason } => {
-                tokio::task::spawn_local(async move {
-                    self.stop(executor, task, run, reason).await;
-                });
+                let stops = self.session(&executor).stops.clone();
+                let order = Stop { executor, task, run, reason };
+                stops.push(order, move |order| self.clone().stop(order));
             }
             Command::Pace { executor, task, run, percent } => {
                 tokio::task::spawn_local(async move {
@@ -264,8 +263,6 @@
     }
 
     async fn start(self: Rc<Self>, start: Start) {
-        let session = self.session(&start.executor);
-        let _permit = session.starts.acquire().await.expect("the semaphore is never closed");
         let began_at = clock::now();
         let mut is_certain = true;
         let mut outcome = StartOutcome::Unanswered;
@@ -324,15 +321,7 @@
         }
     }
 
-    async fn stop(
-        self: Rc<Self>,
-        executor: ExecutorId,
-        task: TaskKey,
-        run: RunNumber,
-        reason: StopReason,
-    ) {
-        let session = self.session(&executor);
-        let _permit = session.stops.acquire().await.expect("the semaphore is never closed");
+    async fn stop(self: Rc<Self>, Stop { executor, task, run, reason }: Stop) {
         let mut outcome = StopOutcome::NotTaken;
         for _ in 0..STOP_ATTEMPTS {
             if !self.is_valid() {
@@ -392,10 +381,10 @@
 
 /// State that the polling loop and the orders of one executor share.
 pub(crate) struct Session {
-    /// Limits concurrent starts.
-    starts: Semaphore,
-    /// Limits concurrent stops; separate, so that stops don't wait for starts.
-    stops: Semaphore,
+    /// Starts to send.
+    starts: Rc<OrderQueue<Start>>,
+    /// Stops to send; separate, so that stops don't wait for starts.
+    stops: Rc<OrderQueue<Stop>>,
     /// Notified when more of the executor's ends are durable.
     acknowledgeable: Notify,
 }
@@ -403,8 +392,8 @@
 impl Default for Session {
     fn default() -> Self {
         Self {
-            starts: Semaphore::new(MAX_CONCURRENT_ORDERS),
-            stops: Semaphore::new(MAX_CONCURRENT_ORDERS),
+            starts: Rc::new(OrderQueue::new(MAX_CONCURRENT_ORDERS)),
+            stops: Rc::new(OrderQueue::new(MAX_CONCURRENT_ORDERS)),
             acknowledgeable: Notify::new(),
         }
     }
@@ -418,3 +407,10 @@
     checkpoint: Box<str>,
     ticket: Option<Arc<str>>,
 }
+
+struct Stop {
+    executor: ExecutorId,
+    task: TaskKey,
+    run: RunNumber,
+    reason: StopReason,
+}
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -73,6 +73,8 @@
     listings_of: BTreeMap<String, usize>,
     ended: Vec<EndedTask>,
     starts: Vec<(TaskKey, RunNumber)>,
+    /// Whether starts get no answer.
+    are_starts_held: bool,
     is_down: bool,
     /// Whether watches report no changes.
     are_watches_stalled: bool,
@@ -205,6 +207,11 @@
         }
     }
 
+    /// Lets all further starts wait for their answers for good.
+    pub fn hold_starts(&self) {
+        self.0.borrow_mut().are_starts_held = true;
+    }
+
     pub fn set_long_running(&self, are_jobs_long_running: bool) {
         self.0.borrow_mut().are_jobs_long_running = are_jobs_long_running;
     }
--- a/crates/jackdawpier_entry/tests/support/fake/outside.rs
+++ b/crates/jackdawpier_entry/tests/support/fake/outside.rs
@@ -27,6 +27,9 @@
 
 impl ExecutorControl for Fake {
     async fn start(&self, _target: &OrderTarget, order: &StartOrder) -> StartOutcome {
+        if self.0.borrow().are_starts_held {
+            std::future::pending::<()>().await;
+        }
         let mut state = self.0.borrow_mut();
         state.starts.push((order.task.clone(), order.run));
         let end = EndedTask {
