Reduce ended jobs to what later reports need

Cause: an ended job stayed whole for as long as callers may ask for it, 120 s.

Change: once the end of a job is durable and none of its tasks may still run, it is kept as a new owner recovers it: outcome, account, and the last runs of tasks that were started again. Late reports and questions already know that form, since they meet it after each change of owners.

--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -73,7 +73,7 @@
 
 use crash_backoff::CrashBackoffs;
 use defragmentation::Defragmentations;
-use intake::{InheritedEndedJob, UnchargedJob};
+use intake::{EndedJob, UnchargedJob};
 use isolation::Isolations;
 use recent_crashes::RecentCrashes;
 use short_task_cores::ShortTaskCores;
@@ -151,8 +151,8 @@
     changed_jobs: VecDeque<JobId>,
     /// Ended jobs with the time of their end, oldest first.
     ended_jobs: VecDeque<(JobId, Now)>,
-    /// Jobs that ended under a previous owner.
-    inherited_ended_jobs: BTreeMap<JobId, InheritedEndedJob>,
+    /// Ended jobs of which nothing runs any more, among them those that ended under a previous owner.
+    reduced_jobs: BTreeMap<JobId, EndedJob>,
     advice: Advice,
     commands: Vec<Command>,
     finished: Vec<FinishedJob>,
@@ -208,7 +208,7 @@
             by_service: BTreeMap::new(),
             changed_jobs: VecDeque::new(),
             ended_jobs: VecDeque::new(),
-            inherited_ended_jobs: BTreeMap::new(),
+            reduced_jobs: BTreeMap::new(),
             advice: Advice::default(),
             commands: Vec::new(),
             finished: Vec::new(),
@@ -270,7 +270,7 @@
     /// Returns the state of a job as reported to callers, or `None` if the job is unknown.
     pub fn view(&self, id: &str) -> Option<JobView> {
         let Some(job) = self.jobs.get(id) else {
-            return self.inherited_ended_jobs.get(id).map(|ended| JobView::Over(ended.outcome));
+            return self.reduced_jobs.get(id).map(|ended| JobView::Over(ended.outcome));
         };
         Some(match job.durable_outcome {
             Some(outcome) => JobView::Over(outcome),
@@ -288,7 +288,7 @@
     /// Returns the client account of a job, or `None` if the job is unknown.
     pub fn account_of(&self, id: &str) -> Option<Option<&AccountName>> {
         let of_open = self.jobs.get(id).map(|job| job.account.as_ref());
-        of_open.or_else(|| self.inherited_ended_jobs.get(id).map(|ended| ended.account.as_ref()))
+        of_open.or_else(|| self.reduced_jobs.get(id).map(|ended| ended.account.as_ref()))
     }
 
     /// Returns the number of jobs per queue of which no task has started.
@@ -359,7 +359,7 @@
             }
             let (id, _) = self.ended_jobs.pop_front().expect("the front was just read");
             self.jobs.remove(&id);
-            self.inherited_ended_jobs.remove(&id);
+            self.reduced_jobs.remove(&id);
             forgotten.push(id);
         }
         forgotten
--- a/crates/jackdawpier_fleet/src/fleet/commits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/commits.rs
@@ -128,6 +128,7 @@
                 if is_first_time {
                     self.record_finished_job(now, id, outcome);
                 }
+                self.reduce_if_settled(id);
                 continue;
             }
             self.order_starts(now, id, record);
--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -22,9 +22,9 @@
 /// callers.
 const MANY_REQUESTED_LABELS: usize = 64;
 
-/// What is known of a job that ended under a previous owner.
+/// What is kept of an ended job of which nothing runs any more.
 #[derive(Debug)]
-pub(super) struct InheritedEndedJob {
+pub(super) struct EndedJob {
     pub(super) outcome: JobOutcome,
     pub(super) account: Option<AccountName>,
     pub(super) reruns: Reruns,
@@ -47,7 +47,7 @@
         id: JobId,
         submission: Submission,
     ) {
-        let is_known = self.jobs.contains_key(&id);
+        let is_known = self.is_known(&id);
         let service = self.queues.get(&submission.queue).map(|queue| queue.service.clone());
         // Work beyond the account's cap per second doesn't count as demand for machines.
         let max_millicores = self.accounts.remaining_millicores(submission.account.as_ref());
@@ -69,7 +69,7 @@
         submission: Submission,
         written: Option<(JobRecord, Revision)>,
     ) {
-        if self.jobs.contains_key(&id) {
+        if self.is_known(&id) {
             return;
         }
         if let Some(settings) = &submission.settings {
@@ -101,9 +101,15 @@
         self.recover_suspects(&id);
         if is_open {
             self.charge_or_defer(now, now.saturating_sub(age), id);
+        } else {
+            self.reduce_if_settled(&id);
         }
     }
 
+    fn is_known(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id) || self.reduced_jobs.contains_key(id)
+    }
+
     /// Charges a job to its account, or has it charged once the capacity that the accounts share is known.
     fn charge_or_defer(&mut self, now: Now, accepted_at: Now, id: JobId) {
         let job = &self.jobs[&id];
@@ -159,13 +165,13 @@
     /// Adds a job that ended under a previous owner and of which only the record is left in the store.
     pub fn recover_ended_job(&mut self, now: Now, wall_ms: u64, id: JobId, record: &JobRecord) {
         let Some(outcome) = record.outcome else { return };
-        if self.jobs.contains_key(&id) {
+        if self.is_known(&id) {
             return;
         }
         self.count_leftover_usage(now, wall_ms, record);
         let account = record.account.clone();
-        let ended = InheritedEndedJob { outcome, account, reruns: record.reruns() };
-        self.inherited_ended_jobs.insert(id.clone(), ended);
+        let ended = EndedJob { outcome, account, reruns: record.reruns() };
+        self.reduced_jobs.insert(id.clone(), ended);
         self.ended_jobs.push_back((id, now));
     }
 
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -126,7 +126,7 @@
 
     fn apply_end(&mut self, now: Now, id: &ExecutorId, end: &EndedTask) {
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
-            let ended = self.inherited_ended_jobs.get(&end.task.job);
+            let ended = self.reduced_jobs.get(&end.task.job);
             let may_be_superseded =
                 ended.is_some_and(|job| job.reruns.may_be_superseded(&end.task, end.run));
             if end.kind == EndKind::Done && may_be_superseded {
--- a/crates/jackdawpier_fleet/src/fleet/runs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/runs.rs
@@ -3,7 +3,7 @@
 
 use jackdawpier_kernel::{Now, ids::JobId};
 
-use super::{Command, Fleet, StopReason};
+use super::{Command, Fleet, StopReason, intake::EndedJob};
 use crate::{
     account::Accounts,
     advice::StepKey,
@@ -38,6 +38,15 @@
         self.mark_changed(id);
     }
 
+    /// Reduces an ended job to what later reports and questions need, once nothing else of it is read.
+    pub(super) fn reduce_if_settled(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id).filter(|job| job.is_settled()) else { return };
+        let Some(outcome) = job.outcome else { return };
+        let ended = EndedJob { outcome, account: job.account.clone(), reruns: job.reruns() };
+        self.jobs.remove(id);
+        self.reduced_jobs.insert(id.clone(), ended);
+    }
+
     /// Orders the stop of a task that may run. A planned start that hasn't been sent is dropped.
     pub(super) fn stop_task(&mut self, now: Now, task_ref: &TaskRef, reason: StopReason) {
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
@@ -90,6 +99,7 @@
             task.note_failure(task.run);
         }
         if job.is_over() {
+            self.reduce_if_settled(id);
             return;
         }
         let is_waiting = job.tasks[index].phase == Phase::Waiting;
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -367,6 +367,18 @@
         }
     }
 
+    /// Returns whether the job has ended, its end is durable, and none of its tasks may still run.
+    pub(crate) fn is_settled(&self) -> bool {
+        let is_durable = !self.is_writing && self.durable_changes == self.changes;
+        let is_placed = |task: &Task| task.phase.executor().is_some();
+        self.durable_outcome.is_some() && is_durable && !self.tasks.iter().any(is_placed)
+    }
+
+    /// Returns what is known of tasks that were started more than once, once the job is over.
+    pub(crate) fn reruns(&self) -> Reruns {
+        self.last_starts().map_or(Reruns::Unknown, Reruns::Known)
+    }
+
     /// Returns the last starts for the record of the ended job; `None` if a record of an earlier version doesn't
     /// tell them.
     fn last_starts(&self) -> Option<Vec<LastStart>> {
--- /dev/null
+++ b/crates/jackdawpier_fleet/tests/job_memory.rs
@@ -0,0 +1,82 @@
+//! What the owner holds of jobs with thousands of tasks.
+
+mod world;
+
+use std::alloc::System;
+
+use jackdawpier_fleet::{
+    fleet::Fleet,
+    spec::{JobSpec, Schedule, Submission},
+};
+use jackdawpier_kernel::{Now, ids::JobId};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use world::{EPOCH_MS, job, queue, settings, step};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const MB: usize = 1024 * 1024;
+const DAY_MS: u64 = 24 * 3600 * 1000;
+/// Memory that callers leave of the smallest machine.
+const OWNER_BYTES: usize = 120 * MB;
+const QUEUE: &str = "q-view";
+
+/// A job that repeats each minute from tomorrow on.
+fn repeated_job() -> JobSpec {
+    let first_ms = EPOCH_MS + DAY_MS;
+    let schedule = Schedule { first_ms, interval_ms: 60_000, repeats: 8_000 };
+    JobSpec { schedule: Some(schedule), ..job(vec![step(1, 1, 1_000)]) }
+}
+
+fn held_bytes(region: &Region<'_, System>) -> usize {
+    let change = region.change();
+    change.bytes_allocated.saturating_sub(change.bytes_deallocated)
+}
+
+fn job_id(number: usize) -> JobId {
+    format!("5c0e7a2100{number:06}").into()
+}
+
+/// An owner without executors.
+fn owner() -> Fleet {
+    let mut fleet = Fleet::new(settings(), Now::ZERO);
+    fleet.configure(vec![queue(QUEUE, "view")], Vec::new(), Vec::new());
+    fleet
+}
+
+fn add_job(fleet: &mut Fleet, id: &JobId, spec: JobSpec) {
+    let submission = Submission {
+        queue: QUEUE.into(),
+        settings: None,
+        account: None,
+        accepted_ms: EPOCH_MS,
+        spec,
+    };
+    fleet.add_job(Now::ZERO, Now::ZERO, EPOCH_MS, id.clone(), submission);
+}
+
+fn write_changes(fleet: &mut Fleet) {
+    while let Some(batch) = fleet.take_batch(30) {
+        let revisions = vec![1; batch.jobs.len()];
+        fleet.batch_durable(Now::ZERO, &batch, &revisions);
+    }
+    fleet.take_finished();
+}
+
+/// Guards against owners that exceed their memory because ended jobs keep their tasks for as long as callers may ask.
+#[test]
+fn cancelled_jobs() {
+    const JOBS: usize = 500;
+    // A quarter of the memory has to hold a hundred thousand jobs that were cancelled within a minute.
+    const MAX_BYTES_PER_JOB: usize = OWNER_BYTES / 4 / 100_000;
+    let mut fleet = owner();
+    let region = Region::new(ALLOCATOR);
+    for id in (0..JOBS).map(job_id) {
+        add_job(&mut fleet, &id, repeated_job());
+        fleet.cancel(Now::ZERO, &id);
+        write_changes(&mut fleet);
+        fleet.tick(Now::ZERO, EPOCH_MS);
+    }
+    let bytes_per_job = held_bytes(&region) / JOBS;
+    assert!(bytes_per_job <= MAX_BYTES_PER_JOB, "{bytes_per_job} bytes a job");
+}
