--- a/crates/jackdawpier_bench/src/owner.rs
+++ b/crates/jackdawpier_bench/src/owner.rs
@@ -310,7 +310,8 @@
         bench.timed("tick", |fleet| fleet.tick(now, wall_ms));
         bench.cost.ticks += 1;
         bench.carry_out();
-        while let Some(batch) = bench.timed("take_batch", |fleet| fleet.take_batch(30)) {
+        while let Some(batch) = bench.timed("take_batch", |fleet| fleet.take_batch(30, usize::MAX))
+        {
             writes.push((now + WRITE_TIME, batch));
             bench.cost.writes += 1;
         }
--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -33,6 +33,11 @@
 /// Minimum time between two writes of batches that aren't full: limits them to about 40 a second. Adds half of
 /// this time to each start, where objectives are at least two seconds.
 const PARTIAL_WRITE_INTERVAL: Duration = Duration::from_millis(25);
+/// Approximate maximum size of the records of one write, unless a single record is larger.
+const MAX_BYTES_PER_WRITE: usize = 512 * 1024;
+/// Size of the records in flight at which no further write begins. A record in flight takes some five times its size, as
+/// value, as base64 and as request body.
+const MAX_BYTES_IN_FLIGHT: usize = 2 * 1024 * 1024;
 /// Delay before a write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
@@ -41,16 +46,17 @@
 /// and orders waited behind them for half a second.
 const LINK_SHARE: f64 = 0.4;
 
-/// Returns the time that a transaction takes on the records' share of the link.
-fn link_time(transaction: &Transaction, link_mbps: f64) -> Duration {
-    let bytes: usize = transaction.puts.iter().map(|(_, value, _)| value.len()).sum();
-    link::transfer_time_of_values(bytes, link_mbps, LINK_SHARE)
+/// Returns the size of a transaction's records.
+fn value_bytes(transaction: &Transaction) -> usize {
+    transaction.puts.iter().map(|(_, value, _)| value.len()).sum()
 }
 
 /// Tracks the writes in flight and their mean latency.
 #[derive(Default)]
 struct InFlightWrites {
     count: Cell<usize>,
+    /// Size of the records.
+    bytes: Cell<usize>,
     mean_latency: Cell<Duration>,
     write_ended: Notify,
 }
@@ -58,16 +64,18 @@
 impl InFlightWrites {
     fn is_full(&self) -> bool {
         let by_latency = self.mean_latency.get().as_millis() / LATENCY_PER_WRITE.as_millis();
-        self.count.get()
-            >= (by_latency as usize).clamp(MIN_CONCURRENT_WRITES, MAX_CONCURRENT_WRITES)
+        let max_count = (by_latency as usize).clamp(MIN_CONCURRENT_WRITES, MAX_CONCURRENT_WRITES);
+        self.count.get() >= max_count || self.bytes.get() >= MAX_BYTES_IN_FLIGHT
     }
 
-    fn begin(&self) {
+    fn begin(&self, bytes: usize) {
         self.count.set(self.count.get() + 1);
+        self.bytes.set(self.bytes.get() + bytes);
     }
 
-    fn end(&self, latency: Duration) {
+    fn end(&self, bytes: usize, latency: Duration) {
         self.count.set(self.count.get() - 1);
+        self.bytes.set(self.bytes.get() - bytes);
         self.mean_latency.set(
             self.mean_latency.get().mul_f64(1.0 - NEW_SAMPLE_WEIGHT)
                 + latency.mul_f64(NEW_SAMPLE_WEIGHT),
@@ -98,19 +106,22 @@
                 in_flight.write_ended.notified().await;
                 continue;
             }
-            let batch = self.fleet.borrow_mut().take_batch(MAX_ROWS_PER_WRITE);
-            let Some(batch) = batch else { continue };
+            let batch = self.fleet.borrow_mut().take_batch(MAX_ROWS_PER_WRITE, MAX_BYTES_PER_WRITE);
+            let Some(mut batch) = batch else { continue };
             let rows: usize = batch.jobs.iter().map(ChangedJob::rows).sum();
             let batch_delay =
                 if rows >= FULL_BATCH_ROWS { Duration::ZERO } else { PARTIAL_WRITE_INTERVAL };
-            let transaction = self.transaction(&batch);
-            let pause = batch_delay.max(link_time(&transaction, self.settings.link_mbps));
+            let transaction = self.transaction(&mut batch);
+            let bytes = value_bytes(&transaction);
+            let link_time =
+                link::transfer_time_of_values(bytes, self.settings.link_mbps, LINK_SHARE);
+            let pause = batch_delay.max(link_time);
             let (owner, in_flight) = (self.clone(), in_flight.clone());
-            in_flight.begin();
+            in_flight.begin(bytes);
             tokio::task::spawn_local(async move {
                 let began_at = clock::now();
                 owner.write(batch, transaction).await;
-                in_flight.end(clock::since(began_at));
+                in_flight.end(bytes, clock::since(began_at));
             });
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
@@ -153,13 +164,13 @@
         }
     }
 
-    /// Builds the transaction of a batch. Removes the submission together with the end of its job, so that
-    /// listings of submissions contain only jobs that haven't ended.
-    fn transaction(&self, batch: &Batch) -> Transaction {
+    /// Builds the transaction of a batch, and takes the records. Removes the submission together with the end of its
+    /// job, so that listings of submissions contain only jobs that haven't ended.
+    fn transaction(&self, batch: &mut Batch) -> Transaction {
         let mut transaction = Transaction::default();
         transaction.expect.push((keys::OWNER.to_owned(), self.term.fence));
-        for ChangedJob { job, record, revision, is_ending, is_cancelled, .. } in &batch.jobs {
-            let value = encode_within(record, self.settings.max_value_bytes);
+        for ChangedJob { job, record, revision, is_ending, is_cancelled, .. } in &mut batch.jobs {
+            let value = encode_within(&std::mem::take(record), self.settings.max_value_bytes);
             transaction.expect.push((keys::record(job), *revision));
             transaction.puts.push((keys::record(job), value, None));
             if *is_ending {
--- a/crates/jackdawpier_fleet/src/fleet/advice.rs
+++ b/crates/jackdawpier_fleet/src/fleet/advice.rs
@@ -15,7 +15,7 @@
 use crate::{
     advice::{Candidate, StepAdvice, StepKey},
     executor::Executor,
-    job::{Job, Phase, TaskIndex},
+    job::{Job, TaskIndex},
     spec::TaskKey,
 };
 
@@ -110,8 +110,7 @@
                 })
             })
             .collect();
-        let is_waiting = |index: &TaskIndex| job.tasks[*index].phase == Phase::Waiting;
-        let waiting_tasks = job.tasks_in_slot(job.slot(index)).filter(is_waiting).count();
+        let waiting_tasks = job.waiting_in_slot(job.slot(index));
         let cost = queue.advice_cost;
         let request =
             self.advice.request(now, &step, &queue.name, cost, waiting_tasks, &candidates);
--- a/crates/jackdawpier_fleet/src/fleet/commits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/commits.rs
@@ -10,10 +10,10 @@
 use super::{Command, Fleet};
 use crate::{
     advice::StepKey,
-    job::{Phase, Task},
+    job::{Job, Phase, TaskIndex},
     job_rank::objective,
     record::{JobOutcome, JobRecord},
-    spec::{QueueName, TaskKey},
+    spec::{QueueName, RunNumber, TaskKey},
 };
 
 /// Maximum number of transaction rows per job, that of an ended and cancelled one: a condition, a
@@ -39,12 +39,20 @@
     pub most_crashes: usize,
 }
 
+/// A task whose placement is written.
+#[derive(Debug)]
+struct PlannedStart {
+    index: TaskIndex,
+    run: RunNumber,
+    executor: ExecutorId,
+}
+
 /// A changed job with the record to write.
 #[derive(Debug)]
 pub struct ChangedJob {
     /// The job.
     pub job: JobId,
-    /// Its record.
+    /// Its record. It isn't read again, so that whoever has encoded it may take it.
     pub record: JobRecord,
     /// Revision of the record in the store; 0 if the store has none.
     pub revision: Revision,
@@ -53,6 +61,8 @@
     /// The job was cancelled, so its cancellation key is removed as well.
     pub is_cancelled: bool,
     changes: u64,
+    outcome: Option<JobOutcome>,
+    planned_starts: Vec<PlannedStart>,
 }
 
 impl ChangedJob {
@@ -71,12 +81,35 @@
     pub jobs: Vec<ChangedJob>,
 }
 
+/// Takes the change of a job that is about to be written.
+fn take_change(id: JobId, job: &mut Job) -> ChangedJob {
+    job.is_dirty = false;
+    job.is_writing = true;
+    let planned_starts = job.tasks.placed().filter_map(|(index, task)| match &task.phase {
+        Phase::Planned { executor } => {
+            Some(PlannedStart { index, run: task.run, executor: executor.clone() })
+        }
+        _ => None,
+    });
+    ChangedJob {
+        job: id,
+        record: job.record(),
+        revision: job.revision,
+        is_ending: job.is_over() && job.durable_outcome.is_none(),
+        is_cancelled: job.is_cancelled,
+        changes: job.changes,
+        outcome: job.outcome,
+        planned_starts: planned_starts.collect(),
+    }
+}
+
 impl Fleet {
     /// Takes a batch of changed jobs with at most `max_rows` rows in a transaction, see
-    /// [`ChangedJob::rows`]. A job is in one batch at a time, so batches may be written concurrently.
-    pub fn take_batch(&mut self, max_rows: usize) -> Option<Batch> {
+    /// [`ChangedJob::rows`], and with records of at most about `max_bytes`, unless there is only one. A job is in one
+    /// batch at a time, so batches may be written concurrently.
+    pub fn take_batch(&mut self, max_rows: usize, max_bytes: usize) -> Option<Batch> {
         let mut jobs: Vec<ChangedJob> = Vec::new();
-        let mut rows = 0;
+        let (mut rows, mut bytes) = (0, 0);
         let mut deferred = Vec::new();
         while rows + MAX_ROWS_PER_JOB <= max_rows {
             let Some(id) = self.changed_jobs.pop_front() else { break };
@@ -85,16 +118,12 @@
                 deferred.push(id);
                 continue;
             }
-            job.is_dirty = false;
-            job.is_writing = true;
-            let changed = ChangedJob {
-                job: id,
-                record: job.record(),
-                revision: job.revision,
-                is_ending: job.is_over() && job.durable_outcome.is_none(),
-                is_cancelled: job.is_cancelled,
-                changes: job.changes,
-            };
+            bytes += job.record_bytes();
+            if bytes > max_bytes && !jobs.is_empty() {
+                self.changed_jobs.push_front(id);
+                break;
+            }
+            let changed = take_change(id, job);
             rows += changed.rows();
             jobs.push(changed);
         }
@@ -115,7 +144,7 @@
     /// ends acknowledged and its outcomes shown.
     pub fn batch_durable(&mut self, now: Now, batch: &Batch, revisions: &[Revision]) {
         for (written, &revision) in batch.jobs.iter().zip(revisions) {
-            let (id, record) = (&written.job, &written.record);
+            let id = &written.job;
             let Some(job) = self.jobs.get_mut(id) else { continue };
             job.is_writing = false;
             job.revision = revision;
@@ -123,7 +152,7 @@
             let acknowledgeable =
                 job.unacknowledged_ends.extract_if(.., |(needed, _)| *needed <= written.changes);
             self.acknowledgeable.extend(acknowledgeable.map(|(_, executor)| executor));
-            if let Some(outcome) = record.outcome {
+            if let Some(outcome) = written.outcome {
                 let is_first_time = job.durable_outcome.replace(outcome).is_none();
                 if is_first_time {
                     self.record_finished_job(now, id, outcome);
@@ -131,22 +160,21 @@
                 self.reduce_if_settled(id);
                 continue;
             }
-            self.order_starts(now, id, record);
+            self.order_starts(now, id, &written.planned_starts);
         }
     }
 
     fn record_finished_job(&mut self, now: Now, id: &JobId, outcome: JobOutcome) {
         let Some(job) = self.jobs.get(id) else { return };
         let queue = self.queues.get(&job.queue);
-        let most_failed = job.tasks.iter().max_by_key(|task| task.failures());
         self.finished.push(FinishedJob {
             job: id.clone(),
             queue: job.queue.clone(),
             outcome,
             duration: now.saturating_sub(job.next_occurrence_began_at()),
             objective: queue.map(|queue| objective(job, queue)).unwrap_or_default(),
-            most_failures: most_failed.map_or(0, Task::failures),
-            most_crashes: job.tasks.iter().map(|task| task.crashes().len()).max().unwrap_or(0),
+            most_failures: job.tasks.most_failures(),
+            most_crashes: job.tasks.most_crashes(),
         });
     }
 
@@ -161,19 +189,18 @@
         std::mem::take(&mut self.acknowledgeable)
     }
 
-    fn order_starts(&mut self, now: Now, id: &JobId, record: &JobRecord) {
+    fn order_starts(&mut self, now: Now, id: &JobId, planned_starts: &[PlannedStart]) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        for (index, written) in record.tasks.iter().enumerate() {
-            let Phase::Planned { executor } = &job.tasks[index].phase else { continue };
-            let is_this_run = written.run == job.tasks[index].run;
-            if !is_this_run || written.status != crate::record::TaskStatus::Placed(executor.clone())
-            {
+        for PlannedStart { index, run, executor } in planned_starts {
+            let task = &job.tasks[*index];
+            let is_planned = task.phase == Phase::Planned { executor: executor.clone() };
+            if !is_planned || task.run != *run {
                 continue;
             }
             let executor = executor.clone();
-            let key: TaskKey = job.key(index);
+            let key: TaskKey = job.key(*index);
             let ticket = self.advice.ticket(&StepKey::from(&key), &executor);
-            let task = &mut job.tasks[index];
+            let task = &mut job.tasks[*index];
             task.phase = Phase::Starting { executor: executor.clone() };
             task.ordered_at = now;
             self.commands.push(Command::Start {
--- a/crates/jackdawpier_fleet/src/fleet/crash_attribution.rs
+++ b/crates/jackdawpier_fleet/src/fleet/crash_attribution.rs
@@ -207,7 +207,8 @@
 
     fn clear_crashes(&mut self, task_ref: &TaskRef) {
         let job = self.jobs.get_mut(&task_ref.0);
-        if job.is_some_and(|job| job.tasks[task_ref.1].clear_crashes()) {
+        let task = job.and_then(|job| job.tasks.get_whole_mut(task_ref.1));
+        if task.is_some_and(Task::clear_crashes) {
             self.mark_changed(&task_ref.0);
         }
     }
--- a/crates/jackdawpier_fleet/src/fleet/crash_backoff.rs
+++ b/crates/jackdawpier_fleet/src/fleet/crash_backoff.rs
@@ -73,11 +73,12 @@
     /// Restarts the back-offs of a previous owner's job in full: how much of them has passed isn't known.
     pub(super) fn restore_backoffs(&mut self, now: Now, id: &JobId) {
         let Some(job) = self.jobs.get(id).filter(|job| !job.is_over()) else { return };
-        let delay = |index: usize| match job.retry(index) {
-            Retry::After(delay) if job.tasks[index].phase == Phase::Waiting => Some((index, delay)),
+        let waiting = job.tasks.whole().filter(|(_, task)| task.phase == Phase::Waiting);
+        let delay = |(index, _)| match job.retry(index) {
+            Retry::After(delay) => Some((index, delay)),
             _ => None,
         };
-        let backed_off: Vec<(usize, Duration)> = (0..job.tasks.len()).filter_map(delay).collect();
+        let backed_off: Vec<(usize, Duration)> = waiting.filter_map(delay).collect();
         for (index, delay) in backed_off {
             self.back_off(now, &(id.clone(), index), Some(delay));
         }
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -17,8 +17,8 @@
     /// Stops all running members of a gang. A gang can't make progress without one of its members.
     pub(super) fn stop_gang(&mut self, now: Now, id: &JobId, slot: usize) {
         let Some(job) = self.jobs.get(id) else { return };
-        let members: Vec<TaskRef> =
-            job.tasks_in_slot(slot).map(|index| (id.clone(), index)).collect();
+        let placed = job.whole_tasks_in_slot(slot).filter(|(_, task)| task.phase.may_be_stopped());
+        let members: Vec<TaskRef> = placed.map(|(index, _)| (id.clone(), index)).collect();
         members.iter().for_each(|member| self.stop_task(now, member, StopReason::GangBroken));
     }
 
@@ -38,14 +38,16 @@
             return false;
         }
         let slot = job.slot(task_ref.1);
-        job.tasks_in_slot(slot).any(|index| job.tasks[index].phase == Phase::Done)
+        job.slots.remaining(slot) < job.slots.task_count(slot)
     }
 
     /// Counts one failure per run for the whole gang.
     pub(super) fn record_gang_failure(&mut self, id: &JobId, slot: usize, run: RunNumber) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         for index in job.tasks_in_slot(slot) {
-            job.tasks[index].note_failure(run);
+            if let Some(task) = job.tasks.get_whole_mut(index) {
+                task.note_failure(run);
+            }
         }
     }
 
@@ -105,7 +107,7 @@
             .find(|checkpoint| !checkpoint.is_empty())
             .unwrap_or_default();
         for (index, executor) in placed {
-            let task = &mut job.tasks[*index];
+            let task = job.task_to_place(*index);
             task.run = run;
             task.confirmed_at = None;
             task.placed_incarnation = self.executors.get(executor).and_then(|one| one.incarnation);
--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -196,7 +196,7 @@
     /// Allocates the resources of the tasks that a previous owner placed.
     fn allocate_inherited_tasks(&mut self, job: &Job) {
         let uncertain_until = self.started_at + self.settings.takeover_uncertainty;
-        for (index, task) in job.tasks.iter().enumerate() {
+        for (index, task) in job.tasks.placed() {
             let Some(id) = task.phase.executor() else { continue };
             let is_suspect = self.is_suspect(job, index);
             let executor = self
--- a/crates/jackdawpier_fleet/src/fleet/isolation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/isolation.rs
@@ -127,11 +127,8 @@
     /// Records the suspects of a job that a previous owner has left.
     pub(super) fn recover_suspects(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get(id).filter(|job| !job.is_over()) else { return };
-        for index in 0..job.tasks.len() {
-            if !job.tasks[index].crashes().is_empty() {
-                self.isolations.note_suspect((id.clone(), index));
-            }
-        }
+        let suspects = job.tasks.whole().filter(|(_, task)| !task.crashes().is_empty());
+        suspects.for_each(|(index, _)| self.isolations.note_suspect((id.clone(), index)));
     }
 
     /// Places waiting suspects, and holds executors for the next ones.
--- a/crates/jackdawpier_fleet/src/fleet/label_need.rs
+++ b/crates/jackdawpier_fleet/src/fleet/label_need.rs
@@ -41,11 +41,14 @@
         missing.div_ceil(per_machine).max(self.min_machines.saturating_sub(self.machines))
     }
 
-    /// Counts a waiting task of a step.
-    pub(super) fn add_waiting(&mut self, step: &StepSpec, is_scarce: bool) {
+    /// Counts waiting tasks of a step.
+    pub(super) fn add_waiting(&mut self, step: &StepSpec, tasks: usize, is_scarce: bool) {
+        if tasks == 0 {
+            return;
+        }
         let need = step.allocated();
-        self.waiting += 1;
-        self.need_millicores += need.cpu_millicores;
+        self.waiting += tasks;
+        self.need_millicores += need.cpu_millicores * tasks as u64;
         self.largest_need.raise_to(&need);
         if is_scarce && step.is_long_running && step.max_per_executor > 0 {
             let machines = step.count.div_ceil(step.max_per_executor) as usize;
--- a/crates/jackdawpier_fleet/src/fleet/load_report.rs
+++ b/crates/jackdawpier_fleet/src/fleet/load_report.rs
@@ -17,7 +17,7 @@
 use crate::{
     account::Account,
     admission::{AccountLoad, PERMILLE, QueueLoad, position},
-    job::{Job, Phase},
+    job::{Job, Phase, Slot},
     job_rank::{objective, rank},
     spec::{MAX_CORE_MS, Queue, QueueName},
 };
@@ -491,7 +491,7 @@
     fn is_delayed(&self, now: Now, job: &Job) -> bool {
         let is_waiting = |index: &usize| job.tasks[*index].phase == Phase::Waiting;
         job.startable.iter().copied().find(is_waiting).is_some_and(|index| {
-            let waited = now.saturating_sub(job.tasks[index].waiting_since);
+            let waited = now.saturating_sub(job.waiting_since(index));
             waited >= MIN_DELAY && self.is_within_cap(job, index)
         })
     }
@@ -499,21 +499,21 @@
 
 /// Returns the CPU that the placed tasks of a job use, in thousandths of a core.
 fn running_millicores(job: &Job) -> u64 {
-    let is_placed = |index: &usize| job.tasks[*index].phase.executor().is_some();
-    let placed = (0..job.tasks.len()).filter(is_placed);
-    placed.map(|index| job.step(index).allocated().cpu_millicores).sum()
+    job.tasks.placed().map(|(index, _)| job.step(index).allocated().cpu_millicores).sum()
 }
 
 /// Returns the estimated work of the waiting tasks of a job, in core-milliseconds, without occurrences that aren't
 /// due.
 fn waiting_core_ms(job: &Job) -> u64 {
-    let is_due =
-        |index: usize| job.spec.schedule.is_none() || job.progress[job.slot(index)].is_open;
-    let is_waiting = |index: &usize| job.tasks[*index].phase == Phase::Waiting && is_due(*index);
-    let of_task = |index| {
-        let step = job.step(index);
+    let steps = &job.spec.steps;
+    let of_slot = |slot: Slot| {
+        let step = &steps[slot % steps.len()];
         let millicore_ms = u128::from(step.allocated().cpu_millicores) * step.estimate.as_millis();
-        (millicore_ms / 1000).min(u128::from(MAX_CORE_MS)) as u64
+        let core_ms = (millicore_ms / 1000).min(u128::from(MAX_CORE_MS)) as u64;
+        core_ms * job.waiting_in_slot(slot) as u64
     };
-    (0..job.tasks.len()).filter(is_waiting).map(of_task).sum()
+    match job.spec.schedule {
+        Some(_) => job.slots.open().map(|(slot, _)| of_slot(slot)).sum(),
+        None => (0..steps.len()).map(of_slot).sum(),
+    }
 }
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -295,7 +295,7 @@
 
     pub(super) fn assign(&mut self, id: &JobId, index: TaskIndex, executor: ExecutorId) {
         let job = self.jobs.get_mut(id).expect("the caller has just read it");
-        let task = &mut job.tasks[index];
+        let task = job.task_to_place(index);
         task.run += 1;
         task.confirmed_at = None;
         task.unanswered_at = None;
@@ -392,8 +392,7 @@
                 && is_eligible(executor, job, index)
                 && permissions.allows(id, executor) != Some(false)
         });
-        let has_waited =
-            now.saturating_sub(job.tasks[index].waiting_since) >= MAX_DATA_LOCALITY_WAIT;
+        let has_waited = now.saturating_sub(job.waiting_since(index)) >= MAX_DATA_LOCALITY_WAIT;
         if now + remote_estimate + rest <= due || !can_run_near || has_waited {
             return RemotePlacement::Allowed;
         }
--- a/crates/jackdawpier_fleet/src/fleet/pool_demand.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_demand.rs
@@ -42,12 +42,10 @@
     /// Adds the running tasks of a job to the outlook. The need of running tasks is counted by
     /// machine, since those on machines that leave the pool don't count.
     pub(super) fn add_running(&mut self, now: Now, job: &Job) {
-        for (index, task) in job.tasks.iter().enumerate() {
-            if task.phase.executor().is_some() {
-                let step = job.step(index);
-                let remaining = step.estimate.saturating_sub(elapsed(now, task));
-                self.outlook.add(step, step.allocated().cpu_millicores, remaining);
-            }
+        for (index, task) in job.tasks.placed() {
+            let step = job.step(index);
+            let remaining = step.estimate.saturating_sub(elapsed(now, task));
+            self.outlook.add(step, step.allocated().cpu_millicores, remaining);
         }
     }
 
@@ -98,8 +96,8 @@
 
 /// Whether tasks of a job may be running: not all tasks of its open steps are startable.
 pub(super) fn has_running_tasks(job: &Job) -> bool {
-    let open = job.progress.iter().filter(|progress| progress.is_open);
-    open.map(|progress| progress.remaining as usize).sum::<usize>() > job.startable.len()
+    let remaining = job.slots.open().map(|(_, remaining)| remaining as usize);
+    remaining.sum::<usize>() > job.startable.len()
 }
 
 /// Returns the part of the remaining estimate of a job that its running tasks have already run.
@@ -110,11 +108,11 @@
         return Duration::ZERO;
     }
     let steps = job.spec.steps.len();
-    let open = job.progress.iter().enumerate().filter(|(_, one)| one.is_open && one.remaining > 0);
-    let remaining = open.map(|(slot, _)| {
-        let tasks = job.tasks_in_slot(slot).map(|index| &job.tasks[index]);
-        let unfinished = tasks.filter(|task| task.phase != Phase::Done);
-        let time_run = unfinished.map(|task| elapsed(now, task)).min().unwrap_or_default();
+    let remaining = job.slots.open().map(|(slot, _)| {
+        // No task waits, so all that aren't done have been placed.
+        let unfinished =
+            job.whole_tasks_in_slot(slot).filter(|(_, task)| task.phase != Phase::Done);
+        let time_run = unfinished.map(|(_, task)| elapsed(now, task)).min().unwrap_or_default();
         let step = &job.spec.steps[slot % steps];
         job.remaining_chains[slot % steps].saturating_sub(time_run.min(step.estimate))
     });
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -31,7 +31,7 @@
 };
 use crate::{
     executor::{Executor, TaskRef},
-    job::{Job, Phase, TaskIndex},
+    job::{Job, TaskIndex},
     job_rank::{Rank, rank},
     machines::{MachineId, MachineState, MachineWork},
     policy::Policy,
@@ -384,13 +384,14 @@
                 if job.spec.steps.iter().all(|step| step.required_label.is_none()) {
                     continue;
                 }
-                for (index, task) in job.tasks.iter().enumerate() {
-                    let step = job.step(index);
+                for label in job.spec.steps.iter().filter_map(|step| step.required_label.as_ref()) {
+                    pool.labels.entry(label.clone()).or_default();
+                }
+                for (slot, _) in job.slots.open() {
+                    let step = &job.spec.steps[slot % job.spec.steps.len()];
                     let Some(label) = &step.required_label else { continue };
-                    let need = pool.labels.entry(label.clone()).or_default();
-                    let is_open = job.progress[job.slot(index)].is_open;
-                    if is_open && task.phase == Phase::Waiting {
-                        need.add_waiting(step, scarce.contains(&label));
+                    if let Some(need) = pool.labels.get_mut(label) {
+                        need.add_waiting(step, job.waiting_in_slot(slot), scarce.contains(&label));
                     }
                 }
             }
@@ -447,7 +448,7 @@
     /// machine of the pool could run it.
     fn stuck_since(&self, now: Now, job: &Job, pool: &PoolView) -> Option<Now> {
         let index = *job.startable.front()?;
-        let since = job.tasks[index].waiting_since;
+        let since = job.waiting_since(index);
         let has_waited = now.saturating_sub(since) >= STUCK_CHECK_AFTER;
         let can_ever_run = pool.machine_capacity.fit_count(&job.step(index).allocated()) > 0;
         (has_waited && can_ever_run && self.is_within_cap(job, index)).then_some(since)
--- a/crates/jackdawpier_fleet/src/fleet/probation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/probation.rs
@@ -31,7 +31,7 @@
         let last = not_isolated.find(|crash| crash.service.as_ref() == service);
         let since = last.map_or(self.started_at, |crash| crash.at);
         now >= since + REQUIRED_CRASH_FREE_TIME
-            || now >= job.tasks[index].waiting_since + MAX_CRASH_FREE_WAIT
+            || now >= job.waiting_since(index) + MAX_CRASH_FREE_WAIT
     }
 
     /// Whether executors have recently crashed without the task as well, so that its own crashes
--- a/crates/jackdawpier_fleet/src/fleet/queue_load.rs
+++ b/crates/jackdawpier_fleet/src/fleet/queue_load.rs
@@ -192,16 +192,15 @@
 
     fn job_load(&self, now: Now, queue: &Queue, job: &Job) -> JobLoad {
         let millicores = |index: usize| job.step(index).allocated().cpu_millicores;
-        let placed = (0..job.tasks.len()).filter(|&one| job.tasks[one].phase.executor().is_some());
         let is_waiting = |index: &&usize| job.tasks[**index].phase == Phase::Waiting;
         let waiting = || job.startable.iter().filter(is_waiting);
-        let since = waiting().map(|&index| job.tasks[index].waiting_since).min();
+        let since = waiting().map(|&index| job.waiting_since(index)).min();
         JobLoad {
             queue: queue.name.clone(),
             service: queue.service.clone(),
             account: job.account.clone(),
             class: since.map(|_| class_of(&rank(now, job, queue, self.settings.policy))),
-            running_millicores: placed.map(millicores).sum(),
+            running_millicores: job.tasks.placed().map(|(index, _)| millicores(index)).sum(),
             waiting_millicores: waiting().map(|&index| millicores(index)).sum(),
             waited: since.map_or(Duration::ZERO, |since| now.saturating_sub(since)),
         }
--- a/crates/jackdawpier_fleet/src/fleet/recent_crashes.rs
+++ b/crates/jackdawpier_fleet/src/fleet/recent_crashes.rs
@@ -72,7 +72,10 @@
         }
         for (task, run) in self.recent_crashes.take_co_located_runs(cause) {
             let job = self.jobs.get_mut(&task.0).filter(|job| !job.is_over());
-            if job.is_some_and(|job| job.tasks[task.1].attribute_crash_elsewhere(run)) {
+            if job
+                .and_then(|job| job.tasks.get_whole_mut(task.1))
+                .is_some_and(|task| task.attribute_crash_elsewhere(run))
+            {
                 self.mark_changed(&task.0);
             }
         }
--- a/crates/jackdawpier_fleet/src/fleet/reports.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reports.rs
@@ -135,7 +135,7 @@
             return;
         };
         let Some(index) = job.index(&end.task) else { return };
-        let task = &mut job.tasks[index];
+        let task = &job.tasks[index];
         let is_here = task.phase.executor() == Some(id) && task.run == end.run;
         // The run was taken for lapsed but succeeded. No other run was started, so it counts.
         let is_late_success =
@@ -148,6 +148,7 @@
             self.apply_superseded_end(now, id, end, index);
             return;
         }
+        let task = &mut job.tasks[index];
         if !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
@@ -190,8 +191,11 @@
         match end.kind {
             EndKind::Done => self.freeze(now, id, end),
             EndKind::Failed => {
-                job.tasks[index].note_failure(end.run);
-                self.mark_changed(&end.task.job);
+                // The failures of a settled task don't count any more.
+                if let Some(task) = job.tasks.get_whole_mut(index) {
+                    task.note_failure(end.run);
+                    self.mark_changed(&end.task.job);
+                }
             }
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
@@ -239,7 +243,7 @@
         for running in &report.running {
             let known = self.jobs.get_mut(&running.task.job).and_then(|job| {
                 let index = job.index(&running.task)?;
-                let task = &mut job.tasks[index];
+                let task = &job.tasks[index];
                 let is_here = task.phase.executor() == Some(id) && task.run == running.run;
                 is_here.then_some((job, index))
             });
--- a/crates/jackdawpier_fleet/src/fleet/reservations.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reservations.rs
@@ -58,7 +58,7 @@
                 let job = &self.jobs[waiting.id()];
                 let index = starved_task(now, job, STARVED_AFTER)
                     .filter(|index| !self.awaits_isolation(job, *index))?;
-                let waiting_since = job.tasks[index].waiting_since;
+                let waiting_since = job.waiting_since(index);
                 Some(StarvedJob {
                     unplaced_since: job
                         .last_placed_at
@@ -170,7 +170,7 @@
         else {
             return;
         };
-        let waited = now.saturating_sub(job.tasks[index].waiting_since + RESERVE_AFTER);
+        let waited = now.saturating_sub(job.waiting_since(index) + RESERVE_AFTER);
         if waited.as_millis() % RESERVATION_PERIOD.as_millis() >= RESERVATION_DURATION.as_millis() {
             return;
         }
@@ -240,8 +240,7 @@
 /// Returns the first waiting task of a job that has nothing running, if it has waited for at least `min_wait`.
 fn starved_task(now: Now, job: &Job, min_wait: Duration) -> Option<TaskIndex> {
     let index = *job.startable.front()?;
-    let has_waited = now.saturating_sub(job.tasks[index].waiting_since) >= min_wait;
+    let has_waited = now.saturating_sub(job.waiting_since(index)) >= min_wait;
     let is_waiting = job.tasks[index].phase == Phase::Waiting;
-    let has_running = || job.tasks.iter().any(|task| task.phase.executor().is_some());
-    (has_waited && is_waiting && !has_running()).then_some(index)
+    (has_waited && is_waiting && !job.tasks.has_placed()).then_some(index)
 }
--- a/crates/jackdawpier_fleet/src/fleet/runs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/runs.rs
@@ -32,9 +32,13 @@
         }
         self.ended_jobs.push_back((id.clone(), now));
         self.advice.forget_job(id);
-        for index in 0..job.tasks.len() {
+        let placed: Vec<TaskIndex> = job.tasks.placed().map(|(index, _)| index).collect();
+        for index in placed {
             self.stop_task(now, &(id.clone(), index), StopReason::JobOver(outcome));
         }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.tasks.settle_unplaced();
+        }
         self.mark_changed(id);
     }
 
@@ -50,7 +54,7 @@
     /// Orders the stop of a task that may run. A planned start that hasn't been sent is dropped.
     pub(super) fn stop_task(&mut self, now: Now, task_ref: &TaskRef, reason: StopReason) {
         let Some(job) = self.jobs.get_mut(&task_ref.0) else { return };
-        let task = &mut job.tasks[task_ref.1];
+        let Some(task) = job.tasks.get_whole_mut(task_ref.1) else { return };
         // The task counts as away from now on, although it takes a moment to end.
         task.at_work_since = None;
         match &task.phase {
@@ -85,29 +89,33 @@
         let is_gang = job.step(index).is_gang;
         let task = &mut job.tasks[index];
         task.at_work_since = None;
-        task.phase = if outcome == Some(TaskOutcome::Done) { Phase::Done } else { Phase::Waiting };
-        if task.phase == Phase::Done {
-            job.progress[slot].remaining -= 1;
-            if is_gang {
-                job.finish_waiting_tasks(slot);
+        task.phase = Phase::Waiting;
+        if outcome == Some(TaskOutcome::Failed) {
+            task.note_failure(task.run);
+        }
+        let is_done = outcome == Some(TaskOutcome::Done);
+        if is_done {
+            let is_first_of_gang =
+                is_gang && job.slots.remaining(slot) == job.slots.task_count(slot);
+            let mut is_complete = job.complete_task(index);
+            if is_first_of_gang {
+                is_complete |= job.finish_waiting_tasks(slot);
             }
-            if job.progress[slot].remaining == 0 {
+            if is_complete {
                 self.advice.forget_step(&StepKey::from(&job.key(index)));
-                job.open_steps(now, self.wall_ms);
+                job.open_steps_after(now, self.wall_ms, slot);
             }
-        } else if outcome == Some(TaskOutcome::Failed) {
-            task.note_failure(task.run);
         }
         if job.is_over() {
+            job.tasks.settle(index);
             self.reduce_if_settled(id);
             return;
         }
-        let is_waiting = job.tasks[index].phase == Phase::Waiting;
-        let is_done = job.progress.iter().all(|slot| slot.remaining == 0);
+        let is_job_done = job.slots.are_complete();
         self.mark_changed(id);
-        if is_done {
+        if is_job_done {
             self.finish_job(now, id, JobOutcome::Completed);
-        } else if is_waiting {
+        } else if !is_done {
             self.requeue(now, task_ref);
         }
     }
@@ -117,7 +125,7 @@
         self.give_up(now, task_ref);
         let Some(job) = self.jobs.get_mut(&task_ref.0).filter(|job| !job.is_over()) else { return };
         let slot = job.slot(task_ref.1);
-        let is_open = job.progress[slot].is_open;
+        let is_open = job.slots.is_open(slot);
         match job.retry(task_ref.1) {
             Retry::AtOnce if is_open => job.enqueue(now, task_ref.1),
             Retry::AtOnce => {}
--- a/crates/jackdawpier_fleet/src/fleet/starts.rs
+++ b/crates/jackdawpier_fleet/src/fleet/starts.rs
@@ -104,7 +104,7 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(index) = job.index(key) else { return };
         let isolation_time = job.tasks[index].isolation_time(job.step(index).is_long_running);
-        let task = &mut job.tasks[index];
+        let Some(task) = job.tasks.get_whole_mut(index) else { return };
         let is_current = task.run == run
             && matches!(&task.phase, Phase::Starting { executor } if &**executor == executor_id);
         if !is_current {
--- a/crates/jackdawpier_fleet/src/fleet/stops.rs
+++ b/crates/jackdawpier_fleet/src/fleet/stops.rs
@@ -83,10 +83,9 @@
     pub fn stop_ended(&mut self, now: Now, key: &TaskKey, run: RunNumber, outcome: StopOutcome) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(index) = job.index(key) else { return };
-        let task = &mut job.tasks[index];
-        if task.run != run {
+        let Some(task) = job.tasks.get_whole_mut(index).filter(|task| task.run == run) else {
             return;
-        }
+        };
         if let Phase::Stopping { order, .. } = &mut task.phase {
             *order = match (*order, outcome) {
                 (StopOrder::Taken { at }, _) => StopOrder::Taken { at },
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -115,24 +115,23 @@
         }
         executor.tasks_per_slot.iter().all(|((job_id, slot), &here)| {
             let Some(job) = self.jobs.get(job_id) else { return true };
-            let first = job.tasks_in_slot(*slot).start;
-            let step = job.step(first);
+            let step = job.step(job.tasks_in_slot(*slot).start);
             if !step.is_long_running || job.is_over() || step.may_miss == 0 {
                 return true;
             }
-            let away = job
-                .tasks_in_slot(*slot)
-                .filter(|&index| job.tasks[index].phase.executor() != Some(id))
-                .filter(|&index| !self.is_at_work(now, &job.tasks[index]))
-                .count() as u32;
+            let on_it_or_at_work = job.whole_tasks_in_slot(*slot).filter(|(_, task)| {
+                task.phase.executor() == Some(id) || self.is_at_work(now, task)
+            });
+            let away = step.count - on_it_or_at_work.count() as u32;
             away + here <= step.may_miss
         })
     }
 
     /// Returns the number of tasks of a step that aren't stably at work.
     pub(super) fn tasks_away(&self, now: Now, job: &Job, slot: usize) -> u32 {
-        let is_away = |index: &TaskIndex| !self.is_at_work(now, &job.tasks[*index]);
-        job.tasks_in_slot(slot).filter(is_away).count() as u32
+        let tasks = job.whole_tasks_in_slot(slot);
+        let at_work = tasks.filter(|(_, task)| self.is_at_work(now, task)).count() as u32;
+        job.slots.task_count(slot) - at_work
     }
 
     /// Like [`Self::tasks_away`], without one of the tasks.
@@ -284,8 +283,7 @@
         }
         executor.tasks_per_slot.iter().find_map(|((job_id, slot), &here)| {
             let job = self.jobs.get(job_id)?;
-            let indices = job.tasks_in_slot(*slot);
-            let step = job.step(indices.start);
+            let step = job.step(job.tasks_in_slot(*slot).start);
             let is_bounded = step.is_long_running && step.may_miss > 0;
             if !is_bounded || !is_allowed(step, here) || job.is_over() {
                 return None;
@@ -293,11 +291,12 @@
             if self.tasks_away(now, job, *slot) >= step.may_miss {
                 return None;
             }
-            let runs_here = |index: &usize| {
-                let phase = &job.tasks[*index].phase;
+            let mut running_here = job.whole_tasks_in_slot(*slot).filter(|(_, task)| {
+                let phase = &task.phase;
                 phase.executor() == Some(id) && !matches!(phase, Phase::Stopping { .. })
-            };
-            let task = (job_id.clone(), indices.clone().find(runs_here)?);
+            });
+            let (index, _) = running_here.next()?;
+            let task = (job_id.clone(), index);
             self.has_room_elsewhere(&task, rounds).then_some(task)
         })
     }
@@ -392,7 +391,7 @@
             let has_waited_long = |index: &&TaskIndex| {
                 job.step(**index).is_long_running
                     && job.tasks[**index].phase == Phase::Waiting
-                    && now.saturating_sub(job.tasks[**index].waiting_since) >= REOPEN_FOR_WAIT
+                    && now.saturating_sub(job.waiting_since(**index)) >= REOPEN_FOR_WAIT
             };
             job.startable.iter().find(has_waited_long).copied()
         };
--- a/crates/jackdawpier_fleet/src/fleet/waits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/waits.rs
@@ -182,10 +182,9 @@
 fn longest_waiting_task(job: &Job) -> Option<(Now, TaskIndex)> {
     let is_long_running =
         job.startable.front().is_some_and(|&index| job.step(index).is_long_running);
-    let has_running = job.tasks.iter().any(|task| task.phase.executor().is_some());
-    if has_running && !is_long_running {
+    if job.tasks.has_placed() && !is_long_running {
         return None;
     }
     let waiting = job.startable.iter().filter(|&&index| job.tasks[index].phase == Phase::Waiting);
-    waiting.map(|&index| (job.tasks[index].waiting_since, index)).min()
+    waiting.map(|&index| (job.waiting_since(index), index)).min()
 }
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -1,238 +1,46 @@
 //! The in-memory state of a job: its tasks, which of them may start, and how far its record is durable.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+mod slots;
+mod task;
+mod tasks;
+
+use std::{collections::VecDeque, ops::Range, sync::Arc, time::Duration};
 
 use jackdawpier_kernel::{
     Now,
     ids::{AccountName, ExecutorId, JobId, Revision},
 };
 
+pub(crate) use slots::{Opening, Slot, Slots};
+pub(crate) use task::{Phase, StopOrder, Task};
+pub use tasks::TaskIndex;
+pub(crate) use tasks::Tasks;
+
 use crate::{
-    crash::{Crash, Retry, is_given_up, is_on_probation, isolation_time, retry},
-    executor::IncarnationId,
-    record::{JobOutcome, JobRecord, LastStart, LeftoverUsage, Reruns, TaskRecord, TaskStatus},
+    crash::Retry,
+    record::{JobOutcome, JobRecord, LastStart, LeftoverUsage, Reruns, TaskStatus},
     spec::{JobSpec, QueueName, Resources, RunNumber, StepSpec, Submission, TaskKey},
 };
 
-/// Index of a task in its job's flat list of tasks.
-pub type TaskIndex = usize;
-
-/// Phase of a task in this process.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) enum Phase {
-    /// The task isn't placed and doesn't run.
-    Waiting,
-    /// Assigned to an executor; the placement isn't durable yet, so no order has been sent.
-    Planned { executor: ExecutorId },
-    /// The start order is in flight, or its answer was lost.
-    Starting { executor: ExecutorId },
-    /// The executor has confirmed the start.
-    Running { executor: ExecutorId, since: Now },
-    /// Placed by a previous owner; the executor hasn't reported to this owner yet.
-    Inherited { executor: ExecutorId },
-    /// The task has been ordered to stop.
-    Stopping { executor: ExecutorId, order: StopOrder },
-    /// The task completed successfully.
-    Done,
-}
-
-/// Progress of a stop order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StopOrder {
-    /// The order is about to be sent, or in flight.
-    InFlight,
-    /// No attempt was accepted; one may still be executed.
-    Unanswered,
-    /// The executor has accepted the order.
-    Taken { at: Now },
-}
-
-impl Phase {
-    /// Returns the executor on which the task allocates resources, if any.
-    pub(crate) fn executor(&self) -> Option<&ExecutorId> {
-        match self {
-            Self::Waiting | Self::Done => None,
-            Self::Planned { executor }
-            | Self::Starting { executor }
-            | Self::Running { executor, .. }
-            | Self::Inherited { executor }
-            | Self::Stopping { executor, .. } => Some(executor),
-        }
-    }
-}
-
-#[derive(Debug, Clone)]
-pub(crate) struct Task {
-    pub(crate) phase: Phase,
-    pub(crate) run: RunNumber,
-    /// Runs that ended in failure.
-    failed_runs: Vec<RunNumber>,
-    /// Runs during which the executor crashed.
-    crashes: Vec<Crash>,
-    /// Runs after the first crash that certainly never started.
-    refused_runs: Vec<RunNumber>,
-    /// The task is suspected of crashing executors: a long-running task is retried after a back-off, any other
-    /// isn't started again.
-    pub(crate) is_given_up: bool,
-    /// Incarnation of the executor that the task was last placed on, if known.
-    pub(crate) placed_incarnation: Option<IncarnationId>,
-    /// When the start order of the current run was sent.
-    pub(crate) ordered_at: Now,
-    /// When the start order was found to have no answer, if the executor's report is awaited before the run is
-    /// stopped.
-    pub(crate) unanswered_at: Option<Now>,
-    /// When the executor confirmed the current run; [`Now::ZERO`] if to a previous owner.
-    pub(crate) confirmed_at: Option<Now>,
-    pub(crate) checkpoint: Box<str>,
-    /// Time until which a reverted order to stop the current run may still be executed.
-    pub(crate) late_stop_until: Now,
-    /// When the executor last reported the current run.
-    pub(crate) last_reported_at: Option<Now>,
-    /// Last reported share of the full speed, in percent.
-    pub(crate) speed_percent: u32,
-    /// Last ordered share of the full speed, in percent.
-    pub(crate) pace_percent: u32,
-    /// Since when the task has been running at full speed without interruption.
-    pub(crate) at_work_since: Option<Now>,
-    /// Time before which the task isn't placed.
-    pub(crate) not_before: Now,
-    /// Since when the task has been startable without running.
-    pub(crate) waiting_since: Now,
-}
-
-impl Task {
-    fn new() -> Self {
-        Self {
-            phase: Phase::Waiting,
-            run: 0,
-            failed_runs: Vec::new(),
-            crashes: Vec::new(),
-            refused_runs: Vec::new(),
-            is_given_up: false,
-            placed_incarnation: None,
-            ordered_at: Now::ZERO,
-            unanswered_at: None,
-            confirmed_at: None,
-            checkpoint: "".into(),
-            late_stop_until: Now::ZERO,
-            last_reported_at: None,
-            speed_percent: 100,
-            pace_percent: 100,
-            at_work_since: None,
-            not_before: Now::ZERO,
-            waiting_since: Now::ZERO,
-        }
-    }
-
-    /// Lets a task continue that its executor still reports, if no attempt to stop it was accepted. An attempt may
-    /// still be executed within `max_delay`.
-    pub(crate) fn revert_stop(&mut self, now: Now, max_delay: Duration) {
-        if let Phase::Stopping { executor, order: StopOrder::Unanswered } = &self.phase {
-            self.phase = Phase::Running { executor: executor.clone(), since: now };
-            self.late_stop_until = now + max_delay;
-        }
-    }
-
-    /// Records a failed run; repeated reports count once.
-    pub(crate) fn note_failure(&mut self, run: RunNumber) {
-        if !self.failed_runs.contains(&run) {
-            self.failed_runs.push(run);
-        }
-    }
-
-    /// Returns the number of failed runs.
-    pub(crate) fn failures(&self) -> u32 {
-        self.failed_runs.len() as u32
-    }
-
-    /// Records a run during which the executor crashed; returns false if it is already known.
-    pub(crate) fn note_crash(&mut self, crash: Crash) -> bool {
-        let is_new = self.crashes.iter().all(|known| known.run != crash.run);
-        if is_new {
-            self.crashes.push(crash);
-        }
-        is_new
-    }
-
-    /// Attributes the crash of a run to another task, unless the start of this one was isolated; returns whether
-    /// anything changed.
-    pub(crate) fn attribute_crash_elsewhere(&mut self, run: RunNumber) -> bool {
-        let crash = self.crashes.iter_mut().find(|crash| crash.run == run && !crash.is_isolated);
-        crash.is_some_and(|crash| !std::mem::replace(&mut crash.has_other_cause, true))
-    }
-
-    /// Clears the crashes of a task that has run long enough not to be their cause; returns whether there were any.
-    pub(crate) fn clear_crashes(&mut self) -> bool {
-        let is_new = self.is_given_up || !self.crashes.is_empty();
-        self.is_given_up = false;
-        self.crashes.clear();
-        self.refused_runs.clear();
-        is_new
-    }
-
-    /// Records that the current run was refused, so that it doesn't count as a start, unless the executor may have
-    /// crashed during it.
-    pub(crate) fn note_refused(&mut self) {
-        let has_no_crash = self.crashes.iter().all(|crash| crash.run != self.run);
-        if has_no_crash && !self.crashes.is_empty() && !self.refused_runs.contains(&self.run) {
-            self.refused_runs.push(self.run);
-        }
-    }
-
-    /// Returns whether the crashes of its executors keep the task from being started again.
-    pub(crate) fn is_given_up_after_crashes(&self, is_long_running: bool) -> bool {
-        is_given_up(&self.crashes, self.run, &self.refused_runs, is_long_running)
-    }
-
-    pub(crate) fn crashes(&self) -> &[Crash] {
-        &self.crashes
-    }
-
-    /// Returns for how long the start of the task is isolated; `None` if it isn't.
-    pub(crate) fn isolation_time(&self, is_long_running: bool) -> Option<Duration> {
-        isolation_time(&self.crashes, is_long_running)
-    }
-
-    fn record(&self) -> TaskRecord {
-        let status = match (&self.phase, self.phase.executor()) {
-            (Phase::Done, _) => TaskStatus::Done,
-            (_, Some(executor)) => TaskStatus::Placed(executor.clone()),
-            (_, None) => TaskStatus::Waiting,
-        };
-        TaskRecord {
-            placed_incarnation: self
-                .placed_incarnation
-                .filter(|_| matches!(status, TaskStatus::Placed(_))),
-            status,
-            run: self.run,
-            failed_runs: self.failed_runs.clone(),
-            crashes: self.crashes.clone(),
-            refused_runs: self.refused_runs.clone(),
-            is_given_up: self.is_given_up,
-            checkpoint: self.checkpoint.clone(),
-        }
-    }
-}
-
-/// Progress of one step of one occurrence.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct StepProgress {
-    /// Number of tasks that haven't completed yet.
-    pub(crate) remaining: u32,
-    /// Whether the tasks may start.
-    pub(crate) is_open: bool,
-}
+/// Maximum number of slots that are open at a time, but for those of a single occurrence. Each takes memory, and later
+/// occurrences wait for the same executors as the first ones.
+const MAX_OPEN_SLOTS: usize = 1024;
+/// Size of a record without tasks.
+const EMPTY_RECORD_BYTES: usize = 200;
 
+/// State of a job.
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) queue: QueueName,
     pub(crate) account: Option<AccountName>,
     pub(crate) spec: Arc<JobSpec>,
-    pub(crate) tasks: Vec<Task>,
-    pub(crate) progress: Vec<StepProgress>,
-    /// When each occurrence began: at its due time, or at the job's acceptance.
-    began_at: Vec<Now>,
+    pub(crate) tasks: Tasks,
+    pub(crate) slots: Slots,
+    /// The first occurrence that hasn't come due.
+    next_occurrence: usize,
+    /// When the first occurrence began: at its due time, or at the job's acceptance.
+    first_began_at: Now,
     /// Queue of the tasks that wait for an executor.
     pub(crate) startable: VecDeque<TaskIndex>,
     /// When a task of the job was last placed.
@@ -280,18 +88,15 @@
             .collect();
         let tasks_per_occurrence = spec.steps.iter().map(|step| step.count as usize).sum();
         let occurrences = spec.occurrences() as usize;
-        let occurrence_progress: Vec<StepProgress> = spec
-            .steps
-            .iter()
-            .map(|step| StepProgress { remaining: step.count, is_open: false })
-            .collect();
+        let task_counts = spec.steps.iter().map(|step| step.count).collect();
         Self {
             id,
             queue: submission.queue,
             account: submission.account,
-            tasks: vec![Task::new(); tasks_per_occurrence * occurrences],
-            progress: occurrence_progress.repeat(occurrences),
-            began_at: vec![accepted_at; occurrences],
+            tasks: Tasks::new(tasks_per_occurrence * occurrences),
+            slots: Slots::new(task_counts, occurrences),
+            next_occurrence: 0,
+            first_began_at: accepted_at,
             startable: VecDeque::new(),
             last_placed_at: None,
             outcome: None,
@@ -324,26 +129,10 @@
         self.has_begun = record.has_begun;
         self.had_rerun = record.has_rerun;
         self.recorded_reruns = record.outcome.map(|_| record.reruns());
-        for (index, (task, stored)) in self.tasks.iter_mut().zip(&record.tasks).enumerate() {
-            task.run = stored.run;
-            task.failed_runs.clone_from(&stored.failed_runs);
-            task.crashes.clone_from(&stored.crashes);
-            task.refused_runs.clone_from(&stored.refused_runs);
-            task.is_given_up = stored.is_given_up;
-            task.placed_incarnation = stored.placed_incarnation;
-            task.checkpoint.clone_from(&stored.checkpoint);
-            match &stored.status {
-                TaskStatus::Waiting => {}
-                TaskStatus::Placed(executor) => {
-                    task.phase = Phase::Inherited { executor: executor.clone() };
-                }
-                TaskStatus::Done => {
-                    task.phase = Phase::Done;
-                    let per_occurrence = self.tasks_per_occurrence;
-                    let step = step_at(&self.first_task_of_step, index % per_occurrence);
-                    let steps = self.first_task_of_step.len();
-                    self.progress[index / per_occurrence * steps + step].remaining -= 1;
-                }
+        for (index, stored) in record.tasks.iter().enumerate().take(self.tasks.len()) {
+            self.tasks.restore(index, stored);
+            if stored.status == TaskStatus::Done {
+                self.slots.complete_task(self.slot(index));
             }
         }
     }
@@ -352,9 +141,9 @@
     pub(crate) fn record(&self) -> JobRecord {
         let tasks = match self.outcome {
             Some(_) => Vec::new(),
-            None => self.tasks.iter().map(Task::record).collect(),
+            None => self.tasks.records(),
         };
-        let has_rerun = self.had_rerun || self.tasks.iter().any(|task| task.run > 1);
+        let has_rerun = self.had_rerun || self.tasks.has_rerun();
         JobRecord {
             outcome: self.outcome,
             account: self.account.clone(),
@@ -367,11 +156,19 @@
         }
     }
 
+    /// Returns the approximate size of the record in the store, in bytes.
+    pub(crate) fn record_bytes(&self) -> usize {
+        if self.is_over() {
+            EMPTY_RECORD_BYTES
+        } else {
+            EMPTY_RECORD_BYTES + self.tasks.record_bytes()
+        }
+    }
+
     /// Returns whether the job has ended, its end is durable, and none of its tasks may still run.
     pub(crate) fn is_settled(&self) -> bool {
         let is_durable = !self.is_writing && self.durable_changes == self.changes;
-        let is_placed = |task: &Task| task.phase.executor().is_some();
-        self.durable_outcome.is_some() && is_durable && !self.tasks.iter().any(is_placed)
+        self.durable_outcome.is_some() && is_durable && !self.tasks.has_placed()
     }
 
     /// Returns what is known of tasks that were started more than once, once the job is over.
@@ -387,14 +184,12 @@
             Some(Reruns::Unknown) => return None,
             None => {}
         }
-        let rerun = self
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(index, task)| task.run > 1 && self.step(*index).counts_completions());
-        let last_starts = rerun.map(|(index, task)| {
+        let reruns = self.tasks.reruns();
+        let counted =
+            reruns.into_iter().filter(|(index, _)| self.step(*index).counts_completions());
+        let last_starts = counted.map(|(index, run)| {
             let TaskKey { occurrence, step, index, .. } = self.key(index);
-            LastStart { occurrence, step, index, run: task.run }
+            LastStart { occurrence, step, index, run }
         });
         Some(last_starts.collect())
     }
@@ -404,11 +199,7 @@
     fn remains(&self) -> Option<LeftoverUsage> {
         self.account.as_ref().filter(|_| self.is_over())?;
         let mut amount = Resources::default();
-        for (index, task) in self.tasks.iter().enumerate() {
-            if task.phase.executor().is_some() {
-                amount.add(&self.step(index).need);
-            }
-        }
+        self.tasks.placed().for_each(|(index, _)| amount.add(&self.step(index).need));
         (amount != Resources::default())
             .then_some(LeftoverUsage { amount, ended_ms: self.ended_ms })
     }
@@ -434,18 +225,33 @@
     }
 
     /// Returns the slot of a task: the index of its step over the steps of all occurrences.
-    pub(crate) fn slot(&self, index: TaskIndex) -> usize {
+    pub(crate) fn slot(&self, index: TaskIndex) -> Slot {
         let occurrence = index / self.tasks_per_occurrence;
         occurrence * self.spec.steps.len() + self.step_number(index)
     }
 
     /// Returns all tasks of a slot, see [`Self::slot`].
-    pub(crate) fn tasks_in_slot(&self, slot: usize) -> std::ops::Range<TaskIndex> {
+    pub(crate) fn tasks_in_slot(&self, slot: Slot) -> Range<TaskIndex> {
         let (occurrence, step) = (slot / self.spec.steps.len(), slot % self.spec.steps.len());
         let first = occurrence * self.tasks_per_occurrence + self.first_task_of_step[step];
         first..first + self.spec.steps[step].count as usize
     }
 
+    /// Returns those tasks of a slot that are held whole, see [`Tasks::whole`].
+    pub(crate) fn whole_tasks_in_slot(
+        &self,
+        slot: Slot,
+    ) -> impl Iterator<Item = (TaskIndex, &Task)> {
+        self.tasks.whole_in(self.tasks_in_slot(slot))
+    }
+
+    /// Returns the number of tasks of a slot that are neither placed nor done.
+    pub(crate) fn waiting_in_slot(&self, slot: Slot) -> usize {
+        let placed =
+            self.whole_tasks_in_slot(slot).filter(|(_, task)| task.phase.executor().is_some());
+        self.slots.remaining(slot) as usize - placed.count()
+    }
+
     pub(crate) fn key(&self, index: TaskIndex) -> TaskKey {
         let step = self.step_number(index);
         let within = index % self.tasks_per_occurrence - self.first_task_of_step[step];
@@ -469,33 +275,57 @@
         })
     }
 
-    /// Opens the steps that are due and whose dependencies have completed.
+    /// Opens the steps of the occurrences that have come due since the last call, as far as their dependencies have
+    /// completed. Those beyond the bound on open slots are opened by a later call.
     pub(crate) fn open_steps(&mut self, now: Now, wall_ms: u64) {
+        while self.has_unopened_occurrence()
+            && self.is_due(self.next_occurrence, wall_ms)
+            && self.slots.begun_count() < MAX_OPEN_SLOTS
+        {
+            self.next_occurrence += 1;
+            self.open_occurrence(now, wall_ms, self.next_occurrence - 1);
+        }
+    }
+
+    /// Opens the steps that only waited for a slot to complete.
+    pub(crate) fn open_steps_after(&mut self, now: Now, wall_ms: u64, slot: Slot) {
+        let occurrence = slot / self.spec.steps.len();
+        if occurrence < self.next_occurrence {
+            self.open_occurrence(now, wall_ms, occurrence);
+        }
+    }
+
+    fn is_due(&self, occurrence: usize, wall_ms: u64) -> bool {
+        self.due_ms(occurrence).is_none_or(|due_ms| due_ms <= wall_ms)
+    }
+
+    /// Opens the steps of a due occurrence whose dependencies have completed.
+    fn open_occurrence(&mut self, now: Now, wall_ms: u64, occurrence: usize) {
         if self.is_over() || self.is_cancelled {
             return;
         }
-        let steps = self.spec.steps.len();
-        for slot in 0..self.progress.len() {
-            let progress = self.progress[slot];
-            if progress.is_open || progress.remaining == 0 {
+        let began_at = match self.due_ms(occurrence) {
+            Some(due_ms) => {
+                let delay = Duration::from_millis(wall_ms.saturating_sub(due_ms));
+                now.saturating_sub(delay)
+            }
+            None => self.first_began_at,
+        };
+        let first_slot = occurrence * self.spec.steps.len();
+        for step in 0..self.spec.steps.len() {
+            let slot = first_slot + step;
+            let after = &self.spec.steps[step].after;
+            let is_ready = after.iter().all(|&after| self.slots.is_complete(first_slot + after));
+            if !is_ready || self.slots.is_open(slot) {
                 continue;
             }
-            let (occurrence, step) = (slot / steps, slot % steps);
-            let is_due = self.due_ms(occurrence).is_none_or(|due_ms| due_ms <= wall_ms);
-            let is_ready = self.spec.steps[step]
-                .after
-                .iter()
-                .all(|&after| self.progress[occurrence * steps + after].remaining == 0);
-            if is_due && is_ready {
-                self.progress[slot].is_open = true;
-                if let Some(due_ms) = self.due_ms(occurrence) {
-                    let delay = Duration::from_millis(wall_ms.saturating_sub(due_ms));
-                    self.began_at[occurrence] = now.saturating_sub(delay);
-                }
-                for index in self.tasks_in_slot(slot) {
-                    if self.tasks[index].phase == Phase::Waiting {
-                        self.enqueue(now, index);
-                    }
+            self.slots.set_open(slot, Opening { at: now, began_at });
+            if occurrence == 0 {
+                self.first_began_at = began_at;
+            }
+            for index in self.tasks_in_slot(slot) {
+                if self.tasks[index].phase == Phase::Waiting {
+                    self.enqueue(now, index);
                 }
             }
         }
@@ -510,7 +340,9 @@
 
     /// Appends a task to the queue of startable tasks, also after a crash back-off.
     pub(crate) fn enqueue_now(&mut self, now: Now, index: TaskIndex) {
-        self.tasks[index].waiting_since = now;
+        if let Some(task) = self.tasks.get_whole_mut(index) {
+            task.waiting_since = now;
+        }
         self.startable.push_back(index);
     }
 
@@ -520,19 +352,29 @@
         if !step.is_long_running || step.is_gang {
             return if task.is_given_up { Retry::Never } else { Retry::AtOnce };
         }
-        match retry(&task.crashes, task.run, &task.refused_runs) {
-            // The back-off already passed before the run that was refused.
-            Retry::After(_) if task.refused_runs.contains(&task.run) => {
-                Retry::After(Duration::ZERO)
-            }
-            retry => retry,
+        task.retry()
+    }
+
+    /// Returns since when a waiting task has been startable.
+    pub(crate) fn waiting_since(&self, index: TaskIndex) -> Now {
+        if let Some(task) = self.tasks.get_whole(index) {
+            return task.waiting_since;
         }
+        self.slots.opening(self.slot(index)).map_or(Now::ZERO, |opening| opening.at)
+    }
+
+    /// Returns a waiting task that is about to be placed.
+    pub(crate) fn task_to_place(&mut self, index: TaskIndex) -> &mut Task {
+        let waiting_since = self.waiting_since(index);
+        let task = &mut self.tasks[index];
+        task.waiting_since = waiting_since;
+        task
     }
 
     /// Returns whether the next start of a long-running task is on probation.
     pub(crate) fn is_on_probation(&self, index: TaskIndex) -> bool {
         let step = self.step(index);
-        step.is_long_running && !step.is_gang && is_on_probation(&self.tasks[index].crashes)
+        step.is_long_running && !step.is_gang && self.tasks[index].is_on_probation()
     }
 
     /// Returns the due time of an occurrence, in milliseconds since 1970; `None` for a job without a schedule.
@@ -541,14 +383,22 @@
         Some(schedule.first_ms + schedule.interval_ms * occurrence as u64)
     }
 
-    /// Marks the waiting tasks of a gang as done, since the end of one member counts for all.
-    pub(crate) fn finish_waiting_tasks(&mut self, slot: usize) {
-        for index in self.tasks_in_slot(slot) {
-            if self.tasks[index].phase == Phase::Waiting {
-                self.tasks[index].phase = Phase::Done;
-                self.progress[slot].remaining -= 1;
-            }
-        }
+    /// Counts a task as done. Returns whether that completes its slot.
+    pub(crate) fn complete_task(&mut self, index: TaskIndex) -> bool {
+        let slot = self.slot(index);
+        self.tasks.settle(index);
+        self.slots.complete_task(slot)
+    }
+
+    /// Marks the waiting tasks of a gang as done, since the end of one member counts for all. Returns whether that
+    /// completes its slot.
+    pub(crate) fn finish_waiting_tasks(&mut self, slot: Slot) -> bool {
+        let tasks = self.tasks_in_slot(slot);
+        let waiting = tasks.filter(|&index| self.tasks[index].phase == Phase::Waiting);
+        let waiting: Vec<TaskIndex> = waiting.collect();
+        waiting
+            .into_iter()
+            .fold(false, |is_complete, index| self.complete_task(index) || is_complete)
     }
 
     /// Returns whether a task that was ordered to stop may continue: the reason of the stop can wait until the step
@@ -565,26 +415,21 @@
 
     /// Returns when the occurrence of the next startable task began.
     pub(crate) fn next_occurrence_began_at(&self) -> Now {
-        let next = self.startable.front().copied().unwrap_or(0);
-        self.began_at[next / self.tasks_per_occurrence.max(1)]
+        let next = self.startable.front().map(|&index| self.slot(index));
+        let opening = next.and_then(|slot| self.slots.opening(slot));
+        opening.map_or(self.first_began_at, |opening| opening.began_at)
     }
 
     /// Returns whether occurrences are still to be opened.
     pub(crate) fn has_unopened_occurrence(&self) -> bool {
-        self.spec.schedule.is_some()
-            && self.progress.iter().any(|slot| !slot.is_open && slot.remaining > 0)
+        self.next_occurrence < self.spec.occurrences() as usize
     }
 
     /// Returns the estimated time that the job needs once its next tasks start.
     pub(crate) fn remaining_estimate(&self) -> Duration {
         let steps = self.spec.steps.len();
-        self.progress
-            .iter()
-            .enumerate()
-            .filter(|(_, progress)| progress.remaining > 0 && progress.is_open)
-            .map(|(slot, _)| self.remaining_chains[slot % steps])
-            .max()
-            .unwrap_or_default()
+        let chains = self.slots.open().map(|(slot, _)| self.remaining_chains[slot % steps]);
+        chains.max().unwrap_or_default()
     }
 
     /// Returns the estimated time of the longest chain of the whole job.
--- a/crates/jackdawpier_fleet/src/record.rs
+++ b/crates/jackdawpier_fleet/src/record.rs
@@ -162,7 +162,8 @@
     }
 }
 
-/// Durable state of one job; tasks are ordered by occurrence, step and index.
+/// Durable state of one job; tasks are ordered by occurrence, step and index. Tasks after the last recorded one were
+/// never placed.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Outcome of the job, once it is over.
@@ -185,6 +186,6 @@
     /// over; `None` in records of earlier versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub last_starts: Option<Vec<LastStart>>,
-    /// All tasks; empty once the job is over.
+    /// The tasks up to the last one that was ever placed; empty once the job is over.
     pub tasks: Vec<TaskRecord>,
 }
--- a/crates/jackdawpier_fleet/tests/job_memory.rs
+++ b/crates/jackdawpier_fleet/tests/job_memory.rs
@@ -2,7 +2,10 @@
 
 mod world;
 
-use std::alloc::System;
+use std::{
+    alloc::System,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
 
 use jackdawpier_fleet::{
     fleet::Fleet,
@@ -15,6 +18,9 @@
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
+/// Lets one test allocate at a time.
+static ALLOCATING: Mutex<()> = Mutex::new(());
+
 const MB: usize = 1024 * 1024;
 const DAY_MS: u64 = 24 * 3600 * 1000;
 /// Memory that callers leave of the smallest machine.
@@ -28,9 +34,22 @@
     JobSpec { schedule: Some(schedule), ..job(vec![step(1, 1, 1_000)]) }
 }
 
-fn held_bytes(region: &Region<'_, System>) -> usize {
-    let change = region.change();
-    change.bytes_allocated.saturating_sub(change.bytes_deallocated)
+/// The heap that is held since its creation.
+struct Heap {
+    region: Region<'static, System>,
+    _allocating: MutexGuard<'static, ()>,
+}
+
+impl Heap {
+    fn measure() -> Self {
+        let allocating = ALLOCATING.lock().unwrap_or_else(PoisonError::into_inner);
+        Self { region: Region::new(ALLOCATOR), _allocating: allocating }
+    }
+
+    fn held_bytes(&self) -> usize {
+        let change = self.region.change();
+        change.bytes_allocated.saturating_sub(change.bytes_deallocated)
+    }
 }
 
 fn job_id(number: usize) -> JobId {
@@ -56,7 +75,7 @@
 }
 
 fn write_changes(fleet: &mut Fleet) {
-    while let Some(batch) = fleet.take_batch(30) {
+    while let Some(batch) = fleet.take_batch(30, usize::MAX) {
         let revisions = vec![1; batch.jobs.len()];
         fleet.batch_durable(Now::ZERO, &batch, &revisions);
     }
@@ -69,14 +88,29 @@
     const JOBS: usize = 500;
     // A quarter of the memory has to hold a hundred thousand jobs that were cancelled within a minute.
     const MAX_BYTES_PER_JOB: usize = OWNER_BYTES / 4 / 100_000;
+    let heap = Heap::measure();
     let mut fleet = owner();
-    let region = Region::new(ALLOCATOR);
     for id in (0..JOBS).map(job_id) {
         add_job(&mut fleet, &id, repeated_job());
         fleet.cancel(Now::ZERO, &id);
         write_changes(&mut fleet);
         fleet.tick(Now::ZERO, EPOCH_MS);
     }
-    let bytes_per_job = held_bytes(&region) / JOBS;
+    let bytes_per_job = heap.held_bytes() / JOBS;
     assert!(bytes_per_job <= MAX_BYTES_PER_JOB, "{bytes_per_job} bytes a job");
 }
+
+/// Guards against owners that exceed their memory because jobs hold tasks that aren't due.
+#[test]
+fn repeated_jobs() {
+    const JOBS: usize = 130;
+    let heap = Heap::measure();
+    let mut fleet = owner();
+    for id in (0..JOBS).map(job_id) {
+        add_job(&mut fleet, &id, repeated_job());
+    }
+    fleet.tick(Now::ZERO, EPOCH_MS);
+    let held = heap.held_bytes();
+    // A quarter of the memory is for open jobs.
+    assert!(held <= OWNER_BYTES / 4, "{held} bytes for {JOBS} jobs");
+}
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -380,7 +380,7 @@
         self.answer_advice_requests();
         self.fleet.tick(now, self.wall_ms());
         self.execute_commands();
-        while let Some(batch) = self.fleet.take_batch(30) {
+        while let Some(batch) = self.fleet.take_batch(30, usize::MAX) {
             self.writes.push((now + self.write_delay, batch));
         }
         self.check();
