Read listings of jobs page by page

A new owner held all submissions and all records of the store as bytes, then parsed all, then built all jobs, which for large records takes many times their size at once.

A listing now passes its pages on, and an owner builds the jobs of a page of records before it reads the next one. The routine listings and the count of jobs without an owner keep ids and queues only. Submissions are held until the records have been read, since a job is built from both. A listing that fails half way is read again; a job that is known is passed over.

--- a/crates/jackdawpier_entry/src/owner/intake.rs
+++ b/crates/jackdawpier_entry/src/owner/intake.rs
@@ -1,6 +1,6 @@
 //! Follows accepted jobs and cancellations in the store, and maintains what is derived from them.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use jackdawpier_kernel::ids::Revision;
 use serde_json::json;
@@ -8,7 +8,7 @@
 use super::{Owner, takeover::JobSource};
 use crate::{
     clock, keys, link, pending,
-    ports::{CallError, Change, Platform, Transaction},
+    ports::{CallError, Change, Item, Platform, Transaction},
 };
 
 /// Maximum duration of a watch; short, since a broken connection looks like one without changes.
@@ -49,7 +49,7 @@
                         })
                         .collect();
                     if !items.is_empty() && self.is_valid() {
-                        self.ingest(JobSource::Watch, items, &mut HashMap::new());
+                        self.ingest(JobSource::Watch, items);
                         self.tick_requested.notify_one();
                     }
                 }
@@ -78,8 +78,17 @@
     }
 
     async fn list_intake(&self) -> Option<Revision> {
-        let listing = self.platform.list(keys::INTAKE).await;
-        let Ok(listing) = listing else {
+        let (mut bytes, mut found) = (0, 0);
+        let mut cancelled = BTreeSet::new();
+        let on_page = |items: Vec<Item>| {
+            if self.is_valid() {
+                bytes += items.iter().map(|item| item.value.len()).sum::<usize>();
+                found += self.ingest_submissions(JobSource::Listing, items, &mut cancelled);
+            }
+        };
+        let listed = self.platform.list_pages(keys::INTAKE, on_page).await;
+        self.cancel_jobs(&cancelled);
+        let Ok(end) = listed else {
             // Counts as a listing, so that a failing store isn't overloaded by retries.
             self.intake_listings.borrow_mut().on_listed(clock::now(), 0);
             return None;
@@ -87,17 +96,15 @@
         if !self.is_valid() {
             return None;
         }
-        self.log_left_out(&listing.unreadable);
-        let bytes: usize = listing.items.iter().map(|item| item.value.len()).sum();
+        self.log_left_out(&end.unreadable);
         let max_interval = list_interval(bytes, self.settings.link_mbps);
         self.intake_listings.borrow_mut().set_max_interval(max_interval);
-        let found = self.ingest(JobSource::Listing, listing.items, &mut HashMap::new());
         self.intake_listings.borrow_mut().on_listed(clock::now(), found);
         if found > 0 {
             self.events.emit("listing_found", json!({ "jobs": found }));
         }
         self.tick_requested.notify_one();
-        Some(listing.revision)
+        Some(end.revision)
     }
 
     pub(super) async fn publish_pending_counts(self: Rc<Self>) {
--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -1,20 +1,23 @@
 //! Reads the stored state of jobs before a new owner's first decision.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
 
 use jackdawpier_fleet::{record::JobRecord, spec::Submission};
-use jackdawpier_kernel::{Now, ids::Revision};
+use jackdawpier_kernel::{
+    Now,
+    ids::{JobId, Revision},
+};
 use serde_json::json;
 
 use super::Owner;
 use crate::{
     clock, keys,
     metrics::Latency,
-    ports::{Listing, Platform, UnreadableItem},
+    ports::{Item, Platform, UnreadableItem},
 };
 
 /// Delay before a failed listing is retried.
@@ -42,43 +45,28 @@
     }
 }
 
+/// The accepted jobs and the cancellations that the store holds.
+#[derive(Debug, Default)]
+struct StoredIntake {
+    submissions: BTreeMap<String, Submission>,
+    cancelled: BTreeSet<JobId>,
+}
+
 impl<P: Platform> Owner<P> {
     /// Rebuilds the fleet's state from the store and returns the revision from which to watch the intake; `None`
-    /// if the ownership ended meanwhile.
+    /// if the ownership ended meanwhile. Of the records, one page is held at a time.
     pub(super) async fn take_over(self: &Rc<Self>) -> Option<Revision> {
         let began_at = clock::now();
-        let intake = self.list_with_retries(keys::INTAKE).await?;
-        let records = self.list_with_retries(keys::RECORDS).await?;
-        let mut records_by_job: HashMap<String, (JobRecord, Revision)> = HashMap::new();
-        let mut unrecoverable: HashSet<String> = HashSet::new();
-        for item in records.items {
-            let Some(job) = item.key.strip_prefix(keys::RECORDS) else { continue };
-            match read_record(&item.value) {
-                // It ends with its lease, after which the id may be submitted again.
-                Ok(record) if record.tombstone.is_some() => {}
-                Ok(record) => {
-                    records_by_job.insert(job.to_owned(), (record, item.revision));
-                }
-                Err(reason) => {
-                    self.log_unreadable(&item.key, &reason);
-                    unrecoverable.insert(job.to_owned());
-                }
-            }
-        }
-        *self.unrecoverable_jobs.borrow_mut() = unrecoverable;
-        let jobs = intake.items.len();
-        self.ingest(JobSource::Listing, intake.items, &mut records_by_job);
-        for (job, (record, _)) in records_by_job {
-            if record.outcome.is_none() {
-                self.log_unreadable(
-                    &keys::submission(&job),
-                    "missing, though its job hasn't ended",
-                );
-                continue;
-            }
-            let (now, wall_ms) = (clock::now(), clock::wall_ms());
-            self.fleet.borrow_mut().recover_ended_job(now, wall_ms, job.into(), &record);
-        }
+        let mut intake = StoredIntake::default();
+        let add_page = |items| self.read_intake(items, &mut intake);
+        let revision = self.list_with_retries(keys::INTAKE, add_page).await?;
+        let jobs = intake.submissions.len();
+        let recover_page = |items| self.recover_records(items, &mut intake.submissions);
+        self.list_with_retries(keys::RECORDS, recover_page).await?;
+        let unwritten = std::mem::take(&mut intake.submissions);
+        let unwritten = unwritten.into_iter().map(|(id, submission)| (id.into(), submission));
+        self.add_jobs(JobSource::Listing, unwritten);
+        self.cancel_jobs(&intake.cancelled);
         self.tick();
         let fields = json!({
             "fence": self.term.fence,
@@ -87,15 +75,21 @@
         });
         self.events.metrics().observe(Latency::TakeOver, clock::since(began_at));
         self.events.emit("taken_over", fields);
-        Some(intake.revision)
+        Some(revision)
     }
 
-    async fn list_with_retries(&self, prefix: &str) -> Option<Listing> {
+    /// Lists a prefix until it succeeds and returns the store's revision; `None` if the ownership ended meanwhile.
+    /// After a failure, pages are passed on again.
+    async fn list_with_retries(
+        &self,
+        prefix: &str,
+        mut on_page: impl FnMut(Vec<Item>),
+    ) -> Option<Revision> {
         while self.is_valid() {
-            match self.platform.list(prefix).await {
-                Ok(listing) => {
-                    self.log_left_out(&listing.unreadable);
-                    return Some(listing);
+            match self.platform.list_pages(prefix, &mut on_page).await {
+                Ok(end) => {
+                    self.log_left_out(&end.unreadable);
+                    return Some(end.revision);
                 }
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
@@ -103,44 +97,116 @@
         None
     }
 
-    /// Adds accepted jobs and then cancellations, whatever their order of arrival. Returns the number of jobs
-    /// that weren't known.
-    pub(super) fn ingest(
-        &self,
-        source: JobSource,
-        items: Vec<crate::ports::Item>,
-        records_by_job: &mut HashMap<String, (JobRecord, Revision)>,
-    ) -> usize {
-        let mut new_jobs = 0;
+    /// Parses a page of the intake.
+    fn read_intake(&self, items: Vec<Item>, intake: &mut StoredIntake) {
+        for item in items {
+            if let Some(id) = item.key.strip_prefix(keys::CANCELLATIONS) {
+                intake.cancelled.insert(id.into());
+            } else if let Some(id) = item.key.strip_prefix(keys::SUBMISSIONS)
+                && let Some(submission) = self.read_submission(&item)
+            {
+                intake.submissions.insert(id.to_owned(), submission);
+            }
+        }
+    }
+
+    /// Recovers the jobs of a page of records, with their submissions.
+    fn recover_records(&self, items: Vec<Item>, submissions: &mut BTreeMap<String, Submission>) {
         let (now, wall_ms) = (clock::now(), clock::wall_ms());
         let mut fleet = self.fleet.borrow_mut();
-        let (submissions, cancellations): (Vec<_>, Vec<_>) =
-            items.into_iter().partition(|item| item.key.starts_with(keys::SUBMISSIONS));
-        for item in submissions {
-            let id = &item.key[keys::SUBMISSIONS.len()..];
-            // What has run of a job can't be told without its record, nor can a new one be written over it.
-            if fleet.view(id).is_some() || self.unrecoverable_jobs.borrow().contains(id) {
-                continue;
-            }
-            match read_submission(&item.value) {
-                Ok(submission) => {
-                    new_jobs += 1;
-                    if let Some(record) = records_by_job.remove(id) {
-                        fleet.recover_job(now, wall_ms, id.into(), submission, Some(record));
-                    } else {
-                        let arrived_at = source.arrived_at(now, wall_ms, &submission);
-                        fleet.add_job(now, arrived_at, wall_ms, id.into(), submission);
-                    }
+        for item in items {
+            let Some(id) = item.key.strip_prefix(keys::RECORDS) else { continue };
+            let submission = submissions.remove(id);
+            match (read_record(&item.value), submission) {
+                // It ends with its lease, after which the id may be submitted again.
+                (Ok(record), Some(submission)) if record.tombstone.is_some() => {
+                    submissions.insert(id.to_owned(), submission);
+                }
+                (Ok(record), None) if record.tombstone.is_some() => {}
+                (Ok(record), Some(submission)) => {
+                    let written = Some((record, item.revision));
+                    fleet.recover_job(now, wall_ms, id.into(), submission, written);
+                }
+                (Ok(record), None) if record.outcome.is_some() => {
+                    fleet.recover_ended_job(now, wall_ms, id.into(), &record);
+                }
+                // The page has been passed on before.
+                (Ok(_), None) if fleet.view(id).is_some() => {}
+                (Ok(_), None) => {
+                    let why = "missing, though its job hasn't ended";
+                    self.log_unreadable(&keys::submission(id), why);
+                }
+                (Err(reason), _) => {
+                    self.log_unreadable(&item.key, &reason);
+                    self.unrecoverable_jobs.borrow_mut().insert(id.to_owned());
                 }
-                Err(reason) => self.log_unreadable(&item.key, &reason),
             }
         }
-        for item in cancellations {
+    }
+
+    /// Adds accepted jobs and then cancellations, whatever their order of arrival. Returns the number of jobs
+    /// that weren't known.
+    pub(super) fn ingest(&self, source: JobSource, items: Vec<Item>) -> usize {
+        let mut cancelled = BTreeSet::new();
+        let new_jobs = self.ingest_submissions(source, items, &mut cancelled);
+        self.cancel_jobs(&cancelled);
+        new_jobs
+    }
+
+    /// Adds accepted jobs and returns the number of those that weren't known. Appends the ids of cancelled jobs.
+    pub(super) fn ingest_submissions(
+        &self,
+        source: JobSource,
+        items: Vec<Item>,
+        cancelled: &mut BTreeSet<JobId>,
+    ) -> usize {
+        let mut jobs = Vec::new();
+        for item in items {
             if let Some(id) = item.key.strip_prefix(keys::CANCELLATIONS) {
-                fleet.cancel(now, &id.into());
+                cancelled.insert(id.into());
+            } else if let Some(id) = item.key.strip_prefix(keys::SUBMISSIONS)
+                && !self.is_known(id)
+                && let Some(submission) = self.read_submission(&item)
+            {
+                jobs.push((id.into(), submission));
             }
         }
-        new_jobs
+        self.add_jobs(source, jobs.into_iter())
+    }
+
+    /// Whether a job has been added, or can't be: what has run of it can't be told without its record, nor can a new
+    /// one be written over it.
+    fn is_known(&self, id: &str) -> bool {
+        self.fleet.borrow().view(id).is_some() || self.unrecoverable_jobs.borrow().contains(id)
+    }
+
+    /// Adds jobs that have no record, and returns their number.
+    fn add_jobs(
+        &self,
+        source: JobSource,
+        jobs: impl Iterator<Item = (JobId, Submission)>,
+    ) -> usize {
+        let (now, wall_ms) = (clock::now(), clock::wall_ms());
+        let mut fleet = self.fleet.borrow_mut();
+        let mut added = 0;
+        for (id, submission) in jobs {
+            added += 1;
+            let arrived_at = source.arrived_at(now, wall_ms, &submission);
+            fleet.add_job(now, arrived_at, wall_ms, id, submission);
+        }
+        added
+    }
+
+    pub(super) fn cancel_jobs(&self, jobs: &BTreeSet<JobId>) {
+        let now = clock::now();
+        let mut fleet = self.fleet.borrow_mut();
+        jobs.iter().for_each(|id| fleet.cancel(now, id));
+    }
+
+    /// Parses an accepted job; logs one that can't be read.
+    fn read_submission(&self, item: &Item) -> Option<Submission> {
+        let read = read_submission(&item.value);
+        read.inspect_err(|reason| self.log_unreadable(&item.key, reason)).ok()
     }
 
     /// Logs the items that a listing or a watch has left out.
--- a/crates/jackdawpier_entry/src/pending.rs
+++ b/crates/jackdawpier_entry/src/pending.rs
@@ -8,7 +8,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     rc::Rc,
     time::Duration,
 };
@@ -20,7 +20,7 @@
 
 use crate::{
     clock, keys,
-    ports::{CallError, CallResult, Item, Listing, Platform, Transaction, TransactionOutcome},
+    ports::{CallError, CallResult, Item, Platform, Transaction, TransactionOutcome},
 };
 
 /// Maximum age of counts in an answer. The entries' wall clocks differ by little; if they jump by more, jobs are
@@ -192,13 +192,13 @@
 ) -> CallResult<()> {
     let Some(claimed_at) = claim(platform, &last, revision).await? else { return Ok(()) };
     let (asked_at, at_ms) = (clock::now(), clock::wall_ms());
-    let intake = platform.list(keys::INTAKE).await?;
+    let intake = StoredJobs::list(platform).await?;
     let (claimed_at, counts) = if let Some(counted_to) = last.counted_to {
         (claimed_at, count_since(&intake, counted_to, last.counts))
     } else {
         // A claim covers only one listing.
         let Some(claimed_at) = claim(platform, &last, claimed_at).await? else { return Ok(()) };
-        (claimed_at, count_all(&intake, &platform.list(keys::RECORDS).await?))
+        (claimed_at, count_all(&intake, &list_begun(platform).await?))
     };
     cache.set(asked_at, &counts);
     let counted_to = Some(intake.revision);
@@ -246,45 +246,75 @@
     queue: QueueName,
 }
 
-/// Returns the ids and queues of the submitted jobs that aren't cancelled and match the filter.
-fn submitted(
-    intake: &Listing,
-    is_included: impl Fn(&Item) -> bool,
-) -> impl Iterator<Item = (&str, QueueName)> {
-    let ids = intake.items.iter().filter_map(|item| item.key.strip_prefix(keys::CANCELLATIONS));
-    let cancelled: HashSet<&str> = ids.collect();
-    intake.items.iter().filter(move |item| is_included(item)).filter_map(move |item| {
-        let job = item.key.strip_prefix(keys::SUBMISSIONS)?;
-        let submitted = serde_json::from_slice::<SubmittedQueue>(&item.value).ok()?;
-        (!cancelled.contains(job)).then_some((job, submitted.queue))
-    })
+/// What the intake names, without the jobs' specifications.
+#[derive(Debug, Default)]
+struct StoredJobs {
+    submitted: Vec<SubmittedJob>,
+    cancelled: HashSet<String>,
+    revision: Revision,
+}
+
+#[derive(Debug)]
+struct SubmittedJob {
+    id: String,
+    queue: QueueName,
+    revision: Revision,
+}
+
+impl StoredJobs {
+    async fn list<P: Platform>(platform: &P) -> CallResult<Self> {
+        let mut jobs = Self::default();
+        let on_page = |items: Vec<Item>| items.iter().for_each(|item| jobs.add(item));
+        jobs.revision = platform.list_pages(keys::INTAKE, on_page).await?.revision;
+        Ok(jobs)
+    }
+
+    fn add(&mut self, item: &Item) {
+        if let Some(id) = item.key.strip_prefix(keys::CANCELLATIONS) {
+            self.cancelled.insert(id.to_owned());
+        } else if let Some(id) = item.key.strip_prefix(keys::SUBMISSIONS)
+            && let Ok(SubmittedQueue { queue }) = serde_json::from_slice(&item.value)
+        {
+            let (id, revision) = (id.to_owned(), item.revision);
+            self.submitted.push(SubmittedJob { id, queue, revision });
+        }
+    }
+
+    /// Returns the jobs that aren't cancelled and were submitted up to the revision of the listing.
+    fn pending(&self) -> impl Iterator<Item = &SubmittedJob> {
+        let is_listed = |job: &&SubmittedJob| job.revision <= self.revision;
+        self.submitted.iter().filter(is_listed).filter(|job| !self.cancelled.contains(&job.id))
+    }
+}
+
+/// Returns the ids of the jobs of which a task has been ordered to start, or that have ended.
+async fn list_begun<P: Platform>(platform: &P) -> CallResult<HashSet<String>> {
+    let mut begun = HashSet::new();
+    let on_page = |items: Vec<Item>| {
+        let of_begun = items.iter().filter(|item| has_begun(&item.value));
+        begun.extend(of_begun.map(|item| item.key[keys::RECORDS.len()..].to_owned()));
+    };
+    platform.list_pages(keys::RECORDS, on_page).await?;
+    Ok(begun)
+}
+
+fn has_begun(record: &[u8]) -> bool {
+    let record = serde_json::from_slice::<JobRecord>(record);
+    record.is_ok_and(|record| record.has_begun || record.outcome.is_some())
 }
 
 /// Adds the jobs submitted after `counted_to` to previous counts: no job starts while no entry owns the fleet.
-fn count_since(intake: &Listing, counted_to: Revision, mut counts: Counts) -> Counts {
-    let is_new = |item: &Item| item.revision > counted_to && item.revision <= intake.revision;
-    for (_, queue) in submitted(intake, is_new) {
-        *counts.entry(queue).or_default() += 1;
+fn count_since(intake: &StoredJobs, counted_to: Revision, mut counts: Counts) -> Counts {
+    for job in intake.pending().filter(|job| job.revision > counted_to) {
+        *counts.entry(job.queue.clone()).or_default() += 1;
     }
     counts
 }
 
-fn count_all(intake: &Listing, records: &Listing) -> Counts {
-    let records: HashMap<&str, &[u8]> = records
-        .items
-        .iter()
-        .map(|item| (&item.key[keys::RECORDS.len()..], item.value.as_slice()))
-        .collect();
-    let has_begun = |job: &str| {
-        records
-            .get(job)
-            .and_then(|value| serde_json::from_slice::<JobRecord>(value).ok())
-            .is_some_and(|record| record.has_begun || record.outcome.is_some())
-    };
-    let is_new = |item: &Item| item.revision <= intake.revision;
+fn count_all(intake: &StoredJobs, begun: &HashSet<String>) -> Counts {
     let mut counts = Counts::new();
-    for (_, queue) in submitted(intake, is_new).filter(|(job, _)| !has_begun(job)) {
-        *counts.entry(queue).or_default() += 1;
+    for job in intake.pending().filter(|job| !begun.contains(&job.id)) {
+        *counts.entry(job.queue.clone()).or_default() += 1;
     }
     counts
 }
--- a/crates/jackdawpier_entry/src/ports.rs
+++ b/crates/jackdawpier_entry/src/ports.rs
@@ -70,6 +70,15 @@
     pub reason: String,
 }
 
+/// What a listing tells beside its items.
+#[derive(Debug, Clone, Default)]
+pub struct ListingEnd {
+    /// The items that were left out.
+    pub unreadable: Vec<UnreadableItem>,
+    /// The store's revision before the first page was read: a watch from this revision misses no change.
+    pub revision: Revision,
+}
+
 /// The items under a prefix.
 #[derive(Debug, Clone, Default)]
 pub struct Listing {
@@ -129,8 +138,21 @@
     fn sending_time(&self, bytes: usize) -> Duration;
     /// Reads the newest state of an item.
     fn get(&self, key: &str) -> impl Future<Output = CallResult<Option<Item>>>;
-    /// Reads all items under a prefix, page by page.
-    fn list(&self, prefix: &str) -> impl Future<Output = CallResult<Listing>>;
+    /// Reads all items under a prefix and passes them on page by page, so that only one page is held. If it fails, some
+    /// pages may have been passed on.
+    fn list_pages(
+        &self,
+        prefix: &str,
+        on_page: impl FnMut(Vec<Item>),
+    ) -> impl Future<Output = CallResult<ListingEnd>>;
+    /// Reads all items under a prefix.
+    fn list(&self, prefix: &str) -> impl Future<Output = CallResult<Listing>> {
+        async {
+            let mut items = Vec::new();
+            let end = self.list_pages(prefix, |page| items.extend(page)).await?;
+            Ok(Listing { items, unreadable: end.unreadable, revision: end.revision })
+        }
+    }
     /// Waits for changes under a prefix after a revision.
     fn watch(
         &self,
--- a/crates/jackdawpier_entry/tests/support/fake.rs
+++ b/crates/jackdawpier_entry/tests/support/fake.rs
@@ -15,8 +15,8 @@
 use jackdawpier_entry::{
     clock, keys,
     ports::{
-        CallError, CallResult, Change, Changes, Item, LeaseId, Listing, Store, Transaction,
-        TransactionOutcome,
+        CallError, CallResult, Change, Changes, Item, LeaseId, Listing, ListingEnd, Store,
+        Transaction, TransactionOutcome,
     },
     response_progress::ResponseProgress,
 };
@@ -378,7 +378,11 @@
         Ok(item)
     }
 
-    async fn list(&self, prefix: &str) -> CallResult<Listing> {
+    async fn list_pages(
+        &self,
+        prefix: &str,
+        mut on_page: impl FnMut(Vec<Item>),
+    ) -> CallResult<ListingEnd> {
         self.0.borrow_mut().reads += 1;
         *self.0.borrow_mut().listings_of.entry(prefix.to_owned()).or_default() += 1;
         self.half_round_trip().await;
@@ -388,7 +392,9 @@
         let bytes: usize = listing.items.iter().map(|item| item.value.len()).sum();
         self.0.borrow_mut().listed_bytes += bytes;
         self.half_round_trip().await;
-        Ok(listing)
+        let end = ListingEnd { unreadable: listing.unreadable, revision: listing.revision };
+        on_page(listing.items);
+        Ok(end)
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> CallResult<Changes> {
