--- a/crates/jackdawpier_entry/src/owner/executors.rs
+++ b/crates/jackdawpier_entry/src/owner/executors.rs
@@ -227,13 +227,15 @@
         match command {
             Command::Start { executor, task, run, payload, checkpoint, ticket } => {
                 let starts = self.session(&executor).starts.clone();
+                let job = task.job.clone();
                 let order = Start { executor, task, run, payload, checkpoint, ticket };
-                starts.push(order, move |order| self.clone().start(order));
+                starts.push(job, order, move |order| self.clone().start(order));
             }
             Command::Stop { executor, task, run, reason } => {
                 let stops = self.session(&executor).stops.clone();
+                let job = task.job.clone();
                 let order = Stop { executor, task, run, reason };
-                stops.push(order, move |order| self.clone().stop(order));
+                stops.push(job, order, move |order| self.clone().stop(order));
             }
             Command::Pace { executor, task, run, percent } => {
                 tokio::task::spawn_local(async move {
--- a/crates/jackdawpier_entry/src/owner/order_queue.rs
+++ b/crates/jackdawpier_entry/src/owner/order_queue.rs
@@ -1,19 +1,57 @@
 //! Orders that wait for their turn to be sent to an executor.
 //!
 //! A task of the runtime that only waits takes some kilobytes, an order some hundred bytes. With thousands of orders for
-//! one executor, only those in flight have a task.
+//! one executor, only those in flight have a task. Jobs take turns, so that the few orders of one don't wait behind the
+//! thousands of another.
 
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     future::Future,
     rc::Rc,
 };
 
-/// Orders of one kind to one executor, in the order in which they are sent.
+use jackdawpier_kernel::ids::JobId;
+
+/// The waiting orders. A job is in `turns` as long as it has orders.
+#[derive(Debug)]
+struct Waiting<T> {
+    by_job: HashMap<JobId, VecDeque<T>>,
+    turns: VecDeque<JobId>,
+}
+
+impl<T> Default for Waiting<T> {
+    fn default() -> Self {
+        Self { by_job: HashMap::new(), turns: VecDeque::new() }
+    }
+}
+
+impl<T> Waiting<T> {
+    fn push(&mut self, job: JobId, order: T) {
+        let orders = self.by_job.entry(job.clone()).or_default();
+        if orders.is_empty() {
+            self.turns.push_back(job);
+        }
+        orders.push_back(order);
+    }
+
+    fn pop(&mut self) -> Option<T> {
+        let job = self.turns.pop_front()?;
+        let orders = self.by_job.get_mut(&job)?;
+        let order = orders.pop_front();
+        if orders.is_empty() {
+            self.by_job.remove(&job);
+        } else {
+            self.turns.push_back(job);
+        }
+        order
+    }
+}
+
+/// Orders of one kind to one executor.
 #[derive(Debug)]
 pub(super) struct OrderQueue<T> {
-    waiting: RefCell<VecDeque<T>>,
+    waiting: RefCell<Waiting<T>>,
     /// Number of tasks that send orders.
     senders: Cell<usize>,
     max_senders: usize,
@@ -25,13 +63,13 @@
         Self { waiting: RefCell::default(), senders: Cell::new(0), max_senders }
     }
 
-    /// Adds an order, to be sent with `send` after those before it.
-    pub(super) fn push<F, S>(self: &Rc<Self>, order: T, send: S)
+    /// Adds an order of a job, to be sent with `send` after the job's earlier ones.
+    pub(super) fn push<F, S>(self: &Rc<Self>, job: JobId, order: T, send: S)
     where
         S: Fn(T) -> F + 'static,
         F: Future<Output = ()>,
     {
-        self.waiting.borrow_mut().push_back(order);
+        self.waiting.borrow_mut().push(job, order);
         if self.senders.get() >= self.max_senders {
             return;
         }
@@ -46,11 +84,6 @@
     }
 
     fn next(&self) -> Option<T> {
-        let mut waiting = self.waiting.borrow_mut();
-        let next = waiting.pop_front();
-        if waiting.is_empty() {
-            waiting.shrink_to_fit();
-        }
-        next
+        self.waiting.borrow_mut().pop()
     }
 }
