Let records take a fifth of the owner's processor at most

Each change of a job writes the record of all its placed tasks, some 400 KB for 8,000.

After a write the next one waits for as long as its bytes take at 20 MB a second and core. An ordinary record of some 300 bytes waits no longer than before.

--- a/crates/jackdawpier_entry/src/owner/commits.rs
+++ b/crates/jackdawpier_entry/src/owner/commits.rs
@@ -41,6 +41,11 @@
 /// Delay before a write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Size of the records that may be written in a second for each core of the owner. To encode and send them takes some
+/// 10 ns a byte, so this is a fifth of the processor; without it, the records of jobs with thousands of running tasks would
+/// take all of a small machine's.
+const RECORD_BYTES_PER_CORE_S: f64 = 20e6;
+
 /// Share of the link that records may use; the rest is for orders and answers. Changes during the pause go into
 /// the job's next record, so fewer records are written. Without this limit records filled a link of 2 Mbit/s,
 /// and orders waited behind them for half a second.
@@ -115,7 +120,9 @@
             let bytes = value_bytes(&transaction);
             let link_time =
                 link::transfer_time_of_values(bytes, self.settings.link_mbps, LINK_SHARE);
-            let pause = batch_delay.max(link_time);
+            let encoding_rate = self.settings.cpu_share * RECORD_BYTES_PER_CORE_S;
+            let encoding_time = Duration::from_secs_f64(bytes as f64 / encoding_rate.max(1.0));
+            let pause = batch_delay.max(link_time).max(encoding_time);
             let (owner, in_flight) = (self.clone(), in_flight.clone());
             in_flight.begin(bytes);
             tokio::task::spawn_local(async move {
