--- a/crates/jackdawpier_fleet/src/fleet/pool_demand.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_demand.rs
@@ -54,14 +54,17 @@
         if millicores == 0 {
             return;
         }
-        let asked: u64 =
-            job.startable.iter().map(|&index| job.step(index).allocated().cpu_millicores).sum();
-        for &index in &job.startable {
-            let step = job.step(index);
+        let startable = job.startable_by_step();
+        let asked: u64 = startable
+            .iter()
+            .map(|(step, tasks)| job.spec.steps[*step].allocated().cpu_millicores * tasks)
+            .sum();
+        for (step, tasks) in startable {
+            let step = &job.spec.steps[step];
             // Tasks beyond the cap of their account need no machines.
             let allocated = u128::from(step.allocated().cpu_millicores) * u128::from(millicores);
             let within_cap = (allocated / u128::from(asked.max(1))) as u64;
-            self.outlook.add(step, within_cap, step.estimate);
+            self.outlook.add(step, within_cap * tasks, step.estimate);
             let label = &step.required_label;
             if let Some(highest) = self.urgency.get_mut(label) {
                 *highest = priority.min(*highest);
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -516,10 +516,12 @@
                     least_millicores = least_millicores.max(min_start_millicores(job));
                     continue;
                 }
-                let spread = job.startable.iter().map(|&index| min_machines(job.step(index)));
-                pool.min_machines = pool.min_machines.max(spread.max().unwrap_or(0));
-                let waiting = job.startable.iter().map(|&index| job.step(index).allocated());
-                let millicores = waiting.map(|need| need.cpu_millicores).sum::<u64>();
+                let mut millicores = 0;
+                for (step, tasks) in job.startable_by_step() {
+                    let step = &job.spec.steps[step];
+                    pool.min_machines = pool.min_machines.max(min_machines(step));
+                    millicores += step.allocated().cpu_millicores * tasks;
+                }
                 pool.need_millicores += headroom.take(job.account.as_ref(), millicores);
                 if standing.is_none() {
                     let allowed = primary_headroom.take(job.account.as_ref(), millicores);
--- a/crates/jackdawpier_fleet/src/fleet/queue_load.rs
+++ b/crates/jackdawpier_fleet/src/fleet/queue_load.rs
@@ -11,7 +11,7 @@
 
 use super::Fleet;
 use crate::{
-    job::{Job, Phase},
+    job::Job,
     job_rank::{Rank, rank},
     spec::{Queue, QueueName},
 };
@@ -192,16 +192,17 @@
 
     fn job_load(&self, now: Now, queue: &Queue, job: &Job) -> JobLoad {
         let millicores = |index: usize| job.step(index).allocated().cpu_millicores;
-        let is_waiting = |index: &&usize| job.tasks[**index].phase == Phase::Waiting;
-        let waiting = || job.startable.iter().filter(is_waiting);
-        let since = waiting().map(|&index| job.waiting_since(index)).min();
+        let since = job.longest_waiting_task().map(|index| job.waiting_since(index));
+        let waiting = job.startable_by_step().into_iter();
+        let waiting_millicores =
+            waiting.map(|(step, tasks)| job.spec.steps[step].allocated().cpu_millicores * tasks);
         JobLoad {
             queue: queue.name.clone(),
             service: queue.service.clone(),
             account: job.account.clone(),
             class: since.map(|_| class_of(&rank(now, job, queue, self.settings.policy))),
             running_millicores: job.tasks.placed().map(|(index, _)| millicores(index)).sum(),
-            waiting_millicores: waiting().map(|&index| millicores(index)).sum(),
+            waiting_millicores: waiting_millicores.sum(),
             waited: since.map_or(Duration::ZERO, |since| now.saturating_sub(since)),
         }
     }
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -396,7 +396,8 @@
             job.startable.iter().find(has_waited_long).copied()
         };
         let open_jobs = self.open_jobs.values().flatten().filter_map(|id| self.jobs.get(id));
-        let mut waiting = open_jobs.filter_map(|job| Some((job, long_waiting_task(job)?)));
+        let long_running = open_jobs.filter(|job| job.has_long_running_tasks());
+        let mut waiting = long_running.filter_map(|job| Some((job, long_waiting_task(job)?)));
         let machine = waiting.find_map(|(job, index)| self.reopenable_machine(job, index));
         if let Some(machine) = machine {
             self.machines.operations.remove(&machine);
--- a/crates/jackdawpier_fleet/src/fleet/waits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/waits.rs
@@ -10,7 +10,7 @@
 use super::{Fleet, placement::is_eligible};
 use crate::{
     executor::Executor,
-    job::{Job, Phase, TaskIndex},
+    job::{Job, TaskIndex},
     spec::TaskKey,
 };
 
@@ -185,6 +185,5 @@
     if job.tasks.has_placed() && !is_long_running {
         return None;
     }
-    let waiting = job.startable.iter().filter(|&&index| job.tasks[index].phase == Phase::Waiting);
-    waiting.map(|&index| (job.waiting_since(index), index)).min()
+    job.longest_waiting_task().map(|index| (job.waiting_since(index), index))
 }
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -4,7 +4,12 @@
 mod task;
 mod tasks;
 
-use std::{collections::VecDeque, ops::Range, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    ops::Range,
+    sync::Arc,
+    time::Duration,
+};
 
 use jackdawpier_kernel::{
     Now,
@@ -24,7 +29,7 @@
 
 /// Maximum number of slots that are open at a time, but for those of a single occurrence. Each takes memory, and later
 /// occurrences wait for the same executors as the first ones.
-const MAX_OPEN_SLOTS: usize = 1024;
+pub(crate) const MAX_OPEN_SLOTS: usize = 1024;
 /// Size of a record without tasks.
 const EMPTY_RECORD_BYTES: usize = 200;
 
@@ -377,6 +382,30 @@
         step.is_long_running && !step.is_gang && self.tasks[index].is_on_probation()
     }
 
+    /// Returns the numbers of startable tasks by step.
+    pub(crate) fn startable_by_step(&self) -> BTreeMap<usize, u64> {
+        let mut counts = BTreeMap::new();
+        if self.has_long_running_tasks() {
+            // Tasks that wait for the end of a back-off aren't startable.
+            let steps = self.startable.iter().map(|&index| self.step_number(index));
+            steps.for_each(|step| *counts.entry(step).or_default() += 1);
+            return counts;
+        }
+        for (slot, _) in self.slots.open() {
+            let waiting = self.waiting_in_slot(slot) as u64;
+            if waiting > 0 {
+                *counts.entry(slot % self.spec.steps.len()).or_default() += waiting;
+            }
+        }
+        counts
+    }
+
+    /// Returns the startable task that has waited longest: tasks are queued in the order in which they become startable.
+    pub(crate) fn longest_waiting_task(&self) -> Option<TaskIndex> {
+        let mut startable = self.startable.iter().copied();
+        startable.find(|&index| self.tasks[index].phase == Phase::Waiting)
+    }
+
     /// Returns the due time of an occurrence, in milliseconds since 1970; `None` for a job without a schedule.
     pub(crate) fn due_ms(&self, occurrence: usize) -> Option<u64> {
         let schedule = self.spec.schedule?;
@@ -396,9 +425,11 @@
         let tasks = self.tasks_in_slot(slot);
         let waiting = tasks.filter(|&index| self.tasks[index].phase == Phase::Waiting);
         let waiting: Vec<TaskIndex> = waiting.collect();
-        waiting
-            .into_iter()
-            .fold(false, |is_complete, index| self.complete_task(index) || is_complete)
+        let mut is_complete = false;
+        for index in waiting {
+            is_complete |= self.complete_task(index);
+        }
+        is_complete
     }
 
     /// Returns whether a task that was ordered to stop may continue: the reason of the stop can wait until the step
