Bound what open jobs and placed tasks take of the owner

Callers decide how many jobs are open, how many tasks they have and how little each needs, so whatever a job takes, the sum had no end: a few thousand jobs of 8,000 occurrences, or half a million tasks that need nothing, would have exceeded the memory of an owner again.

- Placed tasks are bounded by a third of what callers leave of the machine.
Tasks beyond that wait, as they do for room on an executor.
- Open jobs are bounded by a quarter, by a size that follows from the specification and isn't less than what is held (`counted_size`).
The owner publishes what is left while it is scarce; an entry refuses a job that would take more than a quarter of it, unless the store holds it, before it writes it.
- An owner that finds more in the store takes in what has begun, what is due and then the rest as room comes.
Cancellations reach all.

--- a/crates/jackdawpier_bench/src/lib.rs
+++ b/crates/jackdawpier_bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod days;
 pub mod deployment;
 pub mod fit;
+pub mod job_memory;
 pub mod jobs;
 pub mod lower_bound;
 pub mod owner;
--- a/crates/jackdawpier_bench/src/main.rs
+++ b/crates/jackdawpier_bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{alloc::System, path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use jackdawpier_bench::{coordination, owner, report, scale};
+use jackdawpier_bench::{coordination, job_memory, owner, report, scale};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 /// Counts what every state holds, for the slopes of memory.
@@ -43,6 +43,9 @@
     /// Processor time of the fleet owner's decisions under bursts
     #[bpaf(command)]
     Owner,
+    /// Memory of jobs with thousands of tasks in the fleet's owner
+    #[bpaf(command("job-memory"))]
+    JobMemory,
     /// Slopes over the size of the fleet, and the figures at the size aimed at
     #[bpaf(command)]
     Scale,
@@ -61,6 +64,7 @@
         Command::Jobs => report::print_jobs(),
         Command::Keyed => coordination::print(),
         Command::Owner => owner::print(),
+        Command::JobMemory => job_memory::print(),
         Command::Scale => scale::print(),
     }
     ExitCode::SUCCESS
--- a/crates/jackdawpier_bench/src/owner.rs
+++ b/crates/jackdawpier_bench/src/owner.rs
@@ -231,6 +231,8 @@
         maintenance: Duration::from_secs(2),
         remote_factor: 3.0,
         order_lease: Duration::ZERO,
+        max_active_tasks: usize::MAX,
+        open_job_bytes: usize::MAX,
         policy: jackdawpier_fleet::policy::Policy::default(),
     }
 }
--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -29,6 +29,7 @@
     events::Events,
     http_server::Reply,
     job_query::JobQuery,
+    job_room::JobRoomCheck,
     keys,
     owner::FleetHandle,
     pending::PendingCounter,
@@ -70,6 +71,8 @@
     pub pending: PendingCounter,
     /// Decides which jobs are passed to the store while queues are overloaded.
     pub admission: AdmissionControl,
+    /// Knows how much room the fleet's owner has for jobs.
+    pub job_room: JobRoomCheck,
     /// Upper limit of the timeouts that callers state.
     pub max_timeout: Duration,
     /// Log lines.
--- a/crates/jackdawpier_entry/src/keys.rs
+++ b/crates/jackdawpier_entry/src/keys.rs
@@ -17,6 +17,8 @@
 pub const PROOF: &str = "proof";
 /// Which part of the jobs the entries admit to the overloaded queues, written only by the owner.
 pub const LOAD: &str = "load";
+/// How much room for open jobs the owner has left, written only by the owner, while it is scarce.
+pub const JOB_ROOM: &str = "job-room";
 /// Prefix of the machines that were maintained in each wave, written only by the owner.
 pub const WAVES: &str = "waves/";
 
--- a/crates/jackdawpier_entry/src/log_volume.rs
+++ b/crates/jackdawpier_entry/src/log_volume.rs
@@ -6,10 +6,11 @@
 use jackdawpier_kernel::Now;
 
 /// Kinds of events that a busy owner emits hundreds of times a second.
-const ROUTINE_KINDS: [&str; 10] = [
+const ROUTINE_KINDS: [&str; 11] = [
     "answered",
     "body_refused",
     "job_in",
+    "no_job_room",
     "pace",
     "pool_lacks",
     "question",
--- a/crates/jackdawpier_entry/src/metrics.rs
+++ b/crates/jackdawpier_entry/src/metrics.rs
@@ -11,7 +11,10 @@
     time::Duration,
 };
 
-use jackdawpier_fleet::fleet::{Obstacles, WaitingJobs};
+use jackdawpier_fleet::{
+    fleet::{ActiveTasks, Obstacles, WaitingJobs},
+    job_room::JobRoom,
+};
 use jackdawpier_http::request_body::BodyMemory;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -60,6 +63,11 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HeldLabels {
+    what: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AnswerLabels {
     answer: &'static str,
@@ -120,6 +128,8 @@
     waiting_jobs: Family<ClassLabels, Gauge>,
     obstacles: Family<ObstacleLabels, Gauge>,
     frozen_executors: Gauge,
+    owner_memory: Family<HeldLabels, Gauge>,
+    owner_limits: Family<HeldLabels, Gauge>,
     open_connections: Gauge,
     closed_connections: Family<ClosedLabels, Counter>,
     body_bytes: Gauge,
@@ -152,6 +162,12 @@
         let frozen_executors = Gauge::default();
         let help = "Executors that get no work until a lease has expired, at the entry that owns the fleet";
         registry.register("frozen_executors", help, frozen_executors.clone());
+        let owner_memory = Family::<HeldLabels, Gauge>::default();
+        let help = "What the entry that owns the fleet holds: open jobs in bytes, and placed tasks";
+        registry.register("owner_held", help, owner_memory.clone());
+        let owner_limits = Family::<HeldLabels, Gauge>::default();
+        let help = "Maximum of owner_held";
+        registry.register("owner_held_limit", help, owner_limits.clone());
         let open_connections = Gauge::default();
         let help = "Open connections of the callers' port";
         registry.register("open_connections", help, open_connections.clone());
@@ -185,6 +201,8 @@
             waiting_jobs,
             obstacles,
             frozen_executors,
+            owner_memory,
+            owner_limits,
             open_connections,
             closed_connections,
             body_bytes,
@@ -274,6 +292,22 @@
         self.0.borrow().frozen_executors.set(count as i64);
     }
 
+    /// Sets what open jobs take of the owner's memory; nothing if this entry isn't the owner.
+    pub fn set_job_room(&self, room: &JobRoom) {
+        self.set_held("open_job_bytes", room.used_bytes, room.total_bytes);
+    }
+
+    /// Sets the number of placed tasks; none if this entry isn't the owner.
+    pub fn set_active_tasks(&self, tasks: ActiveTasks) {
+        self.set_held("active_tasks", tasks.held, tasks.max);
+    }
+
+    fn set_held(&self, what: &'static str, held: usize, limit: usize) {
+        let inner = self.0.borrow();
+        inner.owner_memory.get_or_create(&HeldLabels { what }).set(held as i64);
+        inner.owner_limits.get_or_create(&HeldLabels { what }).set(limit as i64);
+    }
+
     /// Sets the numbers of connections of the callers' port.
     pub fn set_connections(&self, counts: ConnectionCounts) {
         let inner = self.0.borrow();
--- a/crates/jackdawpier_entry/src/owner.rs
+++ b/crates/jackdawpier_entry/src/owner.rs
@@ -6,6 +6,7 @@
 mod executors;
 mod explain;
 mod intake;
+mod job_room_note;
 mod load_note;
 mod machines;
 mod order_note;
@@ -255,6 +256,8 @@
         maintenance: settings.maintenance_duration,
         remote_factor: settings.remote_factor,
         order_lease: settings.order_lease + MAX_MACHINE_ORDER_DELAY,
+        max_active_tasks: settings.owner_memory().max_active_tasks,
+        open_job_bytes: settings.owner_memory().open_job_bytes,
         policy: Policy::default(),
     }
 }
@@ -338,6 +341,7 @@
     tokio::task::spawn_local(owner.clone().commit_loop());
     tokio::task::spawn_local(owner.clone().publish_pending_counts());
     tokio::task::spawn_local(owner.clone().publish_load());
+    tokio::task::spawn_local(owner.clone().publish_job_room());
     tokio::task::spawn_local(owner.clone().remove_ended_jobs_loop());
     tokio::task::spawn_local(owner.clone().log_waits_loop());
     tokio::task::spawn_local(owner.clone().prune_order_note());
--- a/crates/jackdawpier_entry/src/owner/explain.rs
+++ b/crates/jackdawpier_entry/src/owner/explain.rs
@@ -6,8 +6,8 @@
 use std::{rc::Rc, time::Duration};
 
 use jackdawpier_fleet::fleet::{
-    AccountBacklog, CrashBackoff, ExecutorLoss, Freeze, GivenUpTask, LostRun, Obstacles,
-    QueueBacklog, Shortage, TaskCrash, WaitingJobs, WaitingTask,
+    AccountBacklog, ActiveTasks, CrashBackoff, ExecutorLoss, Freeze, GivenUpTask, LostRun,
+    Obstacles, QueueBacklog, Shortage, TaskCrash, WaitingJobs, WaitingTask,
 };
 use serde_json::{Value, json};
 
@@ -35,6 +35,7 @@
             }
             self.events.metrics().set_obstacles(waiting.iter().map(|task| &task.obstacles));
             self.events.metrics().set_frozen_executors(fleet.frozen_executors());
+            self.log_active_tasks(fleet.active_tasks());
             for shortage in fleet.shortages().iter().take(MAX_LINES_PER_REPORT) {
                 self.events.emit("pool_lacks", shortage_fields(shortage));
             }
@@ -50,6 +51,15 @@
         self.events.metrics().set_waiting_jobs(&WaitingJobs::default());
         self.events.metrics().set_obstacles([&Obstacles::default()]);
         self.events.metrics().set_frozen_executors(0);
+        self.events.metrics().set_active_tasks(ActiveTasks::default());
+    }
+
+    /// Logs that tasks wait because of the number of those that are placed.
+    fn log_active_tasks(&self, tasks: ActiveTasks) {
+        self.events.metrics().set_active_tasks(tasks);
+        if tasks.is_full {
+            self.events.emit("active_tasks_full", json!({ "held": tasks.held, "max": tasks.max }));
+        }
     }
 
     /// Logs the executors that get no work until their leases have expired, and those that get work again.
--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -65,7 +65,7 @@
         self.list_with_retries(keys::RECORDS, recover_page).await?;
         let unwritten = std::mem::take(&mut intake.submissions);
         let unwritten = unwritten.into_iter().map(|(id, submission)| (id.into(), submission));
-        self.add_jobs(JobSource::Listing, unwritten);
+        self.add_jobs(JobSource::Listing, unwritten, &intake.cancelled);
         self.cancel_jobs(&intake.cancelled);
         self.tick();
         let fields = json!({
@@ -171,7 +171,7 @@
                 jobs.push((id.into(), submission));
             }
         }
-        self.add_jobs(source, jobs.into_iter())
+        self.add_jobs(source, jobs.into_iter(), cancelled)
     }
 
     /// Whether a job has been added, or can't be: what has run of it can't be told without its record, nor can a new
@@ -180,20 +180,29 @@
         self.fleet.borrow().view(id).is_some() || self.unrecoverable_jobs.borrow().contains(id)
     }
 
-    /// Adds jobs that have no record, and returns their number.
+    /// Adds jobs that have no record, and returns their number. Those for which there is no room stay in the store until
+    /// a later listing, unless they are cancelled and end at once.
     fn add_jobs(
         &self,
         source: JobSource,
         jobs: impl Iterator<Item = (JobId, Submission)>,
+        cancelled: &BTreeSet<JobId>,
     ) -> usize {
         let (now, wall_ms) = (clock::now(), clock::wall_ms());
         let mut fleet = self.fleet.borrow_mut();
-        let mut added = 0;
+        let (mut added, mut deferred) = (0, 0);
         for (id, submission) in jobs {
+            if !fleet.job_room().takes_in(&submission, wall_ms) && !cancelled.contains(&id) {
+                deferred += 1;
+                continue;
+            }
             added += 1;
             let arrived_at = source.arrived_at(now, wall_ms, &submission);
             fleet.add_job(now, arrived_at, wall_ms, id, submission);
         }
+        if deferred > 0 {
+            self.events.emit("jobs_deferred", json!({ "jobs": deferred }));
+        }
         added
     }
 
--- a/crates/jackdawpier_entry/src/run.rs
+++ b/crates/jackdawpier_entry/src/run.rs
@@ -22,6 +22,7 @@
     events::Events,
     freshness,
     http_server::{self, InFlight},
+    job_room::JobRoomCheck,
     owner::{self, FleetHandle},
     pending::PendingCounter,
     ports::Platform,
@@ -92,6 +93,7 @@
         owner: handle.clone(),
         pending: PendingCounter::default(),
         admission: AdmissionControl::new(events.clone()),
+        job_room: JobRoomCheck::new(events.clone(), settings.owner_memory().open_job_bytes),
         max_timeout: MAX_TIMEOUT,
         events: events.clone(),
     });
--- a/crates/jackdawpier_entry/src/settings.rs
+++ b/crates/jackdawpier_entry/src/settings.rs
@@ -4,7 +4,9 @@
 
 use jackdawpier_kernel::caller_memory::{CallerMemory, MB};
 
-use crate::{connections::DEFAULT_MAX_OPEN, http_server::MAX_BUFFER_BYTES};
+use crate::{
+    connections::DEFAULT_MAX_OPEN, http_server::MAX_BUFFER_BYTES, owner_memory::OwnerMemory,
+};
 
 /// Divisor of the machine's memory that gives what callers may make the process hold. The rest is for the owner's state.
 const CALLERS_DIVISOR: usize = 4;
@@ -50,6 +52,12 @@
 }
 
 impl EntrySettings {
+    /// Returns how the memory that callers leave is divided while the entry owns the fleet.
+    pub fn owner_memory(&self) -> OwnerMemory {
+        let total_bytes = self.memory_mb * MB;
+        OwnerMemory::divide(total_bytes - total_bytes / CALLERS_DIVISOR)
+    }
+
     /// Returns what callers may make the process hold.
     pub fn caller_memory(&self) -> CallerMemory {
         let total_bytes = self.memory_mb * MB / CALLERS_DIVISOR;
--- a/crates/jackdawpier_entry/tests/support/entry.rs
+++ b/crates/jackdawpier_entry/tests/support/entry.rs
@@ -15,6 +15,7 @@
     events::Events,
     freshness::prove_configuration,
     http_server::{InFlight, serve_with_limits},
+    job_room::JobRoomCheck,
     owner::FleetHandle,
     pending::PendingCounter,
 };
@@ -46,6 +47,8 @@
     pub limits: ConnectionLimits,
     /// Limits of the bodies of requests.
     pub bodies: BodyLimits,
+    /// The whole room for open jobs.
+    pub open_job_bytes: usize,
     /// Upper limit of the timeouts that callers state.
     pub max_timeout: Duration,
 }
@@ -57,6 +60,7 @@
             owner: FleetHandle::default(),
             limits: ConnectionLimits::default(),
             bodies: BodyLimits::new(1024 * 1024),
+            open_job_bytes: 30 * 1024 * 1024,
             max_timeout: MAX_TIMEOUT,
         }
     }
@@ -80,7 +84,8 @@
 
     /// As [`Entry::start`], with all options.
     pub async fn start_with(fake: &Fake, options: EntryOptions) -> Self {
-        let EntryOptions { valid_for, owner, limits, bodies, max_timeout } = options;
+        let EntryOptions { valid_for, owner, limits, bodies, open_job_bytes, max_timeout } =
+            options;
         if fake.value(CONFIGURATION).is_none() {
             fake.put(CONFIGURATION, b"1");
         }
@@ -99,6 +104,7 @@
             owner,
             pending: PendingCounter::default(),
             admission: AdmissionControl::new(events.clone()),
+            job_room: JobRoomCheck::new(events.clone(), open_job_bytes),
             max_timeout,
             events: events.clone(),
         });
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -3,6 +3,7 @@
 //! Each new owner rebuilds the state from the store and from the reports of executors, so nothing
 //! here has to survive the process. Start orders are sent only for placements that are durable.
 
+mod active_tasks;
 mod advice;
 mod busy_machines;
 mod command;
@@ -53,6 +54,7 @@
     ids::{AccountName, ExecutorId, JobId, PoolName, ServiceName},
 };
 
+pub use active_tasks::ActiveTasks;
 pub use busy_machines::{BusyMachine, DemandForecast, Donor, choose_busy_machine};
 pub use command::{Command, StopReason};
 pub use commits::{Batch, ChangedJob, FinishedJob};
@@ -86,6 +88,7 @@
     demand::Arrivals,
     executor::Executor,
     job::Job,
+    job_room::JobRoom,
     machines::Machines,
     policy::Policy,
     record::JobOutcome,
@@ -114,6 +117,10 @@
     pub remote_factor: f64,
     /// Time after a take-over by which all machine orders of a previous owner have arrived.
     pub order_lease: Duration,
+    /// Maximum number of tasks that are placed, or were and aren't done.
+    pub max_active_tasks: usize,
+    /// Memory for open jobs, see [`crate::job_size::open_job_bytes`].
+    pub open_job_bytes: usize,
     /// Mechanisms that are switched on.
     pub policy: Policy,
 }
@@ -149,6 +156,8 @@
     executors: SortedHashMap<ExecutorId, Executor>,
     by_service: BTreeMap<ServiceName, Vec<ExecutorId>>,
     changed_jobs: VecDeque<JobId>,
+    /// Sum of [`open_job_bytes`] over the open jobs.
+    open_job_bytes: usize,
     /// Ended jobs with the time of their end, oldest first.
     ended_jobs: VecDeque<(JobId, Now)>,
     /// Ended jobs of which nothing runs any more, among them those that ended under a previous owner.
@@ -183,6 +192,9 @@
     last_speed_review_at: Now,
     next_batch: u64,
     executors_compared: u64,
+    /// [`Self::executors_compared`] at the begin of the placement round.
+    round_began_at_comparison: u64,
+    active_tasks: ActiveTasks,
     wave_machines_counted: u64,
     /// Wall clock at the last tick, in milliseconds since the Unix epoch.
     wall_ms: u64,
@@ -207,6 +219,7 @@
             executors: SortedHashMap::default(),
             by_service: BTreeMap::new(),
             changed_jobs: VecDeque::new(),
+            open_job_bytes: 0,
             ended_jobs: VecDeque::new(),
             reduced_jobs: BTreeMap::new(),
             advice: Advice::default(),
@@ -234,6 +247,8 @@
             last_speed_review_at: Now::ZERO,
             next_batch: 0,
             executors_compared: 0,
+            round_began_at_comparison: 0,
+            active_tasks: ActiveTasks::default(),
             wave_machines_counted: 0,
             wall_ms: 0,
         }
@@ -285,6 +300,11 @@
         self.jobs.get(id).is_some_and(|job| job.is_over() && job.durable_outcome.is_none())
     }
 
+    /// Returns the room for open jobs.
+    pub fn job_room(&self) -> JobRoom {
+        JobRoom { total_bytes: self.settings.open_job_bytes, used_bytes: self.open_job_bytes }
+    }
+
     /// Returns the client account of a job, or `None` if the job is unknown.
     pub fn account_of(&self, id: &str) -> Option<Option<&AccountName>> {
         let of_open = self.jobs.get(id).map(|job| job.account.as_ref());
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -107,6 +107,7 @@
             .find(|checkpoint| !checkpoint.is_empty())
             .unwrap_or_default();
         for (index, executor) in placed {
+            self.active_tasks.held += usize::from(job.tasks.get_whole(*index).is_none());
             let task = job.task_to_place(*index);
             task.run = run;
             task.confirmed_at = None;
--- a/crates/jackdawpier_fleet/src/fleet/intake.rs
+++ b/crates/jackdawpier_fleet/src/fleet/intake.rs
@@ -11,6 +11,7 @@
 use crate::{
     executor::{Executor, IsolatedStart},
     job::Job,
+    job_size::open_job_bytes,
     machines::MachineId,
     record::{JobOutcome, JobRecord, Reruns},
     spec::{JobSpec, Submission},
@@ -89,6 +90,7 @@
             self.ended_jobs.push_back((id.clone(), now));
         } else {
             self.open_jobs.entry(job.queue.clone()).or_default().insert(id.clone());
+            self.open_job_bytes += open_job_bytes(&job.spec);
             if job.spec.schedule.is_some() {
                 self.scheduled.insert(id.clone());
             }
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -83,6 +83,7 @@
     /// Jobs are sorted only as far as they are tried, and those of a service without room for the smallest
     /// waiting task aren't ranked.
     pub(super) fn place(&mut self, now: Now) {
+        self.count_active_tasks();
         let smallest_needs = self.smallest_waiting_needs();
         if smallest_needs.is_empty() {
             return;
@@ -230,6 +231,10 @@
             if job.tasks[index].phase != Phase::Waiting {
                 continue;
             }
+            if self.is_round_over_for(placed) {
+                kept.push(index);
+                continue;
+            }
             let (step, slot) = (job.step(index), job.slot(index));
             let is_skipped = placed >= max_starts
                 || full_slots.contains(&slot)
@@ -245,6 +250,11 @@
                 kept.push(index);
                 continue;
             }
+            if !self.may_become_active(job, index) {
+                self.active_tasks.is_full = true;
+                kept.push(index);
+                continue;
+            }
             if step.is_gang {
                 placed += usize::from(self.place_gang(now, id, slot, round));
                 if self.jobs[id].tasks[index].phase == Phase::Waiting {
@@ -295,6 +305,7 @@
 
     pub(super) fn assign(&mut self, id: &JobId, index: TaskIndex, executor: ExecutorId) {
         let job = self.jobs.get_mut(id).expect("the caller has just read it");
+        self.active_tasks.held += usize::from(job.tasks.get_whole(index).is_none());
         let task = job.task_to_place(index);
         task.run += 1;
         task.confirmed_at = None;
--- a/crates/jackdawpier_fleet/src/fleet/runs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/runs.rs
@@ -10,6 +10,7 @@
     crash::Retry,
     executor::{Executor, IsolatedStart, TaskRef},
     job::{Job, Phase, StopOrder, TaskIndex},
+    job_size::open_job_bytes,
     record::JobOutcome,
 };
 
@@ -30,6 +31,7 @@
         if let Some(open) = self.open_jobs.get_mut(&job.queue) {
             open.remove(id);
         }
+        self.open_job_bytes -= open_job_bytes(&job.spec);
         self.ended_jobs.push_back((id.clone(), now));
         self.advice.forget_job(id);
         let placed: Vec<TaskIndex> = job.tasks.placed().map(|(index, _)| index).collect();
--- a/crates/jackdawpier_fleet/src/job/tasks.rs
+++ b/crates/jackdawpier_fleet/src/job/tasks.rs
@@ -69,6 +69,11 @@
         self.len
     }
 
+    /// Returns the number of tasks that are held whole.
+    pub(crate) fn whole_count(&self) -> usize {
+        self.whole.len()
+    }
+
     /// Returns a task if it is held whole.
     pub(crate) fn get_whole(&self, index: TaskIndex) -> Option<&Task> {
         self.whole.get(&index).map(AsRef::as_ref)
--- a/crates/jackdawpier_fleet/src/lib.rs
+++ b/crates/jackdawpier_fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod job;
 pub mod job_rank;
+pub mod job_room;
 pub mod job_size;
 pub mod machines;
 pub mod policy;
--- a/crates/jackdawpier_fleet/tests/job_memory.rs
+++ b/crates/jackdawpier_fleet/tests/job_memory.rs
@@ -9,7 +9,8 @@
 
 use jackdawpier_fleet::{
     fleet::Fleet,
-    spec::{JobSpec, Schedule, Submission},
+    job_size::open_job_bytes,
+    spec::{JobSpec, Schedule, StepSpec, Submission},
 };
 use jackdawpier_kernel::{Now, ids::JobId};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
@@ -114,3 +115,43 @@
     // A quarter of the memory is for open jobs.
     assert!(held <= OWNER_BYTES / 4, "{held} bytes for {JOBS} jobs");
 }
+
+/// Overdue occurrences of a job that can't start.
+fn overdue_job(interval_ms: u64, tasks: u32) -> JobSpec {
+    let schedule = Schedule { first_ms: EPOCH_MS, interval_ms, repeats: 8_000 / tasks };
+    JobSpec { schedule: Some(schedule), ..job(vec![step(tasks, 1, 1_000)]) }
+}
+
+/// Guards against a room for open jobs that ends above the memory, because a job takes more than it counts with.
+#[test]
+fn counted_size() {
+    const JOBS: usize = 20;
+    let heap = Heap::measure();
+    let chain = (0..300).map(|number| StepSpec {
+        after: (0..number).collect(),
+        required_label: Some("label".into()),
+        ..step(1, 1, 1_000)
+    });
+    let shapes: [(&str, JobSpec); 7] = [
+        ("small", job(vec![step(2, 1, 300)])),
+        ("wide", job(vec![step(8_192, 1, 1_000)])),
+        ("many steps", job(vec![step(2, 1, 1_000); 3_000])),
+        ("chain", job(chain.collect())),
+        ("later", repeated_job()),
+        ("overdue", overdue_job(1, 1)),
+        ("wide and overdue", overdue_job(1, 80)),
+    ];
+    for (name, spec) in shapes {
+        let mut fleet = owner();
+        let fixed = heap.held_bytes();
+        for id in (0..JOBS).map(job_id) {
+            add_job(&mut fleet, &id, spec.clone());
+        }
+        for second in 0..10 {
+            fleet.tick(Now::from_secs(second), EPOCH_MS + second * 1_000);
+        }
+        let held = (heap.held_bytes() - fixed) / JOBS;
+        let counted = open_job_bytes(&spec);
+        assert!(held <= counted, "{name}: {held} bytes held, {counted} counted");
+    }
+}
--- a/crates/jackdawpier_fleet/tests/world/mod.rs
+++ b/crates/jackdawpier_fleet/tests/world/mod.rs
@@ -57,6 +57,8 @@
         maintenance: MAINTENANCE,
         remote_factor: 3.0,
         order_lease: Duration::from_millis(3500),
+        max_active_tasks: usize::MAX,
+        open_job_bytes: usize::MAX,
         policy: Policy::default(),
     }
 }
