Open at most 256 slots of a repeated job at a time

A job that repeats 8,000 times counts in the room for open jobs as if all the slots that may be open were, 166 KB at 1,024, though it holds 1.4 KB before it is due.

With 256 it counts with 43 KB, and holds 27 KB when all that may be open is overdue. Of one job, 256 occurrences still run at a time.

--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -29,7 +29,7 @@
 
 /// Maximum number of slots that are open at a time, but for those of a single occurrence. Each takes memory, and later
 /// occurrences wait for the same executors as the first ones.
-pub(crate) const MAX_OPEN_SLOTS: usize = 1024;
+pub(crate) const MAX_OPEN_SLOTS: usize = 256;
 /// Size of a record without tasks.
 const EMPTY_RECORD_BYTES: usize = 200;
 
