--- a/crates/jackdawpier_entry/src/owner/takeover.rs
+++ b/crates/jackdawpier_entry/src/owner/takeover.rs
@@ -206,6 +206,7 @@
         added
     }
 
+    /// Applies durable cancellations. Those of jobs that aren't known have no effect.
     pub(super) fn cancel_jobs(&self, jobs: &BTreeSet<JobId>) {
         let now = clock::now();
         let mut fleet = self.fleet.borrow_mut();
--- a/crates/jackdawpier_entry/tests/job_room.rs
+++ b/crates/jackdawpier_entry/tests/job_room.rs
@@ -52,7 +52,7 @@
         assert_eq!(entry.status("POST", "/a/1", None).await, 200, "nothing tells of the room yet");
         leave_room_for(&entry.fake, 1);
         tokio::time::sleep(NEXT_READING).await;
-        // An entry that has accepted little reads the note before it refuses a job, and late otherwise.
+        // An entry reads the note again once it has accepted jobs of some size.
         for number in 0..40 {
             entry.status("POST", &format!("/a/many-{number}"), None).await;
         }
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -70,8 +70,8 @@
         if !all_ready {
             return false;
         }
-        let (may_fit, needs_one_rack) =
-            (self.may_fit_gang(job, members[0], round), job.step(members[0]).same_rack);
+        let may_fit = self.may_fit_gang(job, members[0], round);
+        let needs_one_rack = job.step(members[0]).same_rack;
         self.executors_compared += round.executors.len() as u64;
         if !may_fit {
             return false;
--- a/crates/jackdawpier_fleet/src/job/task.rs
+++ b/crates/jackdawpier_fleet/src/job/task.rs
@@ -26,7 +26,7 @@
     Inherited { executor: ExecutorId },
     /// The task has been ordered to stop.
     Stopping { executor: ExecutorId, order: StopOrder },
-    /// The task completed successfully.
+    /// The task completed successfully, or its job has ended and it isn't placed.
     Done,
 }
 
