Keep a job that finds no memory from being stored by another entry

A job that was refused for want of memory with "nothing was done" could be stored all the same: another entry's write of it, which had got no answer, was applied after the refusal.

- The refusing entry leaves a tombstone that names no account, under the condition that the store holds neither the job nor a record of it.
A write in flight meets it; the job replaces it when its caller submits it again.
Beyond a budget of its own, or while the store doesn't answer, the reply is 504.

`late_write_after_refusal` and `unknown_refusals` fail on the code before (the job is stored; 503 for all 60) and pass. `scarce_room` and `stored_elsewhere` read the note with 20 jobs instead of 40 in a shared function; their checks are the same.

--- a/crates/jackdawpier_entry/src/job_room.rs
+++ b/crates/jackdawpier_entry/src/job_room.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use jackdawpier_fleet::job_room::{JobRoomNote, admits, least_unpublished_bytes};
+use jackdawpier_fleet::job_room::JobRoomNote;
 use jackdawpier_kernel::Now;
 use tokio::{task::JoinHandle, time::timeout};
 
@@ -31,10 +31,10 @@
 /// Maximum time for which a large job waits for the note.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
-    /// The free room by the last note.
-    free_bytes: usize,
+    /// The last note, or what counts without one.
+    note: JobRoomNote,
     fetch_began_at: Option<Now>,
     /// Jobs that this entry accepted and that the note may not include, with their sizes.
     unconfirmed: VecDeque<(Now, usize)>,
@@ -42,6 +42,10 @@
 }
 
 impl State {
+    fn admits(&self, job_bytes: usize) -> bool {
+        self.note.admits(self.unconfirmed_bytes, job_bytes)
+    }
+
     fn accept(&mut self, now: Now, job_bytes: usize) {
         self.unconfirmed.push_back((now, job_bytes));
         self.unconfirmed_bytes += job_bytes;
@@ -79,8 +83,12 @@
 impl JobRoomCheck {
     /// Creates the check of an entry whose owner's room would be `total_bytes`.
     pub fn new(events: Events, total_bytes: usize) -> Self {
-        let free_bytes = least_unpublished_bytes(total_bytes);
-        let state = RefCell::new(State { free_bytes, ..State::default() });
+        let state = RefCell::new(State {
+            note: JobRoomNote::unpublished(total_bytes),
+            fetch_began_at: None,
+            unconfirmed: VecDeque::new(),
+            unconfirmed_bytes: 0,
+        });
         Self(Rc::new(Inner { events, total_bytes, state, is_fetching: Cell::new(false) }))
     }
 
@@ -88,25 +96,21 @@
     pub async fn admit<P: Platform>(&self, platform: &P, job_bytes: usize) -> bool {
         let check_bytes = self.0.total_bytes / CHECK_DIVISOR;
         let unconfirmed_bytes = self.0.state.borrow().unconfirmed_bytes + job_bytes;
-        let is_refused = !admits(self.free_bytes(), job_bytes);
+        let is_refused = !self.0.state.borrow().admits(job_bytes);
         if is_refused || unconfirmed_bytes > check_bytes {
             let fetch = self.start_fetch_if_due(platform);
             if let Some(fetch) = fetch.filter(|_| is_refused || job_bytes > check_bytes) {
                 wait_for(fetch).await;
             }
         }
-        let is_admitted = admits(self.free_bytes(), job_bytes);
+        let mut state = self.0.state.borrow_mut();
+        let is_admitted = state.admits(job_bytes);
         if is_admitted {
-            self.0.state.borrow_mut().accept(clock::now(), job_bytes);
+            state.accept(clock::now(), job_bytes);
         }
         is_admitted
     }
 
-    fn free_bytes(&self) -> usize {
-        let state = self.0.state.borrow();
-        state.free_bytes.saturating_sub(state.unconfirmed_bytes)
-    }
-
     fn start_fetch_if_due<P: Platform>(&self, platform: &P) -> Option<JoinHandle<()>> {
         let began_at = self.0.state.borrow().fetch_began_at;
         let is_recent = |at: Now| clock::since(at) < FETCH_INTERVAL;
@@ -122,9 +126,8 @@
         let began_at = clock::now();
         self.0.state.borrow_mut().fetch_began_at = Some(began_at);
         if let Ok(note) = self.read_note(platform).await {
-            let unpublished_bytes = least_unpublished_bytes(self.0.total_bytes);
             let mut state = self.0.state.borrow_mut();
-            state.free_bytes = note.map_or(unpublished_bytes, |note| note.free_bytes);
+            state.note = note.unwrap_or_else(|| JobRoomNote::unpublished(self.0.total_bytes));
             state.confirm(began_at);
         }
         self.0.is_fetching.set(false);
--- a/crates/jackdawpier_entry/src/lib.rs
+++ b/crates/jackdawpier_entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod listing_schedule;
 pub mod log_volume;
 pub mod log_writer;
+mod memory_refusal;
 pub mod metrics;
 pub mod owner;
 pub mod owner_memory;
--- a/crates/jackdawpier_entry/src/owner/job_room_note.rs
+++ b/crates/jackdawpier_entry/src/owner/job_room_note.rs
@@ -29,7 +29,7 @@
         while self.is_valid() {
             let room = self.fleet.borrow().job_room();
             self.events.metrics().set_job_room(&room);
-            let note = room.is_scarce().then(|| JobRoomNote { free_bytes: room.free_bytes() });
+            let note = room.note();
             if published != Published::Known(note) {
                 self.log_room_change(published, note, &room);
                 published = match self.write_job_room(note).await {
--- a/crates/jackdawpier_entry/src/submission.rs
+++ b/crates/jackdawpier_entry/src/submission.rs
@@ -60,11 +60,9 @@
         {
             return self.reject(&id, &submission, retry_after);
         }
-        if !self.has_room_for(&id, &submission).await
-            && self.is_certainly_not_stored(&id, store_deadline(deadline)).await
-        {
-            let why = "the jobs that aren't done leave no memory for one of this size";
-            return self.refuse_submission(&id, why);
+        let give_up_at = store_deadline(deadline);
+        if let Some(reply) = self.refuse_without_memory(&id, &submission, give_up_at).await {
+            return reply;
         }
         let outcome = self.intake.submit(id.clone(), &submission, deadline).await;
         let took = clock::since(received_at);
@@ -192,16 +190,6 @@
         }
     }
 
-    /// Returns whether the fleet's owner has memory for a job. A job that may be stored has its room.
-    async fn has_room_for(&self, id: &JobId, submission: &Submission) -> bool {
-        let job_bytes = job_size::open_job_bytes(&submission.spec);
-        if self.intake.may_be_stored(id) || self.job_room.admit(&self.platform, job_bytes).await {
-            return true;
-        }
-        self.events.emit("no_job_room", json!({ "job": **id, "bytes": job_bytes }));
-        false
-    }
-
     /// Returns whether the store holds neither the job nor its record. Another entry may have stored the job and lost
     /// the answer; a rejection would then be untrue. Without an answer by the deadline the job counts as stored.
     async fn is_certainly_not_stored(&self, id: &JobId, deadline: Now) -> bool {
--- a/crates/jackdawpier_entry/src/tombstones.rs
+++ b/crates/jackdawpier_entry/src/tombstones.rs
@@ -1,4 +1,4 @@
-//! Tombstones of jobs that were cancelled before the store held them.
+//! Tombstones of jobs that were cancelled, or refused, before the store held them.
 //!
 //! Another entry may still be writing a job that the store doesn't hold. So the answer that there is no such job is
 //! given only once the job's record is a tombstone: a job is written under the condition that it has no record, so the
@@ -110,6 +110,8 @@
 #[derive(Debug)]
 struct Inner {
     budget: RefCell<TombstoneBudget>,
+    /// For jobs that were refused, so that they take no tokens of cancellations.
+    refusal_budget: RefCell<TombstoneBudget>,
     /// Lease of tombstones of jobs that may never have been submitted.
     unsubmitted: SharedLease,
     /// Lease of tombstones that show their jobs as cancelled.
@@ -125,6 +127,7 @@
     pub fn new(job_retention: Duration) -> Self {
         Self(Rc::new(Inner {
             budget: RefCell::new(TombstoneBudget::new(clock::now())),
+            refusal_budget: RefCell::new(TombstoneBudget::new(clock::now())),
             unsubmitted: SharedLease::new(MIN_LIFETIME),
             submitted: SharedLease::new(job_retention.max(MIN_LIFETIME)),
         }))
@@ -142,17 +145,43 @@
         account: Option<&AccountName>,
         previous: Option<StoredTombstone>,
     ) -> CallResult<TombstoneOutcome> {
-        if !self.0.budget.borrow_mut().take(clock::now()) {
-            return Ok(TombstoneOutcome::OverBudget);
-        }
         let (revision, mut tombstone) =
             previous.map_or_else(Default::default, |it| (it.revision, it.tombstone));
         tombstone.accounts.push(account.cloned());
-        let outcome = self.write_once(platform, job, revision, &tombstone).await;
+        self.write_within(&self.0.budget, platform, job, revision, &tombstone).await
+    }
+
+    /// Writes the tombstone of a job that is refused and that the store doesn't hold. It names no account that has
+    /// cancelled the job, so the job replaces it when it is submitted again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store doesn't answer or refuses the call; the tombstone may have been written.
+    pub async fn write_refusal<P: Platform>(
+        &self,
+        platform: &P,
+        job: &JobId,
+    ) -> CallResult<TombstoneOutcome> {
+        let budget = &self.0.refusal_budget;
+        self.write_within(budget, platform, job, 0, &Tombstone::default()).await
+    }
+
+    async fn write_within<P: Platform>(
+        &self,
+        budget: &RefCell<TombstoneBudget>,
+        platform: &P,
+        job: &JobId,
+        revision: Revision,
+        tombstone: &Tombstone,
+    ) -> CallResult<TombstoneOutcome> {
+        if !budget.borrow_mut().take(clock::now()) {
+            return Ok(TombstoneOutcome::OverBudget);
+        }
+        let outcome = self.write_once(platform, job, revision, tombstone).await;
         let may_be_written =
             matches!(outcome, Ok(TombstoneOutcome::Written) | Err(CallError::Unanswered { .. }));
         if !may_be_written {
-            self.0.budget.borrow_mut().put_back();
+            budget.borrow_mut().put_back();
         }
         outcome
     }
--- a/crates/jackdawpier_entry/tests/job_room.rs
+++ b/crates/jackdawpier_entry/tests/job_room.rs
@@ -11,7 +11,9 @@
     record::JobOutcome,
     spec::{Schedule, Submission},
 };
-use support::{Entry, Fake, outcome, put_job, run, settings, start_owner, submission, wait_until};
+use support::{
+    Entry, Fake, WriteFault, outcome, put_job, run, settings, start_owner, submission, wait_until,
+};
 
 /// Longer than the minimum time between two readings of the note.
 const NEXT_READING: Duration = Duration::from_millis(600);
@@ -19,7 +21,8 @@
 
 /// Writes that this many of the submitted jobs would take all the free room.
 fn leave_room_for(fake: &Fake, jobs: usize) {
-    let note = JobRoomNote { free_bytes: open_job_bytes(&submission().spec) * jobs };
+    let total_bytes = settings("a").owner_memory().open_job_bytes;
+    let note = JobRoomNote { free_bytes: open_job_bytes(&submission().spec) * jobs, total_bytes };
     let value = serde_json::to_vec(&note).expect("numbers can be written as JSON");
     fake.put(keys::JOB_ROOM, &value);
 }
@@ -52,10 +55,7 @@
         assert_eq!(entry.status("POST", "/a/1", None).await, 200, "nothing tells of the room yet");
         leave_room_for(&entry.fake, 1);
         tokio::time::sleep(NEXT_READING).await;
-        // An entry reads the note again once it has accepted jobs of some size.
-        for number in 0..40 {
-            entry.status("POST", &format!("/a/many-{number}"), None).await;
-        }
+        read_note(&entry).await;
         let answer = entry.request("POST", "/a/refused", None).await;
         assert!(answer.contains(" 503 ") && answer.contains("retry-after"), "{answer}");
         assert_eq!(entry.fake.value(&keys::submission("refused")), None);
@@ -65,6 +65,54 @@
     });
 }
 
+/// Submits jobs until the entry has read the note: it does once it has accepted jobs of some size.
+async fn read_note(entry: &Entry) {
+    for number in 0..20 {
+        entry.status("POST", &format!("/a/many-{number}"), None).await;
+    }
+}
+
+/// Guards against a job that runs though its caller was told with 503 that it never will: another entry's write of it,
+/// which got no answer, is applied after the refusal. The caller may still submit it again.
+#[test]
+fn late_write_after_refusal() {
+    run(async {
+        let entry = Entry::start(&Fake::default(), None).await;
+        let other = Entry::start(&entry.fake.with_own_connection(), None).await;
+        leave_room_for(&entry.fake, 0);
+        read_note(&entry).await;
+        entry.fake.fail_next_writes(&[WriteFault::Delayed; 400]);
+        assert_eq!(other.status("POST", "/a/repeated", None).await, 504);
+        entry.fake.clear_write_faults();
+        assert_eq!(entry.status("POST", "/a/repeated", None).await, 503);
+        entry.fake.apply_delayed_writes();
+        assert_eq!(entry.fake.value(&keys::submission("repeated")), None);
+        assert_eq!(entry.status("GET", "/a/repeated", None).await, 410);
+        entry.fake.remove(keys::JOB_ROOM);
+        tokio::time::sleep(NEXT_READING).await;
+        assert_eq!(entry.status("POST", "/a/repeated", None).await, 200);
+        assert!(entry.fake.value(&keys::submission("repeated")).is_some());
+    });
+}
+
+/// Guards against "not run" for more jobs than an entry can keep from being stored.
+#[test]
+fn unknown_refusals() {
+    run(async {
+        let entry = Entry::start(&Fake::default(), None).await;
+        leave_room_for(&entry.fake, 0);
+        read_note(&entry).await;
+        let mut statuses = Vec::new();
+        for number in 0..60 {
+            statuses.push(entry.status("POST", &format!("/a/refused-{number}"), None).await);
+        }
+        assert_eq!(statuses[0], 503);
+        assert_eq!(statuses[59], 504, "{statuses:?}");
+        assert!(statuses.iter().all(|status| [503, 504].contains(status)), "{statuses:?}");
+        assert_eq!(entry.status("POST", "/a/refused-0", None).await, 503, "it is still barred");
+    });
+}
+
 /// Guards against the refusal of a job that another entry has stored, and that runs.
 #[test]
 fn stored_elsewhere() {
@@ -72,9 +120,7 @@
         let entry = Entry::start(&Fake::default(), None).await;
         leave_room_for(&entry.fake, 0);
         put_job(&entry.fake, "1");
-        for number in 0..40 {
-            entry.status("POST", &format!("/a/many-{number}"), None).await;
-        }
+        read_note(&entry).await;
         assert_eq!(entry.status("POST", "/a/other", None).await, 503);
         assert_eq!(entry.status("POST", "/a/1", None).await, 200);
     });
