Move what fits an executor, and the bound on placed tasks, below the fleet

They stand in `fitting.rs` now, and the bound on placed tasks in a type that takes jobs, not the fleet; both are outside the circle of files around the fleet. The comparisons before a round are the round's. A slot's step is asked of its job, where four places worked it out. The benchmark of job memory shares its settings and its queue with the owner's. No decision changes.

`records_of_both_versions`: an owner goes on from a record that lists all tasks, as earlier versions write it, and from one that ends with the last placed task.

--- a/crates/jackdawpier_bench/src/job_memory.rs
+++ b/crates/jackdawpier_bench/src/job_memory.rs
@@ -7,13 +7,9 @@
 
 use jackdawpier_fleet::{
     executor::{EndKind, EndedTask, ExecutorInfo, HoldReport, MAX_ENDS_PER_REPORT},
-    fleet::{Command, Fleet, FleetSettings, StartOutcome},
-    policy::Policy,
+    fleet::{Command, Fleet, StartOutcome},
     record::JobRecord,
-    spec::{
-        AdviceCost, JobSpec, Queue, Resources, RunNumber, Schedule, Service, StepSpec, Submission,
-        TaskKey,
-    },
+    spec::{JobSpec, Resources, RunNumber, Schedule, Service, StepSpec, Submission, TaskKey},
 };
 use jackdawpier_kernel::{
     Now,
@@ -21,8 +17,11 @@
 };
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region};
 
-const QUEUE: &str = "queue";
-const SERVICE: &str = "service";
+use crate::owner::{queue, settings};
+
+const POOL: usize = 0;
+const QUEUE: &str = "queue-0";
+const SERVICE: &str = "pool-0";
 const EXECUTORS: usize = 12;
 const TASKS_PER_JOB: u32 = 8_000;
 /// Jobs that name a million tasks.
@@ -65,21 +64,9 @@
 
 impl Owner {
     fn new(millicores: u64) -> Self {
-        let settings = FleetSettings {
-            lease: Duration::from_secs(5),
-            longest_lease: Duration::from_secs(10),
-            takeover_uncertainty: Duration::from_millis(7500),
-            stop_timeout: Duration::from_millis(200),
-            maintenance: Duration::from_secs(2),
-            remote_factor: 3.0,
-            order_lease: Duration::ZERO,
-            max_active_tasks: usize::MAX,
-            open_job_bytes: usize::MAX,
-            policy: Policy::default(),
-        };
-        let mut fleet = Fleet::new(settings, Now::ZERO);
+        let mut fleet = Fleet::new(settings(), Now::ZERO);
         let service = Service { name: SERVICE.into(), is_standby: false };
-        fleet.configure(vec![queue()], vec![service], Vec::new());
+        fleet.configure(vec![queue(POOL)], vec![service], Vec::new());
         for number in 0..EXECUTORS {
             fleet.register_executor(Now::ZERO, executor_info(number, millicores));
         }
@@ -169,19 +156,6 @@
     }
 }
 
-fn queue() -> Queue {
-    Queue {
-        name: QUEUE.into(),
-        service: SERVICE.into(),
-        priority: 0,
-        max_attempts: 4,
-        slack_factor: 1.6,
-        target: Duration::from_millis(600),
-        needs_advice: false,
-        advice_cost: AdviceCost::default(),
-    }
-}
-
 fn executor_id(number: usize) -> ExecutorId {
     format!("i-{number:08}").into()
 }
--- a/crates/jackdawpier_bench/src/owner.rs
+++ b/crates/jackdawpier_bench/src/owner.rs
@@ -222,7 +222,8 @@
     JobSpec { payload: "payload".into(), steps, schedule: None }
 }
 
-fn settings() -> FleetSettings {
+/// Settings of an owner without bounds on its memory.
+pub(crate) fn settings() -> FleetSettings {
     FleetSettings {
         longest_lease: Duration::from_secs(10),
         lease: Duration::from_secs(5),
@@ -237,7 +238,8 @@
     }
 }
 
-fn queue(pool: usize) -> Queue {
+/// The queue of a pool.
+pub(crate) fn queue(pool: usize) -> Queue {
     Queue {
         name: format!("queue-{pool}").into(),
         service: format!("pool-{pool}").into(),
--- a/crates/jackdawpier_fleet/src/fleet.rs
+++ b/crates/jackdawpier_fleet/src/fleet.rs
@@ -14,6 +14,7 @@
 mod defragmentation_plan;
 mod executor_speeds;
 mod executors;
+mod fitting;
 mod freezes;
 mod gangs;
 mod incarnations;
@@ -192,8 +193,6 @@
     last_speed_review_at: Now,
     next_batch: u64,
     executors_compared: u64,
-    /// [`Self::executors_compared`] at the begin of the placement round.
-    round_began_at_comparison: u64,
     active_tasks: ActiveTasks,
     wave_machines_counted: u64,
     /// Wall clock at the last tick, in milliseconds since the Unix epoch.
@@ -247,7 +246,6 @@
             last_speed_review_at: Now::ZERO,
             next_batch: 0,
             executors_compared: 0,
-            round_began_at_comparison: 0,
             active_tasks: ActiveTasks::default(),
             wave_machines_counted: 0,
             wall_ms: 0,
@@ -300,6 +298,11 @@
         self.jobs.get(id).is_some_and(|job| job.is_over() && job.durable_outcome.is_none())
     }
 
+    /// Returns the tasks that are held whole.
+    pub fn active_tasks(&self) -> ActiveTasks {
+        self.active_tasks
+    }
+
     /// Returns the room for open jobs.
     pub fn job_room(&self) -> JobRoom {
         JobRoom { total_bytes: self.settings.open_job_bytes, used_bytes: self.open_job_bytes }
--- a/crates/jackdawpier_fleet/src/fleet/advice.rs
+++ b/crates/jackdawpier_fleet/src/fleet/advice.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Command, Fleet,
-    placement::{has_room_for, is_eligible, is_remote},
+    fitting::{has_room_for, is_eligible, is_remote},
     placement_round::PlacementRound,
 };
 use crate::{
--- a/crates/jackdawpier_fleet/src/fleet/crash_attribution.rs
+++ b/crates/jackdawpier_fleet/src/fleet/crash_attribution.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    Fleet, placement::has_room_for, placement_round::PlacementRound, recent_crashes::ExecutorCrash,
+    Fleet, fitting::has_room_for, placement_round::PlacementRound, recent_crashes::ExecutorCrash,
 };
 use crate::{
     crash::{Crash, RunTimeBounds},
--- a/crates/jackdawpier_fleet/src/fleet/defragmentation_plan.rs
+++ b/crates/jackdawpier_fleet/src/fleet/defragmentation_plan.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Fleet,
-    placement::{count_fitting, is_eligible, step_tasks_on},
+    fitting::{count_fitting, is_eligible, step_tasks_on},
     pool_demand::start_group_size,
 };
 use crate::{
@@ -233,7 +233,7 @@
     /// Returns whether an executor has room for a relocated task now.
     pub(super) fn has_room_for_relocated(&self, now: Now, task: &TaskRef, to: &Executor) -> bool {
         let job = &self.jobs[&task.0];
-        !to.is_isolating(now) && super::placement::has_room_for(to, job, task.1, None)
+        !to.is_isolating(now) && super::fitting::has_room_for(to, job, task.1, None)
     }
 }
 
--- a/crates/jackdawpier_fleet/src/fleet/executor_speeds.rs
+++ b/crates/jackdawpier_fleet/src/fleet/executor_speeds.rs
@@ -9,7 +9,7 @@
     ids::{ExecutorId, JobId, ServiceName},
 };
 
-use super::{Fleet, placement::is_remote};
+use super::{Fleet, fitting::is_remote};
 use crate::{
     executor::Executor,
     job::{Job, Phase, TaskIndex},
--- a/crates/jackdawpier_fleet/src/fleet/gangs.rs
+++ b/crates/jackdawpier_fleet/src/fleet/gangs.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Fleet, StopReason,
-    placement::count_fitting,
+    fitting::count_fitting,
     placement_round::PlacementRound,
     runs::{allocate, release},
 };
@@ -131,7 +131,7 @@
             .find(|checkpoint| !checkpoint.is_empty())
             .unwrap_or_default();
         for (index, executor) in placed {
-            self.active_tasks.held += usize::from(job.tasks.get_whole(*index).is_none());
+            self.active_tasks.add(job, *index);
             let task = job.task_to_place(*index);
             task.run = run;
             task.confirmed_at = None;
--- a/crates/jackdawpier_fleet/src/fleet/isolation.rs
+++ b/crates/jackdawpier_fleet/src/fleet/isolation.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    Fleet, crash_attribution::START_CRASH_WINDOW, placement::is_eligible,
+    Fleet, crash_attribution::START_CRASH_WINDOW, fitting::is_eligible,
     placement_round::PlacementRound,
 };
 use crate::{
--- a/crates/jackdawpier_fleet/src/fleet/load_report.rs
+++ b/crates/jackdawpier_fleet/src/fleet/load_report.rs
@@ -505,15 +505,14 @@
 /// Returns the estimated work of the waiting tasks of a job, in core-milliseconds, without occurrences that aren't
 /// due.
 fn waiting_core_ms(job: &Job) -> u64 {
-    let steps = &job.spec.steps;
     let of_slot = |slot: Slot| {
-        let step = &steps[slot % steps.len()];
+        let step = job.step_of_slot(slot);
         let millicore_ms = u128::from(step.allocated().cpu_millicores) * step.estimate.as_millis();
         let core_ms = (millicore_ms / 1000).min(u128::from(MAX_CORE_MS)) as u64;
         core_ms * job.waiting_in_slot(slot) as u64
     };
     match job.spec.schedule {
         Some(_) => job.slots.open().map(|(slot, _)| of_slot(slot)).sum(),
-        None => (0..steps.len()).map(of_slot).sum(),
+        None => (0..job.spec.steps.len()).map(of_slot).sum(),
     }
 }
--- a/crates/jackdawpier_fleet/src/fleet/placement.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement.rs
@@ -11,7 +11,13 @@
     ids::{ExecutorId, JobId, ServiceName},
 };
 
-use super::{Fleet, executor_speeds::SpeedClass, placement_round::PlacementRound, runs::allocate};
+use super::{
+    ActiveTasks, Fleet,
+    executor_speeds::SpeedClass,
+    fitting::{has_room_for, is_eligible, is_remote, is_roomy, step_tasks_on},
+    placement_round::PlacementRound,
+    runs::allocate,
+};
 use crate::{
     executor::Executor,
     job::{Job, Phase, Slot, TaskIndex},
@@ -83,7 +89,8 @@
     /// Jobs are sorted only as far as they are tried, and those of a service without room for the smallest
     /// waiting task aren't ranked.
     pub(super) fn place(&mut self, now: Now) {
-        self.count_active_tasks();
+        let jobs = self.jobs.unordered_values();
+        self.active_tasks = ActiveTasks::count(jobs, self.settings.max_active_tasks);
         let smallest_needs = self.smallest_waiting_needs();
         if smallest_needs.is_empty() {
             return;
@@ -232,7 +239,7 @@
             if job.tasks[index].phase != Phase::Waiting {
                 continue;
             }
-            if self.is_round_over_for(placed) {
+            if round.is_over_for(placed, self.executors_compared) {
                 kept.push(index);
                 continue;
             }
@@ -251,7 +258,7 @@
                 kept.push(index);
                 continue;
             }
-            if !self.may_become_active(job, index) {
+            if !self.active_tasks.admit(job, index) {
                 self.active_tasks.is_full = true;
                 kept.push(index);
                 continue;
@@ -312,7 +319,7 @@
 
     pub(super) fn assign(&mut self, id: &JobId, index: TaskIndex, executor: ExecutorId) {
         let job = self.jobs.get_mut(id).expect("the caller has just read it");
-        self.active_tasks.held += usize::from(job.tasks.get_whole(index).is_none());
+        self.active_tasks.add(job, index);
         let task = job.task_to_place(index);
         task.run += 1;
         task.confirmed_at = None;
@@ -489,65 +496,3 @@
 fn needs_visit(job: &Job) -> bool {
     job.spec.steps.iter().any(|step| step.is_gang || step.is_long_running)
 }
-
-pub(super) fn is_remote(executor: &Executor, job: &Job, index: TaskIndex) -> bool {
-    let rack = executor.info.as_ref().and_then(|info| info.rack.as_ref());
-    job.step(index).data_rack.as_ref().is_some_and(|data| rack != Some(data))
-}
-
-/// Whether at least half of the executor's cores are free.
-fn is_roomy(executor: &Executor) -> bool {
-    executor
-        .info
-        .as_ref()
-        .is_some_and(|info| executor.allocated.cpu_millicores * 2 <= info.capacity.cpu_millicores)
-}
-
-/// Whether an executor can run a task now: checks room, label, rack and the limit on tasks of the
-/// step per executor.
-pub(super) fn has_room_for(
-    executor: &Executor,
-    job: &Job,
-    index: TaskIndex,
-    rack: Option<&str>,
-) -> bool {
-    let Some(info) = &executor.info else { return false };
-    let is_in_rack = rack.is_none_or(|rack| info.rack.as_deref() == Some(rack));
-    job.step(index).allocated().fits(&executor.free())
-        && is_in_rack
-        && is_eligible(executor, job, index)
-}
-
-/// Whether an executor may run a task given enough room: checks the label and the limit on tasks of
-/// the step per executor.
-pub(super) fn is_eligible(executor: &Executor, job: &Job, index: TaskIndex) -> bool {
-    let step = job.step(index);
-    let Some(info) = &executor.info else { return false };
-    let has_label = step.required_label.as_ref().is_none_or(|label| info.labels.contains(label));
-    let is_apart =
-        step.max_per_executor == 0 || step_tasks_on(executor, job, index) < step.max_per_executor;
-    has_label && is_apart
-}
-
-/// Returns how many more tasks of a step an executor could run if it had this free room.
-pub(super) fn count_fitting(
-    executor: &Executor,
-    job: &Job,
-    index: TaskIndex,
-    room: &Resources,
-) -> usize {
-    if !is_eligible(executor, job, index) {
-        return 0;
-    }
-    let step = job.step(index);
-    let fits = room.fit_count(&step.allocated());
-    match step.max_per_executor {
-        0 => fits,
-        most => fits.min((most - step_tasks_on(executor, job, index)) as usize),
-    }
-}
-
-/// Returns the number of tasks of the same step and occurrence on an executor.
-pub(super) fn step_tasks_on(executor: &Executor, job: &Job, index: TaskIndex) -> u32 {
-    executor.tasks_per_slot.get(&(job.id.clone(), job.slot(index))).copied().unwrap_or(0)
-}
--- a/crates/jackdawpier_fleet/src/fleet/placement_round.rs
+++ b/crates/jackdawpier_fleet/src/fleet/placement_round.rs
@@ -16,7 +16,7 @@
     ids::{ExecutorId, ServiceName},
 };
 
-use super::Fleet;
+use super::{Fleet, active_tasks::SMALL_JOB_TASKS};
 use crate::{
     executor::Executor,
     sorted_hash_map::SortedHashMap,
@@ -27,11 +27,17 @@
 /// timeout.
 const RESPONSIVE_WITHIN: Duration = Duration::from_millis(1500);
 
+/// Number of comparisons of tasks with executors in a round, of all services together, after which large jobs wait for the
+/// next one, so that a round takes a small part of the owner's lease.
+const MAX_COMPARED: u64 = 200_000;
+
 /// State of one service in one placement round.
 #[derive(Debug, Default)]
 pub(super) struct PlacementRound {
     /// Executors that accept work.
     pub(super) executors: Vec<ExecutorId>,
+    /// Number of comparisons before the round.
+    compared_before: u64,
     /// Free room of each of [`Self::executors`] at the start of the round. Under overload most executors are full,
     /// and comparing this first avoids looking them up.
     initial_rooms: Vec<Resources>,
@@ -63,6 +69,12 @@
         rooms.filter(|(_, room)| need.fits(room)).map(|(executor, _)| executor)
     }
 
+    /// Returns whether a job of which `placed` tasks were placed in this round waits for the next one, after so many
+    /// comparisons in all.
+    pub(super) fn is_over_for(&self, placed: usize, compared: u64) -> bool {
+        placed >= SMALL_JOB_TASKS && compared - self.compared_before >= MAX_COMPARED
+    }
+
     /// Keeps only the executors for which `is_kept` returns true.
     pub(super) fn retain_executors(&mut self, is_kept: impl Fn(&ExecutorId) -> bool) {
         let kept: Vec<bool> = self.executors.iter().map(is_kept).collect();
@@ -124,6 +136,7 @@
                     service.clone(),
                     PlacementRound {
                         executors,
+                        compared_before: self.executors_compared,
                         initial_rooms,
                         scarce_labels,
                         ..PlacementRound::default()
--- a/crates/jackdawpier_fleet/src/fleet/pool_demand.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_demand.rs
@@ -116,7 +116,7 @@
         let unfinished =
             job.whole_tasks_in_slot(slot).filter(|(_, task)| task.phase != Phase::Done);
         let time_run = unfinished.map(|(_, task)| elapsed(now, task)).min().unwrap_or_default();
-        let step = &job.spec.steps[slot % steps];
+        let step = job.step_of_slot(slot);
         job.remaining_chains[slot % steps].saturating_sub(time_run.min(step.estimate))
     });
     job.remaining_estimate().saturating_sub(remaining.max().unwrap_or_default())
--- a/crates/jackdawpier_fleet/src/fleet/pool_view.rs
+++ b/crates/jackdawpier_fleet/src/fleet/pool_view.rs
@@ -21,9 +21,9 @@
 use super::{
     Fleet,
     busy_machines::BusyMachine,
+    fitting::count_fitting,
     label_need::LabelNeed,
     label_shares::ShareBounds,
-    placement::count_fitting,
     pool_demand::{
         PrimaryDemand, SecondaryJobs, SecondaryReason, elapsed, has_running_tasks, min_machines,
         min_start_millicores, standing_of_task, start_group_size, time_run,
@@ -388,7 +388,7 @@
                     pool.labels.entry(label.clone()).or_default();
                 }
                 for (slot, _) in job.slots.open() {
-                    let step = &job.spec.steps[slot % job.spec.steps.len()];
+                    let step = job.step_of_slot(slot);
                     let Some(label) = &step.required_label else { continue };
                     if let Some(need) = pool.labels.get_mut(label) {
                         need.add_waiting(step, job.waiting_in_slot(slot), scarce.contains(&label));
--- a/crates/jackdawpier_fleet/src/fleet/reservations.rs
+++ b/crates/jackdawpier_fleet/src/fleet/reservations.rs
@@ -13,9 +13,7 @@
 };
 
 use super::{
-    Fleet,
-    placement::{WaitingJob, is_eligible},
-    placement_round::PlacementRound,
+    Fleet, fitting::is_eligible, placement::WaitingJob, placement_round::PlacementRound,
     starved_budget::StarvedBudget,
 };
 use crate::{
--- a/crates/jackdawpier_fleet/src/fleet/vacating.rs
+++ b/crates/jackdawpier_fleet/src/fleet/vacating.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Command, Fleet, StopReason,
-    placement::has_room_for,
+    fitting::has_room_for,
     placement_round::PlacementRound,
     pool_demand::{SecondaryJobs, SecondaryReason, standing_of_task},
     pool_view::PoolView,
--- a/crates/jackdawpier_fleet/src/fleet/waits.rs
+++ b/crates/jackdawpier_fleet/src/fleet/waits.rs
@@ -7,7 +7,7 @@
 
 use jackdawpier_kernel::{Now, ids::ExecutorId};
 
-use super::{Fleet, placement::is_eligible};
+use super::{Fleet, fitting::is_eligible};
 use crate::{
     executor::Executor,
     job::{Job, TaskIndex},
--- a/crates/jackdawpier_fleet/src/job.rs
+++ b/crates/jackdawpier_fleet/src/job.rs
@@ -235,6 +235,11 @@
         occurrence * self.spec.steps.len() + self.step_number(index)
     }
 
+    /// Returns the step of a slot, see [`Self::slot`].
+    pub(crate) fn step_of_slot(&self, slot: Slot) -> &StepSpec {
+        &self.spec.steps[slot % self.spec.steps.len()]
+    }
+
     /// Returns all tasks of a slot, see [`Self::slot`].
     pub(crate) fn tasks_in_slot(&self, slot: Slot) -> Range<TaskIndex> {
         let (occurrence, step) = (slot / self.spec.steps.len(), slot % self.spec.steps.len());
--- a/crates/jackdawpier_fleet/tests/takeover.rs
+++ b/crates/jackdawpier_fleet/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use jackdawpier_fleet::record::JobOutcome;
+use jackdawpier_fleet::record::{JobOutcome, TaskRecord};
 use world::{World, job, step};
 
 #[test]
@@ -44,3 +44,23 @@
     let outcome = world.run_until_over("j", Duration::from_secs(4));
     assert_eq!(outcome, Some(JobOutcome::Completed));
 }
+
+/// Guards against a job that begins anew, or never ends, because an owner of another version wrote its record: earlier
+/// versions list all tasks, also those that were never placed.
+#[test]
+fn records_of_both_versions() {
+    for is_earlier in [true, false] {
+        let mut world = World::new(&["view"], 1);
+        world.submit("j", "q-view", job(vec![step(40, 2, 400)]));
+        world.run_for(Duration::from_millis(700));
+        let (record, _) = world.store.get_mut("j").expect("it has begun");
+        let listed = record.tasks.len();
+        assert!((1..40).contains(&listed), "{listed} of 40 tasks were placed");
+        if is_earlier {
+            record.tasks.resize(40, TaskRecord::default());
+        }
+        world.take_over();
+        let outcome = world.run_until_over("j", Duration::from_secs(12));
+        assert_eq!(outcome, Some(JobOutcome::Completed));
+    }
+}
