--- a/crates/jackdawpier_bench/src/job_memory.rs
+++ b/crates/jackdawpier_bench/src/job_memory.rs
@@ -37,6 +37,9 @@
 /// Rows of a transaction, and the size of its records.
 const MAX_ROWS: usize = 30;
 const MAX_BYTES: usize = 512 * 1024;
+/// Ends that all executors list at a time at the most, and those of a write where tasks end one after the other.
+const MOST_ENDS: usize = EXECUTORS * MAX_ENDS_PER_REPORT;
+const FEW_ENDS: usize = 50;
 
 /// What one state of the owner takes.
 #[derive(Debug, Clone, Copy, Default)]
@@ -145,10 +148,10 @@
         }
     }
 
-    /// Completes all running tasks, at most as many at a time as the executors list.
-    fn complete_all(&mut self) {
+    /// Completes all running tasks in groups of at most this many, each of which is written.
+    fn complete_all(&mut self, group: usize) {
         while !self.running.is_empty() {
-            let first = self.running.len().min(EXECUTORS * MAX_ENDS_PER_REPORT);
+            let first = self.running.len().min(group);
             let ended = self.running.drain(..first).collect();
             self.hold(ended);
             self.tick();
@@ -234,6 +237,16 @@
     );
 }
 
+/// Prints the size of a job's records if its tasks end one after the other.
+fn print_slow_ends() {
+    let mut owner = Owner::new(1 << 30);
+    add_jobs(&mut owner, 1, &wide_job());
+    owner.place_all();
+    owner.complete_all(FEW_ENDS);
+    let bytes = owner.written_bytes as f64;
+    println!("  records of a job of which {FEW_ENDS} tasks end at a time: {:.1} MB", bytes / 1e6);
+}
+
 /// Measures and prints all states.
 pub fn print() {
     let tasks_of = |jobs: usize| jobs * TASKS_PER_JOB as usize;
@@ -254,12 +267,12 @@
     let mut last: Vec<_> =
         owner.running.extract_if(.., |(_, task, _)| task.index + 1 == TASKS_PER_JOB).collect();
     let region = Region::new(&INSTRUMENTED_SYSTEM);
-    owner.complete_all();
+    owner.complete_all(MOST_ENDS);
     let change = region.change();
     let freed = change.bytes_deallocated.saturating_sub(change.bytes_allocated);
     println!("  of these, all but {} done: {:.1} MB freed", last.len(), freed as f64 / 1e6);
     owner.running.append(&mut last);
-    owner.complete_all();
+    owner.complete_all(MOST_ENDS);
     println!(
         "  records of a job: {:.2} MB until all its tasks run, {:.2} MB in all, {:.1} ns a byte",
         written as f64 / PLACED_JOBS as f64 / 1e6,
@@ -267,6 +280,8 @@
         owner.writing.as_nanos() as f64 / owner.written_bytes as f64
     );
 
+    print_slow_ends();
+
     let cancelled = |owner: &mut Owner| {
         for number in 0..CANCELLED_JOBS {
             owner.add(number, later_job());
