Answer a query for an ending job with its stored end, or not at all

Cause: while the end of a job is being written, the owner asks the store, since other entries may already show the end.

Change: such a query is answered like one at any other entry, from the store with retries until its deadline, or from memory once the answer to the write has arrived; else 503 with Retry-After.

Measured: ended_jobs::end_unreadable fails on the code before (answered Running) and passes now.

--- a/crates/jackdawpier_entry/src/callers.rs
+++ b/crates/jackdawpier_entry/src/callers.rs
@@ -187,32 +187,24 @@
         deadline: Now,
         mut query: JobQuery,
     ) -> Reply {
-        let reply = match self.owner.job_with_account(id) {
-            Some(known) => {
-                let (view, owner) = self.with_stored_end(id, known, &mut query).await;
-                self.job_reply(id, view, owner.as_ref(), account)
-            }
+        let reply = match self.job_in_memory(id) {
+            Some((view, owner)) => self.job_reply(id, view, owner.as_ref(), account),
             None => self.query_store(id, account, deadline, &mut query).await,
         };
         query.log_answer(&self.events, id, reply.status(), self.active.proof_age());
         reply
     }
 
-    /// Returns the state of a job that this entry owns. While its end is being written to the store, other
-    /// entries may already report it, so the stored record takes precedence if it can be read.
-    async fn with_stored_end(
-        &self,
-        id: &JobId,
-        known: JobWithAccount,
-        query: &mut JobQuery,
-    ) -> JobWithAccount {
-        if !self.owner.is_ending(id) {
-            return known;
+    /// Returns the state of a job that this entry owns, unless its end is being written to the store: other entries
+    /// may already report that end, so only the stored record is certain.
+    fn job_in_memory(&self, id: &JobId) -> Option<JobWithAccount> {
+        if self.owner.is_ending(id) {
+            return None;
         }
-        query.on_store_access();
-        self.read_record(id).await.ok().flatten().unwrap_or(known)
+        self.owner.job_with_account(id)
     }
 
+    /// Answers with the stored state of a job, or with that in memory if it becomes certain before the store answers.
     async fn query_store(
         &self,
         id: &JobId,
@@ -230,6 +222,9 @@
                 Ok(None) => return self.error_reply(id, StatusCode::GONE, "no such job"),
                 Err(error) => query.on_store_failure(error),
             }
+            if let Some((view, owner)) = self.job_in_memory(id) {
+                return self.job_reply(id, view, owner.as_ref(), account);
+            }
             if clock::now() + RETRY_DELAY >= deadline {
                 return self.refuse(id, "the store can't be reached");
             }
--- a/crates/jackdawpier_entry/tests/ended_jobs.rs
+++ b/crates/jackdawpier_entry/tests/ended_jobs.rs
@@ -82,6 +82,25 @@
     });
 }
 
+/// Guards against the same answer when the store refuses the read of the record: the query waits for the write.
+#[test]
+fn end_unreadable() {
+    run(async {
+        let fake = Fake::default();
+        let intake = start_intake(&fake);
+        let (handle, _owning) = start_owner(&fake, "a");
+        assert!(wait_until(|| fake.value(keys::OWNER).is_some()).await);
+        assert_eq!(submit(&intake).await, Acceptance::Accepted);
+        let entry = Entry::start_with_owner(&fake, None, handle.clone()).await;
+        fake.set_delay(Duration::from_millis(300));
+        assert!(wait_until(|| outcome_of(&fake) == Some(JobOutcome::Completed)).await);
+        assert!(handle.is_ending("job"));
+        fake.serve_one_in(usize::MAX);
+        let answer = entry.request("GET", "/a/job", None).await;
+        assert!(answer.contains("Over(Completed)"), "{answer}");
+    });
+}
+
 /// Returns the durable outcome of the job, if there is a record of it.
 fn outcome_of(fake: &Fake) -> Option<JobOutcome> {
     fake.value(&keys::record("job")).and_then(|_| outcome(fake, "job"))
